--- /dev/null
+++ b/internal/port/engine.go
@@ -0,0 +1,218 @@
+package port
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Incarnation tells one life of a process from the next on the same address.
+type Incarnation string
+
+// Scope isolates cached blocks: blocks are shared only by requests of the same
+// client account, weights version and adapter.
+type Scope struct {
+	ClientAccount  string
+	WeightsVersion string
+	Adapter        string
+}
+
+// String renders the scope as the opaque value sent to engines.
+func (s Scope) String() string {
+	return s.ClientAccount + "/" + s.WeightsVersion + "/" + s.Adapter
+}
+
+// Generation is one attempt to run a completion on a model engine.
+type Generation struct {
+	RequestID string
+	AttemptID string
+	Model     string
+	Prompt    string
+	MaxTokens int
+	Priority  int
+	Scope     Scope
+	// Deadline bounds the whole attempt; the engine receives the remaining time.
+	Deadline time.Time
+	// ExpectIncarnation and ExpectWeights make the engine refuse the attempt
+	// when it is another incarnation or serves other weights. Empty: any.
+	ExpectIncarnation Incarnation
+	ExpectWeights     string
+	// ResumeFrom is the index of the first chunk wanted; ResumeText holds the
+	// text of the chunks before it.
+	ResumeFrom int
+	ResumeText string
+}
+
+// FinishReason says why a stream ended. It is empty on all chunks but the last.
+type FinishReason string
+
+// The reasons for which an engine ends a stream.
+const (
+	FinishStop   FinishReason = "stop"
+	FinishLength FinishReason = "length"
+)
+
+// Usage is the engine's account of one attempt, in tokens.
+type Usage struct {
+	PromptTokens     int
+	CompletionTokens int
+	CachedTokens     int
+}
+
+// Chunk is one numbered part of a streamed response. Index counts from 0 over
+// the whole answer, also across resumes.
+type Chunk struct {
+	Index        int
+	Text         string
+	FinishReason FinishReason
+	// Usage is set on the last chunk only.
+	Usage *Usage
+}
+
+// ChunkStream is an open answer of an engine.
+type ChunkStream interface {
+	// Next returns the next chunk as the engine sent it. After the terminal
+	// mark it returns io.EOF; a stream that ends without one fails with a
+	// BrokenStreamError.
+	Next() (Chunk, error)
+	Incarnation() Incarnation
+	WeightsVersion() string
+	// Close releases the stream; an attempt that is still running is abandoned.
+	Close() error
+}
+
+// LoadReport is an engine's or a service's lagging account of its load.
+type LoadReport struct {
+	Incarnation    Incarnation `json:"incarnation"`
+	WeightsVersion string      `json:"weights_version"`
+	Running        int         `json:"running"`
+	Waiting        int         `json:"waiting"`
+	Slots          int         `json:"slots"`
+	CachedBlocks   int         `json:"cached_blocks"`
+	CapacityBlocks int         `json:"capacity_blocks"`
+	MeasuredAt     time.Time   `json:"measured_at"`
+}
+
+// BlockHash is the chain hash of a prompt block.
+type BlockHash uint64
+
+// CacheOp says what happened to cached blocks.
+type CacheOp string
+
+// The kinds of cache events.
+const (
+	CacheStore CacheOp = "store"
+	CacheEvict CacheOp = "evict"
+)
+
+// CacheEvent is one entry of an engine's cache event stream.
+type CacheEvent struct {
+	Seq    uint64
+	Op     CacheOp
+	Scope  string
+	Blocks []BlockHash
+}
+
+// CacheEvents is one read of an engine's cache event stream. FirstSeq is the
+// oldest sequence number still kept; a jump in Seq is a gap.
+type CacheEvents struct {
+	Incarnation Incarnation
+	FirstSeq    uint64
+	Events      []CacheEvent
+}
+
+// OrderKind is the kind of an order to an engine.
+type OrderKind string
+
+// The orders that engines take.
+const (
+	OrderLoadModel   OrderKind = "load_model"
+	OrderLoadAdapter OrderKind = "load_adapter"
+	OrderLoadVersion OrderKind = "load_version"
+	OrderSetRole     OrderKind = "set_role"
+)
+
+// Order asks an engine to change what it serves. Fencing is the offset of the
+// lease record under which the order is given.
+type Order struct {
+	ID      string    `json:"id"`
+	Kind    OrderKind `json:"kind"`
+	Model   string    `json:"model,omitempty"`
+	Adapter string    `json:"adapter,omitempty"`
+	Version string    `json:"version,omitempty"`
+	Role    string    `json:"role,omitempty"`
+	Fencing Offset    `json:"fencing"`
+}
+
+// EngineState is what an engine reports when its state is read back.
+type EngineState struct {
+	Incarnation    Incarnation `json:"incarnation"`
+	Model          string      `json:"model"`
+	WeightsVersion string      `json:"weights_version"`
+	Adapters       []string    `json:"adapters"`
+	Role           string      `json:"role"`
+	Loading        bool        `json:"loading"`
+}
+
+// Engine is one model engine, addressed by its target address (host:port).
+type Engine interface {
+	// Generate starts an attempt. Refusals that the engine itself reports as
+	// not run are a NotRunError; a failure whose effect is unknown is an
+	// UnknownOutcomeError.
+	Generate(ctx context.Context, address string, g Generation) (ChunkStream, error)
+	Cancel(ctx context.Context, address, attemptID string) error
+	Load(ctx context.Context, address string) (LoadReport, error)
+	Events(ctx context.Context, address string, after uint64, wait time.Duration) (CacheEvents, error)
+	Order(ctx context.Context, address string, o Order) error
+	State(ctx context.Context, address string) (EngineState, error)
+	ExportKV(ctx context.Context, address string, t KVTransfer) error
+	ImportKV(ctx context.Context, address string, t KVTransfer) error
+}
+
+// KVTransfer names cached blocks to move between an engine and the KV store.
+// Incarnation is checked by imports only.
+type KVTransfer struct {
+	Scope       Scope
+	Blocks      []BlockHash
+	StoreKey    string
+	Incarnation Incarnation
+}
+
+// Call is one attempt to run a plain service call.
+type Call struct {
+	RequestID      string
+	AttemptID      string
+	Method         string
+	Path           string
+	Header         http.Header
+	Body           []byte
+	IdempotencyKey string
+	Deadline       time.Time
+}
+
+// Reply is the answer of a plain service. The receiver closes Body.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+}
+
+// Service is a plain service, addressed by its target address (host:port).
+type Service interface {
+	// Call runs one attempt. A NotRunError means that the call did not run; an
+	// UnknownOutcomeError means that it may have run.
+	Call(ctx context.Context, address string, c Call) (Reply, error)
+}
+
+// KVStore keeps exported KV cache.
+type KVStore interface {
+	Put(ctx context.Context, key string, data []byte) error
+	Get(ctx context.Context, key string) ([]byte, error)
+}
+
+// WeightStore serves weights under a rate limit.
+type WeightStore interface {
+	// Fetch starts a download; a RateLimitedError says when to come back.
+	Fetch(ctx context.Context, version string) error
+}
--- /dev/null
+++ b/internal/port/failure.go
@@ -0,0 +1,137 @@
+package port
+
+import (
+	"strconv"
+	"time"
+)
+
+// UnavailableError means that the other side refused or could not be reached
+// before anything was sent: the operation had no effect.
+type UnavailableError struct {
+	Peer  string
+	Cause error
+}
+
+func (e *UnavailableError) Error() string {
+	return e.Peer + " is unavailable" + causeText(e.Cause)
+}
+
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// UnknownOutcomeError means that the answer was lost: the operation may or may
+// not have taken effect.
+type UnknownOutcomeError struct {
+	Peer  string
+	Cause error
+}
+
+func (e *UnknownOutcomeError) Error() string {
+	return "no answer from " + e.Peer + ", the outcome is unknown" + causeText(e.Cause)
+}
+
+func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
+
+// RateLimitedError means that nothing was done and tells when to come back.
+type RateLimitedError struct {
+	Peer       string
+	RetryAfter time.Duration
+}
+
+func (e *RateLimitedError) Error() string {
+	return e.Peer + " is over its rate limit, retry after " + e.RetryAfter.String()
+}
+
+// ExpiredError means that the log no longer keeps the offset asked for.
+type ExpiredError struct {
+	Stream string
+	From   Offset
+	Oldest Offset
+}
+
+func (e *ExpiredError) Error() string {
+	return "offset " + formatOffset(e.From) + " of stream " + strconv.Quote(e.Stream) +
+		" has expired, the oldest is " + formatOffset(e.Oldest)
+}
+
+// NotRunReason says why a target did not run an attempt.
+type NotRunReason string
+
+// The reasons for which a target reports that an attempt did not run.
+const (
+	NotRunOverloaded         NotRunReason = "overloaded"
+	NotRunLoading            NotRunReason = "loading"
+	NotRunIncarnationChanged NotRunReason = "incarnation_changed"
+	NotRunWeightsChanged     NotRunReason = "weights_changed"
+	NotRunUnreachable        NotRunReason = "unreachable"
+	NotRunDeclared           NotRunReason = "declared"
+)
+
+// NotRunError means that the target did not run the attempt: either it said
+// so, or the connection failed before the request was sent.
+type NotRunError struct {
+	Target     string
+	Reason     NotRunReason
+	RetryAfter time.Duration
+	Cause      error
+}
+
+func (e *NotRunError) Error() string {
+	return "target " + e.Target + " did not run the attempt: " + string(e.Reason) + causeText(e.Cause)
+}
+
+func (e *NotRunError) Unwrap() error { return e.Cause }
+
+// BadRequestError means that the other side refused the input; repeating it
+// cannot help.
+type BadRequestError struct {
+	Peer    string
+	Status  int
+	Message string
+}
+
+func (e *BadRequestError) Error() string {
+	return e.Peer + " refused the request with status " + strconv.Itoa(e.Status) + ": " + e.Message
+}
+
+// BrokenStreamError means that a stream ended without its terminal mark.
+type BrokenStreamError struct {
+	Target string
+	// Chunks is the number of chunks received before the break.
+	Chunks int
+	Cause  error
+}
+
+func (e *BrokenStreamError) Error() string {
+	return "stream from " + e.Target + " broke after " + strconv.Itoa(e.Chunks) + " chunks" + causeText(e.Cause)
+}
+
+func (e *BrokenStreamError) Unwrap() error { return e.Cause }
+
+// StaleFencingError means that the engine has seen a newer fencing token.
+type StaleFencingError struct {
+	Target  string
+	Fencing Offset
+}
+
+func (e *StaleFencingError) Error() string {
+	return "target " + e.Target + " refused the order: fencing token " + formatOffset(e.Fencing) + " is stale"
+}
+
+// NotFoundError means that the named thing does not exist.
+type NotFoundError struct {
+	Peer string
+	Name string
+}
+
+func (e *NotFoundError) Error() string {
+	return e.Peer + " has no " + strconv.Quote(e.Name)
+}
+
+func causeText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return ": " + err.Error()
+}
+
+func formatOffset(o Offset) string { return strconv.FormatUint(uint64(o), 10) }
--- /dev/null
+++ b/internal/port/port.go
@@ -0,0 +1,100 @@
+// Package port defines the interfaces between the core and the outside, and
+// the typed messages and failures that cross them. It imports no transport.
+package port
+
+import (
+	"context"
+	"time"
+)
+
+// Offset is the position of a record in one stream of the platform log.
+// Offsets start at 1 and are dense; 0 means "before the first record".
+type Offset uint64
+
+// Names of the streams that mimosaseam keeps in the platform log.
+const (
+	StreamConfig = "config"
+	StreamLedger = "ledger"
+	StreamFleet  = "fleet"
+)
+
+// Record is one entry of a log stream. Writers set ID and Data; Offset and
+// AppendedAt are set by the log.
+type Record struct {
+	Offset     Offset
+	ID         string
+	AppendedAt time.Time
+	Data       []byte
+}
+
+// Batch is the result of one read: records in offset order, the offset to
+// read next, and the oldest offset that the log still keeps.
+type Batch struct {
+	Records []Record
+	Next    Offset
+	Oldest  Offset
+}
+
+// Log is the platform's append-only log.
+type Log interface {
+	// Append writes the records atomically and returns the offset of the first.
+	// An UnavailableError or a RateLimitedError means that nothing was written.
+	// An UnknownOutcomeError means that the records may have been written: the
+	// caller finds out by reading.
+	Append(ctx context.Context, stream string, records []Record) (Offset, error)
+	// Read returns at most limit records from the given offset on and waits up
+	// to wait for the first. It fails with an ExpiredError when from is older
+	// than the oldest record kept.
+	Read(ctx context.Context, stream string, from Offset, limit int, wait time.Duration) (Batch, error)
+}
+
+// Role says what a VM runs.
+type Role string
+
+// The roles of VMs in the VM list.
+const (
+	RoleRouter  Role = "router"
+	RoleEngine  Role = "engine"
+	RoleService Role = "service"
+)
+
+// VMState is the state of a VM in the platform's list.
+type VMState string
+
+// The states of VMs in the VM list.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VM is one entry of the platform's lagging VM list.
+type VM struct {
+	Name             string  `json:"name"`
+	Role             Role    `json:"role"`
+	Address          string  `json:"address"`
+	Region           string  `json:"region"`
+	AvailabilityZone string  `json:"availability_zone"`
+	State            VMState `json:"state"`
+}
+
+// VMSnapshot is the list as of a point in time in the past.
+type VMSnapshot struct {
+	AsOf time.Time `json:"as_of"`
+	VMs  []VM      `json:"vms"`
+}
+
+// VMList is the platform's lagging list of live and leaving VMs.
+type VMList interface {
+	List(ctx context.Context) (VMSnapshot, error)
+}
+
+// Clock tells the time. The core never calls time.Now itself.
+type Clock interface {
+	Now() time.Time
+}
+
+// SystemClock is the wall clock with its monotonic reading.
+type SystemClock struct{}
+
+// Now returns the current time.
+func (SystemClock) Now() time.Time { return time.Now() }
