--- /dev/null
+++ b/internal/standin/apprunner/faults.go
@@ -0,0 +1,73 @@
+package apprunner
+
+import "context"
+
+// FaultKind names a fault.
+type FaultKind string
+
+// The faults that POST /control/faults takes.
+const (
+	// FaultCrashBeforeEffect closes the connection before anything happened.
+	FaultCrashBeforeEffect FaultKind = "crash_before_effect"
+	// FaultCrashAfterEffect closes the connection after the effect, unanswered.
+	FaultCrashAfterEffect FaultKind = "crash_after_effect"
+	// FaultLate answers DelayMs after the effect.
+	FaultLate FaultKind = "late"
+	// FaultRefuse answers 503 with X-Not-Run, without an effect.
+	FaultRefuse FaultKind = "refuse"
+	// FaultCrash drops all connections; effects stay.
+	FaultCrash FaultKind = "crash"
+	// FaultSilent leaves the connections that are open silent for good.
+	FaultSilent FaultKind = "silent"
+	// FaultClear ends all faults.
+	FaultClear FaultKind = "clear"
+)
+
+// Fault is the body of POST /control/faults.
+type Fault struct {
+	Kind    FaultKind `json:"kind"`
+	DelayMs int       `json:"delay_ms,omitempty"`
+	// Times is the number of calls acted on: 0 means one, -1 all until "clear".
+	Times int `json:"times,omitempty"`
+}
+
+// Inject starts a fault and reports whether its kind is known. The connection
+// that ctx belongs to, if any, is spared.
+func (s *Runner) Inject(ctx context.Context, fault Fault) bool {
+	switch fault.Kind {
+	case FaultCrash:
+		s.tracker.Drop(ctx)
+		return true
+	case FaultSilent:
+		s.tracker.Silence(ctx)
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch fault.Kind {
+	case FaultClear:
+		clear(s.faults)
+	case FaultCrashBeforeEffect, FaultCrashAfterEffect, FaultLate, FaultRefuse:
+		if fault.Times == 0 {
+			fault.Times = 1
+		}
+		s.faults[fault.Kind] = &fault
+	default:
+		return false
+	}
+	return true
+}
+
+// take returns the fault if it acts on this call.
+func (s *Runner) take(kind FaultKind) *Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults[kind]
+	if f == nil || f.Times == 0 {
+		return nil
+	}
+	if f.Times > 0 {
+		f.Times--
+	}
+	return f
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,159 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/standin/conntrack"
+)
+
+// Engine is the stand-in. It is an http.Handler; Server returns a server that
+// also lets it drop and silence connections.
+type Engine struct {
+	config  Config
+	mux     *http.ServeMux
+	tracker conntrack.Tracker
+	started time.Time
+
+	mu          sync.Mutex
+	starts      int
+	incarnation string
+	version     string
+	role        string
+	adapters    []string
+	model       string
+	readyAt     time.Time
+	closed      bool
+
+	cache  *blockCache
+	events *eventLog
+	load   loadHistory
+	faults faultState
+	orders orderState
+	runs   runLog
+
+	attempts map[string]*attempt
+	waiting  waitQueue
+	decoding decodeHeap
+	running  int
+	arrivals uint64
+	// prefillFree is when the prefill of the attempts started so far ends.
+	prefillFree time.Duration
+	timerAt     time.Duration
+	timerStop   func() bool
+}
+
+// New returns an engine that serves at once, unless the configuration lets it
+// start cold.
+func New(c Config) *Engine {
+	c = c.withDefaults()
+	e := &Engine{
+		config: c, started: c.Clock.Now(),
+		version: c.WeightsVersion, role: c.Role, model: c.Model,
+		attempts: make(map[string]*attempt),
+	}
+	e.faults.init()
+	e.resetLocked()
+	if c.StartCold {
+		e.readyAt = e.started.Add(c.ColdStart)
+	}
+	e.mux = http.NewServeMux()
+	e.routes()
+	return e
+}
+
+func (e *Engine) routes() {
+	e.mux.HandleFunc("POST /v1/completions", e.serveCompletion)
+	e.mux.HandleFunc("DELETE /v1/attempts/{attempt}", e.serveCancel)
+	e.mux.HandleFunc("GET /v1/load", e.serveLoad)
+	e.mux.HandleFunc("GET /v1/cache/events", e.serveEvents)
+	e.mux.HandleFunc("POST /v1/orders", e.serveOrder)
+	e.mux.HandleFunc("GET /v1/state", e.serveState)
+	e.mux.HandleFunc("POST /v1/kv/export", e.serveExport)
+	e.mux.HandleFunc("POST /v1/kv/import", e.serveImport)
+	e.mux.HandleFunc("POST /control/faults", e.serveFaults)
+	e.mux.HandleFunc("GET /control/runs", e.serveRuns)
+	e.mux.HandleFunc("GET /control/orders", e.serveExecutedOrders)
+}
+
+// Server returns a server for the engine. Only connections of this server are
+// dropped by a crash and silenced by the fault "silent".
+func (e *Engine) Server() *http.Server { return e.tracker.Server(e) }
+
+// ServeHTTP serves the engine protocol and the control paths.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !isControl(r) {
+		e.passFaults(r.Context())
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+// Incarnation returns the current incarnation.
+func (e *Engine) Incarnation() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.incarnation
+}
+
+// Crash drops all connections and attempts, empties the cache and starts a new
+// incarnation, which refuses work during the cold start. Until down has passed
+// every new connection is dropped.
+func (e *Engine) Crash(ctx context.Context, down time.Duration) {
+	e.mu.Lock()
+	e.crashLocked(down)
+	e.mu.Unlock()
+	e.tracker.Drop(ctx)
+}
+
+// Close ends all attempts and timers.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closed = true
+	e.faults.thaw()
+	e.endAllLocked(OutcomeCancelled)
+	if e.timerStop != nil {
+		e.timerStop()
+	}
+}
+
+func (e *Engine) crashLocked(down time.Duration) {
+	e.endAllLocked(OutcomeCrashed)
+	now := e.config.Clock.Now()
+	e.faults.downUntil = now.Add(down)
+	e.resetLocked()
+	e.readyAt = now.Add(down + e.config.ColdStart)
+}
+
+// resetLocked starts a new incarnation with empty memory.
+func (e *Engine) resetLocked() {
+	e.starts++
+	e.incarnation = fmt.Sprintf("%s-%x-%d", e.config.Name, e.config.Seed, e.starts)
+	e.cache = newBlockCache(e.config.CapacityBlocks)
+	if e.events != nil {
+		close(e.events.notify)
+	}
+	e.events = newEventLog()
+	e.adapters = nil
+	e.prefillFree = 0
+	e.load = loadHistory{}
+	e.noteLoadLocked()
+}
+
+func (e *Engine) endAllLocked(outcome Outcome) {
+	for _, a := range e.attempts {
+		a.finish(outcome)
+	}
+	clear(e.attempts)
+	e.waiting = nil
+	e.decoding = nil
+	e.running = 0
+}
+
+func (e *Engine) loadingLocked() bool { return e.config.Clock.Now().Before(e.readyAt) }
+
+// since returns the engine's time, which counts from its creation.
+func (e *Engine) since() time.Duration { return e.config.Clock.Now().Sub(e.started) }
