Add HTTP clients for model engines and plain services

Both count the bytes written to a connection, so that an attempt is only reported as not run when the target said so or nothing left the process.

--- /dev/null
+++ b/internal/adapter/enginehttp/client.go
@@ -0,0 +1,179 @@
+// Package enginehttp is the HTTP client of model engines. It speaks the engine
+// protocol of docs/design.md, section 3, and classifies failures by whether the
+// engine may have run the attempt.
+package enginehttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/rotisserie/eris"
+
+	"mimosaseam.example/mimosaseam/internal/adapter/httpconn"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// Default bounds of what an engine may send.
+const (
+	DefaultMaxEventBytes = 64 << 10
+	DefaultMaxBodyBytes  = 16 << 20
+	// maxErrorBytes bounds the body of a refusal.
+	maxErrorBytes = 16 << 10
+	// maxMessageBytes bounds the part of a refusal's message that is kept.
+	maxMessageBytes = 256
+)
+
+// Failures of the engine's side that carry no cause of their own.
+var (
+	ErrNotEventStream = eris.New("the answer is not an event stream")
+	ErrUnexpected     = eris.New("the engine answered with an unexpected status")
+	ErrTooLarge       = eris.New("the answer is larger than allowed")
+	ErrMalformed      = eris.New("the answer is malformed")
+	ErrNoTerminalMark = eris.New("the stream ended without its terminal mark")
+	ErrNoFinishReason = eris.New("the stream's terminal mark came without a finish reason")
+	ErrEngineReported = eris.New("the engine reported an error in the stream")
+	ErrDeadlinePassed = eris.New("the deadline passed before the attempt was sent")
+)
+
+// Options configures a Client. Zero bounds mean the defaults.
+type Options struct {
+	httpconn.Options
+	// MaxEventBytes bounds one line of a stream.
+	MaxEventBytes int
+	// MaxBodyBytes bounds any other answer.
+	MaxBodyBytes int64
+}
+
+// Client implements port.Engine.
+type Client struct {
+	pool     *httpconn.Pool
+	maxEvent int
+	maxBody  int64
+}
+
+var _ port.Engine = (*Client)(nil)
+
+// New returns a client.
+func New(o Options) *Client {
+	c := &Client{pool: httpconn.New(o.Options), maxEvent: o.MaxEventBytes, maxBody: o.MaxBodyBytes}
+	if c.maxEvent <= 0 {
+		c.maxEvent = DefaultMaxEventBytes
+	}
+	if c.maxBody <= 0 {
+		c.maxBody = DefaultMaxBodyBytes
+	}
+	return c
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.pool.Close() }
+
+func (c *Client) url(address, path, query string) *url.URL {
+	return &url.URL{Scheme: c.pool.Scheme(), Host: address, Path: path, RawQuery: query}
+}
+
+// exchange sends one request with a JSON body, if in is not nil, and reads the
+// whole answer.
+func (c *Client) exchange(ctx context.Context, method string, u *url.URL, in any) (*http.Response, []byte, error) {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return nil, nil, &httpconn.Failure{NothingSent: true, Cause: err}
+		}
+	}
+	response, err := c.pool.Send(ctx, func(ctx context.Context) (*http.Request, error) {
+		return newRequest(ctx, method, u, nil, body), nil
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, c.maxBody+1))
+	if err == nil && int64(len(data)) > c.maxBody {
+		err = ErrTooLarge
+	}
+	if err != nil {
+		return nil, nil, &httpconn.Failure{Cause: err}
+	}
+	return response, data, nil
+}
+
+// newRequest sets GetBody, which lets net/http repeat a request of which
+// nothing was written. It repeats no other POST without an Idempotency-Key.
+func newRequest(ctx context.Context, method string, u *url.URL, header http.Header, body []byte) *http.Request {
+	if header == nil {
+		header = make(http.Header, 1)
+	}
+	r := (&http.Request{
+		Method: method, URL: u, Host: u.Host, Header: header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}).WithContext(ctx)
+	if body != nil {
+		header["Content-Type"] = []string{"application/json"}
+		r.ContentLength = int64(len(body))
+		r.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
+		r.Body, _ = r.GetBody()
+	}
+	return r
+}
+
+// refusal is the body of an answer that is not a success.
+type refusal struct {
+	Error struct {
+		Type    string `json:"type"`
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+func parseRefusal(data []byte) refusal {
+	var r refusal
+	// A body that does not parse leaves the status as the only evidence.
+	_ = json.Unmarshal(data, &r)
+	if len(r.Error.Message) > maxMessageBytes {
+		r.Error.Message = r.Error.Message[:maxMessageBytes]
+	}
+	return r
+}
+
+// notRun returns the failure for a status that states that nothing ran, or nil.
+func (c *Client) notRun(address string, response *http.Response, r refusal) error {
+	var reason port.NotRunReason
+	switch response.StatusCode {
+	case http.StatusPreconditionFailed:
+		reason = port.NotRunIncarnationChanged
+		if r.Error.Type == string(port.NotRunWeightsChanged) {
+			reason = port.NotRunWeightsChanged
+		}
+	case http.StatusTooManyRequests:
+		reason = port.NotRunOverloaded
+	case http.StatusServiceUnavailable:
+		reason = port.NotRunLoading
+		if r.Error.Type == string(port.NotRunOverloaded) {
+			reason = port.NotRunOverloaded
+		}
+	default:
+		return nil
+	}
+	return &port.NotRunError{Target: address, Reason: reason, RetryAfter: c.pool.RetryAfter(response.Header)}
+}
+
+// refused classifies an answer that is not a success.
+func (c *Client) refused(address string, response *http.Response, data []byte) error {
+	r := parseRefusal(data)
+	if err := c.notRun(address, response, r); err != nil {
+		return err
+	}
+	if response.StatusCode >= 400 && response.StatusCode < 500 {
+		message := r.Error.Message
+		if message == "" {
+			message = r.Error.Type
+		}
+		return &port.BadRequestError{Peer: address, Status: response.StatusCode, Message: message}
+	}
+	return &port.UnknownOutcomeError{Peer: address, Cause: eris.Wrapf(ErrUnexpected, "status %d", response.StatusCode)}
+}
--- /dev/null
+++ b/internal/adapter/httpconn/pool.go
@@ -0,0 +1,187 @@
+// Package httpconn sends HTTP/1.1 requests to targets over pooled connections
+// and tells requests that never left this process from those that may have
+// arrived.
+package httpconn
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+const (
+	dialTimeout      = 2 * time.Second
+	handshakeTimeout = 3 * time.Second
+	keepAlive        = 15 * time.Second
+	idleTimeout      = 90 * time.Second
+	// maxIdlePerTarget keeps the connections of a target's usual number of
+	// streams; net/http keeps two by default and dials for all others.
+	maxIdlePerTarget = 1024
+	// maxHeaderBytes bounds the header of an answer.
+	maxHeaderBytes = 64 << 10
+	// bufferBytes is the size of each connection's read and write buffer.
+	bufferBytes = 4 << 10
+	// maxRetryAfter bounds what a target may ask for.
+	maxRetryAfter = 10 * time.Minute
+)
+
+// Options configures a Pool.
+type Options struct {
+	// Transport is copied and used as given, except that compression, HTTP/2
+	// and proxies are switched off. Nil: a transport sized for many streams.
+	Transport *http.Transport
+	// TLS switches to https. A transport's own TLS configuration does so too.
+	TLS *tls.Config
+	// Clock tells the remaining time of deadlines. Nil: the system clock.
+	Clock port.Clock
+}
+
+// Pool sends requests.
+type Pool struct {
+	pooled *http.Transport
+	fresh  *http.Transport
+	scheme string
+	clock  port.Clock
+}
+
+// New returns a pool.
+func New(o Options) *Pool {
+	t := defaultTransport()
+	if o.Transport != nil {
+		t = o.Transport.Clone()
+	}
+	if o.TLS != nil {
+		t.TLSClientConfig = o.TLS.Clone()
+	}
+	p := &Pool{scheme: "http", clock: o.Clock}
+	if p.clock == nil {
+		p.clock = port.SystemClock{}
+	}
+	if t.TLSClientConfig != nil || t.DialTLSContext != nil {
+		p.scheme = "https"
+	}
+	t.DisableCompression = true
+	t.Proxy = nil
+	t.ForceAttemptHTTP2 = false
+	t.Protocols = nil
+	t.TLSNextProto = map[string]func(string, *tls.Conn) http.RoundTripper{}
+	t.DialContext = counted(t.DialContext)
+	if t.DialTLSContext != nil {
+		t.DialTLSContext = counted(t.DialTLSContext)
+	}
+	p.pooled = t
+	p.fresh = t.Clone()
+	p.fresh.DisableKeepAlives = true
+	return p
+}
+
+func defaultTransport() *http.Transport {
+	return &http.Transport{
+		TLSHandshakeTimeout:    handshakeTimeout,
+		MaxIdleConnsPerHost:    maxIdlePerTarget,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		ReadBufferSize:         bufferBytes,
+		WriteBufferSize:        bufferBytes,
+	}
+}
+
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func counted(dial dialFunc) dialFunc {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: c}, nil
+	}
+}
+
+// Scheme returns "http" or "https".
+func (p *Pool) Scheme() string { return p.scheme }
+
+// Close closes the idle connections.
+func (p *Pool) Close() {
+	p.pooled.CloseIdleConnections()
+	p.fresh.CloseIdleConnections()
+}
+
+// Failure is a request without an answer. NothingSent states that no byte of it
+// was written.
+type Failure struct {
+	NothingSent bool
+	Cause       error
+}
+
+func (e *Failure) Error() string { return e.Cause.Error() }
+
+func (e *Failure) Unwrap() error { return e.Cause }
+
+// Send sends the request that build returns and waits for the header of the
+// answer. It builds and sends the request again, on a new connection, when a
+// pooled connection turned out to be closed before anything was written.
+func (p *Pool) Send(ctx context.Context, build func(context.Context) (*http.Request, error)) (*http.Response, error) {
+	transport := p.pooled
+	if port.WantsFreshConnection(ctx) {
+		transport = p.fresh
+	}
+	for {
+		var w watch
+		request, err := build(httptrace.WithClientTrace(ctx, w.trace()))
+		if err != nil {
+			return nil, &Failure{NothingSent: true, Cause: err}
+		}
+		response, err := transport.RoundTrip(request)
+		if err == nil {
+			return response, nil
+		}
+		nothing, reused := w.nothingSent()
+		if nothing && reused && transport == p.pooled && ctx.Err() == nil {
+			transport = p.fresh
+			continue
+		}
+		return nil, &Failure{NothingSent: nothing, Cause: err}
+	}
+}
+
+// WithDeadline bounds ctx by the deadline, if there is one, and returns the
+// remaining time in milliseconds. The time is negative when it has passed.
+func (p *Pool) WithDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc, int64) {
+	if deadline.IsZero() {
+		ctx, cancel := context.WithCancel(ctx)
+		return ctx, cancel, 0
+	}
+	left := deadline.Sub(p.clock.Now())
+	ctx, cancel := context.WithTimeout(ctx, left)
+	if left < time.Millisecond {
+		return ctx, cancel, -1
+	}
+	return ctx, cancel, left.Milliseconds()
+}
+
+// RetryAfter reads the header of this name, given in seconds or as a date.
+func (p *Pool) RetryAfter(h http.Header) time.Duration {
+	text := h.Get("Retry-After")
+	if text == "" {
+		return 0
+	}
+	wait := time.Duration(0)
+	if seconds, err := strconv.ParseFloat(text, 64); err == nil && seconds < maxRetryAfter.Seconds() {
+		wait = time.Duration(seconds * float64(time.Second))
+	} else if err == nil {
+		wait = maxRetryAfter
+	} else if at, err := http.ParseTime(text); err == nil {
+		wait = at.Sub(p.clock.Now())
+	}
+	return min(max(wait, 0), maxRetryAfter)
+}
