Add strict settings with every problem reported at once

strictjson decodes JSON with comments and keeps the line of each value, so that type errors, unknown keys and failed checks are listed together.

--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,53 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const minimal = `{
+  // One router of the entry tier.
+  "vm": {"name": "entry-1", "region": "nordhafen", "availability_zone": "nordhafen-a"},
+  "callers": {"address": "127.0.0.1:8080"},
+  "admin": {"address": "127.0.0.1:8081"},
+  "peers": {"address": "127.0.0.1:8082"},
+  "platform": {"log_url": "http://127.0.0.1:7000", "vm_list_url": "http://127.0.0.1:7001"},
+  "system": {"public_key": "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="},
+}`
+
+// Guards against a minimal file losing the documented defaults.
+func TestParseFillsInDefaults(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse("s.jsonc", []byte(minimal))
+	is.NoErr(err)
+	is.Equal(s.Callers.BodyBytes, 4<<20)
+	is.Equal(s.Platform.RetentionS, 604800)
+	is.Equal(s.Shutdown.DrainTimeoutS, 120)
+}
+
+// Guards against a wrong value reaching a running router, and against messages
+// without line, path or expectation.
+func TestParseRefusesWrongValues(t *testing.T) {
+	cases := map[string]struct{ old, new, want string }{
+		"host name":    {"127.0.0.1:8080", "localhost:8080", "s.jsonc:4: /callers/address: found \"localhost:8080\""},
+		"no port":      {"127.0.0.1:8081", "127.0.0.1", "s.jsonc:5: /admin/address"},
+		"wrong scheme": {"http://127.0.0.1:7000", "ftp://127.0.0.1:7000", "s.jsonc:7: /platform/log_url"},
+		"short key":    {"AAAAAAAA", "", "s.jsonc:8: /system/public_key"},
+		"unknown key":  {`"region"`, `"regoin"`, "s.jsonc:3: /vm/regoin: found an unknown key"},
+		"no name":      {"entry-1", "", "s.jsonc:3: /vm/name: found nothing"},
+		"range": {`"address": "127.0.0.1:8080"`, `"address": "127.0.0.1:8080", "body_bytes": 0`,
+			"s.jsonc:4: /callers/body_bytes: found 0, want a whole number from 1024"},
+		"half TLS": {`"address": "127.0.0.1:8081"`, `"address": "127.0.0.1:8081", "tls": {"cert_file": "c.pem"}`,
+			"s.jsonc:5: /admin/tls: found 1 of 2 files"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse("s.jsonc", []byte(strings.Replace(minimal, c.old, c.new, 1)))
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), c.want)) // err names line, path and expectation
+		})
+	}
+}
