--- /dev/null
+++ b/internal/adapter/adminhttp/adminhttp.go
@@ -0,0 +1,161 @@
+// Package adminhttp serves operators: liveness, readiness, metrics, the status
+// of the router, and explanations of placement decisions.
+package adminhttp
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"strconv"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// Readiness says whether the load balancer should send requests here.
+type Readiness struct {
+	Ready  bool   `json:"ready"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// Peer is another router as this one sees it.
+type Peer struct {
+	Name             string      `json:"name"`
+	Address          string      `json:"address"`
+	Region           string      `json:"region,omitempty"`
+	AvailabilityZone string      `json:"availability_zone,omitempty"`
+	State            string      `json:"state"`
+	ConfigOffset     port.Offset `json:"config_offset"`
+}
+
+// Target is a target as this router sees it.
+type Target struct {
+	Pool        string `json:"pool"`
+	Name        string `json:"name"`
+	Address     string `json:"address"`
+	Region      string `json:"region"`
+	Incarnation string `json:"incarnation,omitempty"`
+	// Circuit is closed, open or half_open.
+	Circuit string `json:"circuit"`
+	Leaving bool   `json:"leaving"`
+	// InFlight counts this router's open attempts.
+	InFlight int `json:"in_flight"`
+}
+
+// Status is the state of one router.
+type Status struct {
+	VM               string      `json:"vm"`
+	Region           string      `json:"region"`
+	AvailabilityZone string      `json:"availability_zone"`
+	Version          string      `json:"version"`
+	StartedAt        time.Time   `json:"started_at"`
+	Readiness        Readiness   `json:"readiness"`
+	ConfigOffset     port.Offset `json:"config_offset"`
+	LedgerOffset     port.Offset `json:"ledger_offset"`
+	// LogContact is when the platform log last answered.
+	LogContact time.Time `json:"log_contact"`
+	Peers      []Peer    `json:"peers"`
+	Targets    []Target  `json:"targets"`
+	// BudgetTokens is what each route's retry budget holds, in attempts.
+	BudgetTokens map[string]float64 `json:"budget_tokens"`
+	// Quarantined counts the fingerprints of requests that crashed targets.
+	Quarantined int `json:"quarantined"`
+}
+
+// Applied says which routers have a configuration offset in force.
+type Applied struct {
+	Offset  port.Offset `json:"offset"`
+	InForce []string    `json:"in_force"`
+	Lagging []string    `json:"lagging"`
+}
+
+// ExplainRequest is a request to place without running it.
+type ExplainRequest struct {
+	// ClientAccount is "<team>/<name>".
+	ClientAccount string `json:"client_account"`
+	Model         string `json:"model"`
+	Prompt        string `json:"prompt"`
+	MaxTokens     int    `json:"max_tokens"`
+}
+
+// Backend answers the admin server's questions.
+type Backend interface {
+	Readiness() Readiness
+	Status() Status
+	Applied(ctx context.Context, offset port.Offset) Applied
+	Explain(ctx context.Context, r ExplainRequest) (any, error)
+}
+
+// maxExplainBytes bounds the body of an explain request.
+const maxExplainBytes = 4 << 20
+
+// Handler returns the admin server's routes.
+func Handler(b Backend) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, struct {
+			Live bool `json:"live"`
+		}{true})
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		readiness := b.Readiness()
+		status := http.StatusOK
+		if !readiness.Ready {
+			status = http.StatusServiceUnavailable
+		}
+		writeJSON(w, status, readiness)
+	})
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, b.Status())
+	})
+	mux.HandleFunc("GET /v1/config/applied", func(w http.ResponseWriter, r *http.Request) {
+		offset, err := strconv.ParseUint(r.URL.Query().Get("offset"), 10, 64)
+		if err != nil {
+			writeError(w, http.StatusBadRequest, "invalid_offset", "offset must be a whole number of 0 or more")
+			return
+		}
+		writeJSON(w, http.StatusOK, b.Applied(r.Context(), port.Offset(offset)))
+	})
+	mux.HandleFunc("POST /v1/explain", explain(b))
+	return mux
+}
+
+func explain(b Backend) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var request ExplainRequest
+		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxExplainBytes))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&request); err != nil {
+			writeError(w, http.StatusBadRequest, "invalid_request", err.Error())
+			return
+		}
+		answer, err := b.Explain(r.Context(), request)
+		if err != nil {
+			writeError(w, http.StatusUnprocessableEntity, "cannot_explain", err.Error())
+			return
+		}
+		writeJSON(w, http.StatusOK, answer)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the operator has gone; nobody is left to tell.
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+type errorBody struct {
+	Error struct {
+		Type    string `json:"type"`
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+func writeError(w http.ResponseWriter, status int, kind, message string) {
+	var body errorBody
+	body.Error.Type, body.Error.Message = kind, message
+	writeJSON(w, status, body)
+}
