--- /dev/null
+++ b/internal/adapter/platformhttp/log.go
@@ -0,0 +1,127 @@
+package platformhttp
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// Log is a client of the platform's log service. It implements port.Log.
+type Log struct{ caller caller }
+
+// NewLog returns a client of the log service.
+func NewLog(o Options) *Log { return &Log{caller: newCaller("platform log", o)} }
+
+type newRecord struct {
+	ID   string `json:"id"`
+	Data []byte `json:"data"`
+}
+
+type storedRecord struct {
+	Offset     port.Offset `json:"offset"`
+	ID         string      `json:"id"`
+	AppendedAt time.Time   `json:"appended_at"`
+	Data       []byte      `json:"data"`
+}
+
+type readAnswer struct {
+	Records []storedRecord `json:"records"`
+	Next    port.Offset    `json:"next"`
+	Oldest  port.Offset    `json:"oldest"`
+}
+
+// Append implements port.Log.
+func (l *Log) Append(ctx context.Context, stream string, records []port.Record) (port.Offset, error) {
+	in := struct {
+		Records []newRecord `json:"records"`
+	}{Records: make([]newRecord, len(records))}
+	for i, r := range records {
+		in.Records[i] = newRecord{ID: r.ID, Data: r.Data}
+	}
+	var out struct {
+		FirstOffset port.Offset `json:"first_offset"`
+	}
+	a, err := l.caller.doJSON(ctx, request{method: http.MethodPost, path: recordsPath(stream)}, in, &out)
+	if err != nil {
+		return 0, err
+	}
+	if err := l.caller.accept(a); err != nil {
+		return 0, err
+	}
+	if out.FirstOffset == 0 {
+		return 0, l.caller.unknown(ErrInvalidAnswer)
+	}
+	return out.FirstOffset, nil
+}
+
+// Read implements port.Log. When the answer is over the response bound, fewer
+// records are asked for, so that large records cannot stop a reader.
+func (l *Log) Read(ctx context.Context, stream string, from port.Offset, limit int, wait time.Duration) (port.Batch, error) {
+	from = max(from, 1)
+	for {
+		b, err := l.read(ctx, stream, from, limit, wait)
+		var large *ResponseTooLargeError
+		if limit <= 1 || !errors.As(err, &large) {
+			return b, err
+		}
+		limit /= 2
+	}
+}
+
+func (l *Log) read(ctx context.Context, stream string, from port.Offset, limit int, wait time.Duration) (port.Batch, error) {
+	q := url.Values{}
+	q.Set("from", strconv.FormatUint(uint64(from), 10))
+	q.Set("limit", strconv.Itoa(limit))
+	q.Set("wait_ms", strconv.FormatInt(max(wait, 0).Milliseconds(), 10))
+	var out readAnswer
+	r := request{method: http.MethodGet, path: recordsPath(stream) + "?" + q.Encode(), extra: max(wait, 0)}
+	a, err := l.caller.doJSON(ctx, r, nil, &out)
+	if err != nil {
+		return port.Batch{}, err
+	}
+	if a.status == http.StatusGone {
+		return port.Batch{}, l.expired(a, stream, from)
+	}
+	if err := l.caller.accept(a); err != nil {
+		return port.Batch{}, err
+	}
+	return l.batch(out, from)
+}
+
+// batch checks that the records are dense from the offset asked for: a hole
+// would silently skip a decision of the log.
+func (l *Log) batch(out readAnswer, from port.Offset) (port.Batch, error) {
+	b := port.Batch{Next: out.Next, Oldest: out.Oldest}
+	for i, r := range out.Records {
+		if r.Offset != from+port.Offset(i) {
+			return port.Batch{}, l.caller.unknown(eris.Wrapf(ErrInvalidAnswer, "record %d has offset %d", i, r.Offset))
+		}
+		b.Records = append(b.Records, port.Record(r))
+	}
+	if out.Next != from+port.Offset(len(out.Records)) {
+		return port.Batch{}, l.caller.unknown(eris.Wrapf(ErrInvalidAnswer, "next offset is %d", out.Next))
+	}
+	return b, nil
+}
+
+func (l *Log) expired(a answer, stream string, from port.Offset) error {
+	var out struct {
+		Oldest port.Offset `json:"oldest"`
+	}
+	if json.Unmarshal(a.body, &out) != nil || out.Oldest <= from {
+		return l.caller.unknown(eris.Wrap(ErrInvalidAnswer, "expired without a later oldest offset"))
+	}
+	return &port.ExpiredError{Stream: stream, From: from, Oldest: out.Oldest}
+}
+
+func recordsPath(stream string) string {
+	return "/v1/streams/" + url.PathEscape(stream) + "/records"
+}
--- /dev/null
+++ b/internal/port/portfake/log.go
@@ -0,0 +1,276 @@
+// Package portfake provides in-memory implementations of ports for tests and
+// for the stand-ins. They take their clock as a parameter and wait on timers
+// and channels only, so they work inside testing/synctest bubbles.
+package portfake
+
+import (
+	"context"
+	"regexp"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// peerName names the log in failures.
+const peerName = "platform log"
+
+// MaxReadRecords bounds the records of one read.
+const MaxReadRecords = 10_000
+
+var streamName = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,99}$`)
+
+// LogOptions configures a Log.
+type LogOptions struct {
+	// Clock stamps records and drives retention and the rate limit. Nil: the
+	// system clock.
+	Clock port.Clock
+	// Retention is the age at which records expire. 0: never.
+	Retention time.Duration
+	// AppendsPerSecond limits calls of Append, whatever their size. 0: no limit.
+	AppendsPerSecond float64
+	// AppendBurst is the number of appends allowed at once. 0: 1.
+	AppendBurst int
+}
+
+// Faults are the failures that a Log shows. They are set as a whole.
+type Faults struct {
+	// Outage makes every call fail as unavailable, also waiting reads.
+	Outage bool `json:"outage"`
+	// LoseAfterEffect is the number of next appends that take effect and whose
+	// answer is lost.
+	LoseAfterEffect int `json:"lose_after_effect"`
+	// LoseBeforeEffect is the number of next appends that have no effect and
+	// whose answer is lost.
+	LoseBeforeEffect int `json:"lose_before_effect"`
+	// DelayMS is added to each call before it takes effect, in milliseconds.
+	DelayMS int `json:"delay_ms"`
+}
+
+// Log is an in-memory port.Log with switchable faults.
+type Log struct {
+	clock     port.Clock
+	retention time.Duration
+	limiter   *rate.Limiter
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	faults  Faults
+	// changed is closed and replaced when records or faults change.
+	changed chan struct{}
+}
+
+type stream struct {
+	// records holds the offsets oldest, oldest+1, ... in order.
+	records []port.Record
+	oldest  port.Offset
+}
+
+func (s *stream) next() port.Offset { return s.oldest + port.Offset(len(s.records)) }
+
+// NewLog returns an empty log.
+func NewLog(o LogOptions) *Log {
+	l := &Log{
+		clock:     o.Clock,
+		retention: o.Retention,
+		streams:   map[string]*stream{},
+		changed:   make(chan struct{}),
+	}
+	if l.clock == nil {
+		l.clock = port.SystemClock{}
+	}
+	if o.AppendsPerSecond > 0 {
+		l.limiter = rate.NewLimiter(rate.Limit(o.AppendsPerSecond), max(1, o.AppendBurst))
+	}
+	return l
+}
+
+// SetFaults replaces the faults and wakes waiting reads.
+func (l *Log) SetFaults(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+	l.wake()
+}
+
+// Expire drops the records of a stream before the given offset.
+func (l *Log) Expire(name string, oldest port.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	n := min(max(oldest, s.oldest), s.next()) - s.oldest
+	s.records = s.records[n:]
+	s.oldest += n
+}
+
+// Append implements port.Log.
+func (l *Log) Append(ctx context.Context, name string, records []port.Record) (port.Offset, error) {
+	if err := l.delay(ctx); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Outage {
+		return 0, &port.UnavailableError{Peer: peerName}
+	}
+	if err := checkAppend(name, records); err != nil {
+		return 0, err
+	}
+	if err := l.takeAppend(); err != nil {
+		return 0, err
+	}
+	if l.faults.LoseBeforeEffect > 0 {
+		l.faults.LoseBeforeEffect--
+		return 0, &port.UnknownOutcomeError{Peer: peerName}
+	}
+	first := l.write(name, records)
+	if l.faults.LoseAfterEffect > 0 {
+		l.faults.LoseAfterEffect--
+		return 0, &port.UnknownOutcomeError{Peer: peerName}
+	}
+	return first, nil
+}
+
+// Read implements port.Log. An offset of 0 reads from the first record.
+func (l *Log) Read(ctx context.Context, name string, from port.Offset, limit int, wait time.Duration) (port.Batch, error) {
+	if !streamName.MatchString(name) {
+		return port.Batch{}, badRequest("invalid stream name")
+	}
+	if limit < 1 {
+		return port.Batch{}, badRequest("limit must be at least 1")
+	}
+	if err := l.delay(ctx); err != nil {
+		return port.Batch{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	from = max(from, 1)
+	for last := wait <= 0; ; {
+		b, changed, err := l.read(name, from, min(limit, MaxReadRecords))
+		if err != nil || len(b.Records) > 0 || last {
+			return b, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			last = true
+		case <-ctx.Done():
+			return port.Batch{}, &port.UnknownOutcomeError{Peer: peerName, Cause: ctx.Err()}
+		}
+	}
+}
+
+// read returns what is there now and the channel that tells of a change.
+func (l *Log) read(name string, from port.Offset, limit int) (port.Batch, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Outage {
+		return port.Batch{}, nil, &port.UnavailableError{Peer: peerName}
+	}
+	s := l.stream(name)
+	l.dropExpired(s)
+	if from < s.oldest {
+		return port.Batch{}, nil, &port.ExpiredError{Stream: name, From: from, Oldest: s.oldest}
+	}
+	b := port.Batch{Next: from, Oldest: s.oldest}
+	if from < s.next() {
+		rest := s.records[from-s.oldest:]
+		b.Records = append(b.Records, rest[:min(limit, len(rest))]...)
+		b.Next = from + port.Offset(len(b.Records))
+	}
+	return b, l.changed, nil
+}
+
+// delay waits for the added delay. A caller that gives up meanwhile cannot
+// know whether its call had an effect.
+func (l *Log) delay(ctx context.Context) error {
+	l.mu.Lock()
+	d := time.Duration(l.faults.DelayMS) * time.Millisecond
+	l.mu.Unlock()
+	if err := ctx.Err(); err != nil {
+		return &port.UnavailableError{Peer: peerName, Cause: err}
+	}
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return &port.UnknownOutcomeError{Peer: peerName, Cause: ctx.Err()}
+	}
+}
+
+func (l *Log) takeAppend() error {
+	if l.limiter == nil {
+		return nil
+	}
+	now := l.clock.Now()
+	r := l.limiter.ReserveN(now, 1)
+	wait := r.DelayFrom(now)
+	if wait == 0 {
+		return nil
+	}
+	r.CancelAt(now)
+	return &port.RateLimitedError{Peer: peerName, RetryAfter: wait}
+}
+
+func (l *Log) write(name string, records []port.Record) port.Offset {
+	s, now := l.stream(name), l.clock.Now()
+	first := s.next()
+	for _, r := range records {
+		r.Offset, r.AppendedAt = s.next(), now
+		r.Data = append([]byte(nil), r.Data...)
+		s.records = append(s.records, r)
+	}
+	l.wake()
+	return first
+}
+
+func (l *Log) dropExpired(s *stream) {
+	if l.retention <= 0 {
+		return
+	}
+	limit := l.clock.Now().Add(-l.retention)
+	for len(s.records) > 0 && s.records[0].AppendedAt.Before(limit) {
+		s.records = s.records[1:]
+		s.oldest++
+	}
+}
+
+func (l *Log) stream(name string) *stream {
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{oldest: 1}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (l *Log) wake() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func checkAppend(name string, records []port.Record) error {
+	if !streamName.MatchString(name) {
+		return badRequest("invalid stream name")
+	}
+	if len(records) == 0 {
+		return badRequest("no records")
+	}
+	for _, r := range records {
+		if r.ID == "" {
+			return badRequest("record without id")
+		}
+	}
+	return nil
+}
+
+func badRequest(message string) error {
+	return &port.BadRequestError{Peer: peerName, Status: 400, Message: message}
+}
