Test orders under kills, outages, lost answers and pauses

Each case runs the manager against the fake log in a synctest bubble. The pause case holds the process between decision and dispatch for two lease durations.

--- a/internal/adapter/tlsconfig/tlsconfig.go
+++ b/internal/adapter/tlsconfig/tlsconfig.go
@@ -123,7 +123,9 @@
 	return r.current
 }
 
-func (r *reloader) server(*tls.ClientHelloInfo) (*tls.Certificate, error) { return r.certificate(), nil }
+func (r *reloader) server(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	return r.certificate(), nil
+}
 
 func (r *reloader) client(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
 	return r.certificate(), nil
--- /dev/null
+++ b/internal/app/orders/orders_test.go
@@ -0,0 +1,227 @@
+package orders
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosaseam.example/mimosaseam/internal/app/follow"
+	"mimosaseam.example/mimosaseam/internal/port"
+	"mimosaseam.example/mimosaseam/internal/port/portfake"
+)
+
+// fakeEngine serves one target and records the fencing tokens of its orders.
+type fakeEngine struct {
+	port.Engine
+	mu      sync.Mutex
+	checks  bool
+	highest port.Offset
+	tokens  []port.Offset
+	at      []time.Time
+	states  map[string]port.EngineState
+	// loads is how long a load takes.
+	loads time.Duration
+}
+
+func (e *fakeEngine) State(_ context.Context, address string) (port.EngineState, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.states[address], nil
+}
+
+func (e *fakeEngine) Order(_ context.Context, address string, o port.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.checks && o.Fencing < e.highest {
+		return &port.StaleFencingError{Target: address, Fencing: o.Fencing}
+	}
+	e.highest = max(e.highest, o.Fencing)
+	e.tokens = append(e.tokens, o.Fencing)
+	e.at = append(e.at, time.Now())
+	e.states[address] = port.EngineState{Model: o.Model, Loading: true}
+	time.AfterFunc(e.loads, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.states[address] = port.EngineState{Model: o.Model, WeightsVersion: o.Version}
+	})
+	return nil
+}
+
+// limitedWeights grants a number of downloads.
+type limitedWeights struct{ left int }
+
+func (w *limitedWeights) Fetch(context.Context, string) error {
+	if w.left == 0 {
+		return &port.RateLimitedError{Peer: "weight store", RetryAfter: time.Second}
+	}
+	w.left--
+	return nil
+}
+
+// advance lets the bubble's fake clock run.
+func advance(d time.Duration) {
+	<-time.After(d)
+	synctest.Wait()
+}
+
+type rig struct {
+	log     *portfake.Log
+	engine  *fakeEngine
+	version string
+	mu      sync.Mutex
+	targets int
+	checks  bool
+}
+
+func (r *rig) desired() []Desired {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Desired
+	for i := range r.targets {
+		name := string(rune('a' + i))
+		out = append(out, Desired{Pool: "p", Target: name, Address: name, Model: "m",
+			WeightsVersion: r.version, ChecksFencing: r.checks})
+	}
+	return out
+}
+
+func (r *rig) set(version string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version = version
+}
+
+// start runs a manager; stop ends it without any farewell, as a kill does.
+func (r *rig) start(holder string, weights port.WeightStore) (m *Manager, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	logger := slog.New(slog.DiscardHandler)
+	m = New(Deps{Log: r.log, Engine: r.engine, Weights: weights, Clock: port.SystemClock{}, Logger: logger,
+		Holder: holder, Desired: r.desired})
+	f := follow.Follower{Log: r.log, Stream: port.StreamFleet, Logger: logger, Handle: m.Observe}
+	var done sync.WaitGroup
+	done.Go(func() { _ = f.Run(ctx) })
+	done.Go(func() { _ = m.Run(ctx) })
+	return m, func() { cancel(); done.Wait() }
+}
+
+func newRig(targets int, checks bool) *rig {
+	return &rig{
+		log:     portfake.NewLog(portfake.LogOptions{}),
+		engine:  &fakeEngine{checks: checks, loads: 10 * time.Second, states: map[string]port.EngineState{}},
+		version: "v1", targets: targets, checks: checks,
+	}
+}
+
+// Guards against two routers that order at once, and against engines that stay
+// on old weights when the holder dies.
+func TestOneHolderOrdersAndSuccessorTakesOver(t *testing.T) {
+	for name, checks := range map[string]bool{"engines check fencing": true, "engines ignore fencing": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRig(2, checks)
+				one, stopOne := r.start("one", nil)
+				two, stopTwo := r.start("two", nil)
+				defer func() { stopTwo() }()
+				advance(40 * time.Second)
+				is.True(one.Holding() != two.Holding()) // exactly one holds the lease
+				is.Equal(len(r.engine.tokens), 2)
+				is.True(!r.engine.at[1].Before(r.engine.at[0].Add(r.engine.loads))) // one target of a pool at a time
+
+				if two.Holding() {
+					one, two, stopOne, stopTwo = two, one, stopTwo, stopOne
+				}
+				stopOne()
+				killed := time.Now()
+				r.set("v2")
+				advance(60 * time.Second)
+				is.True(two.Holding())
+				is.Equal(r.engine.states["a"].WeightsVersion, "v2")
+				is.Equal(r.engine.states["b"].WeightsVersion, "v2")
+				is.True(r.engine.tokens[2] > r.engine.tokens[1]) // fencing tokens grow
+				if !checks {
+					is.True(r.engine.at[2].Sub(killed) >= orderTimeout) // the old holder's last order is waited out
+				}
+			})
+		})
+	}
+}
+
+// Guards against a holder that goes on ordering after its lease ran out while
+// the log cannot be reached.
+func TestHolderStopsWhenTheLogIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(1, false)
+		one, stop := r.start("one", nil)
+		defer stop()
+		advance(20 * time.Second)
+		is.True(one.Holding())
+		r.log.SetFaults(portfake.Faults{Outage: true})
+		advance(leaseTTL)
+		is.True(!one.Holding())
+		r.set("v2")
+		advance(30 * time.Second)
+		is.Equal(len(r.engine.tokens), 1) // nothing ordered without the lease
+		r.log.SetFaults(portfake.Faults{})
+		advance(60 * time.Second)
+		is.Equal(r.engine.states["a"].WeightsVersion, "v2")
+	})
+}
+
+// Guards against a claim whose answer was lost leaving two holders or none.
+func TestLostAnswerOfAClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(1, true)
+		r.log.SetFaults(portfake.Faults{LoseAfterEffect: 1, LoseBeforeEffect: 1})
+		one, stopOne := r.start("one", nil)
+		defer stopOne()
+		two, stopTwo := r.start("two", nil)
+		defer stopTwo()
+		advance(60 * time.Second)
+		is.True(one.Holding() != two.Holding())
+		is.Equal(r.engine.states["a"].WeightsVersion, "v1")
+	})
+}
+
+// Guards against orders that exceed the weight store's rate limit.
+func TestOrdersWaitForTheWeightStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(3, true)
+		_, stop := r.start("one", &limitedWeights{left: 2})
+		defer stop()
+		advance(60 * time.Second)
+		is.Equal(len(r.engine.tokens), 2)
+	})
+}
+
+// Guards against an order sent by a holder that was paused past its lease
+// between the decision and the dispatch.
+func TestPausedHolderSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(1, false)
+		paused := &pausingWeights{}
+		_, stop := r.start("one", paused)
+		defer stop()
+		advance(60 * time.Second)
+		is.True(paused.calls > 0)
+		is.Equal(len(r.engine.tokens), 0) // each pause outlives the lease that the decision was made under
+	})
+}
+
+// pausingWeights stands for a process that is frozen for longer than its lease.
+type pausingWeights struct{ calls int }
+
+func (p *pausingWeights) Fetch(context.Context, string) error {
+	p.calls++
+	<-time.After(2 * leaseTTL)
+	return nil
+}
