--- /dev/null
+++ b/internal/adapter/enginehttp/chunk_test.go
@@ -0,0 +1,78 @@
+package enginehttp
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// Guards against a fast path that reads a chunk otherwise than encoding/json.
+func TestPlainChunksDecodeAsJSON(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.OneOf(rapid.String(), rapid.StringMatching(`[ -~]*`), rapid.Map(rapid.SliceOf(rapid.Byte()), func(b []byte) string { return string(b) })).Draw(t, "text")
+		index := rapid.SampledFrom([]string{"0", "7", "07", "-1", "123456789", "1234567890", "1e2", "", "9999999999999999999999"}).Draw(t, "index")
+		data := []byte(`{"index":` + index + `,"text":"` + text + `","finish_reason":null}`)
+		var wire wireChunk
+		err := json.Unmarshal(data, &wire)
+		chunk, plain := parsePlain(data)
+		if plain && (err != nil || chunk.Index != *wire.Index || chunk.Text != wire.Text) {
+			t.Fatalf("%q: fast path read %+v, encoding/json %+v, %v", data, chunk, wire, err)
+		}
+	})
+}
+
+func read(body string) ([]port.Chunk, error) {
+	s := newStream("e", &http.Response{Body: io.NopCloser(strings.NewReader(body))}, func() {}, 4096)
+	defer s.Close()
+	var chunks []port.Chunk
+	for {
+		chunk, err := s.Next()
+		if err != nil {
+			return chunks, err
+		}
+		chunks = append(chunks, chunk)
+	}
+}
+
+// Guards against streams that pass as complete without a terminal mark, and
+// against lines of unlimited size.
+func TestStreamEnds(t *testing.T) {
+	const last = `data: {"index":1,"text":"b","finish_reason":"stop","usage":{"prompt_tokens":3,"completion_tokens":2,"prompt_tokens_details":{"cached_tokens":1}}}` + "\n\n"
+	const first = `data: {"index":0,"text":"a","finish_reason":null}` + "\n\n"
+	cases := map[string]struct {
+		body     string
+		chunks   int
+		complete bool
+	}{
+		"complete":                     {first + last + "data: [DONE]\n\n", 2, true},
+		"CRLF, comments, no space":     {": hi\r\n\r\nid: 0\r\n" + strings.Replace(first, "data: ", "data:", 1) + last + "data:[DONE]\r\n\r\n", 2, true},
+		"nothing":                      {"", 0, false},
+		"no terminal mark":             {first + last, 2, false},
+		"no finish reason":             {first + "data: [DONE]\n\n", 1, false},
+		"cut inside the mark":          {first + last + "data: [DONE]", 2, false},
+		"cut inside a chunk":           {first + last[:30], 1, false},
+		"error event":                  {first + "event: error\ndata: {}\n\n", 1, false},
+		"no index":                     {`data: {"text":"a"}` + "\n\n", 0, false},
+		"not JSON":                     {"data: hello\n\n", 0, false},
+		"long line":                    {`data: {"index":0,"text":"` + strings.Repeat("x", 4000) + `","finish_reason":null}` + "\n\n" + last + "data: [DONE]\n", 2, true},
+		"line over the limit":          {`data: {"index":0,"text":"` + strings.Repeat("x", 5000) + `","finish_reason":null}` + "\n\n" + last, 0, false},
+		"nothing is read past the end": {first + last + "data: [DONE]\n\n" + first, 2, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			chunks, err := read(c.body)
+			is.Equal(len(chunks), c.chunks)
+			is.Equal(err == io.EOF, c.complete)
+			broken, ok := err.(*port.BrokenStreamError)
+			is.True(c.complete || ok && broken.Chunks == c.chunks)
+		})
+	}
+}
--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -168,7 +168,7 @@
 	if err := c.notRun(address, response, r); err != nil {
 		return err
 	}
-	if response.StatusCode >= 400 && response.StatusCode < 500 {
+	if response.StatusCode >= 400 && response.StatusCode < 500 && response.StatusCode != http.StatusRequestTimeout {
 		message := r.Error.Message
 		if message == "" {
 			message = r.Error.Type
--- a/internal/standin/apprunner/apprunner.go
+++ b/internal/standin/apprunner/apprunner.go
@@ -106,6 +106,8 @@
 	case r.URL.Path == "/control/faults":
 		s.serveFaults(w, r)
 	case conntrack.Silent(r.Context()):
+		s.count(1)
+		defer s.count(-1)
 		hang(r.Context())
 	case r.URL.Path == "/v1/load":
 		s.serveLoad(w)
