--- /dev/null
+++ b/internal/adapter/telemetry/telemetry_test.go
@@ -0,0 +1,62 @@
+package telemetry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"expvar"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosaseam.example/mimosaseam/internal/settings"
+)
+
+var testVM = settings.VM{Name: "entry-1", AvailabilityZone: "nordhafen-a"}
+
+// Guards against log lines that cannot be attributed to a VM, and against a
+// level setting without effect.
+func TestLoggerNamesTheVM(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	logger := Logger(&out, settings.Telemetry{LogLevel: "warn", LogFormat: "json"}, testVM)
+	logger.Info("hidden")
+	logger.Warn("shown", "target", "e1")
+	var line struct {
+		Msg, VM, Target string
+	}
+	is.NoErr(json.Unmarshal(out.Bytes(), &line))
+	is.Equal(line.Msg, "shown")
+	is.Equal(line.VM, "entry-1")
+}
+
+// Guards against spans that never reach the trace file.
+func TestTraceFileTakesSpans(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "trace.jsonl")
+	traces, err := StartTraces(context.Background(), settings.Telemetry{TraceFile: path, TraceRatio: 1}, testVM)
+	is.NoErr(err)
+	_, span := traces.Tracer.Start(context.Background(), "accept")
+	span.End()
+	is.NoErr(traces.Close(context.Background()))
+	text, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.True(strings.Contains(string(text), `"Name":"accept"`))
+}
+
+// Guards against durations counted in the wrong bucket.
+func TestMetricsPublishBuckets(t *testing.T) {
+	is := is.New(t)
+	m := NewMetrics("test_counters", "test_durations")
+	m.Add("requests", 2)
+	m.Observe("ttft", 15*time.Millisecond)
+	is.Equal(expvar.Get("test_counters").String(), `{"requests": 2}`)
+	durations := expvar.Get("test_durations").String()
+	is.True(strings.Contains(durations, `"le_ms_10": 0`))
+	is.True(strings.Contains(durations, `"le_ms_20": 1`))
+	is.True(strings.Contains(durations, `"count": 1`))
+}
