--- /dev/null
+++ b/internal/core/membership/fault_test.go
@@ -0,0 +1,236 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// Guards against views that do not agree again after a fault: a router that
+// stays dead for others, or a lost one that stays alive.
+func TestViewsAgreeAfterFaults(t *testing.T) {
+	otherRegion := func(from, to *node) bool { return from.self.Region != to.self.Region }
+	cases := []struct {
+		name    string
+		routers int
+		fault   func(s *sim)
+		// rounds is the bound; the figure reached is logged.
+		rounds int
+	}{
+		{"first start", 7, func(*sim) {}, 30},
+		{"one killed", 7, func(s *sim) { s.nodes[3].down = true }, 60},
+		{"one restarted", 7, func(s *sim) { s.restart(3) }, 30},
+		{"all but one restarted", 7, func(s *sim) { s.restartFrom(1) }, 30},
+		{"all restarted", 7, func(s *sim) { s.restartFrom(0) }, 30},
+		{"one killed, restarted after its death is known", 7, func(s *sim) {
+			s.nodes[3].down = true
+			s.run(60)
+			s.restart(3)
+		}, 30},
+		{"all but one down for a minute", 7, func(s *sim) {
+			for _, n := range s.nodes[1:] {
+				n.down = true
+			}
+			s.run(60)
+			s.restartFrom(1)
+		}, 60},
+		{"split between regions", 12, func(s *sim) {
+			s.cut = otherRegion
+			s.run(180)
+			s.cut = nil
+		}, 120},
+		{"one frozen for a minute", 7, func(s *sim) {
+			s.nodes[3].down = true
+			s.run(60)
+			s.nodes[3].down = false
+		}, 60},
+		{"one cut off for a minute", 7, func(s *sim) {
+			s.cut = func(from, to *node) bool { return from == s.nodes[3] || to == s.nodes[3] }
+			s.run(60)
+			s.cut = nil
+		}, 60},
+		{"first start at 60", 60, func(*sim) {}, 120},
+		{"all restarted at 60", 60, func(s *sim) { s.restartFrom(0) }, 120},
+		{"split between regions at 60", 60, func(s *sim) {
+			s.cut = otherRegion
+			s.run(180)
+			s.cut = nil
+		}, 300},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSim(c.routers, 7)
+			if c.name != "first start" && c.name != "first start at 60" {
+				s.run(60)
+			}
+			c.fault(s)
+			rounds := s.until(c.rounds, s.agreed)
+			t.Logf("%d routers agree after %d rounds", c.routers, rounds)
+			is.New(t).True(s.agreed())
+		})
+	}
+}
+
+// Guards against a partition that takes the routers of the other side for
+// gone, and against one that leaves a side without neighbours.
+func TestSplitKeepsListedRoutersOutOfContact(t *testing.T) {
+	is := is.New(t)
+	s := newSim(12, 3)
+	s.run(60)
+	s.cut = func(from, to *node) bool { return from.self.Region != to.self.Region }
+	s.run(120)
+	for _, n := range s.nodes {
+		for _, r := range n.Routers(s.now) {
+			is.Equal(r.OutOfContact(), r.Region != n.self.Region)
+		}
+		is.Equal(len(n.Neighbours()), 3)
+	}
+}
+
+// Guards against one router that cannot reach any other and then spreads
+// suspicions of all of them.
+func TestIsolatedRouterSuspectsNobody(t *testing.T) {
+	is := is.New(t)
+	s := newSim(7, 3)
+	s.run(60)
+	before := s.nodes[5].Self().Incarnation
+	s.cut = func(from, to *node) bool { return from == s.nodes[3] || to == s.nodes[3] }
+	s.run(30)
+	for _, r := range s.nodes[3].Routers(s.now) {
+		is.Equal(r.State, port.MemberSuspect)
+	}
+	s.cut = nil
+	s.run(60)
+	is.True(s.agreed())
+	is.Equal(s.nodes[5].Self().Incarnation, before)
+}
+
+// Guards against a one-way cut that removes a running router.
+func TestOneWayCutKeepsTheRouter(t *testing.T) {
+	is := is.New(t)
+	s := newSim(7, 3)
+	s.run(60)
+	s.cut = func(from, to *node) bool { return from == s.nodes[0] && to == s.nodes[3] }
+	for range 300 {
+		s.round()
+		for _, n := range s.nodes {
+			if m := n.members[s.nodes[3].self.Name]; m != nil {
+				is.True(m.State != port.MemberDead)
+			}
+		}
+	}
+}
+
+// Guards against routers that a list of 60 s ago revives, hides or renames.
+func TestListSixtySecondsLate(t *testing.T) {
+	is := is.New(t)
+	s := newSim(7, 3)
+	s.run(60)
+	old := append([]port.VM(nil), s.list...)
+	// Router 3 dies for good; router 4 is replaced at another address.
+	s.nodes[3].down = true
+	s.nodes[4].down = true
+	s.list[4].Address = "10.9.9.9:7000"
+	s.list[4].State = port.VMLive
+	s.restart(4)
+	old[4].State = port.VMLeaving
+	for range 12 {
+		s.run(5)
+		for _, n := range s.nodes {
+			n.ObserveList(s.now, port.VMSnapshot{AsOf: s.now.Add(-time.Minute), VMs: old})
+		}
+	}
+	is.True(s.agreed())
+	for i, n := range s.nodes {
+		if i != 3 && i != 4 {
+			is.Equal(n.members["router-004"].Address, "10.9.9.9:7000")
+			is.Equal(n.members["router-004"].State, port.MemberAlive)
+		}
+	}
+}
+
+// Guards against a router at the address of another that keeps both alive.
+func TestAddressTakenByAnotherRouter(t *testing.T) {
+	is := is.New(t)
+	s := newSim(7, 3)
+	s.run(60)
+	s.nodes[3].down = true
+	s.list[3].Name = "router-new"
+	s.restart(3)
+	s.run(10)
+	for i, n := range s.nodes {
+		if i != 3 {
+			is.Equal(n.members["router-003"].State, port.MemberDead)
+			is.Equal(n.members["router-new"].State, port.MemberAlive)
+		}
+	}
+}
+
+// Guards against a leaving target that some router learns of only after 3 s.
+// The bound is 3 intervals; the path from the first router to all others is cut.
+func TestLeavingTargetIsKnownEverywhere(t *testing.T) {
+	cases := map[string]struct {
+		routers int
+		cut     bool
+		// hops bounds the urgent messages in a row.
+		hops, rounds int
+	}{
+		"7 routers":                     {7, false, 2, 0},
+		"7 routers, urgent path is cut": {7, true, 0, 3},
+		"540 routers":                   {540, false, 8, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(c.routers, 11)
+			s.settle()
+			s.nodes[0].MarkLeaving(s.now, "engine-1", "")
+			known := func() bool {
+				for _, n := range s.nodes {
+					if !n.IsLeaving("engine-1", "") {
+						return false
+					}
+				}
+				return true
+			}
+			if c.cut {
+				s.nodes[0].TakeUrgent(s.now)
+			}
+			hops := s.flood()
+			rounds := s.until(c.rounds, known)
+			t.Logf("%d routers: %d hops of urgent messages, %d rounds of exchanges", c.routers, hops, rounds)
+			is.True(hops <= c.hops)
+			is.True(known())
+		})
+	}
+}
+
+// Guards against news that do not reach the whole fleet, or only slowly.
+func TestNewsReach540Routers(t *testing.T) {
+	is := is.New(t)
+	s := newSim(540, 5)
+	s.settle()
+	s.run(5)
+	s.restart(100)
+	self := s.nodes[100].Self()
+	known := func() bool {
+		for _, n := range s.nodes {
+			if n != s.nodes[100] && n.members[self.Name].Incarnation != self.Incarnation {
+				return false
+			}
+		}
+		return true
+	}
+	rounds := s.until(60, known)
+	t.Logf("a restart is known to 540 routers after %d rounds", rounds)
+	is.True(known())
+}
+
+func (s *sim) restartFrom(first int) {
+	for i := range s.nodes[first:] {
+		s.restart(first + i)
+	}
+}
--- /dev/null
+++ b/internal/core/membership/sim_test.go
@@ -0,0 +1,170 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// gossipBytes is the part of an exchange that the fleet gives to gossip.
+const gossipBytes = 160
+
+// node is a simulated router; a node that is down does not act or answer.
+type node struct {
+	*View
+	down bool
+}
+
+// sim runs rounds of exchanges without sockets. Nodes act in turn within a
+// round; a round is one ExchangeInterval.
+type sim struct {
+	now   time.Time
+	rnd   *rand.Rand
+	nodes []*node
+	// at holds the node that answers at an address.
+	at map[string]*node
+	// cut reports whether the path from one node to another is cut.
+	cut func(from, to *node) bool
+	// list is what the platform serves, lag the age of the list that is polled.
+	list []port.VM
+}
+
+// newSim returns n routers in 3 regions with 3 availability zones each, all
+// known to the VM list.
+func newSim(n int, seed uint64) *sim {
+	s := &sim{now: start, rnd: rand.New(rand.NewPCG(seed, 1)), at: map[string]*node{}}
+	for i := range n {
+		s.list = append(s.list, port.VM{
+			Name: fmt.Sprintf("router-%03d", i), Role: port.RoleRouter, Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
+			Region: fmt.Sprintf("region-%d", i%3), AvailabilityZone: fmt.Sprintf("zone-%d", i/3%3), State: port.VMLive,
+		})
+	}
+	for i := range n {
+		s.nodes = append(s.nodes, nil)
+		s.restart(i)
+	}
+	return s
+}
+
+// restart replaces node i by a new process that knows the VM list only.
+func (s *sim) restart(i int) {
+	vm := s.list[i]
+	self := port.Member{
+		Name: vm.Name, Address: vm.Address, Region: vm.Region, AvailabilityZone: vm.AvailabilityZone,
+		Incarnation: uint64(s.now.UnixMilli()),
+	}
+	s.nodes[i] = &node{View: New(s.now, self, nil, rand.New(rand.NewPCG(uint64(i), s.rnd.Uint64())))}
+	s.nodes[i].ObserveList(s.now, port.VMSnapshot{AsOf: s.now, VMs: s.list})
+	s.at[vm.Address] = s.nodes[i]
+}
+
+// settle makes every view know every node, as after a long quiet time.
+func (s *sim) settle() {
+	for _, n := range s.nodes {
+		for _, other := range s.nodes {
+			n.Merge(s.now, port.Gossip{Members: []port.Member{other.Self()}})
+		}
+		n.news = newQueue()
+	}
+}
+
+func (s *sim) run(rounds int) {
+	for range rounds {
+		s.round()
+	}
+}
+
+// until runs rounds until done and returns their number, at most limit.
+func (s *sim) until(limit int, done func() bool) int {
+	for i := range limit {
+		if done() {
+			return i
+		}
+		s.round()
+	}
+	return limit
+}
+
+func (s *sim) round() {
+	s.now = s.now.Add(ExchangeInterval)
+	for _, n := range s.nodes {
+		if n.down {
+			continue
+		}
+		n.Tick(s.now)
+		if t, ok := n.Next(); ok {
+			s.exchange(n, t)
+		}
+	}
+	s.flood()
+}
+
+// flood delivers urgent news hop by hop until none is left.
+func (s *sim) flood() (hops int) {
+	for again := true; again; {
+		again = false
+		for _, n := range s.nodes {
+			g, ok := n.TakeUrgent(s.now)
+			if !ok || n.down {
+				continue
+			}
+			again = true
+			for _, t := range n.Neighbours() {
+				if to := s.at[t.Address]; s.reaches(n, to) {
+					to.Merge(s.now, g)
+				}
+			}
+		}
+		if again {
+			hops++
+		}
+	}
+	return hops
+}
+
+func (s *sim) exchange(n *node, t Target) {
+	to := s.at[t.Address]
+	if !s.reaches(n, to) {
+		n.Failed(s.now, t)
+		return
+	}
+	request := n.Gossip(s.now, t.Name, nil, gossipBytes)
+	to.Called(s.now, n.Self())
+	to.Merge(s.now, request)
+	answer := to.Gossip(s.now, n.Self().Name, &request, gossipBytes)
+	n.Answered(s.now, t, to.Self())
+	n.Merge(s.now, answer)
+}
+
+func (s *sim) reaches(from, to *node) bool {
+	return to != nil && !to.down && (s.cut == nil || !s.cut(from, to))
+}
+
+// agreed reports whether every running node sees the running nodes alive at
+// their present incarnation and no other node alive.
+func (s *sim) agreed() bool {
+	for _, n := range s.nodes {
+		if n.down {
+			continue
+		}
+		for _, other := range s.nodes {
+			if other != n && !n.agrees(other) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (n *node) agrees(other *node) bool {
+	self := other.Self()
+	m := n.members[self.Name]
+	if other.down {
+		return m == nil || m.State == port.MemberDead
+	}
+	return m != nil && m.State == self.State && m.Incarnation == self.Incarnation
+}
