Add the peer protocol, its gRPC adapter and the fleet loop

Routers exchange once a second with one neighbour, flood new leaving targets and crash fingerprints at once, feed peers that cannot read the log, and announce planned stops.

--- /dev/null
+++ b/internal/adapter/peergrpc/client.go
@@ -0,0 +1,125 @@
+package peergrpc
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	peerv1 "mimosaseam.example/mimosaseam/api/peer/v1"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// defaultTimeout bounds calls whose context has no earlier deadline.
+const defaultTimeout = 5 * time.Second
+
+// Client calls other routers. It implements port.Peer and keeps a bounded
+// number of connections.
+type Client struct {
+	pool *pool
+}
+
+// NewClient returns a client. The credentials should hold a client
+// certificate; nil: no TLS.
+func NewClient(creds credentials.TransportCredentials) *Client {
+	if creds == nil {
+		creds = insecure.NewCredentials()
+	}
+	return &Client{pool: newPool(
+		grpc.WithTransportCredentials(creds),
+		grpc.WithNoProxy(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithStaticStreamWindowSize(windowBytes),
+		grpc.WithStaticConnWindowSize(windowBytes),
+		grpc.WithIdleTimeout(maxIdle),
+		grpc.WithDefaultCallOptions(
+			grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+	)}
+}
+
+// Close closes all connections; calls fail from then on.
+func (c *Client) Close() { c.pool.close() }
+
+// Exchange implements port.Peer.
+func (c *Client) Exchange(ctx context.Context, address string, e port.PeerExchange) (port.PeerExchange, error) {
+	out, err := call(ctx, c, address, func(ctx context.Context, p peerv1.PeerClient) (*peerv1.ExchangeMessage, error) {
+		return p.Exchange(ctx, toExchange(e))
+	})
+	return fromExchange(out), err
+}
+
+// PullRecords implements port.Peer.
+func (c *Client) PullRecords(ctx context.Context, address, stream string, from port.Offset, limit int) (port.Batch, error) {
+	in := &peerv1.PullRecordsRequest{Stream: stream, From: uint64(from), Limit: uint32(max(limit, 0))}
+	out, err := call(ctx, c, address, func(ctx context.Context, p peerv1.PeerClient) (*peerv1.PullRecordsResponse, error) {
+		return p.PullRecords(ctx, in)
+	})
+	if err != nil {
+		return port.Batch{}, err
+	}
+	if out.GetExpired() {
+		return port.Batch{}, &port.ExpiredError{Stream: stream, From: from, Oldest: port.Offset(out.GetOldest())}
+	}
+	return fromRecords(out), nil
+}
+
+// Summary implements port.Peer.
+func (c *Client) Summary(ctx context.Context, address string) (port.PeerSummary, error) {
+	out, err := call(ctx, c, address, func(ctx context.Context, p peerv1.PeerClient) (*peerv1.SummaryResponse, error) {
+		return p.Summary(ctx, &peerv1.SummaryRequest{})
+	})
+	if err != nil {
+		return port.PeerSummary{}, err
+	}
+	return port.PeerSummary{From: fromMember(out.GetFrom()), Gossip: fromGossip(out.GetGossip()), Summary: out.GetSummary()}, nil
+}
+
+// Handoff implements port.Peer.
+func (c *Client) Handoff(ctx context.Context, address string, from port.Member, summary []byte) error {
+	_, err := call(ctx, c, address, func(ctx context.Context, p peerv1.PeerClient) (*peerv1.HandoffResponse, error) {
+		return p.Handoff(ctx, &peerv1.HandoffRequest{From: toMember(from), Summary: summary})
+	})
+	return err
+}
+
+// call runs one call with a deadline. A failed call drops the connection, so
+// that the next one finds out on a fresh connection whether the old one went
+// silent.
+func call[T any](ctx context.Context, c *Client, address string, run func(context.Context, peerv1.PeerClient) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, defaultTimeout)
+	defer cancel()
+	conn, err := c.pool.get(address)
+	if err != nil {
+		var none T
+		return none, &port.UnavailableError{Peer: "router " + address, Cause: err}
+	}
+	out, err := run(ctx, peerv1.NewPeerClient(conn.cc))
+	c.pool.put(conn, brokenConnection(err))
+	return out, failure(address, err)
+}
+
+func brokenConnection(err error) bool {
+	code := status.Code(err)
+	return code == codes.Unavailable || code == codes.DeadlineExceeded
+}
+
+// failure maps Unavailable to an unknown outcome too: gRPC uses the code both
+// for a failed dial and for a connection lost after the request was sent.
+func failure(address string, err error) error {
+	peer := "router " + address
+	switch status.Code(err) {
+	case codes.OK:
+		return nil
+	case codes.InvalidArgument, codes.ResourceExhausted, codes.Unimplemented:
+		return &port.BadRequestError{Peer: peer, Status: int(status.Code(err)), Message: status.Convert(err).Message()}
+	case codes.NotFound:
+		return &port.NotFoundError{Peer: peer, Name: status.Convert(err).Message()}
+	default:
+		return &port.UnknownOutcomeError{Peer: peer, Cause: err}
+	}
+}
--- /dev/null
+++ b/internal/adapter/peergrpc/pool.go
@@ -0,0 +1,109 @@
+package peergrpc
+
+import (
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+)
+
+// maxConnections bounds the connections kept: 8 neighbours, and others for
+// pulls, handoffs and routers that were neighbours a while ago.
+const maxConnections = 16
+
+// ErrClosed means that the client was closed.
+var ErrClosed = eris.New("the client is closed")
+
+// connection is a gRPC connection that is closed when it is dropped from the
+// pool and its last call has ended.
+type connection struct {
+	cc      *grpc.ClientConn
+	address string
+	calls   int
+	dropped bool
+	// used orders connections by their last use.
+	used uint64
+}
+
+type pool struct {
+	options []grpc.DialOption
+
+	mu     sync.Mutex
+	conns  map[string]*connection
+	uses   uint64
+	closed bool
+}
+
+func newPool(options ...grpc.DialOption) *pool {
+	return &pool{options: options, conns: map[string]*connection{}}
+}
+
+// get returns the connection to the address; the caller puts it back.
+func (p *pool) get(address string) (*connection, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	c := p.conns[address]
+	if c == nil {
+		cc, err := grpc.NewClient("passthrough:///"+address, p.options...)
+		if err != nil {
+			return nil, eris.Wrap(err, "invalid peer address")
+		}
+		c = &connection{cc: cc, address: address}
+		p.conns[address] = c
+	}
+	p.uses++
+	c.used = p.uses
+	c.calls++
+	p.evict()
+	return c, nil
+}
+
+func (p *pool) put(c *connection, broken bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.calls--
+	if broken {
+		p.drop(c)
+	} else {
+		p.release(c)
+	}
+}
+
+// evict drops the connections that were unused for longest.
+func (p *pool) evict() {
+	for len(p.conns) > maxConnections {
+		var oldest *connection
+		for _, c := range p.conns {
+			if oldest == nil || c.used < oldest.used {
+				oldest = c
+			}
+		}
+		p.drop(oldest)
+	}
+}
+
+func (p *pool) drop(c *connection) {
+	if p.conns[c.address] == c {
+		delete(p.conns, c.address)
+	}
+	c.dropped = true
+	p.release(c)
+}
+
+func (p *pool) release(c *connection) {
+	if c.dropped && c.calls == 0 {
+		_ = c.cc.Close()
+	}
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.conns {
+		p.drop(c)
+	}
+}
--- /dev/null
+++ b/internal/adapter/peergrpc/server.go
@@ -0,0 +1,150 @@
+// Package peergrpc carries the calls between routers over gRPC.
+package peergrpc
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "mimosaseam.example/mimosaseam/api/peer/v1"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+const (
+	// maxMessageBytes bounds every message in both directions. A snapshot of 540
+	// routers is about 50 KB; summaries of stopping routers are larger.
+	maxMessageBytes = 4 << 20
+	// maxPullBytes bounds the records of one answer; one record is always sent.
+	maxPullBytes = 1 << 20
+	// maxPullRecords bounds the records of one answer.
+	maxPullRecords = 1000
+	// maxNameBytes bounds the sender's name, which is kept.
+	maxNameBytes = 256
+	// maxHandleTime bounds the work on a call, whatever the caller's deadline.
+	maxHandleTime = 10 * time.Second
+	// maxConcurrentCalls bounds the calls on one connection.
+	maxConcurrentCalls = 64
+	// maxIdle closes connections of routers that are no neighbours any more.
+	maxIdle = 5 * time.Minute
+	// windowBytes is static, because dynamic windows send probes with each call.
+	windowBytes = 256 << 10
+)
+
+// NewServer returns a gRPC server that passes the calls of other routers to h.
+// The credentials should demand client certificates; nil: no TLS.
+func NewServer(h port.PeerHandler, creds credentials.TransportCredentials) *grpc.Server {
+	options := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.MaxConcurrentStreams(maxConcurrentCalls),
+		grpc.StaticStreamWindowSize(windowBytes),
+		grpc.StaticConnWindowSize(windowBytes),
+		grpc.ConnectionTimeout(maxHandleTime),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: maxIdle}),
+		grpc.UnaryInterceptor(limitTime),
+	}
+	if creds != nil {
+		options = append(options, grpc.Creds(creds))
+	}
+	s := grpc.NewServer(options...)
+	peerv1.RegisterPeerServer(s, &server{handler: h})
+	return s
+}
+
+func limitTime(ctx context.Context, req any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxHandleTime)
+	defer cancel()
+	return next(ctx, req)
+}
+
+type server struct {
+	peerv1.UnimplementedPeerServer
+	handler port.PeerHandler
+}
+
+func (s *server) Exchange(ctx context.Context, in *peerv1.ExchangeMessage) (*peerv1.ExchangeMessage, error) {
+	if err := checkSender(in.GetFrom()); err != nil {
+		return nil, err
+	}
+	out, err := s.handler.HandleExchange(ctx, fromExchange(in))
+	if err != nil {
+		return nil, toStatus(err)
+	}
+	return toExchange(out), nil
+}
+
+func (s *server) PullRecords(ctx context.Context, in *peerv1.PullRecordsRequest) (*peerv1.PullRecordsResponse, error) {
+	limit := int(min(in.GetLimit(), maxPullRecords))
+	b, err := s.handler.HandlePullRecords(ctx, in.GetStream(), port.Offset(in.GetFrom()), limit)
+	var expired *port.ExpiredError
+	if errors.As(err, &expired) {
+		return &peerv1.PullRecordsResponse{Expired: true, Oldest: uint64(expired.Oldest)}, nil
+	}
+	if err != nil {
+		return nil, toStatus(err)
+	}
+	return toRecords(trim(b)), nil
+}
+
+// trim cuts a batch to maxPullBytes, but never to nothing.
+func trim(b port.Batch) port.Batch {
+	size := 0
+	for i, r := range b.Records {
+		size += len(r.Data) + len(r.ID)
+		if i > 0 && size > maxPullBytes {
+			b.Next = r.Offset
+			b.Records = b.Records[:i]
+			break
+		}
+	}
+	return b
+}
+
+func (s *server) Summary(ctx context.Context, _ *peerv1.SummaryRequest) (*peerv1.SummaryResponse, error) {
+	out, err := s.handler.HandleSummary(ctx)
+	if err != nil {
+		return nil, toStatus(err)
+	}
+	return &peerv1.SummaryResponse{From: toMember(out.From), Gossip: toGossip(out.Gossip), Summary: out.Summary}, nil
+}
+
+func (s *server) Handoff(ctx context.Context, in *peerv1.HandoffRequest) (*peerv1.HandoffResponse, error) {
+	if err := checkSender(in.GetFrom()); err != nil {
+		return nil, err
+	}
+	if err := s.handler.HandleHandoff(ctx, fromMember(in.GetFrom()), in.GetSummary()); err != nil {
+		return nil, toStatus(err)
+	}
+	return &peerv1.HandoffResponse{}, nil
+}
+
+func checkSender(m *peerv1.Member) error {
+	if m.GetName() == "" || len(m.GetName()) > maxNameBytes || !knownState(m.GetState()) {
+		return status.Error(codes.InvalidArgument, "the sender's name or state is invalid")
+	}
+	return nil
+}
+
+func toStatus(err error) error {
+	var bad *port.BadRequestError
+	var missing *port.NotFoundError
+	switch {
+	case errors.As(err, &bad):
+		return status.Error(codes.InvalidArgument, bad.Message)
+	case errors.As(err, &missing):
+		return status.Error(codes.NotFound, err.Error())
+	case errors.Is(err, context.DeadlineExceeded):
+		return status.Error(codes.DeadlineExceeded, err.Error())
+	default:
+		return status.Error(codes.Internal, err.Error())
+	}
+}
+
+func sizeOf(m proto.Message) int { return proto.Size(m) }
--- /dev/null
+++ b/internal/app/fleet/fleet_test.go
@@ -0,0 +1,273 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+const routers = 7
+
+// Guards against a router that still gives work to a leaving target 3 s after
+// the first sign on any router. The list is 60 s late.
+func TestLeavingTargetWithinThreeSeconds(t *testing.T) {
+	cases := map[string]func(from, to string) fault{
+		"no fault": nil,
+		"one-way cut from the router with the sign to all but one": func(from, to string) fault {
+			if from == "r0" && to != "r1" {
+				return refused
+			}
+			return none
+		},
+		"silent connections from the router with the sign": func(from, to string) fault {
+			if from == "r0" && to != "r1" {
+				return silent
+			}
+			return none
+		},
+	}
+	for name, f := range cases {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, routers, func(t *testing.T, net *network) {
+				net.setFault(f)
+				net.router(0).MarkLeaving("e1", "")
+				<-time.After(3 * time.Second)
+				for i := range routers {
+					is.New(t).True(net.router(i).IsLeaving("e1", "life-1"))
+				}
+			})
+		})
+	}
+}
+
+// Guards against routers that wait for their own poll of the list: the first
+// poll that shows the target leaving tells all.
+func TestLeavingTargetFromTheList(t *testing.T) {
+	inBubble(t, routers, func(t *testing.T, net *network) {
+		is := is.New(t)
+		first := make(chan struct{})
+		net.kill(0)
+		net.start(0, Options{Callbacks: Callbacks{OnTargets: func([]port.TargetMark) { close(first) }}})
+		net.setList(routers, port.VMLeaving)
+		<-first
+		<-time.After(3 * time.Second)
+		for i := range routers {
+			is.True(net.router(i).IsLeaving("e1", ""))
+		}
+		is.Equal(len(net.router(3).LeavingTargets()), 1)
+	})
+}
+
+// Guards against a fingerprint that stays with one router, or that is passed
+// to the callback again and again.
+func TestFingerprintsReachEveryRouterOnce(t *testing.T) {
+	inBubble(t, routers, func(t *testing.T, net *network) {
+		var mu sync.Mutex
+		got := map[int][]string{}
+		for i := range routers {
+			net.kill(i)
+			net.start(i, Options{Callbacks: Callbacks{OnFingerprints: func(values []string) {
+				mu.Lock()
+				defer mu.Unlock()
+				got[i] = append(got[i], values...)
+			}}})
+		}
+		<-time.After(30 * time.Second)
+		net.router(0).ReportFingerprint("f1")
+		<-time.After(30 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		for i := range routers {
+			is.New(t).Equal(got[i], []string{"f1"})
+		}
+	})
+}
+
+// Guards against a planned stop that others take for a failure, and against a
+// claim that all were told when some were not.
+func TestLeaveTellsAllNeighbours(t *testing.T) {
+	inBubble(t, routers, func(t *testing.T, net *network) {
+		is := is.New(t)
+		is.NoErr(net.router(0).Leave(t.Context()))
+		for i := 1; i < routers; i++ {
+			is.Equal(net.state(i, 0), "leaving")
+		}
+		net.setFault(func(from, to string) fault {
+			if from == "r1" && to == "r2" {
+				return silent
+			}
+			return none
+		})
+		var failed *LeaveError
+		err := net.router(1).Leave(t.Context())
+		is.True(errors.As(err, &failed))
+		is.Equal(*failed, LeaveError{Told: 4, Neighbours: 5}) // r0 leaves already
+		<-time.After(5 * time.Second)
+		is.Equal(net.state(2, 1), "leaving")
+	})
+}
+
+// Guards against routers that stay lost to each other after restarts.
+func TestHerdRestart(t *testing.T) {
+	for name, survivors := range map[string]int{"all but one": 1, "all at once": 0} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, routers, func(t *testing.T, net *network) {
+				for i := survivors; i < routers; i++ {
+					net.kill(i)
+				}
+				<-time.After(20 * time.Second)
+				for i := survivors; i < routers; i++ {
+					net.start(i, Options{})
+				}
+				<-time.After(20 * time.Second)
+				for i := range routers {
+					for j := range routers {
+						if i != j {
+							is.New(t).Equal(net.state(i, j), "alive")
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a split that ends the use of a side, and against sides that
+// do not find each other again.
+func TestSplitBetweenRegionsHeals(t *testing.T) {
+	inBubble(t, routers, func(t *testing.T, net *network) {
+		is := is.New(t)
+		region := map[string]string{}
+		for i := range routers {
+			region[member(i).Name] = member(i).Region
+		}
+		net.setFault(func(from, to string) fault {
+			if region[from] != region[to] {
+				return silent
+			}
+			return none
+		})
+		<-time.After(3 * time.Minute)
+		is.Equal(net.state(0, 3), "alive") // the same region
+		is.Equal(net.state(0, 1), "dead")
+		net.setFault(nil)
+		<-time.After(30 * time.Second)
+		for i := range routers {
+			for j := range routers {
+				if i != j {
+					is.Equal(net.state(i, j), "alive")
+				}
+			}
+		}
+	})
+}
+
+// Guards against a restarted router without summary, marks, and records while
+// the log is down.
+func TestRestartedRouterIsFedByPeers(t *testing.T) {
+	inBubble(t, routers, func(t *testing.T, net *network) {
+		is := is.New(t)
+		records := func(_ context.Context, _ string, from port.Offset, _ int) (port.Batch, error) {
+			if from < 5 {
+				return port.Batch{}, &port.ExpiredError{Stream: port.StreamConfig, From: from, Oldest: 5}
+			}
+			return port.Batch{Records: []port.Record{{Offset: from, ID: "c"}}, Next: from + 1, Oldest: 5}, nil
+		}
+		summary := func(int) []byte { return []byte("hot") }
+		for i := 1; i < routers; i++ {
+			net.kill(i)
+			net.start(i, Options{Sources: Sources{Records: records, Summary: summary}})
+		}
+		net.router(1).MarkLeaving("e9", "")
+		<-time.After(5 * time.Second)
+		net.kill(0)
+		var got []string
+		o := Options{Callbacks: Callbacks{OnSummary: func(_ string, s []byte) { got = append(got, string(s)) }}}
+		o.Self, o.VMList, o.Peer = member(0), net, &link{net: net, from: "r0"}
+		o.Self.Incarnation = uint64(time.Now().UnixMilli())
+		f := New(o)
+		is.Equal(f.Handoff(t.Context()), nil)
+		_, err := f.PullRecords(t.Context(), port.StreamConfig, 7, 10)
+		is.True(errors.Is(err, ErrNoPeer))
+
+		is.NoErr(f.Join(t.Context()))
+		is.Equal(got, []string{"hot"})
+		is.True(f.IsLeaving("e9", ""))
+		b, err := f.PullRecords(t.Context(), port.StreamConfig, 7, 10)
+		is.NoErr(err)
+		is.Equal(b.Next, port.Offset(8))
+		var expired *port.ExpiredError
+		_, err = f.PullRecords(t.Context(), port.StreamConfig, 3, 10)
+		is.True(errors.As(err, &expired))
+		is.NoErr(net.router(1).Handoff(t.Context()))
+	})
+}
+
+// Guards against values of peers that are lost, or kept when the peer is gone.
+func TestPeerValues(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, net *network) {
+		is := is.New(t)
+		var mu sync.Mutex
+		inFlight, changes := map[string]map[string]int{}, 0
+		net.kill(0)
+		net.start(0, Options{Callbacks: Callbacks{
+			OnPeerInFlight: func(peer string, counts map[string]int) {
+				mu.Lock()
+				defer mu.Unlock()
+				inFlight[peer] = counts
+			},
+			OnSummary: func(string, []byte) {
+				mu.Lock()
+				defer mu.Unlock()
+				changes++
+			},
+		}})
+		net.kill(1)
+		net.start(1, Options{Sources: Sources{
+			ConfigOffset:   func() port.Offset { return 4 },
+			InFlight:       func() map[string]int { return map[string]int{"e1": 3, "e2": 0} },
+			Demand:         func() map[string]float64 { return map[string]float64{"acme": 2.5} },
+			SummaryChanges: func(int) []byte { return []byte("x") },
+		}})
+		<-time.After(10 * time.Second)
+		is.Equal(net.router(0).Demand()["r1"], map[string]float64{"acme": 2.5})
+		mu.Lock()
+		is.Equal(inFlight["r1"], map[string]int{"e1": 3})
+		is.True(changes > 0)
+		mu.Unlock()
+		net.kill(1)
+		<-time.After(40 * time.Second)
+		_, known := net.router(0).Demand()["r1"]
+		is.True(!known)
+		mu.Lock()
+		is.Equal(inFlight["r1"], nil)
+		mu.Unlock()
+	})
+}
+
+// Guards against messages over their bound when every source has more than
+// fits, and against parts that crowd out others.
+func TestComposeSharesTheBound(t *testing.T) {
+	is := is.New(t)
+	inFlight, demand := map[string]int{}, map[string]float64{}
+	for i := range 100 {
+		name := string(rune('a'+i%26)) + string(rune('a'+i/26))
+		inFlight[name], demand[name] = i, float64(i)
+	}
+	f := New(Options{Self: member(0), MaxExchangeBytes: 500, Sources: Sources{
+		InFlight:       func() map[string]int { return inFlight },
+		Demand:         func() map[string]float64 { return demand },
+		SummaryChanges: func(n int) []byte { return make([]byte, n) },
+	}})
+	e := f.compose("r1", nil)
+	is.True(len(e.InFlight) > 5 && len(e.Demand) > 4 && len(e.Summary) > 40)
+	is.Equal(e.InFlight[0].Count, 99)
+	is.True(slices.IsSortedFunc(e.Demand, func(a, b port.AccountDemand) int { return int(b.Demand - a.Demand) }))
+}
--- /dev/null
+++ b/internal/app/fleet/loop.go
@@ -0,0 +1,284 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/core/membership"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+const (
+	// exchangeTimeout leaves time before the next exchange is due.
+	exchangeTimeout = 900 * time.Millisecond
+	// urgentGap is the shortest time between two urgent messages to the same
+	// neighbours; news that arrive meanwhile are sent together.
+	urgentGap = 200 * time.Millisecond
+	// maxUrgentCalls bounds the urgent messages under way. Over it, news wait
+	// for the regular exchanges.
+	maxUrgentCalls = 4 * membership.MaxNeighbours
+	// listRetry is the mean time before a failed poll is repeated.
+	listRetry = 5 * time.Second
+)
+
+// Run polls, exchanges and passes urgent news on until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	var loops sync.WaitGroup
+	loops.Go(func() { f.listLoop(ctx) })
+	loops.Go(func() { f.urgentLoop(ctx) })
+	loops.Go(func() { f.exchangeLoop(ctx) })
+	loops.Wait()
+	return ctx.Err()
+}
+
+func (f *Fleet) exchangeLoop(ctx context.Context) {
+	// A random phase spreads the exchanges of routers that start together.
+	if !sleep(ctx, f.random(membership.ExchangeInterval)) {
+		return
+	}
+	ticker := time.NewTicker(membership.ExchangeInterval)
+	defer ticker.Stop()
+	for {
+		f.round(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// round applies timeouts and exchanges with one router.
+func (f *Fleet) round(ctx context.Context) {
+	f.mu.Lock()
+	now := f.o.Clock.Now()
+	f.view.Tick(now)
+	old := f.expireReports(now)
+	to, ok := f.view.Next()
+	f.mu.Unlock()
+	for _, peer := range old {
+		f.tellInFlight(peer, nil)
+	}
+	if ok {
+		f.exchange(ctx, to)
+	}
+	f.tellRouters()
+}
+
+func (f *Fleet) exchange(ctx context.Context, to membership.Target) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	answer, err := f.o.Peer.Exchange(ctx, to.Address, f.compose(to.Name, nil))
+	f.mu.Lock()
+	now := f.o.Clock.Now()
+	f.stats.Exchanges++
+	if err != nil {
+		f.stats.FailedExchanges++
+		f.view.Failed(now, to)
+		f.mu.Unlock()
+		return
+	}
+	f.view.Answered(now, to, answer.From)
+	f.merge(now, answer)
+	f.mu.Unlock()
+	f.tell(answer)
+}
+
+// merge takes a message; the lock is held.
+func (f *Fleet) merge(now time.Time, e port.PeerExchange) {
+	f.view.Merge(now, e.Gossip)
+	if e.Urgent || e.From.Name == f.o.Self.Name {
+		return
+	}
+	f.reports[e.From.Name] = report{at: now, configOffset: e.ConfigOffset, demand: e.Demand}
+}
+
+// tell passes a message on to the callbacks; no lock is held.
+func (f *Fleet) tell(e port.PeerExchange) {
+	f.mu.Lock()
+	urgent := f.view.HasUrgent()
+	f.mu.Unlock()
+	if urgent {
+		f.wakeUrgent()
+	}
+	if e.Urgent || e.From.Name == f.o.Self.Name {
+		return
+	}
+	counts := make(map[string]int, len(e.InFlight))
+	for _, c := range e.InFlight {
+		counts[c.Target] = c.Count
+	}
+	f.tellInFlight(e.From.Name, counts)
+	if on := f.o.Callbacks.OnSummary; on != nil && len(e.Summary) > 0 {
+		on(e.From.Name, e.Summary)
+	}
+	if on := f.o.Callbacks.OnConfigOffset; on != nil && e.ConfigOffset > 0 {
+		on(e.From.Name, e.ConfigOffset)
+	}
+}
+
+func (f *Fleet) tellInFlight(peer string, counts map[string]int) {
+	if on := f.o.Callbacks.OnPeerInFlight; on != nil {
+		on(peer, counts)
+	}
+}
+
+// tellRouters calls OnRouters when the routers changed since the last call.
+func (f *Fleet) tellRouters() {
+	f.mu.Lock()
+	now := f.o.Clock.Now()
+	state := shown{version: f.view.Version(), isolated: f.view.Isolated(now)}
+	changed := state != f.shown
+	f.shown = state
+	f.mu.Unlock()
+	if on := f.o.Callbacks.OnRouters; on != nil && changed {
+		on(f.Routers())
+	}
+}
+
+// expireReports drops old reports and returns their peers; the lock is held.
+func (f *Fleet) expireReports(now time.Time) []string {
+	var old []string
+	for peer, r := range f.reports {
+		if now.Sub(r.at) > reportTTL {
+			delete(f.reports, peer)
+			old = append(old, peer)
+		}
+	}
+	return old
+}
+
+func (f *Fleet) urgentLoop(ctx context.Context) {
+	slots := make(chan struct{}, maxUrgentCalls)
+	for {
+		select {
+		case <-f.urgent:
+		case <-ctx.Done():
+			return
+		}
+		for f.flush(ctx, slots) {
+			if !sleep(ctx, urgentGap) {
+				return
+			}
+		}
+	}
+}
+
+// flush sends new marks and fingerprints to all neighbours, without waiting
+// for the answers, and reports whether there were any.
+func (f *Fleet) flush(ctx context.Context, slots chan struct{}) bool {
+	f.mu.Lock()
+	now := f.o.Clock.Now()
+	g, ok := f.view.TakeUrgent(now)
+	neighbours := f.view.Neighbours()
+	self := f.view.Self()
+	f.mu.Unlock()
+	if !ok {
+		return false
+	}
+	f.tellNews(g)
+	from := port.Member{Name: self.Name, Incarnation: self.Incarnation, State: self.State}
+	message := port.PeerExchange{From: from, Urgent: true, Gossip: g}
+	for _, to := range neighbours {
+		select {
+		case slots <- struct{}{}:
+		default:
+			continue
+		}
+		go func() {
+			defer func() { <-slots }()
+			f.sendUrgent(ctx, to, message)
+		}()
+	}
+	return true
+}
+
+func (f *Fleet) sendUrgent(ctx context.Context, to membership.Target, message port.PeerExchange) bool {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	answer, err := f.o.Peer.Exchange(ctx, to.Address, message)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stats.UrgentMessages++
+	if err != nil {
+		return false
+	}
+	f.view.Answered(f.o.Clock.Now(), to, answer.From)
+	return true
+}
+
+func (f *Fleet) tellNews(g port.Gossip) {
+	if on := f.o.Callbacks.OnTargets; on != nil && len(g.Targets) > 0 {
+		on(g.Targets)
+	}
+	if on := f.o.Callbacks.OnFingerprints; on != nil && len(g.Fingerprints) > 0 {
+		values := make([]string, len(g.Fingerprints))
+		for i, p := range g.Fingerprints {
+			values[i] = p.Value
+		}
+		on(values)
+	}
+}
+
+func (f *Fleet) listLoop(ctx context.Context) {
+	for {
+		wait := f.pollInterval()
+		if f.poll(ctx) != nil {
+			wait = listRetry
+		}
+		if !sleep(ctx, wait/2+f.random(wait)) {
+			return
+		}
+	}
+}
+
+func (f *Fleet) pollInterval() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(f.o.ListInterval, time.Duration(f.view.Len()+1)*listIntervalPerRouter)
+}
+
+func (f *Fleet) poll(ctx context.Context) error {
+	list, err := f.o.VMList.List(ctx)
+	f.mu.Lock()
+	f.stats.ListPolls++
+	changed := f.listFailing != (err != nil)
+	f.listFailing = err != nil
+	if err != nil {
+		f.stats.FailedListPolls++
+	} else {
+		f.view.ObserveList(f.o.Clock.Now(), list)
+	}
+	urgent := f.view.HasUrgent()
+	f.mu.Unlock()
+	if urgent {
+		f.wakeUrgent()
+	}
+	switch {
+	case changed && err != nil:
+		f.o.Logger.WarnContext(ctx, "cannot read the VM list, known routers stay in use", "error", err)
+	case changed:
+		f.o.Logger.InfoContext(ctx, "the VM list can be read again")
+	}
+	return err
+}
+
+// random returns a duration in [0, d).
+func (f *Fleet) random(d time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(f.o.Rand.Int64N(int64(d)))
+}
+
+// sleep waits and reports whether ctx still runs.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -22,33 +22,20 @@
 	maxUrgent = 64
 )
 
-// Changes are the effects of a merge that others act on.
-type Changes struct {
-	// Targets are the marks that changed what is in force.
-	Targets      []port.TargetMark
-	Fingerprints []string
-}
-
 // Merge takes what another router says.
-func (v *View) Merge(now time.Time, g port.Gossip) Changes {
-	var c Changes
+func (v *View) Merge(now time.Time, g port.Gossip) {
 	for _, m := range g.Members {
 		v.apply(now, m)
 	}
 	for _, t := range g.Targets {
-		switch known := v.marks.byTarget[t.Target]; {
-		case v.marks.apply(now, t):
-			c.Targets = append(c.Targets, t)
-		case known != nil && known.Version > t.Version:
+		known := v.marks.byTarget[t.Target]
+		if !v.marks.apply(now, t) && known != nil && known.Version > t.Version {
 			v.marks.news.ensure(t.Target, v.transmissions())
 		}
 	}
 	for _, f := range g.Fingerprints {
-		if v.hints.apply(now, f) {
-			c.Fingerprints = append(c.Fingerprints, f.Value)
-		}
+		v.hints.apply(now, f)
 	}
-	return c
 }
 
 // Gossip returns news for a peer within about maxBytes of encoded size. When
@@ -86,8 +73,9 @@
 	}
 }
 
-// TakeUrgent returns marks and fingerprints that were not yet sent to the
-// neighbours at once, and whether there are any.
+// TakeUrgent returns marks and fingerprints from any source that are new to
+// this router and were not yet sent to the neighbours at once, and whether
+// there are any.
 func (v *View) TakeUrgent(now time.Time) (port.Gossip, bool) {
 	var g port.Gossip
 	v.marks.urgent.take(1, func(target string) bool {
--- a/internal/core/membership/neighbours.go
+++ b/internal/core/membership/neighbours.go
@@ -66,26 +66,33 @@
 // lostTarget picks a dead router that the VM list still has, or a seed whose
 // address no known router has.
 func (v *View) lostTarget() (Target, bool) {
-	var lost []Target
-	known := map[string]bool{}
+	lost := v.UnknownSeeds()
 	for _, name := range v.names {
-		m := v.members[name]
-		known[m.Address] = true
-		if m.State == port.MemberDead && m.listed && m.Address != "" {
+		if m := v.members[name]; m.State == port.MemberDead && m.listed && m.Address != "" {
 			lost = append(lost, Target{Name: name, Address: m.Address})
 		}
 	}
-	for _, s := range v.seeds {
-		if !known[s] {
-			lost = append(lost, Target{Address: s})
-		}
-	}
 	if len(lost) == 0 {
 		return Target{}, false
 	}
 	return lost[v.rnd.IntN(len(lost))], true
 }
 
+// UnknownSeeds returns the seeds at whose address no router is known.
+func (v *View) UnknownSeeds() []Target {
+	known := map[string]bool{}
+	for _, m := range v.members {
+		known[m.Address] = true
+	}
+	var seeds []Target
+	for _, s := range v.seeds {
+		if !known[s] {
+			seeds = append(seeds, Target{Address: s})
+		}
+	}
+	return seeds
+}
+
 // rotate drops one random neighbour, so that information mixes and no part of
 // the fleet depends on one fixed graph.
 func (v *View) rotate() {
--- a/internal/core/membership/rumours.go
+++ b/internal/core/membership/rumours.go
@@ -93,7 +93,8 @@
 	}
 }
 
-// apply merges a mark and reports whether it changed what is in force.
+// apply merges a mark and reports whether it was adopted. A mark that changes
+// what is in force is urgent.
 func (s *marks) apply(now time.Time, in port.TargetMark) bool {
 	old := s.byTarget[in.Target]
 	if in.Target == "" || in.Age < 0 || in.Age > MarkTTL || old == nil && len(s.byTarget) >= maxMarks {
@@ -111,7 +112,7 @@
 	if changed {
 		s.urgent.add(in.Target)
 	}
-	return changed
+	return true
 }
 
 func supersedes(a, b port.TargetMark) bool {
@@ -142,16 +143,15 @@
 	return fingerprints{seen: map[string]time.Time{}, news: newQueue(), urgent: newQueue()}
 }
 
-// apply merges a fingerprint and reports whether it is new.
-func (s *fingerprints) apply(now time.Time, in port.Fingerprint) bool {
+// apply merges a fingerprint.
+func (s *fingerprints) apply(now time.Time, in port.Fingerprint) {
 	_, known := s.seen[in.Value]
 	if known || in.Value == "" || in.Age < 0 || in.Age > FingerprintTTL || len(s.seen) >= maxFingerprints {
-		return false
+		return
 	}
 	s.seen[in.Value] = now.Add(-in.Age)
 	s.news.add(in.Value)
 	s.urgent.add(in.Value)
-	return true
 }
 
 func (s *fingerprints) export(now time.Time, value string) port.Fingerprint {
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -46,6 +46,8 @@
 	// pauseAfter is the gap between two ticks that shows that the process was
 	// paused; timeouts are extended by the gap.
 	pauseAfter = 5 * time.Second
+	// fullIntroductions is over 1 because messages can be lost.
+	fullIntroductions = 3
 	// suspicionFactor times log2 of the number of routers is the number of
 	// intervals in which a suspect can refute: the suspicion has to reach it and
 	// the refutation has to come back, each in about log2 rounds.
@@ -68,6 +70,9 @@
 	contact, incoming time.Time
 	failures          int
 	quietUntil        time.Time
+	// introductions counts the full entries of the own router that were sent to
+	// this incarnation.
+	introductions int
 }
 
 // Router is one other router as the view sees it.
@@ -107,6 +112,8 @@
 	lastContact time.Time
 	// lost counts failures since the last contact with anyone.
 	lost int
+	// version counts changes of the routers.
+	version uint64
 }
 
 // New returns the view of a router that knows only itself and the addresses
@@ -134,13 +141,33 @@
 // Self returns the router's own entry.
 func (v *View) Self() port.Member { return v.self }
 
+// Len returns the number of other routers known.
+func (v *View) Len() int { return len(v.members) }
+
+// Version changes when an entry of Routers changes, apart from LastContact and
+// from the state shown while the router is cut off.
+func (v *View) Version() uint64 { return v.version }
+
+// Introduction returns the router's own entry for a message to a peer: in full
+// for the first messages to each incarnation of the peer, then a short notice.
+func (v *View) Introduction(to string) port.Member {
+	m := v.members[to]
+	if m == nil || m.introductions < fullIntroductions {
+		if m != nil {
+			m.introductions++
+		}
+		return v.self
+	}
+	return port.Member{Name: v.self.Name, Incarnation: v.self.Incarnation, State: v.self.State}
+}
+
 // Leave marks the router itself as leaving. The next exchanges tell others.
 func (v *View) Leave() { v.self.State = port.MemberLeaving }
 
 // Routers returns the other routers in order of name. While the router itself
 // is cut off, those that seem alive are reported as suspect.
 func (v *View) Routers(now time.Time) []Router {
-	isolated := v.isolated(now)
+	isolated := v.Isolated(now)
 	routers := make([]Router, 0, len(v.names))
 	for _, name := range v.names {
 		m := v.members[name]
@@ -165,7 +192,7 @@
 		m := v.members[name]
 		age := now.Sub(m.since)
 		switch {
-		case m.State == port.MemberSuspect && age > timeout && !m.contact.After(m.since) && !v.isolated(now):
+		case m.State == port.MemberSuspect && age > timeout && !m.contact.After(m.since) && !v.Isolated(now):
 			v.set(now, m, port.MemberDead)
 		case m.State == port.MemberLeaving && age > leavingRetention && now.Sub(m.contact) > leavingRetention:
 			v.set(now, m, port.MemberDead)
@@ -189,7 +216,8 @@
 	return suspicionFactor * time.Duration(bits.Len(uint(len(v.members)+1))) * ExchangeInterval
 }
 
-func (v *View) isolated(now time.Time) bool {
+// Isolated reports whether the router itself seems cut off from all others.
+func (v *View) Isolated(now time.Time) bool {
 	return v.lost >= failuresToSuspect && now.Sub(v.lastContact) > isolatedAfter
 }
 
@@ -232,7 +260,7 @@
 		return
 	}
 	m.failures++
-	if m.failures < failuresToSuspect || v.isolated(now) {
+	if m.failures < failuresToSuspect || v.Isolated(now) {
 		return
 	}
 	switch {
@@ -259,9 +287,12 @@
 	}
 	for _, name := range append([]string(nil), v.names...) {
 		m := v.members[name]
-		m.listed = listed[name]
+		if m.listed != listed[name] {
+			m.listed = listed[name]
+			v.version++
+		}
 		silent := now.Sub(m.contact) > unlistedRetention && now.Sub(m.learned) > unlistedRetention
-		if !m.listed && silent && (m.Incarnation == 0 || v.isolated(now)) {
+		if !m.listed && silent && (m.Incarnation == 0 || v.Isolated(now)) {
 			v.forget(name)
 		}
 	}
@@ -284,75 +315,10 @@
 	}
 }
 
-// apply merges what is said of a router.
-func (v *View) apply(now time.Time, in port.Member) {
-	if in.Name == v.self.Name {
-		v.refute(in)
-		return
-	}
-	m := v.members[in.Name]
-	if m == nil {
-		// Adopting the unknown dead would pass them around for ever, because
-		// each router forgets them at another time.
-		if in.Name != "" && in.Incarnation > 0 && in.State != port.MemberDead {
-			v.add(now, in)
-			v.news.add(in.Name)
-		}
-		return
-	}
-	switch order(in, m.Member) {
-	case newer:
-		v.replace(now, m, in)
-	case same:
-		v.fill(now, m, in)
-	case older:
-		v.fill(now, m, in)
-		v.news.ensure(in.Name, v.transmissions())
-	}
-}
-
-func (v *View) replace(now time.Time, m *member, in port.Member) {
-	if in.State == port.MemberAlive {
-		m.failures = 0
-		if m.State == port.MemberSuspect {
-			m.quietUntil = now.Add(quietAfterRefutal)
-		}
-	}
-	if in.Address != "" {
-		v.place(now, m, in)
-	}
-	m.Incarnation = in.Incarnation
-	if in.State != m.State {
-		m.State, m.since, v.stale = in.State, now, true
-	}
-	v.news.add(in.Name)
-}
-
-// fill completes an entry that is known from short notices only.
-func (v *View) fill(now time.Time, m *member, in port.Member) {
-	if m.Address == "" && in.Address != "" {
-		v.place(now, m, in)
-	}
-}
-
-func (v *View) place(now time.Time, m *member, at port.Member) {
-	if m.Address != at.Address {
-		m.placed, v.stale = now, true
-	}
-	m.Address, m.Region, m.AvailabilityZone = at.Address, at.Region, at.AvailabilityZone
-}
-
-// refute raises the own incarnation over what others believe of this router,
-// or of a former life with the same name.
-func (v *View) refute(in port.Member) {
-	if order(in, v.self) == newer {
-		v.self.Incarnation = in.Incarnation + 1
-	}
-}
-
 // set changes a state by this router's own evidence.
 func (v *View) set(now time.Time, m *member, s port.MemberState) {
 	m.State, m.since, v.stale = s, now, true
+	v.version++
 	if m.Incarnation > 0 {
 		v.news.add(m.Name)
 	}
@@ -364,6 +330,7 @@
 	i := sort.SearchStrings(v.names, in.Name)
 	v.names = append(v.names[:i], append([]string{in.Name}, v.names[i:]...)...)
 	v.stale = true
+	v.version++
 	return m
 }
 
@@ -373,30 +340,8 @@
 	v.names = append(v.names[:i], v.names[i+1:]...)
 	v.news.drop(name)
 	v.stale = true
+	v.version++
 }
 
 // transmissions is the number of times that a router passes news on.
 func (v *View) transmissions() int { return 2 * bits.Len(uint(len(v.members)+1)) }
-
-// relation of one notice to another about the same router.
-type relation int
-
-const (
-	older relation = iota - 1
-	same
-	newer
-)
-
-func order(a, b port.Member) relation {
-	switch {
-	case a.Incarnation != b.Incarnation && a.Incarnation > b.Incarnation:
-		return newer
-	case a.Incarnation != b.Incarnation:
-		return older
-	case a.State != b.State && a.State > b.State:
-		return newer
-	case a.State != b.State:
-		return older
-	}
-	return same
-}
