--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
@@ -17,6 +18,9 @@
 // defaultTimeout bounds calls whose context has no earlier deadline.
 const defaultTimeout = 5 * time.Second
 
+// ErrInvalidAnswer means that an answer does not tell who sent it.
+var ErrInvalidAnswer = eris.New("the answer names no valid sender")
+
 // Client calls other routers. It implements port.Peer and keeps a bounded
 // number of connections.
 type Client struct {
@@ -50,7 +54,13 @@
 	out, err := call(ctx, c, address, func(ctx context.Context, p peerv1.PeerClient) (*peerv1.ExchangeMessage, error) {
 		return p.Exchange(ctx, toExchange(e))
 	})
-	return fromExchange(out), err
+	if err == nil && checkSender(out.GetFrom()) != nil {
+		err = &port.UnknownOutcomeError{Peer: peerName(address), Cause: ErrInvalidAnswer}
+	}
+	if err != nil {
+		return port.PeerExchange{}, err
+	}
+	return fromExchange(out), nil
 }
 
 // PullRecords implements port.Peer.
@@ -73,6 +83,9 @@
 	out, err := call(ctx, c, address, func(ctx context.Context, p peerv1.PeerClient) (*peerv1.SummaryResponse, error) {
 		return p.Summary(ctx, &peerv1.SummaryRequest{})
 	})
+	if err == nil && checkSender(out.GetFrom()) != nil {
+		err = &port.UnknownOutcomeError{Peer: peerName(address), Cause: ErrInvalidAnswer}
+	}
 	if err != nil {
 		return port.PeerSummary{}, err
 	}
@@ -96,13 +109,15 @@
 	conn, err := c.pool.get(address)
 	if err != nil {
 		var none T
-		return none, &port.UnavailableError{Peer: "router " + address, Cause: err}
+		return none, &port.UnavailableError{Peer: peerName(address), Cause: err}
 	}
 	out, err := run(ctx, peerv1.NewPeerClient(conn.cc))
 	c.pool.put(conn, brokenConnection(err))
 	return out, failure(address, err)
 }
 
+func peerName(address string) string { return "router " + address }
+
 func brokenConnection(err error) bool {
 	code := status.Code(err)
 	return code == codes.Unavailable || code == codes.DeadlineExceeded
@@ -111,7 +126,7 @@
 // failure maps Unavailable to an unknown outcome too: gRPC uses the code both
 // for a failed dial and for a connection lost after the request was sent.
 func failure(address string, err error) error {
-	peer := "router " + address
+	peer := peerName(address)
 	switch status.Code(err) {
 	case codes.OK:
 		return nil
--- a/internal/adapter/peergrpc/peer_test.go
+++ b/internal/adapter/peergrpc/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -110,6 +111,7 @@
 func TestFailures(t *testing.T) {
 	server, client, stranger := mutualTLS(t)
 	ok := func(context.Context, port.PeerExchange) (port.PeerExchange, error) { return full, nil }
+	anonymous := func(context.Context, port.PeerExchange) (port.PeerExchange, error) { return port.PeerExchange{}, nil }
 	cancelled, cancel := context.WithCancel(t.Context())
 	hang := func(ctx context.Context, _ port.PeerExchange) (port.PeerExchange, error) {
 		cancel()
@@ -132,6 +134,7 @@
 		"no TLS":                 {t.Context(), nil, ok, full, &unknown},
 		"sender without a name":  {t.Context(), client, ok, port.PeerExchange{}, &bad},
 		"message over the bound": {t.Context(), client, ok, port.PeerExchange{From: full.From, Summary: make([]byte, maxMessageBytes)}, &bad},
+		"answer without a name":  {t.Context(), client, anonymous, full, &unknown},
 		"no answer":              {cancelled, client, hang, full, &unknown},
 	}
 	for name, c := range cases {
@@ -160,9 +163,9 @@
 // against one connection for each call.
 func TestConnectionsAreReusedUntilTheyFail(t *testing.T) {
 	is := is.New(t)
-	var silent bool
+	var silent atomic.Bool
 	address, listener := serve(t, &handler{exchange: func(ctx context.Context, _ port.PeerExchange) (port.PeerExchange, error) {
-		if silent {
+		if silent.Load() {
 			<-ctx.Done()
 		}
 		return full, ctx.Err()
@@ -174,12 +177,12 @@
 		is.NoErr(err)
 	}
 	is.Equal(listener.conns.Load(), int64(1))
-	silent = true
+	silent.Store(true)
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	_, err := c.Exchange(ctx, address, full)
 	is.True(err != nil)
-	silent = false
+	silent.Store(false)
 	_, err = c.Exchange(t.Context(), address, full)
 	is.NoErr(err)
 	is.Equal(listener.conns.Load(), int64(2))
--- a/internal/adapter/peergrpc/size_test.go
+++ b/internal/adapter/peergrpc/size_test.go
@@ -63,7 +63,7 @@
 
 // Guards against messages over their bound, which hold for the encoded size.
 func TestExchangeStaysUnderItsBound(t *testing.T) {
-	for routers, bound := range map[int]int{6: 1200, 539: 380} {
+	for routers, bound := range map[int]int{6: 1200, 539: 280} {
 		t.Run(fmt.Sprint(routers+1), func(t *testing.T) {
 			f := busyFleet(t, routers)
 			largest := 0
@@ -108,6 +108,20 @@
 	}
 }
 
+// BenchmarkFirstExchange includes the handshake of a new connection.
+func BenchmarkFirstExchange(b *testing.B) {
+	server, clientCreds, _ := mutualTLS(b)
+	address, listener := serve(b, busyFleet(b, 539), server)
+	request := port.PeerExchange{From: member(1), Urgent: true}
+	for b.Loop() {
+		c := NewClient(clientCreds)
+		_, err := c.Exchange(b.Context(), address, request)
+		is.New(b).NoErr(err)
+		c.Close()
+	}
+	b.ReportMetric(float64(listener.bytes.Load())/float64(b.N), "wire-B/op")
+}
+
 // BenchmarkUrgent sends the announcement of one leaving target.
 func BenchmarkUrgent(b *testing.B) {
 	server, clientCreds, _ := mutualTLS(b)
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -20,12 +20,16 @@
 	// reportTTL is how long the last report of a peer counts. Neighbours report
 	// every 8 s at the latest.
 	reportTTL = 30 * time.Second
-	// defaultListInterval is the mean time between polls of the VM list by one
-	// router of a small fleet.
+	// defaultListInterval is the mean time between polls of a short VM list by
+	// one router.
 	defaultListInterval = 5 * time.Second
-	// listIntervalPerRouter keeps the fleet together at about one poll in 2 s:
-	// the whole list of 540 routers and 5,100 targets has about 850 KB.
-	listIntervalPerRouter = 2 * time.Second
+	// listBytesPerSecond bounds what one router spends on polls: the list comes
+	// as a whole, and one router's poll tells all others what leaves.
+	listBytesPerSecond = 150
+	// maxListIntervalPerRouter keeps the fleet together at one poll in 10 s.
+	maxListIntervalPerRouter = 10 * time.Second
+	// vmBytes is the size of a VM in the list apart from its strings.
+	vmBytes = 95
 	// maxSummaryBytes bounds a whole hot-prefix summary.
 	maxSummaryBytes = 256 << 10
 )
@@ -82,7 +86,7 @@
 	VMList port.VMList
 	Logger *slog.Logger
 	// ListInterval is the mean time between two polls of the VM list; it grows
-	// with the fleet. 0: 5 s.
+	// with the size of the list. 0: 5 s.
 	ListInterval time.Duration
 	// MaxExchangeBytes bounds the encoded size of one message of an exchange.
 	// 0: by the size of the fleet.
@@ -113,6 +117,8 @@
 	// listFailing and shown hold the last state that was logged or passed on.
 	listFailing bool
 	shown       shown
+	// listBytes is the size of the last VM list.
+	listBytes int
 }
 
 // shown is the state of the routers that OnRouters received last.
--- a/internal/app/fleet/fleet_test.go
+++ b/internal/app/fleet/fleet_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -10,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"mimosaseam.example/mimosaseam/internal/core/membership"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -127,18 +130,29 @@
 					net.start(i, Options{})
 				}
 				<-time.After(20 * time.Second)
-				for i := range routers {
-					for j := range routers {
-						if i != j {
-							is.New(t).Equal(net.state(i, j), "alive")
-						}
-					}
-				}
+				net.allAlive(t)
 			})
 		})
 	}
 }
 
+// Guards against routers that find nobody while the VM list is down.
+func TestSeedsReplaceTheList(t *testing.T) {
+	inBubble(t, routers, func(t *testing.T, net *network) {
+		for i := range routers {
+			net.kill(i)
+		}
+		net.mu.Lock()
+		net.noList = true
+		net.mu.Unlock()
+		for i := range routers {
+			net.start(i, Options{Seeds: []string{member(0).Address, member(1).Address}})
+		}
+		<-time.After(20 * time.Second)
+		net.allAlive(t)
+	})
+}
+
 // Guards against a split that ends the use of a side, and against sides that
 // do not find each other again.
 func TestSplitBetweenRegionsHeals(t *testing.T) {
@@ -159,13 +173,7 @@
 		is.Equal(net.state(0, 1), "dead")
 		net.setFault(nil)
 		<-time.After(30 * time.Second)
-		for i := range routers {
-			for j := range routers {
-				if i != j {
-					is.Equal(net.state(i, j), "alive")
-				}
-			}
-		}
+		net.allAlive(t)
 	})
 }
 
@@ -215,7 +223,7 @@
 	inBubble(t, 3, func(t *testing.T, net *network) {
 		is := is.New(t)
 		var mu sync.Mutex
-		inFlight, changes := map[string]map[string]int{}, 0
+		inFlight, changes, states := map[string]map[string]int{}, 0, map[string]string{}
 		net.kill(0)
 		net.start(0, Options{Callbacks: Callbacks{
 			OnPeerInFlight: func(peer string, counts map[string]int) {
@@ -228,6 +236,13 @@
 				defer mu.Unlock()
 				changes++
 			},
+			OnRouters: func(routers []membership.Router) {
+				mu.Lock()
+				defer mu.Unlock()
+				for _, r := range routers {
+					states[r.Name] = r.State.String()
+				}
+			},
 		}})
 		net.kill(1)
 		net.start(1, Options{Sources: Sources{
@@ -241,6 +256,7 @@
 		mu.Lock()
 		is.Equal(inFlight["r1"], map[string]int{"e1": 3})
 		is.True(changes > 0)
+		is.Equal(states, map[string]string{"r1": "alive", "r2": "alive"})
 		mu.Unlock()
 		net.kill(1)
 		<-time.After(40 * time.Second)
@@ -248,6 +264,7 @@
 		is.True(!known)
 		mu.Lock()
 		is.Equal(inFlight["r1"], nil)
+		is.Equal(states, map[string]string{"r1": "dead", "r2": "alive"})
 		mu.Unlock()
 	})
 }
@@ -271,3 +288,42 @@
 	is.Equal(e.InFlight[0].Count, 99)
 	is.True(slices.IsSortedFunc(e.Demand, func(a, b port.AccountDemand) int { return int(b.Demand - a.Demand) }))
 }
+
+// Guards against polls of a long list by every router every few seconds.
+func TestPollIntervalFollowsTheList(t *testing.T) {
+	cases := map[string]struct {
+		routers, vms   int
+		shortest, most time.Duration
+	}{
+		"short list":                {7, 25, 5 * time.Second, 40 * time.Second},
+		"long list, many routers":   {540, 5640, 80 * time.Minute, 100 * time.Minute},
+		"long list and few routers": {7, 5640, 70 * time.Second, 70 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var list port.VMSnapshot
+			for i := range c.vms {
+				vm := port.VM{
+					Name: fmt.Sprintf("ledger-lm-%04d", i), Role: port.RoleEngine, Address: fmt.Sprintf("10.100.%d.%d:7000", i/250, i%250),
+					Region: "nordhafen", AvailabilityZone: "nordhafen-1", State: port.VMLive,
+				}
+				if i < c.routers {
+					vm.Role = port.RoleRouter
+				}
+				list.VMs = append(list.VMs, vm)
+			}
+			encoded, err := json.Marshal(list)
+			is.NoErr(err)
+			t.Logf("%d VMs are %d bytes", c.vms, len(encoded))
+			f := New(Options{Self: port.Member{Name: "ledger-lm-0000"}, VMList: fixedList(list)})
+			is.NoErr(f.poll(t.Context()))
+			is.True(f.listBytes >= len(encoded)*9/10 && f.listBytes <= len(encoded)*11/10)
+			is.True(f.pollInterval() >= c.shortest && f.pollInterval() <= c.most)
+		})
+	}
+}
+
+type fixedList port.VMSnapshot
+
+func (l fixedList) List(context.Context) (port.VMSnapshot, error) { return port.VMSnapshot(l), nil }
--- a/internal/app/fleet/lifecycle.go
+++ b/internal/app/fleet/lifecycle.go
@@ -40,12 +40,9 @@
 		f.mu.Lock()
 		now := f.o.Clock.Now()
 		f.view.Answered(now, to, s.From)
-		f.view.Merge(now, s.Gossip)
-		urgent := f.view.HasUrgent()
+		f.view.Adopt(now, s.Gossip)
 		f.mu.Unlock()
-		if urgent {
-			f.wakeUrgent()
-		}
+		f.tellNews(s.Gossip)
 		if on := f.o.Callbacks.OnSummary; on != nil && len(s.Summary) > 0 {
 			on(s.From.Name, s.Summary)
 		}
--- a/internal/app/fleet/loop.go
+++ b/internal/app/fleet/loop.go
@@ -223,9 +223,9 @@
 
 func (f *Fleet) listLoop(ctx context.Context) {
 	for {
-		wait := f.pollInterval()
-		if f.poll(ctx) != nil {
-			wait = listRetry
+		wait := listRetry
+		if f.poll(ctx) == nil {
+			wait = f.pollInterval()
 		}
 		if !sleep(ctx, wait/2+f.random(wait)) {
 			return
@@ -236,7 +236,17 @@
 func (f *Fleet) pollInterval() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return max(f.o.ListInterval, time.Duration(f.view.Len()+1)*listIntervalPerRouter)
+	bySize := time.Duration(f.listBytes) * time.Second / listBytesPerSecond
+	byFleet := time.Duration(f.view.Len()+1) * maxListIntervalPerRouter
+	return max(f.o.ListInterval, min(bySize, byFleet))
+}
+
+func listSize(vms []port.VM) int {
+	size := 0
+	for _, vm := range vms {
+		size += vmBytes + len(vm.Name) + len(vm.Role) + len(vm.Address) + len(vm.Region) + len(vm.AvailabilityZone) + len(vm.State)
+	}
+	return size
 }
 
 func (f *Fleet) poll(ctx context.Context) error {
@@ -249,6 +259,7 @@
 		f.stats.FailedListPolls++
 	} else {
 		f.view.ObserveList(f.o.Clock.Now(), list)
+		f.listBytes = listSize(list.VMs)
 	}
 	urgent := f.view.HasUrgent()
 	f.mu.Unlock()
--- a/internal/app/fleet/message.go
+++ b/internal/app/fleet/message.go
@@ -11,15 +11,14 @@
 	largeFleet = 32
 	// smallFleetBytes and largeFleetBytes bound one message of an exchange. A
 	// router takes part in two exchanges a second on average, which are four
-	// messages; the large fleet must stay under 2 KB/s with all overhead.
+	// messages; a large fleet must stay under 2 KB/s with all overhead.
 	smallFleetBytes = 1200
-	largeFleetBytes = 380
-	// gossipBytes is the least space for gossip.
-	gossipBytes = 160
+	largeFleetBytes = 280
 	// Sizes of encoded parts apart from their strings, rounded up.
-	messageOverheadBytes = 60
-	countOverheadBytes   = 8
-	demandOverheadBytes  = 10
+	messageOverheadBytes = 52
+	countOverheadBytes   = 7
+	demandOverheadBytes  = 9
+	summaryOverheadBytes = 3
 )
 
 func (f *Fleet) maxBytes(routers int) int {
@@ -34,33 +33,31 @@
 }
 
 // compose builds the regular message to a peer; theirs is the gossip that it
-// answers, or nil. The parts share what the gossip's least space leaves, and
-// gossip gets what they do not use.
+// answers, or nil. Gossip gets at most three fifths of the space, and the other
+// parts share what it leaves.
 func (f *Fleet) compose(to string, theirs *port.Gossip) port.PeerExchange {
-	s := f.o.Sources
+	var e port.PeerExchange
 	f.mu.Lock()
-	e := port.PeerExchange{From: f.view.Introduction(to)}
-	left := f.maxBytes(f.view.Len()) - messageOverheadBytes - memberBytes(e.From)
+	e.From = f.view.Introduction(to)
+	left := max(0, f.maxBytes(f.view.Len())-messageOverheadBytes-memberBytes(e.From))
+	var used int
+	e.Gossip, used = f.view.Gossip(f.o.Clock.Now(), to, theirs, left*3/5)
 	f.mu.Unlock()
+	left -= used
 
-	rest := max(0, left-gossipBytes)
-	left -= rest
+	s := f.o.Sources
 	if s.ConfigOffset != nil {
 		e.ConfigOffset = s.ConfigOffset()
 	}
 	if s.Demand != nil {
-		e.Demand, rest = topDemand(s.Demand(), rest, rest/3)
+		e.Demand, left = topDemand(s.Demand(), left, left/3)
 	}
 	if s.InFlight != nil {
-		e.InFlight, rest = topInFlight(s.InFlight(), rest, rest/2)
+		e.InFlight, left = topInFlight(s.InFlight(), left, left/2)
 	}
-	if s.SummaryChanges != nil && rest > 0 {
-		e.Summary = s.SummaryChanges(rest)
-		rest -= min(rest, len(e.Summary))
+	if s.SummaryChanges != nil && left > summaryOverheadBytes {
+		e.Summary = s.SummaryChanges(left - summaryOverheadBytes)
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	e.Gossip = f.view.Gossip(f.o.Clock.Now(), to, theirs, left+rest)
 	return e
 }
 
@@ -69,8 +66,8 @@
 }
 
 // topDemand takes the largest demands into at most share bytes and returns
-// what is left of rest.
-func topDemand(demand map[string]float64, rest, share int) ([]port.AccountDemand, int) {
+// what remains of left.
+func topDemand(demand map[string]float64, left, share int) ([]port.AccountDemand, int) {
 	all := make([]port.AccountDemand, 0, len(demand))
 	for account, d := range demand {
 		if d > 0 {
@@ -86,16 +83,16 @@
 	for i, d := range all {
 		size := demandOverheadBytes + len(d.ClientAccount)
 		if size > share {
-			return all[:i], rest
+			return all[:i], left
 		}
-		share, rest = share-size, rest-size
+		share, left = share-size, left-size
 	}
-	return all, rest
+	return all, left
 }
 
 // topInFlight takes the busiest targets into at most share bytes and returns
-// what is left of rest.
-func topInFlight(counts map[string]int, rest, share int) ([]port.TargetCount, int) {
+// what remains of left.
+func topInFlight(counts map[string]int, left, share int) ([]port.TargetCount, int) {
 	all := make([]port.TargetCount, 0, len(counts))
 	for target, n := range counts {
 		if n > 0 {
@@ -111,9 +108,9 @@
 	for i, c := range all {
 		size := countOverheadBytes + len(c.Target)
 		if size > share {
-			return all[:i], rest
+			return all[:i], left
 		}
-		share, rest = share-size, rest-size
+		share, left = share-size, left-size
 	}
-	return all, rest
+	return all, left
 }
--- a/internal/app/fleet/net_test.go
+++ b/internal/app/fleet/net_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"mimosaseam.example/mimosaseam/internal/port"
 	"mimosaseam.example/mimosaseam/internal/standin/vmlist"
 )
@@ -35,6 +37,8 @@
 	fleets map[string]*Fleet
 	stop   map[string]context.CancelFunc
 	fault  func(from, to string) fault
+	// noList makes the VM list fail.
+	noList bool
 }
 
 // inBubble runs a test with n routers that have run for 30 s.
@@ -116,7 +120,26 @@
 }
 
 // List implements port.VMList.
-func (n *network) List(context.Context) (port.VMSnapshot, error) { return n.list.Served(), nil }
+func (n *network) List(context.Context) (port.VMSnapshot, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.noList {
+		return port.VMSnapshot{}, &port.UnavailableError{Peer: "VM list"}
+	}
+	return n.list.Served(), nil
+}
+
+// allAlive checks that all routers see all others alive.
+func (n *network) allAlive(t *testing.T) {
+	t.Helper()
+	for i := range routers {
+		for j := range routers {
+			if i != j {
+				is.New(t).Equal(n.state(i, j), "alive")
+			}
+		}
+	}
+}
 
 // state returns what router i believes of router j.
 func (n *network) state(i, j int) string {
--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -15,9 +15,9 @@
 	// the VM list does not have it. All others know it from the list.
 	fullNoticeFor = 30 * time.Minute
 	// Sizes of encoded notices apart from their strings, rounded up.
-	memberOverheadBytes      = 16
+	memberOverheadBytes      = 20
 	markOverheadBytes        = 20
-	fingerprintOverheadBytes = 10
+	fingerprintOverheadBytes = 8
 	// maxUrgent bounds the marks and the fingerprints of one urgent message.
 	maxUrgent = 64
 )
@@ -38,10 +38,22 @@
 	}
 }
 
-// Gossip returns news for a peer within about maxBytes of encoded size. When
-// theirs, the peer's own gossip, shows another state than the own, a random
-// part of the state fills the rest.
-func (v *View) Gossip(now time.Time, to string, theirs *port.Gossip, maxBytes int) port.Gossip {
+// Adopt takes the snapshot of another router, whose marks and fingerprints
+// others know already.
+func (v *View) Adopt(now time.Time, g port.Gossip) {
+	v.Merge(now, g)
+	for _, t := range g.Targets {
+		v.marks.urgent.drop(t.Target)
+	}
+	for _, f := range g.Fingerprints {
+		v.hints.urgent.drop(f.Value)
+	}
+}
+
+// Gossip returns news for a peer within maxBytes of encoded size, and the size.
+// When theirs, the peer's own gossip, shows another state than the own, a
+// random part of the state fills the rest.
+func (v *View) Gossip(now time.Time, to string, theirs *port.Gossip, maxBytes int) (port.Gossip, int) {
 	b := builder{view: v, now: now, left: maxBytes, taken: map[string]bool{}}
 	if m := v.members[to]; m != nil && m.State != port.MemberAlive && m.Incarnation > 0 {
 		b.member(to)
@@ -57,7 +69,7 @@
 	if theirs != nil && theirs.MembersHash != b.out.MembersHash {
 		v.window(v.names, b.member)
 	}
-	return b.out
+	return b.out, maxBytes - b.left
 }
 
 // window offers a random run of the keys.
@@ -138,16 +150,29 @@
 	return targets
 }
 
+// hashed is a hash with the state that it was computed for.
+type hashed struct {
+	version     uint64
+	incarnation uint64
+	state       port.MemberState
+	hash        uint64
+}
+
 // membersHash covers all routers but the dead, which are forgotten at
 // different times, and those that only the VM list has.
 func (v *View) membersHash() uint64 {
-	h := hashNotice(v.self.Name, v.self.Incarnation, byte(v.self.State))
+	now := hashed{version: v.version, incarnation: v.self.Incarnation, state: v.self.State, hash: v.hash.hash}
+	if now == v.hash {
+		return now.hash
+	}
+	now.hash = hashNotice(v.self.Name, v.self.Incarnation, byte(v.self.State))
 	for _, m := range v.members {
 		if m.Incarnation > 0 && m.State != port.MemberDead {
-			h ^= hashNotice(m.Name, m.Incarnation, byte(m.State))
+			now.hash ^= hashNotice(m.Name, m.Incarnation, byte(m.State))
 		}
 	}
-	return h
+	v.hash = now
+	return now.hash
 }
 
 func (v *View) targetsHash() uint64 {
--- a/internal/core/membership/merge.go
+++ b/internal/core/membership/merge.go
@@ -39,7 +39,7 @@
 	if m == nil {
 		// Adopting the unknown dead would pass them around for ever, because
 		// each router forgets them at another time.
-		if in.Name != "" && in.Incarnation > 0 && in.State != port.MemberDead {
+		if in.Name != "" && in.Incarnation > 0 && in.State != port.MemberDead && len(v.members) < maxMembers {
 			v.add(now, in)
 			v.news.add(in.Name)
 		}
--- a/internal/core/membership/neighbours.go
+++ b/internal/core/membership/neighbours.go
@@ -13,9 +13,8 @@
 	// out of contact or a seed is tried, so that a split heals.
 	probeLostEvery = 5
 	// rotateEvery is the number of rounds after which one random neighbour is
-	// exchanged. A new connection with mutual TLS costs about 4 KB, which stays
-	// under 70 bytes a second.
-	rotateEvery = 60
+	// exchanged. Each exchange of a neighbour costs a handshake.
+	rotateEvery = 120
 )
 
 // Target is the router to exchange with. Name is empty for a seed that has
@@ -63,12 +62,12 @@
 	return targets
 }
 
-// lostTarget picks a dead router that the VM list still has, or a seed whose
-// address no known router has.
+// lostTarget picks a dead router, or a seed at whose address no router is
+// known.
 func (v *View) lostTarget() (Target, bool) {
 	lost := v.UnknownSeeds()
 	for _, name := range v.names {
-		if m := v.members[name]; m.State == port.MemberDead && m.listed && m.Address != "" {
+		if m := v.members[name]; m.State == port.MemberDead && m.Address != "" {
 			lost = append(lost, Target{Name: name, Address: m.Address})
 		}
 	}
--- a/internal/core/membership/sim_test.go
+++ b/internal/core/membership/sim_test.go
@@ -10,8 +10,8 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
-// gossipBytes is the part of an exchange that the fleet gives to gossip.
-const gossipBytes = 160
+// gossipBytes is the part of an exchange that a large fleet gives to gossip.
+const gossipBytes = 120
 
 // node is a simulated router; a node that is down does not act or answer.
 type node struct {
@@ -132,10 +132,10 @@
 		n.Failed(s.now, t)
 		return
 	}
-	request := n.Gossip(s.now, t.Name, nil, gossipBytes)
+	request, _ := n.Gossip(s.now, t.Name, nil, gossipBytes)
 	to.Called(s.now, n.Self())
 	to.Merge(s.now, request)
-	answer := to.Gossip(s.now, n.Self().Name, &request, gossipBytes)
+	answer, _ := to.Gossip(s.now, n.Self().Name, &request, gossipBytes)
 	n.Answered(s.now, t, to.Self())
 	n.Merge(s.now, answer)
 }
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -23,6 +23,9 @@
 	// MaxNeighbours bounds the routers that one router probes.
 	MaxNeighbours = 8
 
+	// maxMembers bounds the memory; it is over seven times the routers at full
+	// scale.
+	maxMembers = 4096
 	// failuresToSuspect is 2 because a single lost connection is common.
 	failuresToSuspect = 2
 	// incomingGrace spares a router that still reaches us from suspicion: the
@@ -114,6 +117,7 @@
 	lost int
 	// version counts changes of the routers.
 	version uint64
+	hash    hashed
 }
 
 // New returns the view of a router that knows only itself and the addresses
--- a/internal/core/membership/view_test.go
+++ b/internal/core/membership/view_test.go
@@ -154,8 +154,8 @@
 	v.AddFingerprint(start, "f")
 	total := 0
 	for range 10_000 {
-		g := v.Gossip(start, "router-001", nil, gossipBytes)
-		is.True(len(g.Members) <= 3)
+		g, size := v.Gossip(start, "router-001", nil, gossipBytes)
+		is.True(size <= gossipBytes)
 		total += len(g.Members) + len(g.Targets) + len(g.Fingerprints)
 	}
 	is.Equal(total, 102*v.transmissions())
