--- /dev/null
+++ b/internal/core/config/fold.go
@@ -0,0 +1,259 @@
+package config
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"errors"
+	"slices"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// Reason says why a record did not change the configuration.
+type Reason string
+
+// The reasons for which a record is refused or ignored.
+const (
+	ReasonMalformed    Reason = "malformed"
+	ReasonUnknownPath  Reason = "unknown_path"
+	ReasonNotOwner     Reason = "not_owner"
+	ReasonBadSignature Reason = "bad_signature"
+	ReasonDuplicate    Reason = "duplicate"
+	ReasonConflict     Reason = "conflict"
+	ReasonInvalid      Reason = "invalid"
+	// ReasonSnapshot marks a snapshot record; a state that follows the log has
+	// no use for it.
+	ReasonSnapshot Reason = "snapshot"
+	// ReasonOutOfOrder marks a record that is not the next one. It leaves the
+	// state as it is.
+	ReasonOutOfOrder Reason = "out_of_order"
+)
+
+// Verdict is the decision on one record.
+type Verdict struct {
+	Offset  port.Offset
+	At      time.Time // when the log took the record
+	ID      string
+	Author  string
+	Path    string
+	Deleted bool
+	// Accepted says that the change is in force. Otherwise Reason is set, and
+	// Err has the typed details.
+	Accepted bool
+	Reason   Reason
+	Err      error
+}
+
+const (
+	// maxSeen is the number of decided changes whose ids are remembered: one
+	// and a half days at 11,000 changes a day.
+	maxSeen = 16384
+	// maxTombstones is the number of deleted paths that are remembered to name
+	// the deletion in conflicts.
+	maxTombstones = 1024
+)
+
+// entry is the last accepted change of a path.
+type entry struct {
+	value    []byte // canonical JSON as the author wrote it; nil when deleted
+	revision port.Offset
+	id       string
+	author   string
+}
+
+type seenKey [16]byte
+
+type seenEntry struct {
+	offset port.Offset
+	reason Reason // empty: accepted
+}
+
+// State is the fold of the config stream. It is not safe for concurrent use.
+type State struct {
+	systemKey  ed25519.PublicKey
+	applied    port.Offset
+	teams      map[string]Team
+	pools      map[Ref]Pool
+	routes     map[Ref]Route
+	accounts   map[Ref]Account
+	entries    map[string]entry
+	keyOwner   map[string]Ref // API key hash to account
+	seen       map[seenKey]seenEntry
+	seenOrder  []seenKey   // by offset
+	tombstones []tombstone // by revision
+}
+
+// tombstone is a deleted path and the offset of the deletion.
+type tombstone struct {
+	path     string
+	revision port.Offset
+}
+
+// NewState returns the state before the first record. systemKey is the public
+// key of team system.
+func NewState(systemKey ed25519.PublicKey) *State {
+	return &State{
+		systemKey: systemKey,
+		teams:     map[string]Team{},
+		pools:     map[Ref]Pool{},
+		routes:    map[Ref]Route{},
+		accounts:  map[Ref]Account{},
+		entries:   map[string]entry{},
+		keyOwner:  map[string]Ref{},
+		seen:      map[seenKey]seenEntry{},
+	}
+}
+
+// Applied returns the offset of the last record folded in.
+func (s *State) Applied() port.Offset { return s.applied }
+
+// Apply folds the next record in. The verdict depends on nothing but the
+// records up to this one.
+func (s *State) Apply(rec port.Record) Verdict {
+	v := Verdict{Offset: rec.Offset, At: rec.AppendedAt}
+	if rec.Offset != s.applied+1 {
+		v.Reason = ReasonOutOfOrder
+		return v
+	}
+	s.applied = rec.Offset
+	if IsSnapshot(rec.Data) {
+		v.Reason = ReasonSnapshot
+		return v
+	}
+	c, err := DecodeChange(rec.Data)
+	if err != nil {
+		v.Reason, v.Err = ReasonMalformed, err
+		return v
+	}
+	v.ID, v.Author, v.Path, v.Deleted = c.ID, c.Author, c.Path, c.Delete
+	v.Err = s.decide(c, rec.Offset)
+	v.Reason = reasonOf(v.Err)
+	v.Accepted = v.Err == nil
+	return v
+}
+
+// decide checks the author first: only a change whose signature verifies is
+// remembered by its id, so nobody can use up the id of another team.
+func (s *State) decide(c Change, offset port.Offset) error {
+	path, err := ParsePath(c.Path)
+	if err != nil {
+		return err
+	}
+	if err := s.authorize(c, path); err != nil {
+		return err
+	}
+	key := seenKeyOf(c)
+	if first, ok := s.seen[key]; ok {
+		return &DuplicateError{ID: c.ID, FirstOffset: first.offset, FirstReason: first.reason}
+	}
+	err = s.change(c, path, offset)
+	s.remember(key, seenEntry{offset: offset, reason: reasonOf(err)})
+	return err
+}
+
+func (s *State) authorize(c Change, path Path) error {
+	if c.Author != path.Ref.Team {
+		return &NotOwnerError{Path: c.Path, Author: c.Author, Owner: path.Ref.Team}
+	}
+	key := s.systemKey
+	if c.Author != SystemTeam {
+		team, ok := s.teams[c.Author]
+		if !ok {
+			return &UnknownTeamError{Path: c.Path, Team: c.Author}
+		}
+		key, _ = teamKey(team)
+	}
+	if !Verify(c, key) {
+		return &BadSignatureError{ID: c.ID, Author: c.Author}
+	}
+	return nil
+}
+
+func (s *State) change(c Change, path Path, offset port.Offset) error {
+	if err := s.conflict(c); err != nil {
+		return err
+	}
+	next := entry{revision: offset, id: c.ID, author: c.Author}
+	if c.Delete {
+		if err := s.remove(path); err != nil {
+			return err
+		}
+		s.tombstones = append(s.tombstones, tombstone{c.Path, offset})
+	} else {
+		value, err := canonicalJSON(c.Value)
+		if err != nil {
+			return err
+		}
+		if err := s.set(path, value); err != nil {
+			return err
+		}
+		next.value = value
+		s.tombstones = slices.DeleteFunc(s.tombstones, func(t tombstone) bool { return t.path == c.Path })
+	}
+	s.entries[c.Path] = next
+	if len(s.tombstones) > maxTombstones {
+		delete(s.entries, s.tombstones[0].path)
+		s.tombstones = s.tombstones[1:]
+	}
+	return nil
+}
+
+func (s *State) conflict(c Change) error {
+	last, known := s.entries[c.Path]
+	current := port.Offset(0)
+	if known && last.value != nil {
+		current = last.revision
+	}
+	if c.BaseRevision == current {
+		if c.Delete && current == 0 {
+			return invalid(c.Path, "", "nothing to delete", "an existing path")
+		}
+		return nil
+	}
+	return &ConflictError{
+		Path: c.Path, BaseRevision: c.BaseRevision, Current: current,
+		OtherID: last.id, OtherAuthor: last.author, OtherOffset: last.revision,
+	}
+}
+
+func (s *State) remember(key seenKey, e seenEntry) {
+	s.seen[key] = e
+	s.seenOrder = append(s.seenOrder, key)
+	if len(s.seenOrder) > maxSeen {
+		delete(s.seen, s.seenOrder[0])
+		s.seenOrder = s.seenOrder[1:]
+	}
+}
+
+func seenKeyOf(c Change) seenKey {
+	sum := sha256.Sum256(appendSized(appendSized(nil, []byte(c.Author)), []byte(c.ID)))
+	return seenKey(sum[:16])
+}
+
+func reasonOf(err error) Reason {
+	if err == nil {
+		return ""
+	}
+	for _, r := range []struct {
+		reason Reason
+		target any
+	}{
+		{ReasonUnknownPath, new(*UnknownPathError)},
+		{ReasonNotOwner, new(*NotOwnerError)},
+		{ReasonNotOwner, new(*UnknownTeamError)},
+		{ReasonBadSignature, new(*BadSignatureError)},
+		{ReasonDuplicate, new(*DuplicateError)},
+		{ReasonConflict, new(*ConflictError)},
+		{ReasonInvalid, new(*InvalidError)},
+	} {
+		if errors.As(err, r.target) {
+			return r.reason
+		}
+	}
+	return ReasonMalformed
+}
+
+func invalid(path, field, found, expected string) error {
+	return &InvalidError{Problems: []Problem{{Path: path, Field: field, Found: found, Expected: expected}}}
+}
