--- /dev/null
+++ b/internal/app/configsync/configsync.go
@@ -0,0 +1,171 @@
+// Package configsync follows the configuration stream of the platform log,
+// keeps the compiled configuration, and publishes changes and snapshots. While
+// the log cannot be read it takes the records from a peer.
+package configsync
+
+import (
+	"context"
+	"crypto/ed25519"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+const (
+	readLimit = 500
+	// readWait and readGrace keep a silent connection from hiding changes for
+	// longer than 3 s, within the 5 s in which a change must be in force.
+	readWait  = 2 * time.Second
+	readGrace = time.Second
+	// pullTimeout bounds one read from a peer.
+	pullTimeout = time.Second
+	minBackoff  = 50 * time.Millisecond
+	maxBackoff  = 2 * time.Second
+	// defaultRetention is the default of the settings field retention_s.
+	defaultRetention = 7 * 24 * time.Hour
+)
+
+// PeerReader reads records of a stream from another router. A batch may start
+// with a snapshot record at offset 0 when the peer no longer keeps the records
+// asked for.
+type PeerReader interface {
+	PullRecords(ctx context.Context, stream string, from port.Offset, limit int) (port.Batch, error)
+}
+
+// Options configures a Sync.
+type Options struct {
+	Log port.Log
+	// Peer is the fallback while the log cannot be read. Nil: none.
+	Peer PeerReader
+	// SystemKey is the public key of team system.
+	SystemKey ed25519.PublicKey
+	// Retention is how long the log keeps records. 0: 7 days.
+	Retention time.Duration
+	// Clock is compared with the times that the log gives to records. Nil: the
+	// system clock.
+	Clock port.Clock
+	// Rand draws from [0,1) for jitter. Nil: math/rand/v2.
+	Rand func() float64
+	// Logger takes refused records and outages. Nil: slog.Default.
+	Logger *slog.Logger
+}
+
+// Sync follows the config stream. It implements config.Source and PeerReader.
+type Sync struct {
+	o       Options
+	current atomic.Pointer[config.Snapshot]
+	ready   chan struct{} // closed when the configuration is applied
+
+	mu      sync.Mutex
+	state   *config.State
+	changed chan struct{} // closed and replaced after each change below
+	history history
+	kept    recordWindow
+	pending map[*publication]struct{}
+	// reads counts reads of the log; endOf is the last of them that found the
+	// end of the stream.
+	reads, endOf uint64
+	behind       bool // the last read was not empty
+	snapshots    snapshotTimes
+}
+
+// New returns a Sync that has the empty configuration until Run has read more.
+func New(o Options) *Sync {
+	if o.Retention <= 0 {
+		o.Retention = defaultRetention
+	}
+	if o.Clock == nil {
+		o.Clock = port.SystemClock{}
+	}
+	if o.Rand == nil {
+		o.Rand = rand.Float64
+	}
+	if o.Logger == nil {
+		o.Logger = slog.Default()
+	}
+	s := &Sync{
+		o:       o,
+		ready:   make(chan struct{}),
+		state:   config.NewState(o.SystemKey),
+		changed: make(chan struct{}),
+		pending: map[*publication]struct{}{},
+		behind:  true,
+	}
+	s.snapshots.pick(o.Rand())
+	s.current.Store(s.state.Compile())
+	return s
+}
+
+// Current implements config.Source.
+func (s *Sync) Current() *config.Snapshot { return s.current.Load() }
+
+// Ready is closed when the configuration of the log or of a peer is applied.
+func (s *Sync) Ready() <-chan struct{} { return s.ready }
+
+// Run follows the stream and writes snapshots until the context ends.
+func (s *Sync) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	wg.Go(func() { s.keepSnapshots(ctx) })
+	s.follow(ctx)
+	wg.Wait()
+	return ctx.Err()
+}
+
+// WaitApplied waits until the record at the offset is folded in.
+func (s *Sync) WaitApplied(ctx context.Context, offset port.Offset) error {
+	return s.waitFor(ctx, func() bool { return s.state.Applied() >= offset })
+}
+
+// History returns the decisions on changes of a path since this process
+// started, oldest first. Only the most recent decisions of all paths are kept.
+func (s *Sync) History(path string) []config.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.of(path)
+}
+
+// waitFor waits until the condition holds; it is called with the lock held.
+func (s *Sync) waitFor(ctx context.Context, condition func() bool) error {
+	for {
+		s.mu.Lock()
+		done, changed := condition(), s.changed
+		s.mu.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// notify wakes all waiters; the caller holds the lock.
+func (s *Sync) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Sync) markReady() {
+	select {
+	case <-s.ready:
+	default:
+		close(s.ready)
+	}
+}
+
+// sleep waits for the duration or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/app/configsync/configsync_test.go
@@ -0,0 +1,284 @@
+package configsync
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/port"
+	"mimosaseam.example/mimosaseam/internal/port/portfake"
+)
+
+const retention = 2 * time.Hour
+
+// TestMain fixes the seed of property tests, unless the command line sets one.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func key(team string) ed25519.PrivateKey {
+	seed := make([]byte, ed25519.SeedSize)
+	copy(seed, team)
+	return ed25519.NewKeyFromSeed(seed)
+}
+
+func public(team string) ed25519.PublicKey { return key(team).Public().(ed25519.PublicKey) }
+
+func change(id, author, path string, base port.Offset, value string) config.Change {
+	c := config.Change{ID: id, Author: author, Path: path, BaseRevision: base, Delete: value == ""}
+	if value != "" {
+		c.Value = json.RawMessage(value)
+	}
+	c, err := config.Sign(c, key(author))
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+func addTeam(team string) config.Change {
+	return change("team-"+team, "system", "/system/teams/"+team, 0,
+		`{"public_key":"`+base64.StdEncoding.EncodeToString(public(team))+`"}`)
+}
+
+func pool(slots int) string {
+	return fmt.Sprintf(`{"kind":"service","slots":%d,"targets":[{"name":"s","address":"127.0.0.1:1","region":"r","availability_zone":"z"}]}`, slots)
+}
+
+func slots(s *Sync) int { return s.Current().Pools[config.Ref{Team: "a", Name: "p"}].Slots }
+
+func put(log port.Log, c config.Change) {
+	data, err := config.EncodeChange(c)
+	if err != nil {
+		panic(err)
+	}
+	if _, err := log.Append(context.Background(), port.StreamConfig, []port.Record{{ID: c.ID, Data: data}}); err != nil {
+		panic(err)
+	}
+}
+
+func newSync(log port.Log, peer PeerReader, random float64) *Sync {
+	return New(Options{Log: log, Peer: peer, SystemKey: public("system"), Retention: retention,
+		Rand: func() float64 { return random }, Logger: slog.New(slog.DiscardHandler)})
+}
+
+// run starts the node inside the bubble and stops it with the test.
+func run(ctx context.Context, nodes ...*Sync) {
+	for _, n := range nodes {
+		go func() { _ = n.Run(ctx) }()
+	}
+}
+
+// bubble runs a test under a fake clock with a context that ends before it.
+func bubble(t *testing.T, test func(ctx context.Context, is *is.I)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		test(ctx, is.New(t))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func within(ctx context.Context, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	context.AfterFunc(ctx, cancel)
+	return ctx
+}
+
+// Guards against a change that is not in force everywhere within 5 s, and
+// against two operators who both believe that they won.
+func TestPublishRace(t *testing.T) {
+	bubble(t, func(ctx context.Context, is *is.I) {
+		log := portfake.NewLog(portfake.LogOptions{})
+		put(log, addTeam("a"))
+		one, two := newSync(log, nil, 0.1), newSync(log, nil, 0.9)
+		run(ctx, one, two)
+		<-one.Ready()
+		verdicts := make(chan config.Verdict, 2)
+		for i, node := range []*Sync{one, two} {
+			go func() {
+				v, err := node.Publish(ctx, change(fmt.Sprint("c", i), "a", "/a/pools/p", 0, pool(i+1)))
+				is.NoErr(err)
+				verdicts <- v
+			}()
+		}
+		a, b := <-verdicts, <-verdicts
+		if !a.Accepted {
+			a, b = b, a
+		}
+		is.True(a.Accepted && b.Reason == config.ReasonConflict)
+		var conflict *config.ConflictError
+		is.True(errors.As(b.Err, &conflict))
+		is.Equal(conflict.OtherID, a.ID)
+		is.NoErr(two.WaitApplied(within(ctx, 5*time.Second), 3))
+		is.NoErr(one.WaitApplied(within(ctx, 5*time.Second), 3))
+		is.Equal(slots(one), slots(two))
+		is.Equal(len(one.History("/a/pools/p")), 2)
+		is.Equal(one.History("/a/pools/p")[0].ID, a.ID)
+	})
+}
+
+// Guards against a lost answer that is reported as a refusal, or that makes
+// the change count twice.
+func TestPublishWithFaults(t *testing.T) {
+	cases := map[string]struct {
+		faults portfake.Faults
+		want   any // nil: accepted
+	}{
+		"lost after effect":  {portfake.Faults{LoseAfterEffect: 1}, nil},
+		"lost before effect": {portfake.Faults{LoseBeforeEffect: 2}, nil},
+		"outage":             {portfake.Faults{Outage: true}, new(*port.UnavailableError)},
+		"never an answer":    {portfake.Faults{LoseBeforeEffect: 1 << 30}, new(*UndecidedError)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(ctx context.Context, is *is.I) {
+				log := portfake.NewLog(portfake.LogOptions{})
+				put(log, addTeam("a"))
+				node := newSync(log, nil, 0.5)
+				run(ctx, node)
+				<-node.Ready()
+				log.SetFaults(c.faults)
+				v, err := node.Publish(within(ctx, time.Minute), change("x", "a", "/a/pools/p", 0, pool(7)))
+				if c.want != nil {
+					is.True(errors.As(err, c.want))
+					return
+				}
+				is.NoErr(err)
+				is.True(v.Accepted)
+				is.Equal(slots(node), 7)
+				is.Equal(v.Offset, port.Offset(2))
+			})
+		})
+	}
+}
+
+// Guards against a router that cannot start, or falls behind, while the log is
+// down although a peer has the configuration.
+func TestPeerDelivers(t *testing.T) {
+	bubble(t, func(ctx context.Context, is *is.I) {
+		log, down := portfake.NewLog(portfake.LogOptions{}), portfake.NewLog(portfake.LogOptions{})
+		down.SetFaults(portfake.Faults{Outage: true})
+		put(log, addTeam("a"))
+		put(log, change("1", "a", "/a/pools/p", 0, pool(1)))
+		source := newSync(log, nil, 0.5)
+		run(ctx, source)
+		<-source.Ready()
+		fresh := newSync(down, source, 0.5)
+		run(ctx, fresh)
+		<-fresh.Ready()
+		is.Equal(fresh.Current(), source.Current())
+		put(log, change("2", "a", "/a/pools/p", 2, pool(2)))
+		is.NoErr(fresh.WaitApplied(within(ctx, 5*time.Second), 3))
+		is.Equal(slots(fresh), 2)
+		// A peer that was started from a snapshot has no older records.
+		source.kept.reset()
+		third := newSync(down, fresh, 0.5)
+		fourth := newSync(down, source, 0.5)
+		run(ctx, third, fourth)
+		<-third.Ready()
+		<-fourth.Ready()
+		is.Equal(third.Current(), source.Current())
+		is.Equal(fourth.Current(), source.Current())
+	})
+}
+
+// Guards against a configuration that is lost when its records expire, against
+// half of the retention without a snapshot, and against a node that is thrown
+// back by a snapshot or misled by a broken one.
+func TestSnapshotsOutliveRetention(t *testing.T) {
+	bubble(t, func(ctx context.Context, is *is.I) {
+		log := portfake.NewLog(portfake.LogOptions{Retention: retention})
+		put(log, addTeam("a"))
+		put(log, change("1", "a", "/a/pools/p", 0, pool(1)))
+		nodes := []*Sync{newSync(log, nil, 0), newSync(log, nil, 0.99)}
+		run(ctx, nodes...)
+		for range 3 * 24 {
+			<-time.After(retention / 24)
+			_, err := log.Append(ctx, port.StreamConfig, []port.Record{{ID: "junk", Data: []byte(`{"through":1,"entries":[]}`)}})
+			is.NoErr(err)
+			synctest.Wait()
+			is.True(time.Since(nodes[0].snapshots.last) < retention/2)
+		}
+		is.NoErr(nodes[0].WaitApplied(ctx, nodes[1].Applied()))
+		late := newSync(log, nil, 0.5)
+		run(ctx, late)
+		<-late.Ready()
+		is.Equal(late.Current(), nodes[0].Current())
+		is.Equal(slots(late), 1)
+		put(log, change("1", "a", "/a/pools/p", 0, pool(9))) // a repeat of a remembered id
+		is.NoErr(late.WaitApplied(within(ctx, 5*time.Second), nodes[0].Applied()+1))
+		is.Equal(late.History("/a/pools/p")[0].Reason, config.ReasonDuplicate)
+	})
+}
+
+// Guards against a state that depends on which source brought the records, and
+// against an applied offset or a revision that goes back: log, peer and
+// snapshot deliver in any split and order.
+func TestAnySourceGivesTheSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		ctx := context.Background()
+		log := portfake.NewLog(portfake.LogOptions{})
+		nodes := make([]*Sync, 3)
+		for i := range nodes {
+			nodes[i] = newSync(log, nil, 0.5)
+		}
+		for i := range nodes {
+			nodes[i].o.Peer = nodes[(i+1)%len(nodes)]
+			nodes[i].behind = true
+		}
+		put(log, addTeam("a"))
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			node := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "node")]
+			before := node.Current()
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0, 1: // an operator edits what this node shows, which may be stale
+				value := rapid.SampledFrom([]string{pool(step + 1), ""}).Draw(t, "value")
+				put(log, change(fmt.Sprint("c", step), "a", "/a/pools/p", before.Revisions["/a/pools/p"], value))
+			case 2:
+				node.behind = true // do not wait for records that will not come
+				_ = node.readLog(ctx)
+			case 3:
+				node.pull(ctx)
+			case 4:
+				is.NoErr(node.writeSnapshot(ctx))
+			case 5: // records expire up to what some node has folded in
+				is.NoErr(node.writeSnapshot(ctx))
+				log.Expire(port.StreamConfig, node.Applied()+1)
+			}
+			for path, revision := range before.Revisions {
+				if now, ok := node.Current().Revisions[path]; ok {
+					is.True(now >= revision)
+				}
+			}
+			is.True(node.Current().Applied >= before.Applied)
+		}
+		for _, node := range nodes {
+			for before := node.reads; node.endOf <= before; {
+				node.behind = true
+				is.NoErr(node.readLog(ctx))
+			}
+			is.Equal(node.Current(), nodes[0].Current())
+			a, _ := node.state.EncodeSnapshot()
+			b, _ := nodes[0].state.EncodeSnapshot()
+			is.Equal(string(a), string(b))
+		}
+	})
+}
--- a/internal/core/config/config_test.go
+++ b/internal/core/config/config_test.go
@@ -5,11 +5,13 @@
 	"encoding/base64"
 	"encoding/json"
 	"errors"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/tailscale/hujson"
 
 	"mimosaseam.example/mimosaseam/internal/port"
 )
@@ -238,3 +240,27 @@
 		}
 	}
 }
+
+// Guards against shipped examples that the fold refuses.
+func TestExamplesAreAccepted(t *testing.T) {
+	for _, file := range []string{"kabelgang", "kaisla"} {
+		t.Run(file, func(t *testing.T) {
+			is := is.New(t)
+			text, err := os.ReadFile("../../../examples/" + file + "/config.jsonc")
+			is.NoErr(err)
+			text, err = hujson.Standardize(text)
+			is.NoErr(err)
+			var values map[string]json.RawMessage
+			is.NoErr(json.Unmarshal(text, &values))
+			s := NewState(publicKey(SystemTeam))
+			for _, kind := range []Kind{KindPool, KindRoute, KindAccount} {
+				for path, value := range values {
+					if p, err := ParsePath(path); err != nil || p.Kind == kind {
+						is.NoErr(err)
+						is.NoErr(s.set(p, value))
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/core/config/property_test.go
+++ b/internal/core/config/property_test.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"flag"
+	"os"
 	"strconv"
 	"testing"
 
@@ -10,6 +12,14 @@
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
+// TestMain fixes the seed of property tests, unless the command line sets one.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 // drawLog draws the changes of two operators on the same few paths, with
 // stale bases, deletions, repeats and junk, in any interleaving.
 func drawLog(t *rapid.T) []port.Record {
