--- a/internal/app/atmostonce/api.go
+++ b/internal/app/atmostonce/api.go
@@ -86,13 +86,21 @@
 	return "idempotency key was used before with another body"
 }
 
-// KeyExpiredError says that the key is older than the retained horizon.
+// KeyExpiredError says that the key is older than the retained horizon, or
+// lies further in the future than clocks differ.
 type KeyExpiredError struct {
 	CreatedAt time.Time
 	Horizon   time.Duration
+	// Future says that the key was created in the future; Horizon is then the
+	// tolerated difference of clocks.
+	Future bool
 }
 
 func (e *KeyExpiredError) Error() string {
+	if e.Future {
+		return "idempotency key of " + e.CreatedAt.UTC().Format(time.RFC3339) +
+			" is more than " + e.Horizon.String() + " in the future"
+	}
 	return "idempotency key of " + e.CreatedAt.UTC().Format(time.RFC3339) +
 		" is older than the retained " + e.Horizon.String()
 }
--- /dev/null
+++ b/internal/app/atmostonce/world_test.go
@@ -0,0 +1,258 @@
+package atmostonce
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+	"mimosaseam.example/mimosaseam/internal/port/portfake"
+)
+
+// TestMain fixes the seed of property tests, unless the command line sets one.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	logRetention = 7 * 24 * time.Hour
+	keyRetention = 24 * time.Hour
+	callTimeout  = 10 * time.Second
+)
+
+// world is one log, one target and routers inside a synctest bubble.
+type world struct {
+	ctx    context.Context
+	log    *portfake.Log
+	target target
+}
+
+// run is one effect at the target.
+type run struct{ key, sender string }
+
+// target counts the effects per key.
+type target struct {
+	mu     sync.Mutex
+	runs   []run
+	dedupe bool // run a key once, like a target that deduplicates
+}
+
+func (t *target) effect(key, sender string) Outcome {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.dedupe || t.countLocked(key) == 0 {
+		t.runs = append(t.runs, run{key, sender})
+	}
+	return Outcome{Status: 201, Header: http.Header{}, Body: fmt.Appendf(nil, "run %d of %s", t.countLocked(key), key)}
+}
+
+func (t *target) count(key string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.countLocked(key)
+}
+
+func (t *target) countLocked(key string) int {
+	n := 0
+	for _, r := range t.runs {
+		if r.key == key {
+			n++
+		}
+	}
+	return n
+}
+
+// inWorld runs a test in a bubble whose routers end with it.
+func inWorld(t *testing.T, test func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := &world{ctx: ctx, log: portfake.NewLog(portfake.LogOptions{Retention: logRetention})}
+		test(t, w)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// The steps of a call at which a fault can happen.
+const (
+	beforeIntent  = "before the intent is appended"
+	afterIntent   = "after the intent is appended"
+	readBack      = "when the intent is read back"
+	onDispatch    = "on dispatch"
+	afterEffect   = "after the effect"
+	beforeOutcome = "before the outcome is appended"
+)
+
+// router is a Service whose log and clock can misbehave.
+type router struct {
+	*Service
+	w     *world
+	mu    sync.Mutex
+	hooks map[string]func() // run once
+	ahead time.Duration     // of the clock
+	gate  chan struct{}     // closed while the router runs
+	stop  context.CancelFunc
+}
+
+func (w *world) router(name string) *router {
+	ctx, stop := context.WithCancel(w.ctx)
+	r := &router{w: w, hooks: map[string]func(){}, gate: make(chan struct{}), stop: stop}
+	close(r.gate)
+	r.Service = New(Options{Log: r, Router: name, Retention: logRetention, Clock: r,
+		Rand: func() float64 { return 0.5 }, Logger: slog.New(slog.DiscardHandler)})
+	go func() { _ = r.Follow(ctx) }()
+	return r
+}
+
+// Now implements port.Clock.
+func (r *router) Now() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Add(r.ahead)
+}
+
+func (r *router) jump(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ahead += d
+}
+
+// pause holds everything that the router does with the outside until resume.
+func (r *router) pause() (resume func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	gate := make(chan struct{})
+	r.gate = gate
+	return sync.OnceFunc(func() { close(gate) })
+}
+
+// on sets the fault of a step.
+func (r *router) on(step string, hook func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hooks[step] = hook
+}
+
+// at passes a step: its fault happens, then a paused router waits.
+func (r *router) at(step string) {
+	r.mu.Lock()
+	hook := r.hooks[step]
+	delete(r.hooks, step)
+	r.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+	r.mu.Lock()
+	gate := r.gate
+	r.mu.Unlock()
+	select {
+	case <-gate:
+	case <-r.w.ctx.Done():
+	}
+}
+
+func has(records []port.Record, prefix string) bool {
+	for _, rec := range records {
+		if strings.HasPrefix(rec.ID, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// Append implements port.Log.
+func (r *router) Append(ctx context.Context, stream string, records []port.Record) (port.Offset, error) {
+	step := ""
+	switch {
+	case has(records, "intent-"):
+		step = beforeIntent
+	case has(records, "outcome-"):
+		step = beforeOutcome
+	}
+	r.at(step)
+	offset, err := r.w.log.Append(ctx, stream, records)
+	if step == beforeIntent {
+		r.at(afterIntent)
+	}
+	return offset, err
+}
+
+// Read implements port.Log.
+func (r *router) Read(ctx context.Context, stream string, from port.Offset, limit int, wait time.Duration) (port.Batch, error) {
+	b, err := r.w.log.Read(ctx, stream, from, limit, wait)
+	step := ""
+	if has(b.Records, "intent-") {
+		step = readBack
+	}
+	r.at(step)
+	return b, err
+}
+
+// request is a call with a key of the given name, sent now.
+func request(key string) Request {
+	return Request{
+		Key:      Key{ClientAccount: "acct", Value: key, CreatedAt: time.Now()},
+		BodyHash: "body", Route: "r", Retention: keyRetention, Deadline: time.Now().Add(callTimeout),
+	}
+}
+
+// send runs the call with a target that answers.
+func (r *router) send(req Request, sender string) (Outcome, error) {
+	return r.Run(r.w.ctx, req, func(ctx context.Context, _ string) (Outcome, error) {
+		r.at(onDispatch)
+		if r.w.ctx.Err() != nil { // the router was stopped here
+			return Outcome{}, &port.UnknownOutcomeError{Peer: "target"}
+		}
+		out := r.w.target.effect(req.Key.Value, sender)
+		r.at(afterEffect)
+		return out, nil
+	})
+}
+
+// kind names an answer.
+func kind(out Outcome, err error) string {
+	var notRun *NotRunError
+	var may *MayHaveRunError
+	var reused *KeyReusedError
+	var expired *KeyExpiredError
+	switch {
+	case err == nil && out.Header.Get(HeaderReplayed) != "":
+		return "replay"
+	case err == nil:
+		return "ok"
+	case errors.As(err, &notRun):
+		return "not run"
+	case errors.As(err, &may):
+		return "may have run"
+	case errors.As(err, &reused):
+		return "reused"
+	case errors.As(err, &expired):
+		return "expired"
+	}
+	return err.Error()
+}
+
+// naive dispatches when it finds no intent of another, without reading its own
+// intent back. It shows that the tests can fail.
+func (r *router) naive(req Request, sender string) (Outcome, error) {
+	b, err := r.Read(r.w.ctx, port.StreamLedger, 1, 100, 0)
+	if err != nil || has(b.Records, "intent-") {
+		return Outcome{}, &MayHaveRunError{Cause: err}
+	}
+	if _, err := r.Append(r.w.ctx, port.StreamLedger, []port.Record{{ID: "intent-" + sender}}); err != nil {
+		return Outcome{}, &MayHaveRunError{Cause: err}
+	}
+	return r.w.target.effect(req.Key.Value, sender), nil
+}
--- /dev/null
+++ b/internal/core/ledger/record.go
@@ -0,0 +1,114 @@
+// Package ledger folds the at-most-once records of the ledger stream. The
+// first intent of a key by offset wins; only its attempt may be dispatched.
+package ledger
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// ErrMalformed means that a record is not one of the ledger's.
+var ErrMalformed = eris.New("malformed ledger record")
+
+// Key is an idempotency key in the scope of one client account.
+type Key struct {
+	Account string `json:"account"`
+	Value   string `json:"value"`
+}
+
+// Intent announces an attempt. It decides nothing until it is read back.
+type Intent struct {
+	Key      Key       `json:"key"`
+	BodyHash string    `json:"body_hash"`
+	Attempt  string    `json:"attempt"` // unique over all routers
+	Router   string    `json:"router"`
+	Route    string    `json:"route"`
+	Deadline time.Time `json:"deadline"`
+	// Resendable says that the target runs the key once however often it is sent.
+	Resendable bool `json:"resendable,omitempty"`
+	// Base is the offset that the router had applied when the request arrived. A
+	// not_run record after it closes the key to this request, so that nobody
+	// who was told "not run" sees an earlier request run.
+	Base port.Offset `json:"base"`
+	// Supersedes names the unanswered attempt of a resendable key to replace.
+	Supersedes string    `json:"supersedes,omitempty"`
+	Expires    time.Time `json:"expires"` // when the key may be forgotten
+}
+
+// Outcome is the answer to an attempt.
+type Outcome struct {
+	Key      Key         `json:"key"`
+	Attempt  string      `json:"attempt"`
+	BodyHash string      `json:"body_hash"`
+	Status   int         `json:"status"`
+	Headers  http.Header `json:"headers,omitempty"`
+	Body     []byte      `json:"body,omitempty"`
+	Expires  time.Time   `json:"expires"`
+}
+
+// NotRun says that an attempt did not run and never will.
+type NotRun struct {
+	Key     Key       `json:"key"`
+	Attempt string    `json:"attempt"`
+	Expires time.Time `json:"expires"`
+}
+
+// Carry repeats an entry whose records are about to expire, as it was after
+// the record at offset Through.
+type Carry struct {
+	Entry   Entry       `json:"entry"`
+	Through port.Offset `json:"through"`
+}
+
+// Record is the data of a log record; exactly one field is set.
+type Record struct {
+	Intent  *Intent  `json:"intent,omitempty"`
+	Outcome *Outcome `json:"outcome,omitempty"`
+	NotRun  *NotRun  `json:"not_run,omitempty"`
+	Carry   *Carry   `json:"carry,omitempty"`
+}
+
+// Encode renders the data of a log record.
+func Encode(r Record) ([]byte, error) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil, eris.Wrap(ErrMalformed, err.Error())
+	}
+	return data, nil
+}
+
+// Decode parses the data of a log record. Unknown fields are allowed, so that
+// routers of two versions can share the stream.
+func Decode(data []byte) (Record, error) {
+	var r Record
+	dec := json.NewDecoder(bytes.NewReader(data))
+	if err := dec.Decode(&r); err != nil {
+		return Record{}, eris.Wrap(ErrMalformed, err.Error())
+	}
+	set := 0
+	for _, valid := range []struct{ has, valid bool }{
+		{r.Intent != nil, r.Intent != nil && r.Intent.Attempt != "" && validKey(r.Intent.Key)},
+		{r.Outcome != nil, r.Outcome != nil && r.Outcome.Attempt != "" && validKey(r.Outcome.Key)},
+		{r.NotRun != nil, r.NotRun != nil && r.NotRun.Attempt != "" && validKey(r.NotRun.Key)},
+		{r.Carry != nil, r.Carry != nil && r.Carry.Entry.valid()},
+	} {
+		if valid.has {
+			set++
+		}
+		if valid.has != valid.valid {
+			return Record{}, eris.Wrap(ErrMalformed, "key, attempt or state is missing")
+		}
+	}
+	if set != 1 {
+		return Record{}, eris.Wrap(ErrMalformed, "expected one of intent, outcome, not_run, carry")
+	}
+	return r, nil
+}
+
+func validKey(k Key) bool { return k.Account != "" && k.Value != "" }
