--- /dev/null
+++ b/internal/adapter/callerhttp/completions.go
@@ -0,0 +1,120 @@
+package callerhttp
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strings"
+
+	"mimosaseam.example/mimosaseam/internal/app/router"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+func isTooLarge(err error) bool {
+	var large *http.MaxBytesError
+	return errors.As(err, &large)
+}
+
+// usage is the usual account of tokens.
+type usage struct {
+	PromptTokens        int          `json:"prompt_tokens"`
+	CompletionTokens    int          `json:"completion_tokens"`
+	TotalTokens         int          `json:"total_tokens"`
+	PromptTokensDetails cachedTokens `json:"prompt_tokens_details"`
+}
+
+type cachedTokens struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+func usageOf(u port.Usage) usage {
+	return usage{PromptTokens: u.PromptTokens, CompletionTokens: u.CompletionTokens,
+		TotalTokens: u.PromptTokens + u.CompletionTokens, PromptTokensDetails: cachedTokens{CachedTokens: u.CachedTokens}}
+}
+
+// response is a whole, not streamed answer. Text is set for completions and
+// Message for chats.
+type response struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   usage    `json:"usage"`
+}
+
+type choice struct {
+	Index        int               `json:"index"`
+	Text         *string           `json:"text,omitempty"`
+	Message      *message          `json:"message,omitempty"`
+	FinishReason port.FinishReason `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (x *exchange) completion(chat bool) {
+	data, ok := x.readBody()
+	if !ok {
+		return
+	}
+	in, err := decodeCompletion(data, chat, x.s.Limits)
+	if err == nil {
+		var req router.CompletionRequest
+		if req, err = x.completionRequest(in); err == nil {
+			x.answer(req, in.stream, chat)
+			return
+		}
+	}
+	x.refuse(http.StatusBadRequest, string(router.KindInvalid), err.Error(), 0)
+}
+
+func (x *exchange) completionRequest(in completionInput) (router.CompletionRequest, error) {
+	deadline, err := x.deadline()
+	return router.CompletionRequest{RequestID: x.id, Account: x.account, Model: in.model, Prompt: in.prompt,
+		MaxTokens: in.maxTokens, Deadline: deadline}, err
+}
+
+func (x *exchange) answer(req router.CompletionRequest, streamed, chat bool) {
+	if streamed {
+		x.stream(req, chat)
+		return
+	}
+	var text collector
+	end, err := x.s.Router.Completion(x.r.Context(), req, &text)
+	if err != nil {
+		x.fail(err)
+		return
+	}
+	body := response{ID: x.id, Object: "text_completion", Created: x.started.Unix(), Model: req.Model,
+		Choices: []choice{{FinishReason: end.FinishReason}}, Usage: usageOf(end.Usage)}
+	content := text.String()
+	if chat {
+		body.Object = "chat.completion"
+		body.Choices[0].Message = &message{Role: "assistant", Content: content}
+	} else {
+		body.Choices[0].Text = &content
+	}
+	out, _ := json.Marshal(body) // plain values only: cannot fail
+	x.writeBody(http.StatusOK, "application/json", out)
+	x.doneCompletion(end)
+}
+
+func (x *exchange) doneCompletion(end router.Completion) {
+	x.done("ok", slog.String("target", end.Target), slog.Int("attempts", end.Attempts),
+		slog.Int("prompt_tokens", end.Usage.PromptTokens), slog.Int("cached_tokens", end.Usage.CachedTokens),
+		slog.Int("completion_tokens", end.Usage.CompletionTokens))
+}
+
+// collector is the sink of answers that are not streamed.
+type collector struct{ strings.Builder }
+
+// Chunk implements router.Sink.
+func (c *collector) Chunk(_ context.Context, chunk port.Chunk) error {
+	c.WriteString(chunk.Text)
+	return nil
+}
--- /dev/null
+++ b/internal/adapter/callerhttp/server.go
@@ -0,0 +1,180 @@
+// Package callerhttp is the HTTP server for callers: completions, chat
+// completions and plain service calls.
+package callerhttp
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"mimosaseam.example/mimosaseam/internal/app/router"
+	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// Router is the use case behind the server.
+type Router interface {
+	Completion(ctx context.Context, req router.CompletionRequest, sink router.Sink) (router.Completion, error)
+	ServiceCall(ctx context.Context, req router.ServiceRequest) (router.ServiceReply, error)
+}
+
+// Limits bound what one caller may take of the server. Zero fields take the
+// defaults of DefaultLimits.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	BodyTimeout   time.Duration
+	IdleTimeout   time.Duration
+	// WriteTimeout bounds each write to a slow caller.
+	WriteTimeout time.Duration
+	// PerAccount bounds the requests of one account that are open at once,
+	// queued ones included.
+	PerAccount int
+	// Open bounds the open requests of all accounts.
+	Open int
+	// MaxTokens bounds and DefaultTokens completes the max_tokens of requests.
+	MaxTokens     int
+	DefaultTokens int
+}
+
+// DefaultLimits are used for fields that are not set. A body of 4 MiB holds a
+// prompt of a million tokens.
+var DefaultLimits = Limits{
+	HeaderBytes: 32 << 10, BodyBytes: 4 << 20,
+	HeaderTimeout: 5 * time.Second, BodyTimeout: 20 * time.Second, IdleTimeout: 90 * time.Second,
+	WriteTimeout: 10 * time.Second,
+	PerAccount:   512, Open: 4096,
+	MaxTokens: 32768, DefaultTokens: 512,
+}
+
+// Deps are the dependencies of a Server. Router and Source are required.
+type Deps struct {
+	Router  Router
+	Source  config.Source
+	Clock   port.Clock
+	Logger  *slog.Logger
+	Tracer  trace.Tracer
+	Metrics router.Metrics
+	Limits  Limits
+}
+
+// Server serves callers.
+type Server struct {
+	Deps
+	keys keyIndex
+	open openRequests
+}
+
+// New returns a Server with defaults filled in.
+func New(d Deps) *Server {
+	if d.Clock == nil {
+		d.Clock = port.SystemClock{}
+	}
+	if d.Logger == nil {
+		d.Logger = slog.New(slog.DiscardHandler)
+	}
+	if d.Tracer == nil {
+		d.Tracer = noop.NewTracerProvider().Tracer("")
+	}
+	d.Limits = d.Limits.withDefaults()
+	return &Server{Deps: d, open: openRequests{accounts: map[config.Ref]int{}}}
+}
+
+func (l Limits) withDefaults() Limits {
+	d := DefaultLimits
+	setDefault(&l.HeaderBytes, d.HeaderBytes)
+	setDefault(&l.BodyBytes, d.BodyBytes)
+	setDefault(&l.HeaderTimeout, d.HeaderTimeout)
+	setDefault(&l.BodyTimeout, d.BodyTimeout)
+	setDefault(&l.IdleTimeout, d.IdleTimeout)
+	setDefault(&l.WriteTimeout, d.WriteTimeout)
+	setDefault(&l.PerAccount, d.PerAccount)
+	setDefault(&l.Open, d.Open)
+	setDefault(&l.MaxTokens, d.MaxTokens)
+	setDefault(&l.DefaultTokens, d.DefaultTokens)
+	return l
+}
+
+func setDefault[T int | int64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// HTTPServer returns an http.Server for the address with the limits applied.
+// The caller listens and shuts it down.
+func (s *Server) HTTPServer(address string) *http.Server {
+	return &http.Server{
+		Addr: address, Handler: s,
+		ReadHeaderTimeout: s.Limits.HeaderTimeout,
+		IdleTimeout:       s.Limits.IdleTimeout,
+		MaxHeaderBytes:    s.Limits.HeaderBytes,
+		ErrorLog:          slog.NewLogLogger(s.Logger.Handler(), slog.LevelWarn),
+	}
+}
+
+// exchange is one request with its answer.
+type exchange struct {
+	s       *Server
+	w       http.ResponseWriter
+	r       *http.Request
+	rc      *http.ResponseController
+	id      string
+	account config.Ref
+	started time.Time
+	status  int
+}
+
+// ServeHTTP serves one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{s: s, w: w, r: r, rc: http.NewResponseController(w), id: requestID(r), started: s.Clock.Now()}
+	ctx, span := s.Tracer.Start(r.Context(), "accept", trace.WithAttributes(attribute.String("request_id", x.id)))
+	defer span.End()
+	x.r = r.WithContext(ctx)
+	w.Header().Set("X-Request-Id", x.id)
+	account, ok := s.keys.account(s.Source.Current(), r.Header.Get("Authorization"))
+	if !ok {
+		x.refuse(http.StatusUnauthorized, "unauthorized", "the API key is missing or unknown", 0)
+		return
+	}
+	x.account = account
+	span.SetAttributes(attribute.String("account", account.String()))
+	if !s.open.enter(account, s.Limits) {
+		x.refuse(http.StatusTooManyRequests, string(router.KindRateLimited), "too many open requests", time.Second)
+		return
+	}
+	defer s.open.leave(account)
+	x.route()
+}
+
+func (x *exchange) route() {
+	path := x.r.URL.EscapedPath()
+	switch {
+	case path == "/v1/completions" || path == "/v1/chat/completions":
+		if x.r.Method != http.MethodPost {
+			x.w.Header().Set("Allow", http.MethodPost)
+			x.refuse(http.StatusMethodNotAllowed, string(router.KindInvalid), "use POST", 0)
+			return
+		}
+		x.completion(path == "/v1/chat/completions")
+	case strings.HasPrefix(path, servicePrefix):
+		x.service(strings.TrimPrefix(path, servicePrefix))
+	default:
+		x.refuse(http.StatusNotFound, string(router.KindNotFound), "there is nothing at this path", 0)
+	}
+}
+
+// done logs the end of the request.
+func (x *exchange) done(kind string, attrs ...slog.Attr) {
+	attrs = append(attrs, slog.String("request_id", x.id), slog.String("account", x.account.String()),
+		slog.String("method", x.r.Method), slog.Int("status", x.status), slog.String("result", kind),
+		slog.Duration("duration", x.s.Clock.Now().Sub(x.started)))
+	x.s.Logger.LogAttrs(x.r.Context(), slog.LevelInfo, "request", attrs...)
+}
--- /dev/null
+++ b/internal/adapter/callerhttp/service.go
@@ -0,0 +1,104 @@
+package callerhttp
+
+import (
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"mimosaseam.example/mimosaseam/internal/app/router"
+)
+
+const (
+	servicePrefix = "/svc/"
+	// maxKeyBytes bounds idempotency keys that are no UUIDs.
+	maxKeyBytes = 200
+)
+
+// service forwards a call to a plain service; rest is {route}/... as sent.
+func (x *exchange) service(rest string) {
+	route, path, _ := strings.Cut(rest, "/")
+	req := router.ServiceRequest{RequestID: x.id, Account: x.account, Route: route, Method: x.r.Method,
+		Path: "/" + path, Header: forwardable(x.r.Header)}
+	if x.r.URL.RawQuery != "" {
+		req.Path += "?" + x.r.URL.RawQuery
+	}
+	var err error
+	if req.Deadline, err = x.deadline(); err == nil {
+		err = setKey(&req, x.r.Header)
+	}
+	if err != nil {
+		x.refuse(http.StatusBadRequest, string(router.KindInvalid), err.Error(), 0)
+		return
+	}
+	var ok bool
+	if req.Body, ok = x.readBody(); !ok {
+		return
+	}
+	reply, err := x.s.Router.ServiceCall(x.r.Context(), req)
+	if err != nil {
+		x.fail(err)
+		return
+	}
+	for name, values := range forwardable(reply.Header) {
+		x.w.Header()[name] = values
+	}
+	x.w.Header().Set("X-Request-Id", x.id)
+	x.writeBody(reply.Status, "", reply.Body)
+	x.done("ok", slog.String("route", route))
+}
+
+// setKey reads the idempotency key and its age.
+func setKey(req *router.ServiceRequest, h http.Header) error {
+	key := h.Get("Idempotency-Key")
+	if key == "" {
+		return nil
+	}
+	if len(key) > maxKeyBytes {
+		return &InvalidError{Field: "Idempotency-Key", Problem: "is longer than 200 bytes"}
+	}
+	req.IdempotencyKey = key
+	req.First = strings.EqualFold(h.Get("Idempotency-First"), "true")
+	if id, err := uuid.Parse(key); err == nil && id.Version() == 7 {
+		seconds, nanos := id.Time().UnixTime()
+		req.KeyCreated = time.Unix(seconds, nanos).UTC()
+		return nil
+	}
+	created := h.Get("Idempotency-Created")
+	if created == "" {
+		return nil // routes whose calls may be repeated need no age
+	}
+	at, err := time.Parse(time.RFC3339, created)
+	if err != nil {
+		return &InvalidError{Field: "Idempotency-Created", Problem: "is not a time in RFC 3339 form"}
+	}
+	req.KeyCreated = at.UTC()
+	return nil
+}
+
+// private headers are between two neighbours only, or are the router's own.
+var private = map[string]bool{
+	"Authorization": true, "Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Proxy-Authorization": true,
+	"Proxy-Authenticate": true, "Content-Length": true, "Expect": true,
+	"Idempotency-Key": true, "Idempotency-Created": true, "Idempotency-First": true,
+	"X-Request-Id": true, "X-Attempt-Id": true, "X-Deadline-Ms": true,
+}
+
+// forwardable copies the headers that pass through the router.
+func forwardable(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		if !private[name] {
+			out[name] = values
+		}
+	}
+	for _, named := range h.Values("Connection") {
+		for _, name := range strings.Split(named, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/adapter/callerhttp/sse.go
@@ -0,0 +1,131 @@
+package callerhttp
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"unicode/utf8"
+
+	"mimosaseam.example/mimosaseam/internal/app/router"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// sseSink writes chunks as server-sent events. The id line carries the chunk
+// number. One buffer serves the whole stream.
+type sseSink struct {
+	x     *exchange
+	head  []byte // the event up to the text
+	chat  bool
+	begun bool
+	buf   []byte
+}
+
+func newSSESink(x *exchange, model string, chat bool) *sseSink {
+	object := "text_completion"
+	if chat {
+		object = "chat.completion.chunk"
+	}
+	head := append([]byte(`data: {"id":`), quoted(x.id)...)
+	head = append(head, `,"object":"`+object+`","created":`...)
+	head = strconv.AppendInt(head, x.started.Unix(), 10)
+	head = append(head, `,"model":`...)
+	head = append(head, quoted(model)...)
+	head = append(head, `,"choices":[{"index":0,`...)
+	return &sseSink{x: x, head: head, chat: chat}
+}
+
+func quoted(s string) []byte {
+	data, _ := json.Marshal(s) // a string: cannot fail
+	return data
+}
+
+// Chunk implements router.Sink.
+func (s *sseSink) Chunk(_ context.Context, c port.Chunk) error {
+	if !s.begun {
+		s.begin()
+	}
+	b := append(s.buf[:0], "id: "...)
+	b = strconv.AppendInt(b, int64(c.Index), 10)
+	b = append(b, '\n')
+	b = append(b, s.head...)
+	b = s.appendText(b, c)
+	b = append(b, `"finish_reason":`...)
+	if c.FinishReason == "" {
+		b = append(b, `null}]`...)
+	} else {
+		b = append(append(b, quoted(string(c.FinishReason))...), `}]`...)
+	}
+	if c.Usage != nil {
+		u := usageOf(*c.Usage)
+		data, _ := json.Marshal(u) // numbers only: cannot fail
+		b = append(append(b, `,"usage":`...), data...)
+	}
+	b = append(b, "}\n\n"...)
+	s.buf = b
+	return s.write(b)
+}
+
+func (s *sseSink) appendText(b []byte, c port.Chunk) []byte {
+	if !s.chat {
+		b = append(b, `"text":`...)
+		return append(appendJSON(b, c.Text), ',')
+	}
+	b = append(b, `"delta":{`...)
+	if c.Index == 0 {
+		b = append(b, `"role":"assistant",`...)
+	}
+	b = append(b, `"content":`...)
+	return append(appendJSON(b, c.Text), `},`...)
+}
+
+// appendJSON appends s as a JSON string. Text without special characters, which
+// is nearly all of it, is copied.
+func appendJSON(b []byte, s string) []byte {
+	for i := 0; i < len(s); i++ {
+		if c := s[i]; c < ' ' || c == '"' || c == '\\' || c >= utf8.RuneSelf {
+			return append(b, quoted(s)...)
+		}
+	}
+	b = append(b, '"')
+	b = append(b, s...)
+	return append(b, '"')
+}
+
+func (s *sseSink) begin() {
+	s.begun = true
+	h := s.x.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	s.x.status = http.StatusOK
+	s.x.w.WriteHeader(http.StatusOK)
+}
+
+func (s *sseSink) write(b []byte) error {
+	s.x.extendWrite()
+	if _, err := s.x.w.Write(b); err != nil {
+		return err
+	}
+	return s.x.rc.Flush()
+}
+
+// stream answers with server-sent events. A response that cannot be completed
+// ends with an error event and a closed connection, without the [DONE] mark.
+func (x *exchange) stream(req router.CompletionRequest, chat bool) {
+	sink := newSSESink(x, req.Model, chat)
+	end, err := x.s.Router.Completion(x.r.Context(), req, sink)
+	if err != nil && !sink.begun {
+		x.fail(err)
+		return
+	}
+	if err != nil {
+		f := asFailure(err)
+		data, _ := json.Marshal(bodyOf(f)) // strings only: cannot fail
+		_ = sink.write(append(append([]byte("event: error\ndata: "), data...), "\n\n"...))
+		x.done(string(f.Kind), slog.String("outcome", string(f.Outcome)), slog.Any("cause", f.Cause))
+		panic(http.ErrAbortHandler)
+	}
+	_ = sink.write([]byte("data: [DONE]\n\n"))
+	x.doneCompletion(end)
+}
--- /dev/null
+++ b/internal/app/router/attempt.go
@@ -0,0 +1,223 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/retry"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// attempt is one try of a completion on one target. Its reader goroutine sends
+// events that carry the attempt itself, so an answer can only reach the request
+// that sent it.
+type attempt struct {
+	id     string
+	target placement.Target
+	score  placement.Score
+	ctx    context.Context
+	cancel context.CancelFunc
+	span   trace.Span
+
+	started time.Time
+	// progress is the time of the last new chunk, or of the start.
+	progress time.Time
+	// patience is the time without progress after which the attempt is probed.
+	patience    time.Duration
+	probing     bool
+	extended    int
+	opened      bool
+	delivered   bool
+	incarnation port.Incarnation
+	weights     string
+}
+
+// event is one step of an attempt: opened, a chunk, or its end.
+type event struct {
+	a      *attempt
+	opened port.ChunkStream
+	chunk  port.Chunk
+	err    error
+}
+
+// startAttempt registers the attempt with everything that follows running
+// work and sends it.
+func (c *completion) startAttempt(ctx context.Context, t placement.Target, s placement.Score) *attempt {
+	r := c.r
+	now := r.Clock.Now()
+	a := &attempt{id: r.newID(), target: t, score: s, started: now, progress: now,
+		patience: c.firstPatience(s), incarnation: t.Incarnation}
+	ctx, a.span = r.Tracer.Start(ctx, "attempt", trace.WithAttributes(
+		attribute.String("target", t.Name), attribute.String("attempt_id", a.id)))
+	a.ctx, a.cancel = context.WithCancel(ctx)
+	c.attempts++
+	c.active = append(c.active, a)
+	c.tried[t.Name] = true
+	r.limits.StartTarget(t.Name)
+	r.circuits.Started(now, t.Name)
+	r.Fingerprints.Started(t.Name, a.id, c.fingerprint)
+	r.Placer.Started(now, c.p.place, t.Name)
+	r.Metrics.Add(MetricAttempts, 1)
+	go c.read(a, c.generation(a))
+	return a
+}
+
+func (c *completion) generation(a *attempt) port.Generation {
+	from, text := c.asm.Resume()
+	g := port.Generation{
+		RequestID: c.req.RequestID, AttemptID: a.id, Model: c.p.route.Model, Prompt: c.req.Prompt,
+		MaxTokens: c.req.MaxTokens, Priority: c.p.route.Priority, Scope: c.p.place.Scope,
+		Deadline: c.p.deadline, ExpectWeights: c.weights, ResumeFrom: from, ResumeText: text,
+	}
+	if a.score.CachedTokens > 0 {
+		g.ExpectIncarnation = a.target.Incarnation
+	}
+	return g
+}
+
+// read runs one attempt and sends its events until the attempt is over or
+// abandoned. The channel has no buffer, so a slow caller stops the reading.
+func (c *completion) read(a *attempt, g port.Generation) {
+	stream, err := c.r.Engine.Generate(a.ctx, a.target.Address, g)
+	if err != nil {
+		c.send(event{a: a, err: err})
+		return
+	}
+	defer func() { _ = stream.Close() }()
+	if !c.send(event{a: a, opened: stream}) {
+		return
+	}
+	for {
+		chunk, err := stream.Next()
+		if !c.send(event{a: a, chunk: chunk, err: err}) || err != nil {
+			return
+		}
+	}
+}
+
+func (c *completion) send(e event) bool {
+	select {
+	case c.events <- e:
+		return true
+	case <-e.a.ctx.Done():
+		return false
+	}
+}
+
+// endAttempt takes the attempt out of all that follows running work.
+func (c *completion) endAttempt(a *attempt, cachedTokens int) {
+	for i, other := range c.active {
+		if other == a {
+			c.active = append(c.active[:i], c.active[i+1:]...)
+			break
+		}
+	}
+	r := c.r
+	a.cancel()
+	a.span.End()
+	r.limits.EndTarget(a.target.Name)
+	r.Fingerprints.Ended(a.target.Name, a.id)
+	r.Placer.Finished(r.Clock.Now(), c.p.place, a.target.Name, a.incarnation, cachedTokens)
+}
+
+// abandon ends an attempt that may still be running and tells the engine to
+// stop it over a fresh connection.
+func (c *completion) abandon(ctx context.Context, a *attempt) {
+	c.endAttempt(a, -1)
+	c.r.circuits.Ended(a.target.Name)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	go func() {
+		defer cancel()
+		if err := c.r.Engine.Cancel(ctx, a.target.Address, a.id); err != nil {
+			c.log(a).Info("cancel failed", slog.Any("error", err))
+		}
+	}()
+}
+
+// failAttempt ends an attempt that failed and records what the failure says
+// of its target. It returns whether a further attempt may help.
+func (c *completion) failAttempt(ctx context.Context, a *attempt, err error) verdict {
+	c.log(a).Info("attempt failed", slog.Any("error", err), slog.Int("chunks", c.asm.Chunks()))
+	a.span.RecordError(err)
+	c.r.Metrics.Add(MetricAttemptFailures, 1)
+	v := verdictRetry
+	if notRun(err) {
+		v = c.r.judgeRefusal(a.target, err)
+	} else {
+		c.sent = true
+		if ctx.Err() == nil {
+			c.r.examine(ctx, c.p.pool, a.target, a.incarnation)
+		}
+	}
+	c.endAttempt(a, -1)
+	return v
+}
+
+// verdict says how a request goes on after a failed attempt.
+type verdict int
+
+const (
+	// verdictRetry asks for another attempt, at the cost of the budget.
+	verdictRetry verdict = iota
+	// verdictReplace asks for a new placement that costs nothing, because
+	// placement relied on a state that is gone.
+	verdictReplace
+	// verdictStop ends the request; no target would take it.
+	verdictStop
+)
+
+// judgeRefusal records what the failure of an attempt that did not run says of
+// its target.
+func (r *Router) judgeRefusal(t placement.Target, err error) verdict {
+	var refused *port.NotRunError
+	var bad *port.BadRequestError
+	var limited *port.RateLimitedError
+	switch {
+	case errors.As(err, &bad):
+		r.circuits.Ended(t.Name)
+		return verdictStop
+	case errors.As(err, &limited):
+		r.setBusy(t.Name, limited.RetryAfter)
+		return verdictRetry
+	case !errors.As(err, &refused) || refused.Reason == port.NotRunUnreachable:
+		r.circuits.Failure(r.Clock.Now(), t.Name, retry.Down)
+		r.Placer.Drop(t.Name)
+		return verdictRetry
+	case refused.Reason == port.NotRunIncarnationChanged || refused.Reason == port.NotRunWeightsChanged:
+		r.Targets.Forget(t.Name)
+		r.circuits.Ended(t.Name)
+		r.Metrics.Add(MetricExpectationFailed, 1)
+		return verdictReplace
+	}
+	r.setBusy(t.Name, refused.RetryAfter)
+	return verdictRetry
+}
+
+// busyDefault is the time for which a target that refused for lack of capacity
+// gets no work when it names no time itself; about ten tokens of a batch.
+const busyDefault = 250 * time.Millisecond
+
+func (r *Router) setBusy(target string, after time.Duration) {
+	if after <= 0 {
+		after = busyDefault
+	}
+	r.circuits.SetBusy(target, r.Clock.Now().Add(after))
+}
+
+var errEarlyEnd = eris.New("the stream ended before its terminal mark")
+
+// ended turns the end of a stream without a terminal mark into a failure.
+func ended(err error) error {
+	if errors.Is(err, io.EOF) {
+		err = errEarlyEnd
+	}
+	return err
+}
--- /dev/null
+++ b/internal/app/router/completion.go
@@ -0,0 +1,317 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/core/limits"
+	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/retry"
+	"mimosaseam.example/mimosaseam/internal/core/stream"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// completion is one running completion request.
+type completion struct {
+	r           *Router
+	p           *plan
+	req         CompletionRequest
+	sink        Sink
+	permit      *limits.Permit
+	fingerprint retry.Fingerprint
+
+	asm    stream.Assembler
+	events chan event
+	probes chan probeResult
+	// active holds the attempts under way: one, or two while a hedge waits for
+	// its first token.
+	active []*attempt
+	tried  map[string]bool
+	// weights is the version that every attempt must serve.
+	weights  string
+	attempts int
+	extra    int // attempts paid from the budget
+	replaced int
+	hedged   bool
+	// sent is set once an attempt may have run.
+	sent   bool
+	last   string // target of the last delivered chunk
+	lastOf error  // cause of the last failed attempt
+}
+
+// maxFreeReplacements bounds the placements that a request repeats without
+// spending budget because a target refused an outdated expectation.
+const maxFreeReplacements = 4
+
+// Completion runs a completion and relays its chunks to the sink. It returns
+// when the response is whole, or fails with a *Failure.
+func (r *Router) Completion(ctx context.Context, req CompletionRequest, sink Sink) (Completion, error) {
+	if !r.drain.enter() {
+		return Completion{}, failDraining()
+	}
+	defer r.drain.leave()
+	r.Metrics.Add(MetricRequests, 1)
+	p, err := r.planCompletion(req)
+	if err != nil {
+		return Completion{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.deadline.Sub(r.Clock.Now()))
+	defer cancel()
+	c := &completion{r: r, p: p, req: req, sink: sink, events: make(chan event), probes: make(chan probeResult, 2),
+		tried: map[string]bool{}, weights: p.place.Scope.WeightsVersion,
+		fingerprint: retry.FingerprintOf(req.Account.String(), req.Model, req.Prompt)}
+	if r.Fingerprints.Convicted(r.Clock.Now(), c.fingerprint) {
+		return Completion{}, c.fail(KindCrashSuspect, "requests like this one crashed their targets", nil)
+	}
+	if c.permit, err = r.admit(ctx, p, p.place.PromptTokens, req.MaxTokens); err != nil {
+		return Completion{}, c.end(ctx, err)
+	}
+	defer c.permit.Release()
+	r.budget(p.routeRef).Earn(r.Clock.Now(), p.route.RetryBudgetPercent, p.pool.Slots)
+	err = c.run(ctx)
+	for len(c.active) > 0 {
+		c.abandon(ctx, c.active[0])
+	}
+	if err != nil {
+		return Completion{}, c.end(ctx, err)
+	}
+	return Completion{FinishReason: c.asm.FinishReason(), Usage: c.asm.Usage(), Attempts: c.attempts, Target: c.last}, nil
+}
+
+// admit waits in the queue until the request may run.
+func (r *Router) admit(ctx context.Context, p *plan, promptTokens, outputTokens int) (*limits.Permit, error) {
+	_, span := r.Tracer.Start(ctx, "admit")
+	defer span.End()
+	start := r.Clock.Now()
+	permit, err := r.limits.Acquire(ctx, limits.Ask{
+		Account: p.accountRef.String(), Limits: p.account.Limits, Share: p.account.Share,
+		Pool: p.poolRef.String(), Slots: r.usableSlots(p), Priority: p.route.Priority,
+		PromptTokens: promptTokens, OutputTokens: outputTokens, Deadline: p.deadline,
+	})
+	r.Metrics.Observe(MetricQueueWait, r.Clock.Now().Sub(start))
+	return permit, err
+}
+
+// run drives the attempts until the response is whole.
+func (c *completion) run(ctx context.Context) error {
+	for {
+		if len(c.active) == 0 {
+			if err := c.next(ctx); err != nil {
+				return err
+			}
+		}
+		done, err := c.step(ctx)
+		if done || err != nil {
+			return err
+		}
+	}
+}
+
+// next places and starts the next attempt.
+func (c *completion) next(ctx context.Context) error {
+	wait := placeWait
+	if c.asm.Chunks() > 0 {
+		wait = c.p.deadline.Sub(c.r.Clock.Now())
+	}
+	t, s, err := c.r.choose(ctx, c.p, c.filter(), wait)
+	if err != nil {
+		return err
+	}
+	c.startAttempt(ctx, t, s)
+	return nil
+}
+
+func (c *completion) filter() filter {
+	return filter{tried: c.tried, fingerprint: c.fingerprint, weights: c.weights}
+}
+
+// step waits for the next thing to happen and handles it.
+func (c *completion) step(ctx context.Context) (done bool, err error) {
+	stall := time.NewTimer(c.untilStall())
+	defer stall.Stop()
+	hedge := c.hedgeTimer()
+	if hedge != nil {
+		defer hedge.Stop()
+	}
+	select {
+	case e := <-c.events:
+		return c.handle(ctx, e)
+	case p := <-c.probes:
+		return false, c.probed(ctx, p)
+	case <-stall.C:
+		c.probeStalled(ctx)
+	case <-timerChan(hedge):
+		c.hedge(ctx)
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+	return false, nil
+}
+
+func (c *completion) handle(ctx context.Context, e event) (done bool, err error) {
+	switch {
+	case !c.isActive(e.a):
+		return false, nil
+	case e.err != nil:
+		return false, c.failed(ctx, e.a, ended(e.err))
+	case e.opened != nil:
+		return false, c.opened(ctx, e.a, e.opened)
+	}
+	fresh, err := c.asm.Accept(e.chunk)
+	if err != nil {
+		return false, c.failed(ctx, e.a, err)
+	}
+	if !fresh {
+		return false, nil
+	}
+	return c.deliver(ctx, e.a, e.chunk)
+}
+
+func (c *completion) isActive(a *attempt) bool {
+	for _, other := range c.active {
+		if other == a {
+			return true
+		}
+	}
+	return false
+}
+
+// opened takes what the engine says of itself with the response headers.
+func (c *completion) opened(ctx context.Context, a *attempt, s port.ChunkStream) error {
+	a.opened = true
+	a.incarnation, a.weights = s.Incarnation(), s.WeightsVersion()
+	c.sent = true
+	c.r.Targets.Observe(a.target.Name, a.incarnation, a.weights, coldStart(c.p.pool))
+	if c.weights == "" || a.weights == "" || a.weights == c.weights {
+		return nil
+	}
+	c.abandon(ctx, a)
+	if len(c.active) > 0 {
+		return nil
+	}
+	return c.replace(ctx, &port.NotRunError{Target: a.target.Name, Reason: port.NotRunWeightsChanged})
+}
+
+// replace places the request again without spending budget, within bounds,
+// because placement relied on a state that is gone.
+func (c *completion) replace(ctx context.Context, cause error) error {
+	if c.replaced >= maxFreeReplacements {
+		return c.pay(ctx, cause)
+	}
+	c.replaced++
+	if c.asm.Chunks() == 0 {
+		c.r.setScope(c.p, c.req)
+		c.weights = c.p.place.Scope.WeightsVersion
+	}
+	return nil
+}
+
+// deliver relays a new chunk. The first chunk of an attempt ends all others.
+func (c *completion) deliver(ctx context.Context, a *attempt, chunk port.Chunk) (done bool, err error) {
+	now := c.r.Clock.Now()
+	if !a.delivered {
+		a.delivered = true
+		c.r.Placer.FirstToken(now, c.p.place, a.target.Name, now.Sub(a.started))
+		c.r.circuits.Success(a.target.Name)
+		for _, other := range append([]*attempt(nil), c.active...) {
+			if other != a {
+				c.abandon(ctx, other)
+			}
+		}
+		if a.weights != "" {
+			c.weights = a.weights
+		}
+	}
+	c.last = a.target.Name
+	c.permit.Output(1)
+	if err := c.sink.Chunk(ctx, chunk); err != nil {
+		return false, &callerGoneError{Cause: err}
+	}
+	a.progress = c.r.Clock.Now()
+	a.patience = c.p.stallTimeout()
+	a.probing = false
+	if !c.asm.Complete() {
+		return false, nil
+	}
+	cached := -1
+	if chunk.Usage != nil {
+		cached = chunk.Usage.CachedTokens
+		c.r.Metrics.Add(MetricPromptTokens, int64(chunk.Usage.PromptTokens))
+		c.r.Metrics.Add(MetricCachedTokens, int64(cached))
+	}
+	c.r.Fingerprints.Succeeded(c.fingerprint)
+	c.endAttempt(a, cached)
+	return true, nil
+}
+
+// failed handles the failure of one attempt: it ends the request, or leaves it
+// to run on with another attempt.
+func (c *completion) failed(ctx context.Context, a *attempt, cause error) error {
+	c.lastOf = cause
+	v := c.failAttempt(ctx, a, cause)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if c.r.Fingerprints.Convicted(c.r.Clock.Now(), c.fingerprint) {
+		return c.fail(KindCrashSuspect, "the request crashed the targets that ran it", cause)
+	}
+	if v == verdictStop {
+		return c.fail(KindInvalid, "the target refused the request", cause)
+	}
+	if len(c.active) > 0 {
+		return nil
+	}
+	if v == verdictReplace {
+		delete(c.tried, a.target.Name)
+		c.r.observe(ctx, c.p.pool, a.target)
+		return c.replace(ctx, cause)
+	}
+	return c.pay(ctx, cause)
+}
+
+// pay takes an extra attempt from the route's budget and waits the backoff.
+func (c *completion) pay(ctx context.Context, cause error) error {
+	if !c.r.budget(c.p.routeRef).Spend(c.r.Clock.Now(), c.p.pool.Slots) {
+		return c.fail(KindUnavailable, "the route's retry budget is spent", cause)
+	}
+	c.extra++
+	c.r.Metrics.Add(MetricExtraAttempts, 1)
+	return sleep(ctx, retry.Backoff(c.extra, c.r.Random.Float64()))
+}
+
+// firstPatience is how long the first token may take before the attempt is
+// probed: the stall timeout beyond twice what placement expects.
+func (c *completion) firstPatience(s placement.Score) time.Duration {
+	expected := s.QueueMs + s.PrefillMs + s.LinkMs + s.ColdMs
+	return c.p.stallTimeout() + time.Duration(2*max(expected, 0)*float64(time.Millisecond))
+}
+
+func (c *completion) log(a *attempt) *slog.Logger {
+	return c.r.Logger.With(slog.String("request_id", c.req.RequestID), slog.String("account", c.req.Account.String()),
+		slog.String("target", a.target.Name), slog.String("attempt_id", a.id))
+}
+
+// callerGoneError says that the sink no longer takes chunks.
+type callerGoneError struct{ Cause error }
+
+func (e *callerGoneError) Error() string { return "the caller left: " + e.Cause.Error() }
+func (e *callerGoneError) Unwrap() error { return e.Cause }
+
+// end turns whatever stopped the request into a *Failure.
+func (c *completion) end(ctx context.Context, err error) error {
+	var f *Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	f = failureOf(ctx, err, c.sent)
+	if c.asm.Chunks() > 0 && f.Kind == KindUnavailable {
+		f.Kind, f.Message = KindBroken, "the response broke off and could not be resumed"
+	}
+	return f
+}
+
+func (c *completion) fail(kind Kind, message string, cause error) error {
+	return &Failure{Kind: kind, Message: message, Outcome: outcome(c.sent), Cause: cause, RetryAfter: retryAfter(kind)}
+}
--- /dev/null
+++ b/internal/app/router/failure.go
@@ -0,0 +1,190 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"mimosaseam.example/mimosaseam/internal/app/atmostonce"
+	"mimosaseam.example/mimosaseam/internal/core/limits"
+)
+
+// Kind is the type of a failure as callers see it.
+type Kind string
+
+// The kinds of failures.
+const (
+	KindNotFound     Kind = "not_found"
+	KindInvalid      Kind = "invalid_request"
+	KindRateLimited  Kind = "rate_limited"
+	KindOverloaded   Kind = "overloaded"
+	KindDeadline     Kind = "deadline_exceeded"
+	KindUnavailable  Kind = "unavailable"
+	KindCrashSuspect Kind = "crash_suspect"
+	KindDraining     Kind = "draining"
+	KindBroken       Kind = "stream_broken"
+	KindUpstream     Kind = "upstream_error"
+	KindCanceled     Kind = "canceled"
+	KindKeyReused    Kind = "key_reused"
+	KindKeyExpired   Kind = "key_expired"
+)
+
+// Outcome says whether a failed request may have taken effect.
+type Outcome string
+
+// The outcomes of failed requests.
+const (
+	OutcomeNotRun     Outcome = "not_run"
+	OutcomeMayHaveRun Outcome = "may_have_run"
+)
+
+// Failure is the end of a request without a whole response.
+type Failure struct {
+	Kind       Kind
+	Message    string
+	Outcome    Outcome
+	RetryAfter time.Duration
+	Cause      error
+}
+
+func (f *Failure) Error() string {
+	text := string(f.Kind) + ": " + f.Message + " (" + string(f.Outcome) + ")"
+	if f.Cause != nil {
+		text += ": " + f.Cause.Error()
+	}
+	return text
+}
+
+func (f *Failure) Unwrap() error { return f.Cause }
+
+// ErrNotDraining says that WaitDrained was called before BeginDrain.
+var ErrNotDraining = eris.New("the router is not draining")
+
+// NoTargetError says that no target of the pool was usable in time.
+type NoTargetError struct {
+	Pool string
+	// Excluded maps the pool's targets to the reasons.
+	Excluded map[string]string
+}
+
+func (e *NoTargetError) Error() string {
+	reasons := make([]string, 0, len(e.Excluded))
+	for target, reason := range e.Excluded {
+		reasons = append(reasons, target+": "+reason)
+	}
+	slices.Sort(reasons)
+	return "no target of pool " + e.Pool + " is usable (" + strings.Join(reasons, ", ") + ")"
+}
+
+// StalledError says that an attempt made no progress.
+type StalledError struct {
+	Target string
+	After  time.Duration
+}
+
+func (e *StalledError) Error() string {
+	return "target " + e.Target + " made no progress for " + e.After.String()
+}
+
+// Advice given with refusals, by kind.
+const (
+	retryAfterDefault = time.Second
+	retryAfterDrain   = time.Second
+)
+
+func outcome(sent bool) Outcome {
+	if sent {
+		return OutcomeMayHaveRun
+	}
+	return OutcomeNotRun
+}
+
+func retryAfter(kind Kind) time.Duration {
+	switch kind {
+	case KindUnavailable, KindOverloaded, KindDeadline, KindBroken:
+		return retryAfterDefault
+	default:
+		return 0
+	}
+}
+
+func failDraining() *Failure {
+	return &Failure{Kind: KindDraining, Message: "this router is stopping, another one will serve the request",
+		Outcome: OutcomeNotRun, RetryAfter: retryAfterDrain}
+}
+
+// failureOf turns an error that ended a request into a *Failure. sent says
+// whether an attempt may have run.
+func failureOf(ctx context.Context, err error, sent bool) *Failure {
+	var refused *limits.RefusedError
+	var gone *callerGoneError
+	f := &Failure{Outcome: outcome(sent), Cause: err}
+	switch {
+	case errors.As(err, &refused):
+		f.Kind, f.Message = kindOfRefusal(refused.Reason)
+		f.RetryAfter = refused.RetryAfter
+		return f
+	case errors.As(err, &gone):
+		f.Kind, f.Message = KindCanceled, "the caller left"
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, context.DeadlineExceeded):
+		f.Kind, f.Message = KindDeadline, "the deadline passed"
+	case errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, context.Canceled):
+		f.Kind, f.Message = KindCanceled, "the caller left"
+	default:
+		f.Kind, f.Message = KindUnavailable, "no target could serve the request"
+	}
+	f.RetryAfter = retryAfter(f.Kind)
+	return f
+}
+
+func kindOfRefusal(reason limits.Reason) (Kind, string) {
+	switch reason {
+	case limits.ReasonRequestRate, limits.ReasonPromptRate, limits.ReasonOutputRate, limits.ReasonConcurrency:
+		return KindRateLimited, "the client account is over its limit"
+	case limits.ReasonDeadline:
+		return KindDeadline, "the request cannot be served before its deadline"
+	case limits.ReasonNoTargets:
+		return KindUnavailable, "no target of the pool is usable"
+	default:
+		return KindOverloaded, "too many requests are waiting"
+	}
+}
+
+// failureOfRunner turns the refusals of the at-most-once runner into a
+// *Failure; nil for other errors.
+func failureOfRunner(err error, first bool) *Failure {
+	var notRun *atmostonce.NotRunError
+	var mayHaveRun *atmostonce.MayHaveRunError
+	var reused *atmostonce.KeyReusedError
+	var expired *atmostonce.KeyExpiredError
+	switch {
+	case errors.As(err, &notRun):
+		return &Failure{Kind: KindUnavailable, Message: "the call did not run", Outcome: OutcomeNotRun,
+			RetryAfter: max(notRun.RetryAfter, retryAfterDefault), Cause: err}
+	case errors.As(err, &mayHaveRun):
+		return &Failure{Kind: KindUnavailable, Message: "the call may have run, repeat it with the same key to learn more",
+			Outcome: OutcomeMayHaveRun, RetryAfter: max(mayHaveRun.RetryAfter, retryAfterDefault), Cause: err}
+	case errors.As(err, &reused):
+		// The call with this body did not run; the one that used the key may have.
+		return &Failure{Kind: KindKeyReused, Message: reused.Error(), Outcome: OutcomeNotRun, Cause: err}
+	case errors.As(err, &expired):
+		// An earlier use of the key is beyond what the ledger remembers.
+		return &Failure{Kind: KindKeyExpired, Message: expired.Error(), Outcome: outcome(!first), Cause: err}
+	}
+	return nil
+}
+
+// ReplyTooLargeError says that a service's reply exceeds what the router holds.
+type ReplyTooLargeError struct {
+	Target string
+	Limit  int
+}
+
+func (e *ReplyTooLargeError) Error() string {
+	return "the reply of " + e.Target + " is larger than " + strconv.Itoa(e.Limit) + " bytes"
+}
--- /dev/null
+++ b/internal/app/router/metrics.go
@@ -0,0 +1,20 @@
+package router
+
+// Names of the counters and durations given to Metrics.
+const (
+	MetricRequests          = "requests"
+	MetricRefused           = "requests_refused"
+	MetricFailed            = "requests_failed"
+	MetricAttempts          = "attempts"
+	MetricAttemptFailures   = "attempt_failures"
+	MetricExtraAttempts     = "extra_attempts"
+	MetricHedges            = "hedges"
+	MetricStalls            = "stalls"
+	MetricCrashes           = "target_crashes"
+	MetricExpectationFailed = "expectations_failed"
+	MetricPromptTokens      = "prompt_tokens"
+	MetricCachedTokens      = "cached_tokens"
+	MetricChunks            = "chunks"
+	MetricQueueWait         = "queue_wait"
+	MetricFirstToken        = "time_to_first_token"
+)
--- /dev/null
+++ b/internal/app/router/plan.go
@@ -0,0 +1,145 @@
+package router
+
+import (
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/prompt"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// plan is what the configuration says of one request. It is taken from one
+// snapshot, so a request sees one configuration from start to end.
+type plan struct {
+	accountRef config.Ref
+	account    config.Account
+	routeRef   config.Ref
+	route      config.Route
+	poolRef    config.Ref
+	pool       config.Pool
+	deadline   time.Time
+	place      placement.Request
+}
+
+// planRoute finds a route of the account that match accepts.
+func (r *Router) planRoute(account config.Ref, match func(name string, route config.Route) bool) (*plan, error) {
+	snap := r.Source.Current()
+	if snap == nil {
+		return nil, &Failure{Kind: KindUnavailable, Message: "no configuration is in force yet", Outcome: OutcomeNotRun}
+	}
+	acc, ok := snap.Accounts[account]
+	if !ok {
+		return nil, &Failure{Kind: KindNotFound, Message: "client account does not exist", Outcome: OutcomeNotRun}
+	}
+	for _, name := range acc.Routes {
+		ref := config.Ref{Team: account.Team, Name: name}
+		route, ok := snap.Routes[ref]
+		if !ok || !match(name, route) {
+			continue
+		}
+		poolRef := config.Ref{Team: account.Team, Name: route.Pool}
+		return &plan{accountRef: account, account: acc, routeRef: ref, route: route, poolRef: poolRef,
+			pool: snap.Pools[poolRef]}, nil
+	}
+	return nil, &Failure{Kind: KindNotFound, Message: "the account has no such route", Outcome: OutcomeNotRun}
+}
+
+// setDeadline applies the route's timeout and the caller's own deadline.
+func (p *plan) setDeadline(now, own time.Time) {
+	p.deadline = now.Add(time.Duration(p.route.TimeoutMs) * time.Millisecond)
+	if !own.IsZero() && own.Before(p.deadline) {
+		p.deadline = own
+	}
+}
+
+func (r *Router) planCompletion(req CompletionRequest) (*plan, error) {
+	p, err := r.planRoute(req.Account, func(_ string, route config.Route) bool {
+		return route.Model != "" && route.Model == req.Model
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.setDeadline(r.Clock.Now(), req.Deadline)
+	r.setScope(p, req)
+	return p, nil
+}
+
+// setScope derives what placement needs from the weights that the pool serves
+// now.
+func (r *Router) setScope(p *plan, req CompletionRequest) {
+	scope := port.Scope{ClientAccount: req.Account.String(), WeightsVersion: r.servedWeights(p), Adapter: p.pool.Adapter}
+	blockBytes := p.pool.BlockBytes
+	if blockBytes <= 0 {
+		blockBytes = prompt.DefaultBlockBytes
+	}
+	p.place = placement.Request{
+		Scope:        scope,
+		Blocks:       prompt.Chain(scope, req.Prompt, blockBytes),
+		BlockTokens:  blockBytes / prompt.BytesPerToken,
+		PromptTokens: prompt.Tokens(req.Prompt),
+		OutputTokens: req.MaxTokens,
+		PromptBytes:  len(req.Prompt),
+		Weights: placement.Weights{Recompute: p.route.Weights.Recompute,
+			CrossRegionMsPerMiB: p.route.Weights.CrossRegionMsPerMiB},
+	}
+}
+
+// servedWeights returns the weights version to ask for: the configured one,
+// or, while none of the targets serves that yet, the one that most of them
+// serve.
+func (r *Router) servedWeights(p *plan) string {
+	counts := map[string]int{}
+	best := ""
+	for _, t := range p.pool.Targets {
+		state := r.Targets.State(t.Name)
+		version := state.WeightsVersion
+		if state.Leaving {
+			continue
+		}
+		if version == "" || version == p.pool.WeightsVersion {
+			return p.pool.WeightsVersion
+		}
+		counts[version]++
+		if best == "" || counts[version] > counts[best] || counts[version] == counts[best] && version > best {
+			best = version
+		}
+	}
+	if best == "" {
+		return p.pool.WeightsVersion
+	}
+	return best
+}
+
+// usableSlots is the number of requests that the pool's targets run at once,
+// without those that are leaving or whose circuit is open.
+func (r *Router) usableSlots(p *plan) int {
+	now := r.Clock.Now()
+	slots := 0
+	for _, t := range p.pool.Targets {
+		if !r.Targets.State(t.Name).Leaving && r.circuits.Available(now, t.Name) {
+			slots += p.pool.Slots
+		}
+	}
+	return slots
+}
+
+func (p *plan) stallTimeout() time.Duration {
+	return time.Duration(p.route.StallTimeoutMs) * time.Millisecond
+}
+
+func coldStart(pool config.Pool) time.Duration {
+	return time.Duration(pool.ColdStartS) * time.Second
+}
+
+// target describes a pool member as placement wants it.
+func (r *Router) target(pool config.Pool, t config.PoolTarget) placement.Target {
+	state := r.Targets.State(t.Name)
+	return placement.Target{
+		Name: t.Name, Address: t.Address, Region: t.Region, AvailabilityZone: t.AvailabilityZone,
+		Incarnation: state.Incarnation, ColdUntil: state.ColdUntil,
+		Slots: pool.Slots, CacheBlocks: pool.CacheBlocks,
+		PrefillTokensPerSecond: float64(pool.PrefillTokensPerSecond),
+		DecodeMsPerToken:       float64(pool.DecodeMsPerToken),
+	}
+}
--- /dev/null
+++ b/internal/app/router/service.go
@@ -0,0 +1,260 @@
+package router
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"log/slog"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"mimosaseam.example/mimosaseam/internal/app/atmostonce"
+	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/retry"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// MaxReplyBytes bounds the reply of a plain service. Replies are held in
+// memory until they are whole, so that a broken one can be asked for again.
+const MaxReplyBytes = 8 << 20
+
+// call is one running service request.
+type call struct {
+	r           *Router
+	p           *plan
+	req         ServiceRequest
+	fingerprint retry.Fingerprint
+	tried       map[string]bool
+	extra       int
+	sent        bool
+}
+
+// ServiceCall runs a call to a plain service. It fails with a *Failure.
+func (r *Router) ServiceCall(ctx context.Context, req ServiceRequest) (ServiceReply, error) {
+	if !r.drain.enter() {
+		return ServiceReply{}, failDraining()
+	}
+	defer r.drain.leave()
+	r.Metrics.Add(MetricRequests, 1)
+	p, err := r.planService(req)
+	if err != nil {
+		return ServiceReply{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.deadline.Sub(r.Clock.Now()))
+	defer cancel()
+	c := &call{r: r, p: p, req: req, tried: map[string]bool{},
+		fingerprint: retry.FingerprintOf(req.Account.String(), "service", req.Route, req.Method, req.Path, string(req.Body))}
+	permit, err := r.admit(ctx, p, 0, 0)
+	if err != nil {
+		return ServiceReply{}, c.end(ctx, err)
+	}
+	defer permit.Release()
+	r.budget(p.routeRef).Earn(r.Clock.Now(), p.route.RetryBudgetPercent, p.pool.Slots)
+	var reply ServiceReply
+	if p.route.Repeat == config.RepeatNever {
+		reply, err = c.once(ctx)
+	} else {
+		reply, err = c.attempts(ctx, r.newID, true)
+	}
+	if err != nil {
+		return ServiceReply{}, c.end(ctx, err)
+	}
+	return reply, nil
+}
+
+func (r *Router) planService(req ServiceRequest) (*plan, error) {
+	p, err := r.planRoute(req.Account, func(name string, route config.Route) bool {
+		return name == req.Route && route.Model == ""
+	})
+	if err != nil {
+		return nil, err
+	}
+	if p.route.Repeat == config.RepeatNever && (req.IdempotencyKey == "" || req.KeyCreated.IsZero()) {
+		return nil, &Failure{Kind: KindInvalid, Outcome: OutcomeNotRun,
+			Message: "calls of this route need an Idempotency-Key whose age is known"}
+	}
+	p.setDeadline(r.Clock.Now(), req.Deadline)
+	p.place = placement.Request{
+		Scope:       port.Scope{ClientAccount: req.Account.String()},
+		PromptBytes: len(req.Body),
+		Weights:     placement.Weights{CrossRegionMsPerMiB: p.route.Weights.CrossRegionMsPerMiB},
+	}
+	return p, nil
+}
+
+// once runs a call that may not be repeated. The caller's leaving does not
+// stop it, so that its outcome is recorded and answers the caller's repeat.
+func (c *call) once(ctx context.Context) (ServiceReply, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.p.deadline.Sub(c.r.Clock.Now()))
+	defer cancel()
+	out, err := c.r.Runner.Run(ctx, atmostonce.Request{
+		Key: atmostonce.Key{ClientAccount: c.req.Account.String(), Value: c.req.IdempotencyKey,
+			CreatedAt: c.req.KeyCreated},
+		BodyHash: bodyHash(c.req), Route: c.p.routeRef.String(), First: c.req.First,
+		Retention:  time.Duration(c.p.route.KeyRetentionS) * time.Second,
+		Deadline:   c.p.deadline,
+		Resendable: c.p.pool.DeduplicatesKeys || c.p.pool.ChecksFencing,
+	}, c.dispatch)
+	return ServiceReply{Status: out.Status, Header: out.Header, Body: out.Body}, err
+}
+
+// dispatch sends the one attempt of a call that may not be repeated. It goes on
+// to another target only when a target states that the call did not run.
+func (c *call) dispatch(ctx context.Context, attemptID string) (atmostonce.Outcome, error) {
+	sentBefore := c.sent
+	c.sent = false
+	reply, err := c.attempts(ctx, func() string { return attemptID }, false)
+	sent := c.sent
+	c.sent = sent || sentBefore
+	if err == nil {
+		return atmostonce.Outcome{Status: reply.Status, Header: reply.Header, Body: reply.Body}, nil
+	}
+	var unknown *port.UnknownOutcomeError
+	if sent {
+		if errors.As(err, &unknown) {
+			return atmostonce.Outcome{}, unknown
+		}
+		return atmostonce.Outcome{}, &port.UnknownOutcomeError{Peer: c.p.poolRef.String(), Cause: err}
+	}
+	var notRun *port.NotRunError
+	if errors.As(err, &notRun) {
+		return atmostonce.Outcome{}, notRun
+	}
+	return atmostonce.Outcome{}, &port.NotRunError{Target: c.p.poolRef.String(), Reason: port.NotRunUnreachable, Cause: err}
+}
+
+func bodyHash(req ServiceRequest) string {
+	h := sha256.New()
+	for _, part := range []string{req.Method, req.Path} {
+		_, _ = io.WriteString(h, part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(req.Body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// attempts runs attempts until one is answered. Attempts whose outcome is
+// unknown are repeated only when repeat is set.
+func (c *call) attempts(ctx context.Context, newID func() string, repeat bool) (ServiceReply, error) {
+	for {
+		if c.r.Fingerprints.Convicted(c.r.Clock.Now(), c.fingerprint) {
+			return ServiceReply{}, c.fail(KindCrashSuspect, "requests like this one crashed their targets", nil)
+		}
+		t, _, err := c.r.choose(ctx, c.p, filter{tried: c.tried, fingerprint: c.fingerprint}, placeWait)
+		if err != nil {
+			return ServiceReply{}, err
+		}
+		c.tried[t.Name] = true
+		reply, err := c.attempt(ctx, t, newID())
+		if err == nil {
+			return reply, nil
+		}
+		v := c.failed(ctx, t, err)
+		if v == verdictStop || ctx.Err() != nil || c.sent && !repeat {
+			return ServiceReply{}, err
+		}
+		if !c.r.budget(c.p.routeRef).Spend(c.r.Clock.Now(), c.p.pool.Slots) {
+			return ServiceReply{}, err
+		}
+		c.extra++
+		c.r.Metrics.Add(MetricExtraAttempts, 1)
+		if sleep(ctx, retry.Backoff(c.extra, c.r.Random.Float64())) != nil {
+			return ServiceReply{}, err
+		}
+	}
+}
+
+// attempt sends one attempt and reads the whole reply.
+func (c *call) attempt(ctx context.Context, t placement.Target, id string) (ServiceReply, error) {
+	r := c.r
+	now := r.Clock.Now()
+	ctx, span := r.Tracer.Start(ctx, "attempt", trace.WithAttributes(
+		attribute.String("target", t.Name), attribute.String("attempt_id", id)))
+	defer span.End()
+	r.limits.StartTarget(t.Name)
+	defer r.limits.EndTarget(t.Name)
+	r.circuits.Started(now, t.Name)
+	r.Fingerprints.Started(t.Name, id, c.fingerprint)
+	r.Placer.Started(now, c.p.place, t.Name)
+	r.Metrics.Add(MetricAttempts, 1)
+	defer func() { r.Placer.Finished(r.Clock.Now(), c.p.place, t.Name, t.Incarnation, -1) }()
+	reply, err := c.send(ctx, t, id)
+	if err != nil && !notRun(err) && ctx.Err() == nil {
+		// The request stays among the running ones until it is known whether the
+		// target crashed with it.
+		r.examine(ctx, c.p.pool, t, t.Incarnation)
+	}
+	r.Fingerprints.Ended(t.Name, id)
+	if err != nil {
+		span.RecordError(err)
+		return ServiceReply{}, err
+	}
+	r.circuits.Success(t.Name)
+	r.Fingerprints.Succeeded(c.fingerprint)
+	return reply, nil
+}
+
+func (c *call) send(ctx context.Context, t placement.Target, id string) (ServiceReply, error) {
+	reply, err := c.r.Service.Call(ctx, t.Address, port.Call{
+		RequestID: c.req.RequestID, AttemptID: id, Method: c.req.Method, Path: c.req.Path,
+		Header: c.req.Header, Body: c.req.Body, IdempotencyKey: c.req.IdempotencyKey, Deadline: c.p.deadline,
+	})
+	if err != nil {
+		return ServiceReply{}, err
+	}
+	defer func() { _ = reply.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(reply.Body, MaxReplyBytes+1))
+	if err != nil {
+		return ServiceReply{}, &port.UnknownOutcomeError{Peer: t.Name, Cause: err}
+	}
+	if len(body) > MaxReplyBytes {
+		return ServiceReply{}, &ReplyTooLargeError{Target: t.Name, Limit: MaxReplyBytes}
+	}
+	return ServiceReply{Status: reply.Status, Header: reply.Header, Body: body}, nil
+}
+
+// notRun reports whether the error says that the target did not run the call.
+func notRun(err error) bool {
+	var refused *port.NotRunError
+	var bad *port.BadRequestError
+	var limited *port.RateLimitedError
+	var unavailable *port.UnavailableError
+	return errors.As(err, &refused) || errors.As(err, &bad) || errors.As(err, &limited) || errors.As(err, &unavailable)
+}
+
+// failed records what the failure says of the target.
+func (c *call) failed(ctx context.Context, t placement.Target, err error) verdict {
+	c.r.Metrics.Add(MetricAttemptFailures, 1)
+	c.r.Logger.InfoContext(ctx, "attempt failed", slog.String("request_id", c.req.RequestID),
+		slog.String("account", c.req.Account.String()), slog.String("target", t.Name), slog.Any("error", err))
+	if !notRun(err) {
+		c.sent = true
+		var large *ReplyTooLargeError
+		if errors.As(err, &large) {
+			return verdictStop
+		}
+		return verdictRetry
+	}
+	return c.r.judgeRefusal(t, err)
+}
+
+// end turns whatever stopped the call into a *Failure.
+func (c *call) end(ctx context.Context, err error) error {
+	var f *Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	if f := failureOfRunner(err, c.req.First); f != nil {
+		return f
+	}
+	return failureOf(ctx, err, c.sent)
+}
+
+func (c *call) fail(kind Kind, message string, cause error) error {
+	return &Failure{Kind: kind, Message: message, Outcome: outcome(c.sent), Cause: cause, RetryAfter: retryAfter(kind)}
+}
--- /dev/null
+++ b/internal/app/router/service_fake_test.go
@@ -0,0 +1,47 @@
+package router
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+
+	"mimosaseam.example/mimosaseam/internal/app/atmostonce"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// fakeService answers "ok" unless a script for the target says otherwise.
+type fakeService struct {
+	mu      sync.Mutex
+	scripts map[string]func(ctx context.Context, c port.Call) (port.Reply, error)
+	sent    []string
+}
+
+func (s *fakeService) Call(ctx context.Context, address string, c port.Call) (port.Reply, error) {
+	s.mu.Lock()
+	if c.Path != "/v1/load" {
+		s.sent = append(s.sent, address)
+	}
+	script := s.scripts[address]
+	s.mu.Unlock()
+	if script != nil && c.Path != "/v1/load" {
+		return script(ctx, c)
+	}
+	return port.Reply{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader(`{"incarnation":"i1"}`))}, nil
+}
+
+// fakeRunner dispatches once and reports as the real runner does.
+type fakeRunner struct{}
+
+func (*fakeRunner) Run(ctx context.Context, _ atmostonce.Request, dispatch atmostonce.Dispatch) (atmostonce.Outcome, error) {
+	out, err := dispatch(ctx, "attempt")
+	switch err.(type) {
+	case nil:
+		return out, nil
+	case *port.NotRunError:
+		return out, &atmostonce.NotRunError{Cause: err}
+	default:
+		return out, &atmostonce.MayHaveRunError{Cause: err}
+	}
+}
--- /dev/null
+++ b/internal/app/router/targets.go
@@ -0,0 +1,100 @@
+package router
+
+import (
+	"sync"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// TargetState is what is known of a target beside the configuration.
+type TargetState struct {
+	// Incarnation and WeightsVersion are the last ones seen; empty: unknown.
+	Incarnation    port.Incarnation
+	WeightsVersion string
+	// ColdUntil is the end of the slow start after a restart.
+	ColdUntil time.Time
+	// Leaving targets get no new work.
+	Leaving bool
+}
+
+// TargetView gives the state of targets by name.
+type TargetView interface {
+	State(target string) TargetState
+	// Observe records the incarnation and the weights version that a target
+	// reported, and the slow start that applies after a restart.
+	Observe(target string, inc port.Incarnation, weights string, coldStart time.Duration)
+	// Forget drops what was observed of a target that is known to have changed.
+	Forget(target string)
+}
+
+// Targets is a TargetView built on direct evidence. It is safe for concurrent
+// use.
+type Targets struct {
+	clock  port.Clock
+	placer placement.Placer
+
+	mu     sync.RWMutex
+	states map[string]TargetState
+}
+
+// NewTargets returns an empty view that drops a target's cached blocks from
+// the placer when it observes another incarnation or other weights.
+func NewTargets(clock port.Clock, placer placement.Placer) *Targets {
+	return &Targets{clock: clock, placer: placer, states: map[string]TargetState{}}
+}
+
+// State returns what is known of the target.
+func (t *Targets) State(target string) TargetState {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.states[target]
+}
+
+// Observe records what the target reported of itself.
+func (t *Targets) Observe(target string, inc port.Incarnation, weights string, coldStart time.Duration) {
+	t.mu.Lock()
+	s := t.states[target]
+	restarted := inc != "" && s.Incarnation != "" && s.Incarnation != inc
+	reloaded := weights != "" && s.WeightsVersion != "" && s.WeightsVersion != weights
+	if inc != "" {
+		s.Incarnation = inc
+	}
+	if weights != "" {
+		s.WeightsVersion = weights
+	}
+	if restarted {
+		s.ColdUntil = t.clock.Now().Add(coldStart)
+	}
+	t.states[target] = s
+	t.mu.Unlock()
+	if restarted || reloaded {
+		t.placer.Drop(target)
+	}
+}
+
+// Forget drops the incarnation and weights of the target and its cached blocks.
+func (t *Targets) Forget(target string) {
+	t.mu.Lock()
+	s := t.states[target]
+	s.Incarnation, s.WeightsVersion = "", ""
+	t.states[target] = s
+	t.mu.Unlock()
+	t.placer.Drop(target)
+}
+
+// SetLeaving marks the targets that get no new work; all others are cleared.
+func (t *Targets) SetLeaving(leaving map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name := range leaving {
+		if _, known := t.states[name]; !known {
+			t.states[name] = TargetState{}
+		}
+	}
+	for name, s := range t.states {
+		s.Leaving = leaving[name]
+		t.states[name] = s
+	}
+}
--- /dev/null
+++ b/internal/core/limits/limits.go
@@ -0,0 +1,87 @@
+// Package limits admits requests: rates and concurrency for each client
+// account, concurrency for each target, and a queue in front of each pool.
+// Every router enforces its own share of the limits.
+package limits
+
+import (
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/core/config"
+)
+
+// ShareSource tells what the router knows of its peers. Implementations are
+// safe for concurrent use and return at once.
+type ShareSource interface {
+	// Routers describes the routers that share the limits.
+	Routers() Routers
+	// PeerDemand is the sum of the demand that peers reported for the account,
+	// in requests per second.
+	PeerDemand(account string) float64
+	// PeerInFlight is the number of requests that peers reported in flight on
+	// the target.
+	PeerInFlight(target string) int
+}
+
+// Routers describes the routers that share the limits.
+type Routers struct {
+	// Count is the number of routers believed to be alive, this one included.
+	Count int
+	// Index is the position of this router among them in name order.
+	Index int
+	// InContact says that every one of them answered lately. A router that is
+	// silent but still listed as live keeps its place in Count and makes this
+	// false.
+	InContact bool
+}
+
+// Alone is the ShareSource of a router without peers.
+type Alone struct{}
+
+// Routers describes a single router.
+func (Alone) Routers() Routers { return Routers{Count: 1, InContact: true} }
+
+// PeerDemand is always 0.
+func (Alone) PeerDemand(string) float64 { return 0 }
+
+// PeerInFlight is always 0.
+func (Alone) PeerInFlight(string) int { return 0 }
+
+// Ask describes a request that wants to run.
+type Ask struct {
+	Account string
+	Limits  config.Limits
+	// Share weighs the account against others in the queue.
+	Share int
+	// Pool names the pool, Slots is the number of requests that its usable
+	// targets run at once, over all routers.
+	Pool         string
+	Slots        int
+	Priority     int
+	PromptTokens int
+	OutputTokens int
+	Deadline     time.Time
+}
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons for refusals.
+const (
+	ReasonRequestRate Reason = "request_rate"
+	ReasonPromptRate  Reason = "prompt_token_rate"
+	ReasonOutputRate  Reason = "output_token_rate"
+	ReasonConcurrency Reason = "concurrency"
+	ReasonQueueFull   Reason = "queue_full"
+	ReasonDeadline    Reason = "deadline"
+	ReasonNoTargets   Reason = "no_targets"
+)
+
+// RefusedError says that the request was not admitted; nothing was sent.
+type RefusedError struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+func (e *RefusedError) Error() string {
+	return "request not admitted: " + string(e.Reason) + ", retry after " + e.RetryAfter.String()
+}
--- /dev/null
+++ b/internal/core/retry/fingerprint.go
@@ -0,0 +1,281 @@
+package retry
+
+import (
+	"encoding/binary"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Fingerprint identifies a request across its attempts, its caller's repeats
+// and other routers.
+type Fingerprint uint64
+
+// FingerprintOf hashes the client account and the parts of the request that
+// the target runs.
+func FingerprintOf(account string, parts ...string) Fingerprint {
+	d := xxhash.New()
+	var size [8]byte
+	for _, s := range append([]string{account}, parts...) {
+		binary.BigEndian.PutUint64(size[:], uint64(len(s)))
+		_, _ = d.Write(size[:])
+		_, _ = d.WriteString(s)
+	}
+	return Fingerprint(d.Sum64())
+}
+
+// Times for which crash evidence is kept, and the size of the set.
+const (
+	suspectFor = 10 * time.Minute
+	convictFor = time.Hour
+	maxRecords = 4096
+)
+
+// CrashRecord is what routers tell each other of one fingerprint.
+type CrashRecord struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	// Crashes lists the crashes that the request was running in, as target and
+	// incarnation.
+	Crashes []string `json:"crashes"`
+	// Cleared says that the request ran to its end after these crashes, so they
+	// are no evidence against it.
+	Cleared bool `json:"cleared,omitempty"`
+	// Convicted requests are refused.
+	Convicted bool      `json:"convicted,omitempty"`
+	Expires   time.Time `json:"expires"`
+}
+
+// Fingerprints follows which requests run on which target and which of them
+// crash targets. Every request that runs on a target when it crashes becomes a
+// suspect, unless a single earlier suspect was among them: then that one is
+// convicted and the others are not blamed. A suspect runs once at a time, on a
+// target without other suspects, so the second crash convicts. It is safe for
+// concurrent use.
+type Fingerprints struct {
+	mu      sync.Mutex
+	records map[Fingerprint]*CrashRecord
+	running map[string]map[string]Fingerprint // target -> attempt -> request
+	crashes map[string]time.Time              // crashes already counted
+}
+
+// NewFingerprints returns an empty set.
+func NewFingerprints() *Fingerprints {
+	return &Fingerprints{
+		records: map[Fingerprint]*CrashRecord{},
+		running: map[string]map[string]Fingerprint{},
+		crashes: map[string]time.Time{},
+	}
+}
+
+// Convicted reports whether the request must be refused.
+func (f *Fingerprints) Convicted(now time.Time, fp Fingerprint) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.live(now, fp)
+	return r != nil && r.Convicted
+}
+
+// Suspect reports whether the request was running in a crash.
+func (f *Fingerprints) Suspect(now time.Time, fp Fingerprint) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.live(now, fp) != nil
+}
+
+// MayRun reports whether the request may run on the target now: a suspect may
+// not join another suspect, nor run twice at a time.
+func (f *Fingerprints) MayRun(now time.Time, fp Fingerprint, target string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.live(now, fp) == nil {
+		return true
+	}
+	for on, set := range f.running {
+		for _, other := range set {
+			if other == fp || on == target && f.live(now, other) != nil {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Started records that an attempt of the request is about to run on the target.
+func (f *Fingerprints) Started(target, attempt string, fp Fingerprint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	set := f.running[target]
+	if set == nil {
+		set = map[string]Fingerprint{}
+		f.running[target] = set
+	}
+	set[attempt] = fp
+}
+
+// Ended records that the attempt no longer runs.
+func (f *Fingerprints) Ended(target, attempt string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.running[target], attempt)
+	if len(f.running[target]) == 0 {
+		delete(f.running, target)
+	}
+}
+
+// Succeeded clears the suspicion: the request ran to its end.
+func (f *Fingerprints) Succeeded(fp Fingerprint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r := f.records[fp]; r != nil && !r.Convicted {
+		r.Cleared = true
+	}
+}
+
+// Crashed records that the target crashed in the given incarnation. Repeated
+// reports of one crash count once.
+func (f *Fingerprints) Crashed(now time.Time, target, incarnation string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := target + "@" + incarnation
+	if at, counted := f.crashes[id]; counted && now.Sub(at) < suspectFor {
+		return
+	}
+	f.prune(now)
+	f.crashes[id] = now
+	var suspects, fresh []Fingerprint
+	for _, fp := range f.running[target] {
+		if f.live(now, fp) == nil {
+			fresh = append(fresh, fp)
+		} else if !slices.Contains(suspects, fp) {
+			suspects = append(suspects, fp)
+		}
+	}
+	if len(suspects) == 0 {
+		f.suspect(now, fresh, id)
+	} else if r := f.records[suspects[0]]; len(suspects) == 1 && !slices.Contains(r.Crashes, id) {
+		r.Crashes = append(r.Crashes, id)
+		r.Convicted = true
+		r.Expires = now.Add(convictFor)
+	}
+}
+
+func (f *Fingerprints) suspect(now time.Time, running []Fingerprint, crash string) {
+	for _, fp := range running {
+		r := f.records[fp]
+		if r == nil {
+			if len(f.records) >= maxRecords {
+				return
+			}
+			r = &CrashRecord{Fingerprint: fp}
+			f.records[fp] = r
+		}
+		r.Cleared = false
+		r.Crashes = append(r.Crashes, crash)
+		r.Expires = now.Add(suspectFor)
+	}
+}
+
+// Export returns at most limit records for peers, convictions first.
+func (f *Fingerprints) Export(now time.Time, limit int) []CrashRecord {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.prune(now)
+	out := make([]CrashRecord, 0, len(f.records))
+	for _, r := range f.records {
+		copied := *r
+		copied.Crashes = slices.Clone(r.Crashes)
+		out = append(out, copied)
+	}
+	slices.SortFunc(out, func(a, b CrashRecord) int {
+		if a.Convicted != b.Convicted {
+			if a.Convicted {
+				return -1
+			}
+			return 1
+		}
+		return b.Expires.Compare(a.Expires)
+	})
+	return out[:min(limit, len(out))]
+}
+
+// Merge takes records of a peer. A conviction stands on every router; a
+// suspicion stands unless the request was cleared of the same crashes.
+func (f *Fingerprints) Merge(now time.Time, records []CrashRecord) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.prune(now)
+	for _, in := range records {
+		if !now.Before(in.Expires) || in.Expires.Sub(now) > convictFor+clockSkew {
+			continue
+		}
+		r := f.records[in.Fingerprint]
+		if r == nil {
+			if len(f.records) < maxRecords {
+				in.Crashes = slices.Clone(in.Crashes[:min(len(in.Crashes), maxCrashIDs)])
+				f.records[in.Fingerprint] = &in
+			}
+			continue
+		}
+		r.merge(in)
+	}
+}
+
+func (r *CrashRecord) merge(in CrashRecord) {
+	theirs, ours := containsAll(r.Crashes, in.Crashes), containsAll(in.Crashes, r.Crashes)
+	switch {
+	case theirs && ours:
+		r.Cleared = r.Cleared || in.Cleared
+	case ours: // the peer knows more crashes
+		r.Cleared = in.Cleared
+	case !theirs:
+		r.Cleared = r.Cleared && in.Cleared
+	}
+	for _, id := range in.Crashes {
+		if !slices.Contains(r.Crashes, id) && len(r.Crashes) < maxCrashIDs {
+			r.Crashes = append(r.Crashes, id)
+		}
+	}
+	r.Convicted = r.Convicted || in.Convicted
+	if in.Expires.After(r.Expires) {
+		r.Expires = in.Expires
+	}
+}
+
+func containsAll(set, ids []string) bool {
+	for _, id := range ids {
+		if !slices.Contains(set, id) {
+			return false
+		}
+	}
+	return true
+}
+
+// clockSkew is the most by which the clocks of two routers may differ.
+const clockSkew = time.Minute
+
+// maxCrashIDs bounds the crashes kept for one fingerprint; two convict.
+const maxCrashIDs = 8
+
+// live returns the record of a suspect or convicted request.
+func (f *Fingerprints) live(now time.Time, fp Fingerprint) *CrashRecord {
+	r := f.records[fp]
+	if r == nil || !now.Before(r.Expires) || r.Cleared && !r.Convicted {
+		return nil
+	}
+	return r
+}
+
+func (f *Fingerprints) prune(now time.Time) {
+	for fp, r := range f.records {
+		if !now.Before(r.Expires) {
+			delete(f.records, fp)
+		}
+	}
+	for id, at := range f.crashes {
+		if now.Sub(at) >= suspectFor {
+			delete(f.crashes, id)
+		}
+	}
+}
