--- a/internal/app/router/completion.go
+++ b/internal/app/router/completion.go
@@ -87,7 +87,7 @@
 	start := r.Clock.Now()
 	permit, err := r.limits.Acquire(ctx, limits.Ask{
 		Account: p.accountRef.String(), Limits: p.account.Limits, Share: p.account.Share,
-		Pool: p.poolRef.String(), Slots: r.usableSlots(p), Priority: p.route.Priority,
+		Pool: p.poolRef.String(), Targets: r.usableTargets(p), Slots: p.pool.Slots, Priority: p.route.Priority,
 		PromptTokens: promptTokens, OutputTokens: outputTokens, Deadline: p.deadline,
 	})
 	r.Metrics.Observe(MetricQueueWait, r.Clock.Now().Sub(start))
--- a/internal/app/router/plan.go
+++ b/internal/app/router/plan.go
@@ -111,17 +111,24 @@
 	return best
 }
 
-// usableSlots is the number of requests that the pool's targets run at once,
-// without those that are leaving or whose circuit is open.
-func (r *Router) usableSlots(p *plan) int {
+// usableTargets names the pool's targets that take new work. While the
+// circuits of all of them are open, requests may still wait for one to return.
+func (r *Router) usableTargets(p *plan) []string {
 	now := r.Clock.Now()
-	slots := 0
+	var usable, waiting []string
 	for _, t := range p.pool.Targets {
-		if !r.Targets.State(t.Name).Leaving && r.circuits.Available(now, t.Name) {
-			slots += p.pool.Slots
+		switch {
+		case r.Targets.State(t.Name).Leaving:
+		case r.circuits.Available(now, t.Name):
+			usable = append(usable, t.Name)
+		default:
+			waiting = append(waiting, t.Name)
 		}
 	}
-	return slots
+	if len(usable) == 0 {
+		return waiting
+	}
+	return usable
 }
 
 func (p *plan) stallTimeout() time.Duration {
--- /dev/null
+++ b/internal/core/limits/controller_test.go
@@ -0,0 +1,160 @@
+package limits
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+func ask(account string, change ...func(*Ask)) Ask {
+	a := Ask{Account: account, Share: 1, Pool: "p", Targets: []string{"e1"}, Slots: 2, PromptTokens: 9,
+		Deadline: time.Now().Add(time.Minute)}
+	for _, c := range change {
+		c(&a)
+	}
+	return a
+}
+
+func reason(err error) Reason {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return refused.Reason
+	}
+	return ""
+}
+
+// order queues the requests behind a full pool and returns the accounts in
+// the order in which they were served.
+func order(t *testing.T, asks []Ask) []string {
+	var served []string
+	synctest.Test(t, func(t *testing.T) {
+		c := NewController(port.SystemClock{}, Alone{})
+		first, err := c.Acquire(t.Context(), ask("first", func(a *Ask) { a.Slots = 1 }))
+		if err != nil {
+			t.Fatal(err)
+		}
+		names := make(chan string, len(asks))
+		for _, a := range asks {
+			a.Slots, a.Deadline = 1, time.Now().Add(a.Deadline.Sub(time.Time{}))
+			go func() {
+				p, err := c.Acquire(t.Context(), a)
+				if err != nil {
+					names <- err.Error()
+					return
+				}
+				names <- a.Account
+				p.Release()
+			}()
+			synctest.Wait()
+		}
+		first.Release()
+		for range asks {
+			served = append(served, <-names)
+		}
+	})
+	return served
+}
+
+// Guards against an order that is not by priority, then fair between accounts
+// by share, then by deadline; a large account must not starve a small one.
+func TestQueueOrder(t *testing.T) {
+	at := func(account string, priority, share int, within time.Duration) Ask {
+		return Ask{Account: account, Share: share, Priority: priority, Pool: "p", Targets: []string{"e1"},
+			PromptTokens: 99, Deadline: time.Time{}.Add(within)}
+	}
+	far := time.Hour
+	cases := map[string]struct {
+		asks []Ask
+		want string
+	}{
+		"priority first": {[]Ask{at("a", 0, 1, far), at("b", 5, 1, far)}, "[b a]"},
+		"small among large": {[]Ask{at("large", 0, 1, far), at("large", 0, 1, far), at("large", 0, 1, far),
+			at("large", 0, 1, far), at("small", 0, 1, far)}, "[large small large large large]"},
+		"by share": {[]Ask{at("one", 0, 1, far), at("one", 0, 1, far), at("three", 0, 3, far), at("three", 0, 3, far),
+			at("three", 0, 3, far)}, "[one three three three one]"},
+		"deadline last": {[]Ask{at("a", 0, 1, far), at("b", 0, 1, time.Minute)}, "[b a]"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(fmt.Sprint(order(t, c.asks)), c.want) })
+	}
+}
+
+// Guards against limits that are not enforced, or that hold back others.
+func TestAccountLimits(t *testing.T) {
+	cases := map[string]struct {
+		limits config.Limits
+		want   Reason
+	}{
+		"requests":    {config.Limits{RequestsPerSecond: 2}, ReasonRequestRate},
+		"prompts":     {config.Limits{PromptTokensPerSecond: 15}, ReasonPromptRate},
+		"output":      {config.Limits{OutputTokensPerSecond: 40}, ReasonOutputRate},
+		"concurrency": {config.Limits{Concurrency: 2}, ReasonDeadline},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctrl := NewController(port.SystemClock{}, Alone{})
+				limited := ask("a", func(a *Ask) { a.Limits, a.Slots = c.limits, 8 })
+				for range 2 {
+					p, err := ctrl.Acquire(t.Context(), limited)
+					is.NoErr(err)
+					p.Output(20)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second/100)
+				defer cancel()
+				_, err := ctrl.Acquire(ctx, limited)
+				is.Equal(reason(err), c.want)
+				_, err = ctrl.Acquire(t.Context(), ask("b", func(a *Ask) { a.Slots = 8 }))
+				is.NoErr(err) // another account is not held back
+				if c.want != ReasonDeadline {
+					<-time.After(2 * time.Second) // fake clock
+					_, err = ctrl.Acquire(t.Context(), limited)
+					is.NoErr(err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against requests that wait although they cannot make their deadline,
+// and against places lost to callers that leave.
+func TestEarlyRefusalAndLeavingCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := NewController(port.SystemClock{}, Alone{})
+		p, err := c.Acquire(t.Context(), ask("a"))
+		is.NoErr(err)
+		<-time.After(10 * time.Second) // fake clock: requests hold their place for 10 s
+		p.Release()
+		one, _ := c.Acquire(t.Context(), ask("a"))
+		_, _ = c.Acquire(t.Context(), ask("a"))
+		before := time.Now()
+		_, err = c.Acquire(t.Context(), ask("b", func(a *Ask) { a.Deadline = time.Now().Add(3 * time.Second) }))
+		is.Equal(reason(err), ReasonDeadline)
+		is.Equal(time.Since(before), time.Duration(0)) // refused at once
+
+		ctx, leave := context.WithCancel(t.Context())
+		left := make(chan error)
+		go func() {
+			_, err := c.Acquire(ctx, ask("b"))
+			left <- err
+		}()
+		synctest.Wait()
+		leave()
+		is.True(errors.Is(<-left, context.Canceled))
+		one.Release()
+		_, err = c.Acquire(t.Context(), ask("c"))
+		is.NoErr(err) // the place of the caller that left is free
+		_, err = c.Acquire(t.Context(), ask("c", func(a *Ask) { a.Targets = nil }))
+		is.Equal(reason(err), ReasonNoTargets)
+	})
+}
--- a/internal/core/limits/limits.go
+++ b/internal/core/limits/limits.go
@@ -52,9 +52,10 @@
 	Limits  config.Limits
 	// Share weighs the account against others in the queue.
 	Share int
-	// Pool names the pool, Slots is the number of requests that its usable
-	// targets run at once, over all routers.
+	// Pool names the pool; Targets are its usable targets, each of which runs
+	// Slots requests at once for all routers together.
 	Pool         string
+	Targets      []string
 	Slots        int
 	Priority     int
 	PromptTokens int
