--- a/internal/app/router/api.go
+++ b/internal/app/router/api.go
@@ -71,4 +71,6 @@
 	Candidates []placement.Score
 	// Excluded maps targets that are no candidates to the reason.
 	Excluded map[string]string
+	// Refused says that the request would be refused for crashing targets.
+	Refused bool
 }
--- a/internal/app/router/attempt.go
+++ b/internal/app/router/attempt.go
@@ -131,6 +131,7 @@
 // abandon ends an attempt that may still be running and tells the engine to
 // stop it over a fresh connection.
 func (c *completion) abandon(ctx context.Context, a *attempt) {
+	c.sent = true
 	c.endAttempt(a, -1)
 	c.r.circuits.Ended(a.target.Name)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
@@ -192,7 +193,7 @@
 		r.Placer.Drop(t.Name)
 		return verdictRetry
 	case refused.Reason == port.NotRunIncarnationChanged || refused.Reason == port.NotRunWeightsChanged:
-		r.Targets.Forget(t.Name)
+		r.Placer.Drop(t.Name)
 		r.circuits.Ended(t.Name)
 		r.Metrics.Add(MetricExpectationFailed, 1)
 		return verdictReplace
--- a/internal/app/router/completion.go
+++ b/internal/app/router/completion.go
@@ -6,6 +6,9 @@
 	"log/slog"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
@@ -25,22 +28,30 @@
 	asm    stream.Assembler
 	events chan event
 	probes chan probeResult
+	stall  *time.Timer
+	relay  trace.Span // from the first chunk on
 	// active holds the attempts under way: one, or two while a hedge waits for
 	// its first token.
 	active []*attempt
 	tried  map[string]bool
 	// weights is the version that every attempt must serve.
-	weights  string
-	attempts int
-	extra    int // attempts paid from the budget
-	replaced int
-	hedged   bool
+	weights   string
+	attempts  int
+	begun     time.Time
+	fruitless int // extra attempts since the last progress
+	replaced  int
+	hedged    bool
 	// sent is set once an attempt may have run.
 	sent   bool
 	last   string // target of the last delivered chunk
 	lastOf error  // cause of the last failed attempt
 }
 
+// maxFruitless bounds the extra attempts of one request without progress, so
+// that a request which fails everywhere is refused soon and leaves the route's
+// budget to others.
+const maxFruitless = 4
+
 // maxFreeReplacements bounds the placements that a request repeats without
 // spending budget because a target refused an outdated expectation.
 const maxFreeReplacements = 4
@@ -48,18 +59,26 @@
 // Completion runs a completion and relays its chunks to the sink. It returns
 // when the response is whole, or fails with a *Failure.
 func (r *Router) Completion(ctx context.Context, req CompletionRequest, sink Sink) (Completion, error) {
+	r.Metrics.Add(MetricRequests, 1)
 	if !r.drain.enter() {
+		r.Metrics.Add(MetricRefused, 1)
 		return Completion{}, failDraining()
 	}
 	defer r.drain.leave()
-	r.Metrics.Add(MetricRequests, 1)
+	end, err := r.complete(ctx, req, sink)
+	r.count(err)
+	return end, err
+}
+
+func (r *Router) complete(ctx context.Context, req CompletionRequest, sink Sink) (Completion, error) {
 	p, err := r.planCompletion(req)
 	if err != nil {
 		return Completion{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.deadline.Sub(r.Clock.Now()))
 	defer cancel()
-	c := &completion{r: r, p: p, req: req, sink: sink, events: make(chan event), probes: make(chan probeResult, 2),
+	c := &completion{r: r, p: p, req: req, sink: sink, begun: r.Clock.Now(),
+		events: make(chan event), probes: make(chan probeResult, 2),
 		tried: map[string]bool{}, weights: p.place.Scope.WeightsVersion,
 		fingerprint: retry.FingerprintOf(req.Account.String(), req.Model, req.Prompt)}
 	if r.Fingerprints.Convicted(r.Clock.Now(), c.fingerprint) {
@@ -69,12 +88,10 @@
 		return Completion{}, c.end(ctx, err)
 	}
 	defer c.permit.Release()
-	r.budget(p.routeRef).Earn(r.Clock.Now(), p.route.RetryBudgetPercent, p.pool.Slots)
-	err = c.run(ctx)
-	for len(c.active) > 0 {
-		c.abandon(ctx, c.active[0])
-	}
-	if err != nil {
+	r.budget(p.routeRef).Earn(r.Clock.Now(), p.route.RetryBudgetPercent, reserve(p.pool))
+	c.stall = time.NewTimer(idleWait)
+	defer c.stall.Stop()
+	if err = c.run(ctx); err != nil {
 		return Completion{}, c.end(ctx, err)
 	}
 	return Completion{FinishReason: c.asm.FinishReason(), Usage: c.asm.Usage(), Attempts: c.attempts, Target: c.last}, nil
@@ -94,8 +111,19 @@
 	return permit, err
 }
 
-// run drives the attempts until the response is whole.
+// run drives the attempts until the response is whole. It leaves no attempt
+// running.
 func (c *completion) run(ctx context.Context) error {
+	defer func() {
+		for len(c.active) > 0 {
+			c.abandon(ctx, c.active[0])
+		}
+		if c.relay != nil {
+			c.relay.SetAttributes(attribute.Int("chunks", c.asm.Chunks()))
+			c.relay.End()
+		}
+		c.r.Metrics.Add(MetricChunks, int64(c.asm.Chunks()))
+	}()
 	for {
 		if len(c.active) == 0 {
 			if err := c.next(ctx); err != nil {
@@ -113,7 +141,7 @@
 func (c *completion) next(ctx context.Context) error {
 	wait := placeWait
 	if c.asm.Chunks() > 0 {
-		wait = c.p.deadline.Sub(c.r.Clock.Now())
+		wait = resumeWait
 	}
 	t, s, err := c.r.choose(ctx, c.p, c.filter(), wait)
 	if err != nil {
@@ -129,8 +157,7 @@
 
 // step waits for the next thing to happen and handles it.
 func (c *completion) step(ctx context.Context) (done bool, err error) {
-	stall := time.NewTimer(c.untilStall())
-	defer stall.Stop()
+	c.stall.Reset(c.untilStall())
 	hedge := c.hedgeTimer()
 	if hedge != nil {
 		defer hedge.Stop()
@@ -140,7 +167,7 @@
 		return c.handle(ctx, e)
 	case p := <-c.probes:
 		return false, c.probed(ctx, p)
-	case <-stall.C:
+	case <-c.stall.C:
 		c.probeStalled(ctx)
 	case <-timerChan(hedge):
 		c.hedge(ctx)
@@ -224,7 +251,12 @@
 			c.weights = a.weights
 		}
 	}
+	if c.relay == nil {
+		_, c.relay = c.r.Tracer.Start(ctx, "relay")
+		c.r.Metrics.Observe(MetricFirstToken, now.Sub(c.begun))
+	}
 	c.last = a.target.Name
+	c.fruitless = 0
 	c.permit.Output(1)
 	if err := c.sink.Chunk(ctx, chunk); err != nil {
 		return false, &callerGoneError{Cause: err}
@@ -264,7 +296,7 @@
 		return nil
 	}
 	if v == verdictReplace {
-		delete(c.tried, a.target.Name)
+		delete(c.tried, a.target.Name) // it is as good as any other
 		c.r.observe(ctx, c.p.pool, a.target)
 		return c.replace(ctx, cause)
 	}
@@ -273,12 +305,15 @@
 
 // pay takes an extra attempt from the route's budget and waits the backoff.
 func (c *completion) pay(ctx context.Context, cause error) error {
-	if !c.r.budget(c.p.routeRef).Spend(c.r.Clock.Now(), c.p.pool.Slots) {
+	if c.fruitless >= maxFruitless {
+		return c.fail(KindUnavailable, "several attempts in a row failed", cause)
+	}
+	if !c.r.budget(c.p.routeRef).Spend(c.r.Clock.Now(), reserve(c.p.pool)) {
 		return c.fail(KindUnavailable, "the route's retry budget is spent", cause)
 	}
-	c.extra++
+	c.fruitless++
 	c.r.Metrics.Add(MetricExtraAttempts, 1)
-	return sleep(ctx, retry.Backoff(c.extra, c.r.Random.Float64()))
+	return sleep(ctx, retry.Backoff(c.fruitless, c.r.Random.Float64()))
 }
 
 // firstPatience is how long the first token may take before the attempt is
@@ -302,10 +337,9 @@
 // end turns whatever stopped the request into a *Failure.
 func (c *completion) end(ctx context.Context, err error) error {
 	var f *Failure
-	if errors.As(err, &f) {
-		return f
+	if !errors.As(err, &f) {
+		f = failureOf(ctx, err, c.sent)
 	}
-	f = failureOf(ctx, err, c.sent)
 	if c.asm.Chunks() > 0 && f.Kind == KindUnavailable {
 		f.Kind, f.Message = KindBroken, "the response broke off and could not be resumed"
 	}
--- a/internal/app/router/completion_test.go
+++ b/internal/app/router/completion_test.go
@@ -1,33 +1,333 @@
 package router
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
+	"mimosaseam.example/mimosaseam/internal/core/config"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
-// Guards against a stream that breaks at any step and reaches the caller
-// incomplete, out of order or with chunks repeated.
-func TestBrokenStreamsAreResumedWhole(t *testing.T) {
+// inBubble runs a test under a fake clock.
+func inBubble(t *testing.T, change func(*config.Snapshot), test func(t *testing.T, is *is.I, b *bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { test(t, is.New(t), newBench(t, change)) })
+}
+
+func asFailure(t *testing.T, err error) *Failure {
+	t.Helper()
+	var f *Failure
+	if !errors.As(err, &f) {
+		t.Fatalf("got %v, want a *Failure", err)
+	}
+	return f
+}
+
+// Guards against a stream that breaks, stalls, repeats or loses chunks at any
+// step and reaches the caller incomplete, out of order or with chunks repeated.
+func TestFaultyStreamsAreResumedWhole(t *testing.T) {
 	broken := &port.BrokenStreamError{Target: "e1"}
-	for name, after := range map[string]int{"before the first chunk": 0, "mid-way": 3, "before the terminal mark": 5} {
+	cases := map[string]struct {
+		script func(context.Context, port.Generation) (port.ChunkStream, error)
+		resume int
+	}{
+		"break before the first chunk":   {breakAfter(0, broken), 0},
+		"break mid-way":                  {breakAfter(3, broken), 3},
+		"break before the terminal mark": {breakAfter(5, broken), 5},
+		"early end":                      {breakAfter(5, nil), 5},
+		"silent before the first chunk":  {breakAfter(0, errSilent), 0},
+		"silent mid-way":                 {breakAfter(2, errSilent), 2},
+		"unknown outcome": {func(context.Context, port.Generation) (port.ChunkStream, error) {
+			return nil, &port.UnknownOutcomeError{Peer: "e1"}
+		}, 0},
+		"silent before the headers": {func(ctx context.Context, _ port.Generation) (port.ChunkStream, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}, 0},
+		"overloaded": {func(context.Context, port.Generation) (port.ChunkStream, error) {
+			return nil, &port.NotRunError{Target: "e1", Reason: port.NotRunOverloaded}
+		}, 0},
+		"missing chunk": {func(ctx context.Context, g port.Generation) (port.ChunkStream, error) {
+			s := newStream(ctx, g)
+			s.chunks = append(s.chunks[:2], s.chunks[3:]...)
+			return s, nil
+		}, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, nil, func(t *testing.T, is *is.I, b *bench) {
+				b.engine.scripts["e1"] = c.script
+				sink := &textSink{}
+				end, err := b.complete(t.Context(), "p", 6, sink)
+				is.NoErr(err)
+				is.Equal(sink.text.String(), whole("p", 6))
+				is.Equal(sink.wrong, 0)
+				is.Equal(end.Target, "e2")
+				is.Equal(end.Usage.CompletionTokens, 6)
+				resumed := b.engine.sent[1].g
+				is.Equal(resumed.ResumeFrom, c.resume)
+				is.Equal(resumed.ResumeText, whole("p", c.resume))
+				is.Equal(resumed.ExpectWeights, "v1")
+				is.True(resumed.AttemptID != b.engine.sent[0].g.AttemptID)
+				is.Equal(b.Status().OpenRequests, 0)
+			})
+		})
+	}
+}
+
+// Guards against duplicated chunks that reach the caller.
+func TestDuplicatedChunksAreDropped(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, is *is.I, b *bench) {
+		b.engine.scripts["e1"] = func(ctx context.Context, g port.Generation) (port.ChunkStream, error) {
+			s := newStream(ctx, g)
+			s.chunks = append(s.chunks[:3:3], s.chunks[1:]...)
+			return s, nil
+		}
+		sink := &textSink{}
+		_, err := b.complete(t.Context(), "p", 6, sink)
+		is.NoErr(err)
+		is.Equal(sink.text.String(), whole("p", 6))
+		is.Equal(len(b.engine.sent), 1)
+	})
+}
+
+// Guards against a response that cannot be resumed and looks complete, and
+// against repeated attempts on a target while another will do.
+func TestUnresumableStreamFailsVisibly(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, is *is.I, b *bench) {
+		broken := &port.BrokenStreamError{}
+		b.engine.scripts["e1"] = func(ctx context.Context, g port.Generation) (port.ChunkStream, error) {
+			return breakAfter(3-g.ResumeFrom, broken)(ctx, g)
+		}
+		b.engine.scripts["e2"], b.engine.scripts["e3"] = breakAfter(0, broken), breakAfter(0, broken)
+		sink := &textSink{}
+		_, err := b.complete(t.Context(), "p", 6, sink)
+		f := asFailure(t, err)
+		is.Equal(f.Kind, KindBroken)
+		is.Equal(f.Outcome, OutcomeMayHaveRun)
+		is.Equal(sink.text.String(), whole("p", 3))
+		is.Equal(fmt.Sprint(b.engine.addresses()[:3]), "[e1 e2 e3]")
+		is.True(len(b.engine.sent) <= 1+maxFruitless)
+	})
+}
+
+// Guards against "not run" for a request that may have run, and the reverse.
+func TestOutcomeOfRefusals(t *testing.T) {
+	refuse := func(err error) func(context.Context, port.Generation) (port.ChunkStream, error) {
+		return func(context.Context, port.Generation) (port.ChunkStream, error) { return nil, err }
+	}
+	hang := func(ctx context.Context, _ port.Generation) (port.ChunkStream, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	cases := map[string]struct {
+		script func(context.Context, port.Generation) (port.ChunkStream, error)
+		kind   Kind
+		want   Outcome
+	}{
+		"overloaded":  {refuse(&port.NotRunError{Reason: port.NotRunOverloaded}), KindUnavailable, OutcomeNotRun},
+		"unreachable": {refuse(&port.NotRunError{Reason: port.NotRunUnreachable}), KindUnavailable, OutcomeNotRun},
+		"bad request": {refuse(&port.BadRequestError{Status: 400}), KindInvalid, OutcomeNotRun},
+		"unknown":     {refuse(&port.UnknownOutcomeError{}), KindUnavailable, OutcomeMayHaveRun},
+		"no answer":   {hang, KindDeadline, OutcomeMayHaveRun},
+	}
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			b := newBench(t, nil)
-			b.engine.scripts["e1"] = breakAfter(after, broken)
-			sink := &textSink{}
-			end, err := b.complete(t.Context(), "p", 6, sink)
-			is.NoErr(err)
-			is.Equal(sink.text.String(), whole("p", 6))
-			is.Equal(sink.wrong, 0)
-			is.Equal(end.Target, "e2")
-			is.Equal(end.Usage.CompletionTokens, 6)
-			resumed := b.engine.sent[1].g
-			is.Equal(resumed.ResumeFrom, after)
-			is.Equal(resumed.ResumeText, whole("p", after))
-			is.Equal(resumed.ExpectWeights, "v1")
+			inBubble(t, nil, func(t *testing.T, is *is.I, b *bench) {
+				for _, e := range []string{"e1", "e2", "e3"} {
+					b.engine.scripts[e] = c.script
+				}
+				_, err := b.Completion(t.Context(), CompletionRequest{Account: testAccount, Model: "ledger", Prompt: "p",
+					MaxTokens: 1, Deadline: time.Now().Add(5 * time.Second)}, &textSink{})
+				f := asFailure(t, err)
+				is.Equal(f.Kind, c.kind)
+				is.Equal(f.Outcome, c.want)
+			})
 		})
 	}
 }
+
+// Guards against answers that reach another caller, also when they come late
+// from abandoned attempts.
+func TestAnswersReachTheirOwnCaller(t *testing.T) {
+	inBubble(t, func(s *config.Snapshot) {
+		pool := s.Pools[config.Ref{Team: "kabelgang", Name: "ledger-lm"}]
+		pool.Slots = 64
+		s.Pools[config.Ref{Team: "kabelgang", Name: "ledger-lm"}] = pool
+	}, func(t *testing.T, is *is.I, b *bench) {
+		var late atomic.Int64
+		for i, e := range []string{"e1", "e2", "e3"} {
+			b.engine.scripts[e] = func(ctx context.Context, g port.Generation) (port.ChunkStream, error) {
+				s := newStream(ctx, g)
+				s.every = time.Duration(1+len(g.Prompt)%7+i) * time.Millisecond
+				if e == "e1" && len(g.Prompt)%3 == 0 {
+					s.ctx, s.every = context.Background(), 4*time.Second // answers after it was given up
+					late.Add(1)
+				}
+				return s, nil
+			}
+		}
+		results := make(chan bool)
+		for i := range 40 {
+			go func() {
+				sink := &textSink{}
+				prompt := fmt.Sprintf("%0*d", 1+i, i)
+				_, err := b.complete(t.Context(), prompt, 20, sink)
+				results <- err == nil && sink.text.String() == whole(prompt, 20) && sink.wrong == 0
+			}()
+		}
+		for range 40 {
+			is.True(<-results)
+		}
+		is.True(late.Load() > 0)
+		<-time.After(time.Hour) // fake clock: the late answers come now
+	})
+}
+
+// Guards against work that goes on after its caller left, and places that stay
+// taken.
+func TestCallerLeaves(t *testing.T) {
+	for name, sink := range map[string]func(leave func()) *textSink{
+		"disconnect": func(leave func()) *textSink {
+			return &textSink{chunk: func(context.Context, port.Chunk) error { leave(); return nil }}
+		},
+		"write failed": func(func()) *textSink {
+			return &textSink{chunk: func(context.Context, port.Chunk) error { return context.Canceled }}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, nil, func(t *testing.T, is *is.I, b *bench) {
+				b.engine.scripts["e1"] = breakAfter(2, errSilent)
+				ctx, leave := context.WithCancel(t.Context())
+				defer leave()
+				_, err := b.complete(ctx, "p", 6, sink(leave))
+				is.Equal(asFailure(t, err).Kind, KindCanceled)
+				synctest.Wait()
+				is.Equal(b.engine.cancels, []string{"e1"})
+				is.Equal(len(b.engine.sent), 1)
+				is.Equal(b.Status().OpenRequests, 0)
+			})
+		})
+	}
+}
+
+// Guards against a slow caller whose response piles up in the router.
+func TestSlowCallerHoldsBackTheEngine(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, is *is.I, b *bench) {
+		var stream *fakeStream
+		b.engine.scripts["e1"] = func(ctx context.Context, g port.Generation) (port.ChunkStream, error) {
+			stream = newStream(ctx, g)
+			return stream, nil
+		}
+		ahead := 0
+		sink := &textSink{}
+		sink.chunk = func(ctx context.Context, _ port.Chunk) error {
+			_ = sleep(ctx, 5*time.Second) // longer than the stall timeout
+			synctest.Wait()
+			ahead = max(ahead, stream.read-sink.next)
+			return nil
+		}
+		_, err := b.complete(t.Context(), "p", 8, sink)
+		is.NoErr(err)
+		is.True(ahead <= 1)
+		is.Equal(len(b.engine.sent), 1) // slowness of the caller is no stall
+	})
+}
+
+// Guards against reliance on the cache of an engine that restarted, and against
+// a refused expectation that costs budget.
+func TestChangedIncarnationIsPlacedAgain(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, is *is.I, b *bench) {
+		b.placer.cached = 64
+		b.targets.Observe("e1", "i0", "v1", 0)
+		b.engine.scripts["e1"] = func(ctx context.Context, g port.Generation) (port.ChunkStream, error) {
+			if g.ExpectIncarnation == "i0" {
+				return nil, &port.NotRunError{Target: "e1", Reason: port.NotRunIncarnationChanged}
+			}
+			return newStream(ctx, g), nil
+		}
+		_, err := b.complete(t.Context(), "p", 2, &textSink{})
+		is.NoErr(err)
+		is.Equal(b.engine.addresses(), []string{"e1", "e1"})
+		is.Equal(b.engine.sent[1].g.ExpectIncarnation, port.Incarnation(""))
+		is.True(len(b.placer.dropped) > 0)
+		is.Equal(b.metrics.count(MetricExtraAttempts), int64(0))
+		is.Equal(b.targets.State("e1").Incarnation, port.Incarnation("i1"))
+	})
+}
+
+// Guards against first tokens that wait for a slow target although the route
+// hedges, and against hedges that double the output.
+func TestHedge(t *testing.T) {
+	inBubble(t, func(s *config.Snapshot) {
+		ref := config.Ref{Team: "kabelgang", Name: "read"}
+		route := s.Routes[ref]
+		route.HedgeAfterMs = 100
+		s.Routes[ref] = route
+	}, func(t *testing.T, is *is.I, b *bench) {
+		b.engine.scripts["e1"] = breakAfter(0, errSilent)
+		start := time.Now()
+		sink := &textSink{}
+		end, err := b.complete(t.Context(), "p", 3, sink)
+		is.NoErr(err)
+		is.Equal(time.Since(start), 100*time.Millisecond)
+		is.Equal(end.Target, "e2")
+		is.Equal(sink.text.String(), whole("p", 3))
+		synctest.Wait()
+		is.Equal(b.engine.cancels, []string{"e1"})
+	})
+}
+
+// Guards against deadlines that are not passed on, work for leaving targets,
+// and requests for weights that no target serves.
+func TestAttemptCarriesDeadlineAndAvoidsLeavingTargets(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, is *is.I, b *bench) {
+		b.targets.SetLeaving(map[string]bool{"e1": true})
+		for _, e := range []string{"e1", "e2", "e3"} {
+			b.targets.Observe(e, "i1", "v0", 0)
+		}
+		own := time.Now().Add(7 * time.Second)
+		_, err := b.Completion(t.Context(), CompletionRequest{Account: testAccount, Model: "ledger", Prompt: "p",
+			MaxTokens: 2, Deadline: own}, &textSink{})
+		is.NoErr(err)
+		is.Equal(b.engine.addresses(), []string{"e2"})
+		g := b.engine.sent[0].g
+		is.Equal(g.Deadline, own)
+		is.Equal(g.ExpectWeights, "v0")
+		is.Equal(g.Scope, port.Scope{ClientAccount: "kabelgang/planner", WeightsVersion: "v0"})
+
+		e, err := b.Explain(t.Context(), CompletionRequest{Account: testAccount, Model: "ledger", Prompt: "p"})
+		is.NoErr(err)
+		is.Equal(len(e.Candidates), 2)
+		is.Equal(e.Excluded, map[string]string{"e1": excludedLeaving})
+	})
+}
+
+// Guards against a stop that interrupts a request or takes a new one.
+func TestDrain(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, is *is.I, b *bench) {
+		is.Equal(b.WaitDrained(t.Context()), ErrNotDraining)
+		sink := &textSink{}
+		sink.chunk = func(ctx context.Context, c port.Chunk) error {
+			if c.Index == 0 {
+				b.BeginDrain()
+				_, err := b.complete(ctx, "q", 1, &textSink{})
+				f := asFailure(t, err)
+				is.Equal(f.Kind, KindDraining)
+				is.Equal(f.Outcome, OutcomeNotRun)
+			}
+			return nil
+		}
+		_, err := b.complete(t.Context(), "p", 4, sink)
+		is.NoErr(err)
+		is.Equal(sink.text.String(), whole("p", 4))
+		is.NoErr(b.WaitDrained(t.Context()))
+	})
+}
--- a/internal/app/router/fake_test.go
+++ b/internal/app/router/fake_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,12 +81,13 @@
 // fakeStream yields chunks and then err. A nil err is io.EOF; errSilent blocks
 // until the attempt is cancelled.
 type fakeStream struct {
-	ctx    context.Context
-	chunks []port.Chunk
-	err    error
-	inc    port.Incarnation
-	every  time.Duration
-	read   int
+	ctx     context.Context
+	chunks  []port.Chunk
+	err     error
+	inc     port.Incarnation
+	weights string
+	every   time.Duration
+	read    int
 }
 
 func (s *fakeStream) Next() (port.Chunk, error) {
@@ -107,7 +109,7 @@
 }
 
 func (s *fakeStream) Incarnation() port.Incarnation { return s.inc }
-func (s *fakeStream) WeightsVersion() string        { return "v1" }
+func (s *fakeStream) WeightsVersion() string        { return s.weights }
 func (s *fakeStream) Close() error                  { return nil }
 
 var errSilent error = &port.BrokenStreamError{Target: "silent"}
@@ -118,7 +120,7 @@
 
 // newStream streams the whole answer from where the attempt resumes.
 func newStream(ctx context.Context, g port.Generation) *fakeStream {
-	s := &fakeStream{ctx: ctx, inc: "i1"}
+	s := &fakeStream{ctx: ctx, inc: "i1", weights: g.ExpectWeights}
 	for i := g.ResumeFrom; i < g.MaxTokens; i++ {
 		c := port.Chunk{Index: i, Text: token(g.Prompt, i)}
 		if i == g.MaxTokens-1 {
@@ -213,9 +215,35 @@
 	placer  *fakePlacer
 	service *fakeService
 	targets *Targets
+	metrics *fakeMetrics
 	snap    *config.Snapshot
 }
 
+// fixedRandom makes every backoff half of its ceiling; ids are counted.
+type fixedRandom struct{}
+
+var ids atomic.Uint64
+
+func (fixedRandom) Float64() float64 { return 0.5 }
+func (fixedRandom) Uint64() uint64   { return ids.Add(1) }
+
+type fakeMetrics struct {
+	mu     sync.Mutex
+	counts map[string]int64
+}
+
+func (m *fakeMetrics) Add(name string, delta int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counts[name] += delta
+}
+func (m *fakeMetrics) Observe(string, time.Duration) {}
+func (m *fakeMetrics) count(name string) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.counts[name]
+}
+
 // newBench returns a router on fakes; change adapts the configuration.
 func newBench(t *testing.T, change func(*config.Snapshot)) *bench {
 	t.Helper()
@@ -223,13 +251,14 @@
 		engine: &fakeEngine{scripts: map[string]func(context.Context, port.Generation) (port.ChunkStream, error){},
 			loads: map[string]func() (port.LoadReport, error){}},
 		placer: &fakePlacer{}, service: &fakeService{}, snap: testConfig(),
+		metrics: &fakeMetrics{counts: map[string]int64{}},
 	}
 	if change != nil {
 		change(b.snap)
 	}
 	b.targets = NewTargets(port.SystemClock{}, b.placer)
 	b.Router = New(Deps{Engine: b.engine, Service: b.service, Placer: b.placer, Runner: &fakeRunner{},
-		Source: fixedSource{b.snap}, Targets: b.targets})
+		Source: fixedSource{b.snap}, Targets: b.targets, Metrics: b.metrics, Random: fixedRandom{}})
 	return b
 }
 
--- a/internal/app/router/health.go
+++ b/internal/app/router/health.go
@@ -9,6 +9,7 @@
 
 	"mimosaseam.example/mimosaseam/internal/core/config"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -21,28 +22,21 @@
 	waiting bool
 }
 
-// crashed reports whether the incarnation that ran an attempt is gone.
-func (h health) crashed(before port.Incarnation) bool {
-	return !h.reachable || before != "" && h.incarnation != "" && h.incarnation != before
+// restarted reports whether the incarnation that ran an attempt is gone.
+func (h health) restarted(before port.Incarnation) bool {
+	return before != "" && h.incarnation != "" && h.incarnation != before
 }
 
-// probe asks the target for its load over a fresh connection. Requests that
-// broke together share one probe.
-func (r *Router) probe(ctx context.Context, t placement.Target, before port.Incarnation) health {
+// ask probes the target over a fresh connection. Requests that broke together
+// share one probe, which outlives the request that began it.
+func (r *Router) ask(ctx context.Context, pool config.Pool, t placement.Target, before port.Incarnation) health {
 	return r.shared.do(t.Name+"@"+string(before), func() health {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 		defer cancel()
-		report, err := r.Engine.Load(ctx, t.Address)
-		return healthOf(report, err)
-	})
-}
-
-// probeService is probe for plain services.
-func (r *Router) probeService(ctx context.Context, t placement.Target, before port.Incarnation) health {
-	return r.shared.do(t.Name+"@"+string(before), func() health {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
-		defer cancel()
-		return healthOf(r.serviceLoad(ctx, t.Address))
+		if pool.Kind == config.PoolService {
+			return healthOf(r.serviceLoad(ctx, t.Address))
+		}
+		return healthOf(r.Engine.Load(ctx, t.Address))
 	})
 }
 
@@ -69,20 +63,37 @@
 		waiting: report.Waiting > 0 || report.Slots > 0 && report.Running >= report.Slots}
 }
 
-// examine probes the target of a broken attempt and records what it shows.
+// examine probes the target of a broken attempt and records what it shows. A
+// target that lost its connections and no longer answers counts as crashed.
 func (r *Router) examine(ctx context.Context, pool config.Pool, t placement.Target, before port.Incarnation) {
-	var h health
-	if pool.Kind == config.PoolService {
-		h = r.probeService(ctx, t, before)
-	} else {
-		h = r.probe(ctx, t, before)
-	}
-	r.judge(pool, t, before, h)
+	h := r.ask(ctx, pool, t, before)
+	r.judge(pool, t, before, h, !h.reachable)
 }
 
 // observe learns the state of a target that refused an outdated expectation.
 func (r *Router) observe(ctx context.Context, pool config.Pool, t placement.Target) {
-	if h := r.probe(ctx, t, ""); h.reachable {
+	if h := r.ask(ctx, pool, t, ""); h.reachable {
+		r.Targets.Observe(t.Name, h.incarnation, h.weights, coldStart(pool))
+	} else {
+		r.Targets.Forget(t.Name)
+	}
+}
+
+// judge records what a probe says of a target after a broken or stalled
+// attempt.
+func (r *Router) judge(pool config.Pool, t placement.Target, before port.Incarnation, h health, crashed bool) {
+	now := r.Clock.Now()
+	if h.reachable {
+		r.circuits.Failure(now, t.Name, retry.Failed)
+	} else {
+		r.circuits.Failure(now, t.Name, retry.Down)
+		r.Placer.Drop(t.Name)
+	}
+	if crashed || h.restarted(before) {
+		r.Fingerprints.Crashed(now, t.Name, string(before))
+		r.Metrics.Add(MetricCrashes, 1)
+	}
+	if h.reachable {
 		r.Targets.Observe(t.Name, h.incarnation, h.weights, coldStart(pool))
 	}
 }
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -4,20 +4,21 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 )
 
 // Reasons for which a pool member is no candidate.
 const (
-	excludedLeaving  = "leaving"
-	excludedCircuit  = "circuit open"
-	excludedBusy     = "refused for lack of capacity"
-	excludedFull     = "at its concurrency limit"
-	excludedWeights  = "other weights"
-	excludedSuspect  = "runs another crash suspect"
-	excludedTried    = "tried before"
-	excludedHalfOpen = "circuit half-open"
+	excludedLeaving = "leaving"
+	excludedCircuit = "circuit open"
+	excludedBusy    = "refused for lack of capacity"
+	excludedFull    = "at its concurrency limit"
+	excludedWeights = "other weights"
+	excludedSuspect = "runs another crash suspect"
+	excludedTried   = "tried before"
 )
 
 // filter is what a request knows of targets beside the shared state.
@@ -62,18 +63,15 @@
 }
 
 // rank orders the usable targets. Targets that the request tried before are
-// ranked only when no other will do, and targets whose circuit is half-open
-// only when the request can afford a probe, that is when it comes first.
+// ranked only when no other will do. The targets for a crash suspect are divided
+// between the routers, so that two suspects of different routers do not meet.
 func (r *Router) rank(now time.Time, p *plan, f filter) ([]placement.Score, map[string]placement.Target, map[string]string) {
 	usable, excluded := r.candidates(now, p, f)
-	fresh := usable[:0:0]
-	for _, t := range usable {
-		if !f.tried[t.Name] {
-			fresh = append(fresh, t)
-		}
-	}
-	if len(fresh) > 0 {
-		usable = fresh
+	usable = prefer(usable, func(t placement.Target) bool { return !f.tried[t.Name] })
+	if routers := r.Shares.Routers(); routers.Count > 1 && r.Fingerprints.Suspect(now, f.fingerprint) {
+		usable = prefer(usable, func(t placement.Target) bool {
+			return int(xxhash.Sum64String(t.Name)%uint64(routers.Count)) == routers.Index
+		})
 	}
 	byName := make(map[string]placement.Target, len(usable))
 	for _, t := range usable {
@@ -85,35 +83,73 @@
 	return r.Placer.Rank(now, p.place, usable), byName, excluded
 }
 
+// prefer keeps the targets that satisfy want, or all when none does.
+func prefer(targets []placement.Target, want func(placement.Target) bool) []placement.Target {
+	kept := targets[:0:0]
+	for _, t := range targets {
+		if want(t) {
+			kept = append(kept, t)
+		}
+	}
+	if len(kept) == 0 {
+		return targets
+	}
+	return kept
+}
+
 // Waits for a usable target.
 const (
-	// placeWait bounds the wait of a request of which nothing was sent yet. The
-	// caller can go to another router; a stream that is already open cannot and
-	// waits until its deadline.
+	// placeWait bounds the wait of a request of which nothing was delivered yet:
+	// its caller can go to another router.
 	placeWait = 3 * time.Second
-	placePoll = 50 * time.Millisecond
+	// resumeWait bounds the wait of an open stream, which cannot go elsewhere; it
+	// covers the restart of a rack's engines.
+	resumeWait = 15 * time.Second
+	placePoll  = 50 * time.Millisecond
 )
 
-// choose returns the best target, waiting for one to become usable.
+// choose returns the best target, waiting for one to become usable. A crash
+// suspect waits for a target of its own until its deadline, because it may be
+// innocent and must not meet other suspects.
 func (r *Router) choose(ctx context.Context, p *plan, f filter, wait time.Duration) (placement.Target, placement.Score, error) {
 	_, span := r.Tracer.Start(ctx, "place")
 	defer span.End()
-	until := r.Clock.Now().Add(wait)
+	start := r.Clock.Now()
 	for {
 		now := r.Clock.Now()
 		scores, byName, excluded := r.rank(now, p, f)
+		r.probeDue(ctx, p, excluded)
 		if len(scores) > 0 {
 			return byName[scores[0].Target], scores[0], nil
 		}
-		if !now.Before(until) {
+		waited := now.Sub(start)
+		if waited >= wait && !r.Fingerprints.Suspect(now, f.fingerprint) {
 			return placement.Target{}, placement.Score{}, &NoTargetError{Pool: p.poolRef.String(), Excluded: excluded}
 		}
-		if err := sleep(ctx, min(placePoll, until.Sub(now))); err != nil {
+		if err := sleep(ctx, placePoll); err != nil {
 			return placement.Target{}, placement.Score{}, err
 		}
 	}
 }
 
+// probeDue probes targets whose circuits have been open for their time. No
+// request is risked on a target that does not answer.
+func (r *Router) probeDue(ctx context.Context, p *plan, excluded map[string]string) {
+	now := r.Clock.Now()
+	for _, t := range p.pool.Targets {
+		if excluded[t.Name] != excludedCircuit || !r.circuits.ClaimProbe(now, t.Name) {
+			continue
+		}
+		go func() {
+			h := r.ask(ctx, p.pool, r.target(p.pool, t), "")
+			if h.reachable {
+				r.Targets.Observe(t.Name, h.incarnation, h.weights, coldStart(p.pool))
+			}
+			r.circuits.Probed(r.Clock.Now(), t.Name, h.reachable)
+		}()
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
 		return ctx.Err()
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -195,3 +195,7 @@
 		return ctx.Err()
 	}
 }
+
+// reserve is the part of a route's budget that a route with little traffic
+// has: enough for the crash of one target filled beyond its slots.
+func reserve(pool config.Pool) int { return 2 * max(pool.Slots, 1) }
--- a/internal/app/router/service.go
+++ b/internal/app/router/service.go
@@ -36,11 +36,18 @@
 
 // ServiceCall runs a call to a plain service. It fails with a *Failure.
 func (r *Router) ServiceCall(ctx context.Context, req ServiceRequest) (ServiceReply, error) {
+	r.Metrics.Add(MetricRequests, 1)
 	if !r.drain.enter() {
+		r.Metrics.Add(MetricRefused, 1)
 		return ServiceReply{}, failDraining()
 	}
 	defer r.drain.leave()
-	r.Metrics.Add(MetricRequests, 1)
+	reply, err := r.serviceCall(ctx, req)
+	r.count(err)
+	return reply, err
+}
+
+func (r *Router) serviceCall(ctx context.Context, req ServiceRequest) (ServiceReply, error) {
 	p, err := r.planService(req)
 	if err != nil {
 		return ServiceReply{}, err
@@ -54,7 +61,7 @@
 		return ServiceReply{}, c.end(ctx, err)
 	}
 	defer permit.Release()
-	r.budget(p.routeRef).Earn(r.Clock.Now(), p.route.RetryBudgetPercent, p.pool.Slots)
+	r.budget(p.routeRef).Earn(r.Clock.Now(), p.route.RetryBudgetPercent, reserve(p.pool))
 	var reply ServiceReply
 	if p.route.Repeat == config.RepeatNever {
 		reply, err = c.once(ctx)
@@ -158,7 +165,7 @@
 		if v == verdictStop || ctx.Err() != nil || c.sent && !repeat {
 			return ServiceReply{}, err
 		}
-		if !c.r.budget(c.p.routeRef).Spend(c.r.Clock.Now(), c.p.pool.Slots) {
+		if c.extra >= maxFruitless || !c.r.budget(c.p.routeRef).Spend(c.r.Clock.Now(), reserve(c.p.pool)) {
 			return ServiceReply{}, err
 		}
 		c.extra++
@@ -184,7 +191,10 @@
 	r.Metrics.Add(MetricAttempts, 1)
 	defer func() { r.Placer.Finished(r.Clock.Now(), c.p.place, t.Name, t.Incarnation, -1) }()
 	reply, err := c.send(ctx, t, id)
-	if err != nil && !notRun(err) && ctx.Err() == nil {
+	switch {
+	case err != nil && ctx.Err() != nil:
+		r.circuits.Ended(t.Name) // the caller's leaving says nothing of the target
+	case err != nil && !notRun(err):
 		// The request stays among the running ones until it is known whether the
 		// target crashed with it.
 		r.examine(ctx, c.p.pool, t, t.Incarnation)
--- a/internal/app/router/stall.go
+++ b/internal/app/router/stall.go
@@ -3,11 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"mimosaseam.example/mimosaseam/internal/core/config"
-	"mimosaseam.example/mimosaseam/internal/core/placement"
-	"mimosaseam.example/mimosaseam/internal/core/retry"
-	"mimosaseam.example/mimosaseam/internal/port"
 )
 
 const (
@@ -51,7 +46,7 @@
 		a.probing = true
 		c.r.Metrics.Add(MetricStalls, 1)
 		go func() {
-			h := c.r.probe(ctx, a.target, a.incarnation)
+			h := c.r.ask(ctx, c.p.pool, a.target, a.incarnation)
 			select {
 			case c.probes <- probeResult{a: a, health: h}:
 			case <-a.ctx.Done():
@@ -73,8 +68,8 @@
 		a.progress = c.r.Clock.Now()
 		return nil
 	}
-	c.sent = true
-	c.r.judge(c.p.pool, a.target, a.incarnation, p.health)
+	// A frozen or unreachable target is no proof of a crash; a restart is.
+	c.r.judge(c.p.pool, a.target, a.incarnation, p.health, false)
 	c.lastOf = &StalledError{Target: a.target.Name, After: a.patience}
 	c.abandon(ctx, a)
 	if len(c.active) > 0 {
@@ -109,27 +104,10 @@
 		if c.tried[s.Target] {
 			continue
 		}
-		if c.r.budget(c.p.routeRef).Spend(now, c.p.pool.Slots) {
+		if c.r.budget(c.p.routeRef).Spend(now, reserve(c.p.pool)) {
 			c.r.Metrics.Add(MetricHedges, 1)
 			c.startAttempt(ctx, byName[s.Target], s)
 		}
 		return
 	}
 }
-
-// judge records what a probe says of a target after a broken or stalled
-// attempt.
-func (r *Router) judge(pool config.Pool, t placement.Target, before port.Incarnation, h health) {
-	now := r.Clock.Now()
-	if h.reachable {
-		r.circuits.Failure(now, t.Name, retry.Failed)
-		r.Targets.Observe(t.Name, h.incarnation, h.weights, coldStart(pool))
-	} else {
-		r.circuits.Failure(now, t.Name, retry.Down)
-		r.Placer.Drop(t.Name)
-	}
-	if h.crashed(before) {
-		r.Fingerprints.Crashed(now, t.Name, string(before))
-		r.Metrics.Add(MetricCrashes, 1)
-	}
-}
--- a/internal/core/retry/circuit.go
+++ b/internal/core/retry/circuit.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -12,8 +13,8 @@
 	openAfter = 3
 	openMin   = 500 * time.Millisecond
 	openMax   = 15 * time.Second
-	// probeLost is the time after which a half-open probe without a result is
-	// given up and another is allowed.
+	// probeLost is the time after which a probe or a trial attempt without a
+	// result is given up and another is allowed.
 	probeLost = 10 * time.Second
 )
 
@@ -32,10 +33,20 @@
 	failures  int
 	opens     int
 	openUntil time.Time
+	// probing is the start of a probe under way, trial that of an attempt on the
+	// half-open circuit.
 	probing   time.Time
+	trial     time.Time
+	halfOpen  bool
 	busyUntil time.Time
 }
 
+func (s *circuit) open() bool { return !s.openUntil.IsZero() }
+
+func underWay(now, since time.Time) bool {
+	return !since.IsZero() && now.Sub(since) < probeLost
+}
+
 // Circuits holds one circuit breaker for each target, fed by direct evidence
 // only. It is safe for concurrent use.
 type Circuits struct {
@@ -47,23 +58,48 @@
 func NewCircuits() *Circuits { return &Circuits{all: map[string]*circuit{}} }
 
 // Available reports whether the target may get an attempt: its circuit is
-// closed, or it is half-open and no probe is under way.
+// closed, or it is half-open and no other trial attempt is under way.
 func (c *Circuits) Available(now time.Time, target string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.all[target]
-	if s == nil || s.openUntil.IsZero() {
-		return true
+	return s == nil || !s.open() || s.halfOpen && !underWay(now, s.trial)
+}
+
+// ClaimProbe reports whether the target is due for a probe, and claims it. The
+// caller probes the target and reports with Probed.
+func (c *Circuits) ClaimProbe(now time.Time, target string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.all[target]
+	if s == nil || !s.open() || s.halfOpen || now.Before(s.openUntil) || underWay(now, s.probing) {
+		return false
 	}
-	return !now.Before(s.openUntil) && (s.probing.IsZero() || now.Sub(s.probing) > probeLost)
+	s.probing = now
+	return true
 }
 
-// HalfOpen reports whether the next attempt on the target is a probe.
-func (c *Circuits) HalfOpen(target string) bool {
+// Probed takes the result of a probe. A target that answers becomes half-open:
+// one attempt at a time tries it. One that does not stays shut for twice the
+// time.
+func (c *Circuits) Probed(now time.Time, target string, answers bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.all[target]
-	return s != nil && !s.openUntil.IsZero()
+	if s == nil || !s.open() {
+		return
+	}
+	s.probing = time.Time{}
+	if s.halfOpen = answers; !answers {
+		s.shut(now)
+	}
+}
+
+func (s *circuit) shut(now time.Time) {
+	s.openUntil = now.Add(min(openMin<<min(s.opens, 10), openMax))
+	s.opens++
+	s.halfOpen = false
+	s.trial = time.Time{}
 }
 
 // Busy reports whether the target lately refused work for lack of capacity.
@@ -75,22 +111,22 @@
 }
 
 // SetBusy records a refusal for lack of capacity. It says nothing against the
-// health of the target, so the circuit stays as it is, but a probe has ended.
+// health of the target, so the circuit stays as it is.
 func (c *Circuits) SetBusy(target string, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.get(target)
 	s.busyUntil = until
-	s.probing = time.Time{}
+	s.trial = time.Time{}
 }
 
 // Started records that an attempt was sent; on a half-open circuit it is the
-// probe.
+// trial.
 func (c *Circuits) Started(now time.Time, target string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s := c.all[target]; s != nil && !s.openUntil.IsZero() {
-		s.probing = now
+	if s := c.all[target]; s != nil && s.halfOpen {
+		s.trial = now
 	}
 }
 
@@ -100,7 +136,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s := c.all[target]; s != nil {
-		s.probing = time.Time{}
+		s.trial = time.Time{}
 	}
 }
 
@@ -113,19 +149,29 @@
 
 // Failure records evidence against the target. It opens the circuit after
 // several failures in a row, at once on proof that the target is down, and
-// again when a probe fails, for twice the time.
+// again when a trial attempt fails, for twice the time.
 func (c *Circuits) Failure(now time.Time, target string, e Evidence) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.get(target)
 	s.failures++
-	halfOpen := !s.openUntil.IsZero() && !now.Before(s.openUntil)
-	closed := s.openUntil.IsZero()
-	if halfOpen || closed && (e == Down || s.failures >= openAfter) {
-		s.openUntil = now.Add(min(openMin<<min(s.opens, 10), openMax))
-		s.opens++
+	if s.halfOpen || !s.open() && (e == Down || s.failures >= openAfter) {
+		s.shut(now)
 	}
-	s.probing = time.Time{}
+}
+
+// Open returns the targets whose circuits are not closed.
+func (c *Circuits) Open() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var open []string
+	for target, s := range c.all {
+		if s.open() {
+			open = append(open, target)
+		}
+	}
+	slices.Sort(open)
+	return open
 }
 
 func (c *Circuits) get(target string) *circuit {
