--- a/internal/app/router/attempt.go
+++ b/internal/app/router/attempt.go
@@ -48,13 +48,13 @@
 	err    error
 }
 
-// startAttempt registers the attempt with everything that follows running
-// work and sends it.
-func (c *completion) startAttempt(ctx context.Context, t placement.Target, s placement.Score) *attempt {
-	r := c.r
+// startAttempt registers the attempt with all that follows running work and
+// sends it.
+func (c *completion) startAttempt(ctx context.Context, chosen claim) {
+	r, t := c.r, chosen.target
 	now := r.Clock.Now()
-	a := &attempt{id: r.newID(), target: t, score: s, started: now, progress: now,
-		patience: c.firstPatience(s), incarnation: t.Incarnation}
+	a := &attempt{id: chosen.attempt, target: t, score: chosen.score, started: now, progress: now,
+		patience: c.firstPatience(chosen.score), incarnation: t.Incarnation}
 	ctx, a.span = r.Tracer.Start(ctx, "attempt", trace.WithAttributes(
 		attribute.String("target", t.Name), attribute.String("attempt_id", a.id)))
 	a.ctx, a.cancel = context.WithCancel(ctx)
@@ -63,11 +63,9 @@
 	c.tried[t.Name] = true
 	r.limits.StartTarget(t.Name)
 	r.circuits.Started(now, t.Name)
-	r.Fingerprints.Started(t.Name, a.id, c.fingerprint)
 	r.Placer.Started(now, c.p.place, t.Name)
 	r.Metrics.Add(MetricAttempts, 1)
 	go c.read(a, c.generation(a))
-	return a
 }
 
 func (c *completion) generation(a *attempt) port.Generation {
--- a/internal/app/router/completion.go
+++ b/internal/app/router/completion.go
@@ -143,11 +143,11 @@
 	if c.asm.Chunks() > 0 {
 		wait = resumeWait
 	}
-	t, s, err := c.r.choose(ctx, c.p, c.filter(), wait)
+	chosen, err := c.r.choose(ctx, c.p, c.filter(), c.r.newID(), wait)
 	if err != nil {
 		return err
 	}
-	c.startAttempt(ctx, t, s)
+	c.startAttempt(ctx, chosen)
 	return nil
 }
 
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -108,10 +108,18 @@
 	placePoll  = 50 * time.Millisecond
 )
 
-// choose returns the best target, waiting for one to become usable. A crash
+// claim is a target chosen for an attempt that is already registered as running
+// there.
+type claim struct {
+	attempt string
+	target  placement.Target
+	score   placement.Score
+}
+
+// choose claims the best target, waiting for one to become usable. A crash
 // suspect waits for a target of its own until its deadline, because it may be
 // innocent and must not meet other suspects.
-func (r *Router) choose(ctx context.Context, p *plan, f filter, wait time.Duration) (placement.Target, placement.Score, error) {
+func (r *Router) choose(ctx context.Context, p *plan, f filter, attempt string, wait time.Duration) (claim, error) {
 	_, span := r.Tracer.Start(ctx, "place")
 	defer span.End()
 	start := r.Clock.Now()
@@ -119,15 +127,17 @@
 		now := r.Clock.Now()
 		scores, byName, excluded := r.rank(now, p, f)
 		r.probeDue(ctx, p, excluded)
-		if len(scores) > 0 {
-			return byName[scores[0].Target], scores[0], nil
+		for _, s := range scores {
+			if r.Fingerprints.Start(now, f.fingerprint, s.Target, attempt) {
+				return claim{attempt: attempt, target: byName[s.Target], score: s}, nil
+			}
 		}
 		waited := now.Sub(start)
 		if waited >= wait && !r.Fingerprints.Suspect(now, f.fingerprint) {
-			return placement.Target{}, placement.Score{}, &NoTargetError{Pool: p.poolRef.String(), Excluded: excluded}
+			return claim{}, &NoTargetError{Pool: p.poolRef.String(), Excluded: excluded}
 		}
 		if err := sleep(ctx, placePoll); err != nil {
-			return placement.Target{}, placement.Score{}, err
+			return claim{}, err
 		}
 	}
 }
--- a/internal/app/router/service.go
+++ b/internal/app/router/service.go
@@ -152,12 +152,13 @@
 		if c.r.Fingerprints.Convicted(c.r.Clock.Now(), c.fingerprint) {
 			return ServiceReply{}, c.fail(KindCrashSuspect, "requests like this one crashed their targets", nil)
 		}
-		t, _, err := c.r.choose(ctx, c.p, filter{tried: c.tried, fingerprint: c.fingerprint}, placeWait)
+		chosen, err := c.r.choose(ctx, c.p, filter{tried: c.tried, fingerprint: c.fingerprint}, newID(), placeWait)
 		if err != nil {
 			return ServiceReply{}, err
 		}
+		t := chosen.target
 		c.tried[t.Name] = true
-		reply, err := c.attempt(ctx, t, newID())
+		reply, err := c.attempt(ctx, t, chosen.attempt)
 		if err == nil {
 			return reply, nil
 		}
@@ -186,7 +187,6 @@
 	r.limits.StartTarget(t.Name)
 	defer r.limits.EndTarget(t.Name)
 	r.circuits.Started(now, t.Name)
-	r.Fingerprints.Started(t.Name, id, c.fingerprint)
 	r.Placer.Started(now, c.p.place, t.Name)
 	r.Metrics.Add(MetricAttempts, 1)
 	defer func() { r.Placer.Finished(r.Clock.Now(), c.p.place, t.Name, t.Incarnation, -1) }()
--- a/internal/app/router/stall.go
+++ b/internal/app/router/stall.go
@@ -104,10 +104,16 @@
 		if c.tried[s.Target] {
 			continue
 		}
-		if c.r.budget(c.p.routeRef).Spend(now, reserve(c.p.pool)) {
-			c.r.Metrics.Add(MetricHedges, 1)
-			c.startAttempt(ctx, byName[s.Target], s)
+		id := c.r.newID()
+		if !c.r.Fingerprints.Start(now, c.fingerprint, s.Target, id) {
+			return
 		}
+		if !c.r.budget(c.p.routeRef).Spend(now, reserve(c.p.pool)) {
+			c.r.Fingerprints.Ended(s.Target, id)
+			return
+		}
+		c.r.Metrics.Add(MetricHedges, 1)
+		c.startAttempt(ctx, claim{attempt: id, target: byName[s.Target], score: s})
 		return
 	}
 }
--- a/internal/core/retry/fingerprint.go
+++ b/internal/core/retry/fingerprint.go
@@ -89,6 +89,10 @@
 func (f *Fingerprints) MayRun(now time.Time, fp Fingerprint, target string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.mayRun(now, fp, target)
+}
+
+func (f *Fingerprints) mayRun(now time.Time, fp Fingerprint, target string) bool {
 	if f.live(now, fp) == nil {
 		return true
 	}
@@ -102,16 +106,21 @@
 	return true
 }
 
-// Started records that an attempt of the request is about to run on the target.
-func (f *Fingerprints) Started(target, attempt string, fp Fingerprint) {
+// Start records that an attempt of the request is about to run on the target,
+// unless it may not run there.
+func (f *Fingerprints) Start(now time.Time, fp Fingerprint, target, attempt string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.mayRun(now, fp, target) {
+		return false
+	}
 	set := f.running[target]
 	if set == nil {
 		set = map[string]Fingerprint{}
 		f.running[target] = set
 	}
 	set[attempt] = fp
+	return true
 }
 
 // Ended records that the attempt no longer runs.
--- /dev/null
+++ b/internal/core/retry/retry_test.go
@@ -0,0 +1,164 @@
+package retry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against retries that multiply the load of a route, and against a quiet
+// route that cannot retry at all.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	b := &Budget{}
+	spend := func(now time.Time) (n int) {
+		for b.Spend(now, 2) {
+			n++
+		}
+		return n
+	}
+	is.Equal(spend(t0), 2) // the reserve
+	for range 25 {
+		b.Earn(t0, 10, 2)
+	}
+	is.Equal(spend(t0), 2) // a tenth of the requests
+	for range 1000 {
+		b.Earn(t0, 10, 2)
+	}
+	is.Equal(spend(t0), 4)                  // kept at twice the reserve at most
+	is.Equal(spend(t0.Add(time.Second)), 1) // the reserve refills slowly
+	is.Equal(spend(t0.Add(time.Hour)), 2)   // and is never exceeded by waiting
+	is.Equal(spend(t0.Add(time.Second)), 0) // a clock that goes back earns nothing
+}
+
+// Guards against retries in step and against waits without bound.
+func TestBackoff(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Backoff(1, 0), time.Duration(0))
+	is.Equal(Backoff(1, 0.5), backoffBase/2)
+	is.Equal(Backoff(3, 0.5), 2*backoffBase)
+	is.Equal(Backoff(90, 0.5), backoffMax/2)
+}
+
+// Guards against work for a target that is down, against a recovering target
+// that is flooded, and against one broken connection that shuts a target.
+func TestCircuit(t *testing.T) {
+	is := is.New(t)
+	c := NewCircuits()
+	c.Failure(t0, "e", Failed)
+	c.Failure(t0, "e", Failed)
+	is.True(c.Available(t0, "e"))
+	c.Success("e")
+	c.Failure(t0, "e", Failed)
+	is.True(c.Available(t0, "e")) // failures in a row count
+	c.Failure(t0, "e", Down)
+	is.True(!c.Available(t0, "e"))
+	is.Equal(c.Open(), []string{"e"})
+	is.True(!c.ClaimProbe(t0, "e"))
+
+	later := t0.Add(openMin)
+	is.True(!c.Available(later, "e"))
+	is.True(c.ClaimProbe(later, "e"))
+	is.True(!c.ClaimProbe(later, "e")) // one probe at a time
+	c.Probed(later, "e", false)
+	is.True(!c.ClaimProbe(later.Add(openMin), "e")) // twice the time
+	later = later.Add(2 * openMin)
+	is.True(c.ClaimProbe(later, "e"))
+	c.Probed(later, "e", true)
+	is.True(c.Available(later, "e"))
+	c.Started(later, "e")
+	is.True(!c.Available(later, "e")) // one trial at a time
+	is.True(c.Available(later.Add(probeLost), "e"))
+	c.Failure(later, "e", Failed)
+	is.True(!c.Available(later.Add(openMin), "e"))
+	c.Success("e")
+	is.True(c.Available(later, "e"))
+	c.SetBusy("e", later.Add(time.Second))
+	is.True(c.Busy(later, "e") && c.Available(later, "e"))
+	is.True(!c.Busy(later.Add(time.Second), "e"))
+}
+
+// Guards against requests that crash more than two targets, and against blame
+// for requests that ran beside them.
+func TestFingerprints(t *testing.T) {
+	const bad, good, other = Fingerprint(1), Fingerprint(2), Fingerprint(3)
+	crash := func(f *Fingerprints, at time.Time, target, life string, running ...Fingerprint) {
+		for i, fp := range running {
+			f.Start(at, fp, target, fmt.Sprint(i))
+		}
+		f.Crashed(at, target, life)
+		f.Crashed(at, target, life) // reported by each broken stream
+		for i := range running {
+			f.Ended(target, fmt.Sprint(i))
+		}
+	}
+	cases := map[string]struct {
+		steps     func(f *Fingerprints)
+		suspects  []Fingerprint
+		convicted []Fingerprint
+	}{
+		"one crash": {func(f *Fingerprints) { crash(f, t0, "e1", "1", bad, good) }, []Fingerprint{bad, good}, nil},
+		"second crash blames the suspect only": {func(f *Fingerprints) {
+			crash(f, t0, "e1", "1", bad, good)
+			crash(f, t0, "e2", "1", bad, other)
+		}, []Fingerprint{bad, good}, []Fingerprint{bad}},
+		"same crash counts once": {func(f *Fingerprints) {
+			crash(f, t0, "e1", "1", bad)
+			crash(f, t0, "e1", "1", bad)
+		}, []Fingerprint{bad}, nil},
+		"success clears": {func(f *Fingerprints) {
+			crash(f, t0, "e1", "1", bad, good)
+			f.Succeeded(good)
+			crash(f, t0, "e2", "1", good)
+		}, []Fingerprint{bad, good}, nil},
+		"expiry": {func(f *Fingerprints) { crash(f, t0.Add(-suspectFor), "e1", "1", bad) }, nil, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, peer := NewFingerprints(), NewFingerprints()
+			c.steps(f)
+			peer.Merge(t0, f.Export(t0, 10))
+			for _, set := range []*Fingerprints{f, peer} {
+				var suspects, convicted []Fingerprint
+				for _, fp := range []Fingerprint{bad, good, other} {
+					if set.Suspect(t0, fp) {
+						suspects = append(suspects, fp)
+					}
+					if set.Convicted(t0, fp) {
+						convicted = append(convicted, fp)
+					}
+				}
+				is.Equal(suspects, c.suspects)
+				is.Equal(convicted, c.convicted)
+			}
+		})
+	}
+}
+
+// Guards against suspects that meet, and against a suspicion that a peer brings
+// back after the request was cleared.
+func TestSuspectsAreKeptApart(t *testing.T) {
+	is := is.New(t)
+	f, peer := NewFingerprints(), NewFingerprints()
+	f.Start(t0, 1, "e1", "a")
+	f.Start(t0, 2, "e1", "b")
+	f.Crashed(t0, "e1", "1")
+	f.Ended("e1", "a")
+	f.Ended("e1", "b")
+	peer.Merge(t0, f.Export(t0, 10))
+	is.True(f.Start(t0, 1, "e2", "c"))
+	is.True(!f.Start(t0, 2, "e2", "d")) // beside another suspect
+	is.True(!f.Start(t0, 1, "e3", "e")) // twice at a time
+	is.True(f.Start(t0, 3, "e2", "g"))  // no suspect
+	f.Succeeded(1)
+	f.Merge(t0, peer.Export(t0, 10))
+	is.True(!f.Suspect(t0, 1))
+	peer.Merge(t0, f.Export(t0, 10))
+	is.True(!peer.Suspect(t0, 1))
+	is.True(peer.Suspect(t0, 2))
+}
