--- a/internal/app/router/completion_test.go
+++ b/internal/app/router/completion_test.go
@@ -21,7 +21,7 @@
 	synctest.Test(t, func(t *testing.T) { test(t, is.New(t), newBench(t, change)) })
 }
 
-func asFailure(t *testing.T, err error) *Failure {
+func failure(t *testing.T, err error) *Failure {
 	t.Helper()
 	var f *Failure
 	if !errors.As(err, &f) {
@@ -109,7 +109,7 @@
 		b.engine.scripts["e2"], b.engine.scripts["e3"] = breakAfter(0, broken), breakAfter(0, broken)
 		sink := &textSink{}
 		_, err := b.complete(t.Context(), "p", 6, sink)
-		f := asFailure(t, err)
+		f := failure(t, err)
 		is.Equal(f.Kind, KindBroken)
 		is.Equal(f.Outcome, OutcomeMayHaveRun)
 		is.Equal(sink.text.String(), whole("p", 3))
@@ -146,7 +146,7 @@
 				}
 				_, err := b.Completion(t.Context(), CompletionRequest{Account: testAccount, Model: "ledger", Prompt: "p",
 					MaxTokens: 1, Deadline: time.Now().Add(5 * time.Second)}, &textSink{})
-				f := asFailure(t, err)
+				f := failure(t, err)
 				is.Equal(f.Kind, c.kind)
 				is.Equal(f.Outcome, c.want)
 			})
@@ -208,7 +208,7 @@
 				ctx, leave := context.WithCancel(t.Context())
 				defer leave()
 				_, err := b.complete(ctx, "p", 6, sink(leave))
-				is.Equal(asFailure(t, err).Kind, KindCanceled)
+				is.Equal(failure(t, err).Kind, KindCanceled)
 				synctest.Wait()
 				is.Equal(b.engine.cancels, []string{"e1"})
 				is.Equal(len(b.engine.sent), 1)
@@ -319,7 +319,7 @@
 			if c.Index == 0 {
 				b.BeginDrain()
 				_, err := b.complete(ctx, "q", 1, &textSink{})
-				f := asFailure(t, err)
+				f := failure(t, err)
 				is.Equal(f.Kind, KindDraining)
 				is.Equal(f.Outcome, OutcomeNotRun)
 			}
--- a/internal/app/router/crash_test.go
+++ b/internal/app/router/crash_test.go
@@ -105,7 +105,7 @@
 		}
 		synctest.Wait()
 		_, err := one.complete(t.Context(), poison, 20, &textSink{})
-		f := asFailure(t, err)
+		f := failure(t, err)
 		is.Equal(f.Kind, KindCrashSuspect)
 		is.Equal(f.Outcome, OutcomeMayHaveRun)
 		for range 4 {
@@ -117,8 +117,8 @@
 		two.Fingerprints.Merge(time.Now(), one.Fingerprints.Export(time.Now(), 16))
 		for _, b := range []*bench{one, two} {
 			_, err := b.complete(t.Context(), poison, 20, &textSink{})
-			is.Equal(asFailure(t, err).Kind, KindCrashSuspect)
-			is.Equal(asFailure(t, err).Outcome, OutcomeNotRun)
+			is.Equal(failure(t, err).Kind, KindCrashSuspect)
+			is.Equal(failure(t, err).Outcome, OutcomeNotRun)
 		}
 		is.Equal(fleet.crashes, 2)
 	})
@@ -140,7 +140,7 @@
 		is.True(err != nil)
 		two.Fingerprints.Merge(time.Now(), one.Fingerprints.Export(time.Now(), 16))
 		_, err = two.complete(t.Context(), poison, 20, &textSink{})
-		is.Equal(asFailure(t, err).Kind, KindCrashSuspect)
+		is.Equal(failure(t, err).Kind, KindCrashSuspect)
 		is.Equal(fleet.crashes, 2)
 	})
 }
--- a/internal/app/router/failure.go
+++ b/internal/app/router/failure.go
@@ -12,6 +12,7 @@
 
 	"mimosaseam.example/mimosaseam/internal/app/atmostonce"
 	"mimosaseam.example/mimosaseam/internal/core/limits"
+	"mimosaseam.example/mimosaseam/internal/port"
 )
 
 // Kind is the type of a failure as callers see it.
@@ -113,6 +114,15 @@
 	}
 }
 
+// asFailure returns err as a *Failure.
+func asFailure(err error) *Failure {
+	var f *Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	return failureOf(context.Background(), err, true)
+}
+
 func failDraining() *Failure {
 	return &Failure{Kind: KindDraining, Message: "this router is stopping, another one will serve the request",
 		Outcome: OutcomeNotRun, RetryAfter: retryAfterDrain}
@@ -123,12 +133,18 @@
 func failureOf(ctx context.Context, err error, sent bool) *Failure {
 	var refused *limits.RefusedError
 	var gone *callerGoneError
+	var bad *port.BadRequestError
+	var large *ReplyTooLargeError
 	f := &Failure{Outcome: outcome(sent), Cause: err}
 	switch {
 	case errors.As(err, &refused):
 		f.Kind, f.Message = kindOfRefusal(refused.Reason)
 		f.RetryAfter = refused.RetryAfter
 		return f
+	case errors.As(err, &bad):
+		f.Kind, f.Message = KindInvalid, "the target refused the request"
+	case errors.As(err, &large):
+		f.Kind, f.Message = KindUpstream, "the reply is too large"
 	case errors.As(err, &gone):
 		f.Kind, f.Message = KindCanceled, "the caller left"
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, context.DeadlineExceeded):
--- a/internal/app/router/service.go
+++ b/internal/app/router/service.go
@@ -39,7 +39,9 @@
 	r.Metrics.Add(MetricRequests, 1)
 	if !r.drain.enter() {
 		r.Metrics.Add(MetricRefused, 1)
-		return ServiceReply{}, failDraining()
+		f := failDraining()
+		f.Outcome = req.beforeLedger()
+		return ServiceReply{}, f
 	}
 	defer r.drain.leave()
 	reply, err := r.serviceCall(ctx, req)
@@ -47,10 +49,18 @@
 	return reply, err
 }
 
+// beforeLedger is the outcome of a call that is refused before the ledger was
+// asked: a key that was sent before may have run then.
+func (req ServiceRequest) beforeLedger() Outcome {
+	return outcome(req.IdempotencyKey != "" && !req.First)
+}
+
 func (r *Router) serviceCall(ctx context.Context, req ServiceRequest) (ServiceReply, error) {
 	p, err := r.planService(req)
 	if err != nil {
-		return ServiceReply{}, err
+		f := *asFailure(err)
+		f.Outcome = req.beforeLedger()
+		return ServiceReply{}, &f
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.deadline.Sub(r.Clock.Now()))
 	defer cancel()
@@ -253,16 +263,27 @@
 	return c.r.judgeRefusal(t, err)
 }
 
-// end turns whatever stopped the call into a *Failure.
+// end turns whatever stopped the call into a *Failure. Of a call that may not be
+// repeated, only the ledger can say that it did not run, unless the caller
+// states that it never sent the key before.
 func (c *call) end(ctx context.Context, err error) error {
 	var f *Failure
-	if errors.As(err, &f) {
-		return f
+	if !errors.As(err, &f) {
+		f = failureOf(ctx, err, c.sent)
 	}
-	if f := failureOfRunner(err, c.req.First); f != nil {
+	if c.p.route.Repeat != config.RepeatNever {
 		return f
 	}
-	return failureOf(ctx, err, c.sent)
+	ledger := failureOfRunner(err, c.req.First)
+	switch {
+	case ledger == nil && !c.sent:
+		f.Outcome = c.req.beforeLedger()
+	case ledger != nil && f.Kind == KindCrashSuspect:
+		f.Outcome = ledger.Outcome
+	case ledger != nil:
+		return ledger
+	}
+	return f
 }
 
 func (c *call) fail(kind Kind, message string, cause error) error {
