--- a/internal/adapter/callerhttp/errors.go
+++ b/internal/adapter/callerhttp/errors.go
@@ -64,9 +64,14 @@
 	x.done(string(f.Kind), slog.String("outcome", string(f.Outcome)), slog.Any("cause", f.Cause))
 }
 
-// refuse answers a request of which nothing was sent.
+// refuse answers a request that this server did not pass on. A key that was
+// sent before may have run then.
 func (x *exchange) refuse(status int, kind, message string, retryAfter time.Duration) {
-	x.writeError(status, errorBody{Error: errorText{Type: kind, Message: message}, Outcome: router.OutcomeNotRun}, retryAfter)
+	outcome := router.OutcomeNotRun
+	if h := x.r.Header; h.Get("Idempotency-Key") != "" && !isFirst(h) {
+		outcome = router.OutcomeMayHaveRun
+	}
+	x.writeError(status, errorBody{Error: errorText{Type: kind, Message: message}, Outcome: outcome}, retryAfter)
 	x.done(kind)
 }
 
--- /dev/null
+++ b/internal/adapter/callerhttp/server_test.go
@@ -0,0 +1,339 @@
+package callerhttp
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"mimosaseam.example/mimosaseam/internal/app/router"
+	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+const secret = "key-of-planner"
+
+type fixedSource struct{ snapshot *config.Snapshot }
+
+func (s fixedSource) Current() *config.Snapshot { return s.snapshot }
+
+func source() fixedSource {
+	sum := sha256.Sum256([]byte(secret))
+	return fixedSource{&config.Snapshot{Accounts: map[config.Ref]config.Account{
+		{Team: "kabelgang", Name: "planner"}: {KeySHA256: []string{hex.EncodeToString(sum[:])}},
+		{Team: "kabelgang", Name: "other"}:   {KeySHA256: []string{strings.Repeat("0", 64)}},
+	}}}
+}
+
+// fakeRouter streams the words of the prompt and then fails with err.
+type fakeRouter struct {
+	mu       sync.Mutex
+	err      error
+	requests []router.CompletionRequest
+	calls    []router.ServiceRequest
+	hold     chan struct{}
+	started  chan struct{}
+}
+
+func (f *fakeRouter) Completion(ctx context.Context, req router.CompletionRequest, sink router.Sink) (router.Completion, error) {
+	f.mu.Lock()
+	f.requests = append(f.requests, req)
+	f.mu.Unlock()
+	if f.hold != nil {
+		f.started <- struct{}{}
+		select {
+		case <-f.hold:
+		case <-ctx.Done():
+		}
+		return router.Completion{}, &router.Failure{Kind: router.KindCanceled, Outcome: router.OutcomeMayHaveRun}
+	}
+	words := strings.Fields(req.Prompt)
+	u := port.Usage{PromptTokens: 9, CompletionTokens: len(words), CachedTokens: 4}
+	for i, w := range words {
+		c := port.Chunk{Index: i, Text: w}
+		if i == len(words)-1 && f.err == nil {
+			c.FinishReason, c.Usage = port.FinishStop, &u
+		}
+		if err := sink.Chunk(ctx, c); err != nil {
+			return router.Completion{}, err
+		}
+	}
+	return router.Completion{FinishReason: port.FinishStop, Usage: u}, f.err
+}
+
+func (f *fakeRouter) ServiceCall(_ context.Context, req router.ServiceRequest) (router.ServiceReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, req)
+	return router.ServiceReply{Status: http.StatusCreated, Header: http.Header{"X-Booking": {"7"}, "Connection": {"close"}},
+		Body: []byte("booked")}, f.err
+}
+
+func serve(t *testing.T, f *fakeRouter, l Limits, logs io.Writer) *httptest.Server {
+	t.Helper()
+	s := New(Deps{Router: f, Source: source(), Limits: l, Logger: slog.New(slog.NewTextHandler(logs, nil))})
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.Close)
+	return srv
+}
+
+func request(t *testing.T, method, url, body string, headers ...string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+secret)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	return req
+}
+
+// fetch returns the status, the body and the error with which the body ended.
+func fetch(t *testing.T, req *http.Request) (*http.Response, string, error) {
+	t.Helper()
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	return res, string(body), err
+}
+
+// Guards against responses that do not have the usual shapes.
+func TestCompletionShapes(t *testing.T) {
+	const usage = `"usage":{"prompt_tokens":9,"completion_tokens":2,"total_tokens":11,"prompt_tokens_details":{"cached_tokens":4}}`
+	cases := map[string]struct{ path, body, want string }{
+		"whole": {"/v1/completions", `{"model":"m","prompt":"one \"two\""}`,
+			`{"id":"r1","object":"text_completion","created":0,"model":"m","choices":[{"index":0,"text":"one\"two\"","finish_reason":"stop"}],` + usage + `}`},
+		"streamed": {"/v1/completions", `{"model":"m","prompt":["one two\u00e9"],"stream":true}`,
+			"id: 0\n" + `data: {"id":"r1","object":"text_completion","created":0,"model":"m","choices":[{"index":0,"text":"one","finish_reason":null}]}` + "\n\n" +
+				"id: 1\n" + `data: {"id":"r1","object":"text_completion","created":0,"model":"m","choices":[{"index":0,"text":"twoé","finish_reason":"stop"}],` + usage + "}\n\ndata: [DONE]\n\n"},
+		"chat": {"/v1/chat/completions", `{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"hi"}]}]}`,
+			`{"id":"r1","object":"chat.completion","created":0,"model":"m","choices":[{"index":0,"message":{"role":"assistant","content":"userhi"},"finish_reason":"stop"}],` + usage + `}`},
+		"chat streamed": {"/v1/chat/completions", `{"model":"m","messages":[{"role":"user","content":"hi"}],"stream":true}`,
+			"id: 0\n" + `data: {"id":"r1","object":"chat.completion.chunk","created":0,"model":"m","choices":[{"index":0,"delta":{"role":"assistant","content":"user"},"finish_reason":null}]}` + "\n\n" +
+				"id: 1\n" + `data: {"id":"r1","object":"chat.completion.chunk","created":0,"model":"m","choices":[{"index":0,"delta":{"content":"hi"},"finish_reason":"stop"}],` + usage + "}\n\ndata: [DONE]\n\n"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := New(Deps{Router: &fakeRouter{}, Source: source(), Clock: epoch{}})
+			srv := httptest.NewServer(s)
+			defer srv.Close()
+			res, body, err := fetch(t, request(t, "POST", srv.URL+c.path, c.body, "X-Request-Id", "r1"))
+			is.NoErr(err)
+			is.Equal(res.StatusCode, http.StatusOK)
+			is.Equal(res.Header.Get("X-Request-Id"), "r1")
+			is.Equal(body, c.want)
+		})
+	}
+}
+
+type epoch struct{}
+
+func (epoch) Now() time.Time { return time.Unix(0, 0) }
+
+// Guards against a broken response that looks complete.
+func TestBrokenStreamIsVisible(t *testing.T) {
+	is := is.New(t)
+	f := &fakeRouter{err: &router.Failure{Kind: router.KindBroken, Message: "broke off", Outcome: router.OutcomeMayHaveRun}}
+	srv := serve(t, f, Limits{}, io.Discard)
+	_, body, err := fetch(t, request(t, "POST", srv.URL+"/v1/completions", `{"model":"m","prompt":"one two","stream":true}`))
+	is.True(err != nil) // the connection was cut
+	is.True(strings.HasSuffix(body, "event: error\ndata: {\"error\":{\"type\":\"stream_broken\",\"message\":\"broke off\"},\"outcome\":\"may_have_run\"}\n\n"))
+	is.True(!strings.Contains(body, "[DONE]"))
+	res, body, err := fetch(t, request(t, "POST", srv.URL+"/v1/completions", `{"model":"m","prompt":"one two"}`))
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusBadGateway)
+	is.True(!strings.Contains(body, "one"))
+}
+
+// Guards against refusals without a type, a true outcome or advice, and against
+// keys and prompts in the log.
+func TestRefusals(t *testing.T) {
+	const completions = "/v1/completions"
+	drained := &router.Failure{Kind: router.KindDraining, Message: "stopping", Outcome: router.OutcomeNotRun, RetryAfter: 1500 * time.Millisecond}
+	old := uuid.Must(uuid.NewV7()).String()
+	cases := map[string]struct {
+		method, path, body string
+		headers            []string
+		err                error
+		status             int
+		want               string
+	}{
+		"no key":       {"POST", completions, `{}`, []string{"Authorization", "Bearer wrong"}, nil, 401, `"type":"unauthorized"`},
+		"other scheme": {"POST", completions, `{}`, []string{"Authorization", "Basic " + secret}, nil, 401, `"outcome":"not_run"`},
+		"method":       {"GET", completions, ``, nil, nil, 405, `"type":"invalid_request"`},
+		"path":         {"POST", "/v2", `{}`, nil, nil, 404, `"type":"not_found"`},
+		"no JSON":      {"POST", completions, `{"model":`, nil, nil, 400, `body is not valid`},
+		"no model":     {"POST", completions, `{"prompt":"secret words"}`, nil, nil, 400, `model is missing`},
+		"no prompt":    {"POST", completions, `{"model":"m"}`, nil, nil, 400, `prompt is missing`},
+		"two prompts":  {"POST", completions, `{"model":"m","prompt":["a","b"]}`, nil, nil, 400, `exactly one`},
+		"no messages":  {"POST", "/v1/chat/completions", `{"model":"m"}`, nil, nil, 400, `messages is missing`},
+		"no role":      {"POST", "/v1/chat/completions", `{"model":"m","messages":[{"content":"x"}]}`, nil, nil, 400, `messages[0].role is missing`},
+		"image":        {"POST", "/v1/chat/completions", `{"model":"m","messages":[{"role":"user","content":[{"type":"image"}]}]}`, nil, nil, 400, `type text`},
+		"max_tokens":   {"POST", completions, `{"model":"m","prompt":"x","max_tokens":0}`, nil, nil, 400, `max_tokens must be`},
+		"n":            {"POST", completions, `{"model":"m","prompt":"x","n":2}`, nil, nil, 400, `n must be 1`},
+		"deadline":     {"POST", completions, `{"model":"m","prompt":"x"}`, []string{"X-Deadline-Ms", "soon"}, nil, 400, `X-Deadline-Ms`},
+		"too large":    {"POST", completions, `{"prompt":"` + strings.Repeat("x", 2000) + `"}`, nil, nil, 413, `larger than 1000 bytes`},
+		"draining":     {"POST", completions, `{"model":"m","prompt":"secret words"}`, nil, drained, 503, `"outcome":"not_run"`},
+		"long key":     {"POST", "/svc/reserve/x", ``, []string{"Idempotency-Key", strings.Repeat("k", 201)}, nil, 400, `"outcome":"may_have_run"`},
+		"bad age":      {"POST", "/svc/reserve/x", ``, []string{"Idempotency-Key", "k", "Idempotency-Created", "now", "Idempotency-First", "true"}, nil, 400, `"outcome":"not_run"`},
+		"repeated key": {"POST", "/svc/reserve/x", ``, []string{"Idempotency-Key", old, "Authorization", "Bearer x"}, nil, 401, `"outcome":"may_have_run"`},
+	}
+	var logs bytes.Buffer
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			srv := serve(t, &fakeRouter{err: c.err}, Limits{BodyBytes: 1000}, &logs)
+			res, body, err := fetch(t, request(t, c.method, srv.URL+c.path, c.body, c.headers...))
+			srv.Close()
+			is.NoErr(err)
+			is.Equal(res.StatusCode, c.status)
+			is.True(strings.Contains(body, c.want))
+			if c.err == error(drained) {
+				is.Equal(res.Header.Get("Retry-After"), "2")
+			}
+			is.True(!strings.Contains(logs.String(), secret))
+			is.True(!strings.Contains(logs.String(), "secret words"))
+		})
+	}
+}
+
+// Guards against service calls that lose their key, its age, their path or
+// their body, and against private headers that are passed on.
+func TestServiceCall(t *testing.T) {
+	is := is.New(t)
+	f := &fakeRouter{}
+	srv := serve(t, f, Limits{}, io.Discard)
+	key := uuid.Must(uuid.NewV7())
+	res, body, err := fetch(t, request(t, "PUT", srv.URL+"/svc/reserve/duct%2F7/a?x=1", "b", "Idempotency-Key", key.String(),
+		"Idempotency-First", "true", "X-Deadline-Ms", "1500", "X-Plan", "p"))
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusCreated)
+	is.Equal(res.Header.Get("X-Booking"), "7")
+	is.Equal(body, "booked")
+	got := f.calls[0]
+	is.Equal(got.Path, "/duct%2F7/a?x=1")
+	is.Equal(got.Route+got.Method+string(got.Body)+got.IdempotencyKey, "reservePUTb"+key.String())
+	is.True(got.First && !got.Deadline.IsZero())
+	seconds, _ := key.Time().UnixTime()
+	is.Equal(got.KeyCreated.Unix(), seconds)
+	is.Equal(got.Header.Get("X-Plan"), "p")
+	is.Equal(got.Header.Get("Authorization")+got.Header.Get("Idempotency-Key"), "")
+}
+
+// Guards against an account that opens requests without bound, and against work
+// that goes on after the caller disconnected.
+func TestOpenRequestsAndDisconnect(t *testing.T) {
+	is := is.New(t)
+	f := &fakeRouter{hold: make(chan struct{}), started: make(chan struct{})}
+	srv := serve(t, f, Limits{PerAccount: 1}, io.Discard)
+	ctx, leave := context.WithCancel(t.Context())
+	gone := make(chan error)
+	body := `{"model":"m","prompt":"x","stream":true}`
+	go func() {
+		_, err := http.DefaultClient.Do(request(t, "POST", srv.URL+"/v1/completions", body).WithContext(ctx))
+		gone <- err
+	}()
+	<-f.started
+	res, text, err := fetch(t, request(t, "POST", srv.URL+"/v1/completions", body))
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusTooManyRequests)
+	is.True(strings.Contains(text, `"outcome":"not_run"`))
+	leave()
+	is.True(<-gone != nil)
+	srv.Close() // waits for the handler, which ends because its context is cancelled
+}
+
+// endlessRouter streams until the sink refuses.
+type endlessRouter struct {
+	fakeRouter
+	end chan error
+}
+
+func (f *endlessRouter) Completion(ctx context.Context, _ router.CompletionRequest, sink router.Sink) (router.Completion, error) {
+	text := strings.Repeat("x", 64<<10)
+	for i := 0; ; i++ {
+		if err := sink.Chunk(ctx, port.Chunk{Index: i, Text: text}); err != nil {
+			f.end <- err
+			return router.Completion{}, err
+		}
+	}
+}
+
+// Guards against a caller that stops reading and holds its request for ever.
+func TestCallerThatDoesNotReadIsCutOff(t *testing.T) {
+	is := is.New(t)
+	f := &endlessRouter{end: make(chan error, 1)}
+	srv := httptest.NewServer(New(Deps{Router: f, Source: source(), Limits: Limits{WriteTimeout: 20 * time.Millisecond}}))
+	defer srv.Close()
+	res, err := http.DefaultClient.Do(request(t, "POST", srv.URL+"/v1/completions", `{"model":"m","prompt":"x","stream":true}`))
+	is.NoErr(err)
+	defer func() { _ = res.Body.Close() }()
+	is.True(errors.Is(<-f.end, os.ErrDeadlineExceeded))
+}
+
+// Guards against inputs that crash the decoders.
+func FuzzDecodeCompletion(f *testing.F) {
+	f.Add([]byte(`{"model":"m","prompt":["x"],"max_tokens":3}`), false)
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"x"}]}]}`), true)
+	f.Fuzz(func(t *testing.T, data []byte, chat bool) {
+		in, err := decodeCompletion(data, chat, DefaultLimits)
+		if err == nil && (in.model == "" || in.prompt == "" || in.maxTokens < 1 || in.maxTokens > DefaultLimits.MaxTokens) {
+			t.Fatalf("accepted %+v", in)
+		}
+	})
+}
+
+// Guards against texts that break the framing of events.
+func FuzzSSEText(f *testing.F) {
+	f.Add("a\nb\"\\\u2028", 3)
+	f.Fuzz(func(t *testing.T, text string, index int) {
+		w := httptest.NewRecorder()
+		x := &exchange{s: New(Deps{}), w: w, rc: http.NewResponseController(w), id: "r"}
+		if err := newSSESink(x, text, true).Chunk(t.Context(), port.Chunk{Index: index, Text: text}); err != nil {
+			t.Fatal(err)
+		}
+		lines := bufio.NewScanner(w.Body)
+		lines.Buffer(nil, 1<<20)
+		n := 0
+		for lines.Scan() {
+			n++
+		}
+		if n != 3 { // id, data and the empty line
+			t.Fatalf("%d lines", n)
+		}
+	})
+}
+
+// Guards against fuzzed headers that are accepted as keys without an age.
+func FuzzIdempotencyKey(f *testing.F) {
+	f.Add("k", "2026-01-01T00:00:00Z")
+	f.Add("0190163d-8694-739b-aea5-966c26f8ad91", "")
+	f.Fuzz(func(t *testing.T, key, created string) {
+		var req router.ServiceRequest
+		h := http.Header{"Idempotency-Key": {key}, "Idempotency-Created": {created}}
+		if setKey(&req, h) == nil && len(req.IdempotencyKey) > maxKeyBytes {
+			t.Fatal("accepted a key of " + strconv.Itoa(len(key)) + " bytes")
+		}
+	})
+}
--- a/internal/adapter/callerhttp/service.go
+++ b/internal/adapter/callerhttp/service.go
@@ -50,6 +50,9 @@
 	x.done("ok", slog.String("route", route))
 }
 
+// isFirst reads the caller's assertion that it never sent the key before.
+func isFirst(h http.Header) bool { return strings.EqualFold(h.Get("Idempotency-First"), "true") }
+
 // setKey reads the idempotency key and its age.
 func setKey(req *router.ServiceRequest, h http.Header) error {
 	key := h.Get("Idempotency-Key")
@@ -60,7 +63,7 @@
 		return &InvalidError{Field: "Idempotency-Key", Problem: "is longer than 200 bytes"}
 	}
 	req.IdempotencyKey = key
-	req.First = strings.EqualFold(h.Get("Idempotency-First"), "true")
+	req.First = isFirst(h)
 	if id, err := uuid.Parse(key); err == nil && id.Version() == 7 {
 		seconds, nanos := id.Time().UnixTime()
 		req.KeyCreated = time.Unix(seconds, nanos).UTC()
