--- a/internal/adapter/callerhttp/errors.go
+++ b/internal/adapter/callerhttp/errors.go
@@ -61,7 +61,7 @@
 		status = http.StatusInternalServerError
 	}
 	x.writeError(status, bodyOf(f), f.RetryAfter)
-	x.done(string(f.Kind), slog.String("outcome", string(f.Outcome)), slog.Any("cause", f.Cause))
+	x.done(string(f.Kind), slog.String("outcome", string(f.Outcome)), slog.String("cause", f.LogCause()))
 }
 
 // refuse answers a request that this server did not pass on. A key that was
--- a/internal/adapter/callerhttp/sse.go
+++ b/internal/adapter/callerhttp/sse.go
@@ -123,7 +123,7 @@
 		f := asFailure(err)
 		data, _ := json.Marshal(bodyOf(f)) // strings only: cannot fail
 		_ = sink.write(append(append([]byte("event: error\ndata: "), data...), "\n\n"...))
-		x.done(string(f.Kind), slog.String("outcome", string(f.Outcome)), slog.Any("cause", f.Cause))
+		x.done(string(f.Kind), slog.String("outcome", string(f.Outcome)), slog.String("cause", f.LogCause()))
 		panic(http.ErrAbortHandler)
 	}
 	_ = sink.write([]byte("data: [DONE]\n\n"))
--- a/internal/app/router/attempt.go
+++ b/internal/app/router/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
 	"mimosaseam.example/mimosaseam/internal/core/placement"
@@ -144,8 +145,8 @@
 // failAttempt ends an attempt that failed and records what the failure says
 // of its target. It returns whether a further attempt may help.
 func (c *completion) failAttempt(ctx context.Context, a *attempt, err error) verdict {
-	c.log(a).Info("attempt failed", slog.Any("error", err), slog.Int("chunks", c.asm.Chunks()))
-	a.span.RecordError(err)
+	c.log(a).Info("attempt failed", slog.String("error", logText(err)), slog.Int("chunks", c.asm.Chunks()))
+	a.span.SetStatus(codes.Error, logText(err))
 	c.r.Metrics.Add(MetricAttemptFailures, 1)
 	v := verdictRetry
 	if notRun(err) {
--- a/internal/app/router/completion.go
+++ b/internal/app/router/completion.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
@@ -29,7 +30,8 @@
 	events chan event
 	probes chan probeResult
 	stall  *time.Timer
-	relay  trace.Span // from the first chunk on
+	alarm  <-chan struct{} // closed when some request is convicted
+	relay  trace.Span      // from the first chunk on
 	// active holds the attempts under way: one, or two while a hedge waits for
 	// its first token.
 	active []*attempt
@@ -81,8 +83,9 @@
 		events: make(chan event), probes: make(chan probeResult, 2),
 		tried: map[string]bool{}, weights: p.place.Scope.WeightsVersion,
 		fingerprint: retry.FingerprintOf(req.Account.String(), req.Model, req.Prompt)}
+	c.alarm = r.Fingerprints.Convictions()
 	if r.Fingerprints.Convicted(r.Clock.Now(), c.fingerprint) {
-		return Completion{}, c.fail(KindCrashSuspect, "requests like this one crashed their targets", nil)
+		return Completion{}, c.end(ctx, ErrConvicted)
 	}
 	if c.permit, err = r.admit(ctx, p, p.place.PromptTokens, req.MaxTokens); err != nil {
 		return Completion{}, c.end(ctx, err)
@@ -171,6 +174,11 @@
 		c.probeStalled(ctx)
 	case <-timerChan(hedge):
 		c.hedge(ctx)
+	case <-c.alarm:
+		c.alarm = c.r.Fingerprints.Convictions()
+		if c.r.Fingerprints.Convicted(c.r.Clock.Now(), c.fingerprint) {
+			return false, ErrConvicted
+		}
 	case <-ctx.Done():
 		return false, ctx.Err()
 	}
@@ -287,10 +295,10 @@
 		return ctx.Err()
 	}
 	if c.r.Fingerprints.Convicted(c.r.Clock.Now(), c.fingerprint) {
-		return c.fail(KindCrashSuspect, "the request crashed the targets that ran it", cause)
+		return eris.Wrap(ErrConvicted, logText(cause))
 	}
 	if v == verdictStop {
-		return c.fail(KindInvalid, "the target refused the request", cause)
+		return cause
 	}
 	if len(c.active) > 0 {
 		return nil
--- a/internal/app/router/completion_test.go
+++ b/internal/app/router/completion_test.go
@@ -1,15 +1,20 @@
 package router
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"mimosaseam.example/mimosaseam/internal/core/config"
 	"mimosaseam.example/mimosaseam/internal/port"
@@ -331,3 +336,27 @@
 		is.NoErr(b.WaitDrained(t.Context()))
 	})
 }
+
+// Guards against hops of a request that leave no span, and against prompts in
+// spans and logs.
+func TestTraceAndLogOfResumedRequest(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, is *is.I, b *bench) {
+		spans := tracetest.NewInMemoryExporter()
+		b.Tracer = sdktrace.NewTracerProvider(sdktrace.WithSyncer(spans)).Tracer("test")
+		var logs bytes.Buffer
+		b.Logger = slog.New(slog.NewJSONHandler(&logs, nil))
+		b.engine.scripts["e1"] = breakAfter(1, &port.BrokenStreamError{Target: "e1"})
+		_, err := b.complete(t.Context(), "secret words", 3, &textSink{})
+		is.NoErr(err)
+		names := map[string]int{}
+		for _, s := range spans.GetSpans() {
+			names[s.Name]++
+			is.True(!strings.Contains(fmt.Sprint(s.Attributes, s.Status, s.Events), "secret"))
+		}
+		is.Equal(names, map[string]int{"admit": 1, "place": 2, "attempt": 2, "relay": 1})
+		for _, field := range []string{`"request_id":"r"`, `"account":"kabelgang/planner"`, `"target":"e1"`, `"attempt_id":`} {
+			is.True(strings.Contains(logs.String(), field))
+		}
+		is.True(!strings.Contains(logs.String(), "secret"))
+	})
+}
--- a/internal/app/router/crash_test.go
+++ b/internal/app/router/crash_test.go
@@ -104,10 +104,18 @@
 			}()
 		}
 		synctest.Wait()
+		impatient := make(chan error)
+		time.AfterFunc(70*time.Millisecond, func() { // the same request again, before the second crash
+			_, err := one.complete(t.Context(), poison, 20, &textSink{})
+			impatient <- err
+		})
 		_, err := one.complete(t.Context(), poison, 20, &textSink{})
 		f := failure(t, err)
 		is.Equal(f.Kind, KindCrashSuspect)
 		is.Equal(f.Outcome, OutcomeMayHaveRun)
+		f = failure(t, <-impatient)
+		is.Equal(f.Kind, KindCrashSuspect)
+		is.Equal(f.Outcome, OutcomeNotRun)
 		for range 4 {
 			is.NoErr(<-honest)
 		}
--- a/internal/app/router/failure.go
+++ b/internal/app/router/failure.go
@@ -66,6 +66,9 @@
 // ErrNotDraining says that WaitDrained was called before BeginDrain.
 var ErrNotDraining = eris.New("the router is not draining")
 
+// ErrConvicted says that the request crashed its targets and is refused.
+var ErrConvicted = eris.New("requests like this one crashed the targets that ran them")
+
 // NoTargetError says that no target of the pool was usable in time.
 type NoTargetError struct {
 	Pool string
@@ -114,6 +117,24 @@
 	}
 }
 
+// logText returns the text of an error for logs and traces. What a target says
+// of an input that it refuses may quote the prompt and is left out.
+func logText(err error) string {
+	var bad *port.BadRequestError
+	if errors.As(err, &bad) {
+		return bad.Peer + " refused the request with status " + strconv.Itoa(bad.Status)
+	}
+	return err.Error()
+}
+
+// LogCause is the text of the failure's cause for logs.
+func (f *Failure) LogCause() string {
+	if f.Cause == nil {
+		return ""
+	}
+	return logText(f.Cause)
+}
+
 // asFailure returns err as a *Failure.
 func asFailure(err error) *Failure {
 	var f *Failure
@@ -142,9 +163,11 @@
 		f.RetryAfter = refused.RetryAfter
 		return f
 	case errors.As(err, &bad):
-		f.Kind, f.Message = KindInvalid, "the target refused the request"
+		f.Kind, f.Message = KindInvalid, "the target refused the request: "+bad.Message
 	case errors.As(err, &large):
 		f.Kind, f.Message = KindUpstream, "the reply is too large"
+	case errors.Is(err, ErrConvicted):
+		f.Kind, f.Message = KindCrashSuspect, ErrConvicted.Error()
 	case errors.As(err, &gone):
 		f.Kind, f.Message = KindCanceled, "the caller left"
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, context.DeadlineExceeded):
@@ -163,7 +186,7 @@
 	case limits.ReasonRequestRate, limits.ReasonPromptRate, limits.ReasonOutputRate, limits.ReasonConcurrency:
 		return KindRateLimited, "the client account is over its limit"
 	case limits.ReasonDeadline:
-		return KindDeadline, "the request cannot be served before its deadline"
+		return KindOverloaded, "the request cannot be served before its deadline"
 	case limits.ReasonNoTargets:
 		return KindUnavailable, "no target of the pool is usable"
 	default:
--- a/internal/app/router/fake_test.go
+++ b/internal/app/router/fake_test.go
@@ -245,7 +245,7 @@
 }
 
 // newBench returns a router on fakes; change adapts the configuration.
-func newBench(t *testing.T, change func(*config.Snapshot)) *bench {
+func newBench(t testing.TB, change func(*config.Snapshot)) *bench {
 	t.Helper()
 	b := &bench{
 		engine: &fakeEngine{scripts: map[string]func(context.Context, port.Generation) (port.ChunkStream, error){},
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -125,6 +125,9 @@
 	start := r.Clock.Now()
 	for {
 		now := r.Clock.Now()
+		if r.Fingerprints.Convicted(now, f.fingerprint) {
+			return claim{}, ErrConvicted
+		}
 		scores, byName, excluded := r.rank(now, p, f)
 		r.probeDue(ctx, p, excluded)
 		for _, s := range scores {
--- a/internal/app/router/service.go
+++ b/internal/app/router/service.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
 	"mimosaseam.example/mimosaseam/internal/app/atmostonce"
@@ -159,20 +160,16 @@
 // unknown are repeated only when repeat is set.
 func (c *call) attempts(ctx context.Context, newID func() string, repeat bool) (ServiceReply, error) {
 	for {
-		if c.r.Fingerprints.Convicted(c.r.Clock.Now(), c.fingerprint) {
-			return ServiceReply{}, c.fail(KindCrashSuspect, "requests like this one crashed their targets", nil)
-		}
 		chosen, err := c.r.choose(ctx, c.p, filter{tried: c.tried, fingerprint: c.fingerprint}, newID(), placeWait)
 		if err != nil {
 			return ServiceReply{}, err
 		}
-		t := chosen.target
-		c.tried[t.Name] = true
-		reply, err := c.attempt(ctx, t, chosen.attempt)
+		c.tried[chosen.target.Name] = true
+		reply, err := c.attempt(ctx, chosen.target, chosen.attempt)
 		if err == nil {
 			return reply, nil
 		}
-		v := c.failed(ctx, t, err)
+		v := c.failed(ctx, chosen, err)
 		if v == verdictStop || ctx.Err() != nil || c.sent && !repeat {
 			return ServiceReply{}, err
 		}
@@ -211,7 +208,7 @@
 	}
 	r.Fingerprints.Ended(t.Name, id)
 	if err != nil {
-		span.RecordError(err)
+		span.SetStatus(codes.Error, logText(err))
 		return ServiceReply{}, err
 	}
 	r.circuits.Success(t.Name)
@@ -248,10 +245,12 @@
 }
 
 // failed records what the failure says of the target.
-func (c *call) failed(ctx context.Context, t placement.Target, err error) verdict {
+func (c *call) failed(ctx context.Context, chosen claim, err error) verdict {
+	t := chosen.target
 	c.r.Metrics.Add(MetricAttemptFailures, 1)
 	c.r.Logger.InfoContext(ctx, "attempt failed", slog.String("request_id", c.req.RequestID),
-		slog.String("account", c.req.Account.String()), slog.String("target", t.Name), slog.Any("error", err))
+		slog.String("account", c.req.Account.String()), slog.String("target", t.Name),
+		slog.String("attempt_id", chosen.attempt), slog.String("error", logText(err)))
 	if !notRun(err) {
 		c.sent = true
 		var large *ReplyTooLargeError
@@ -285,7 +284,3 @@
 	}
 	return f
 }
-
-func (c *call) fail(kind Kind, message string, cause error) error {
-	return &Failure{Kind: kind, Message: message, Outcome: outcome(c.sent), Cause: cause, RetryAfter: retryAfter(kind)}
-}
--- a/internal/core/retry/fingerprint.go
+++ b/internal/core/retry/fingerprint.go
@@ -31,6 +31,9 @@
 	suspectFor = 10 * time.Minute
 	convictFor = time.Hour
 	maxRecords = 4096
+	// sameCrash is the time within which reports of a crash of an unknown
+	// incarnation are one crash; broken streams of a crash end within it.
+	sameCrash = 5 * time.Second
 )
 
 // CrashRecord is what routers tell each other of one fingerprint.
@@ -58,6 +61,8 @@
 	records map[Fingerprint]*CrashRecord
 	running map[string]map[string]Fingerprint // target -> attempt -> request
 	crashes map[string]time.Time              // crashes already counted
+	// convictions is closed and replaced when a request is convicted.
+	convictions chan struct{}
 }
 
 // NewFingerprints returns an empty set.
@@ -66,7 +71,26 @@
 		records: map[Fingerprint]*CrashRecord{},
 		running: map[string]map[string]Fingerprint{},
 		crashes: map[string]time.Time{},
+
+		convictions: make(chan struct{}),
+	}
+}
+
+// Convictions returns a channel that is closed at the next conviction, for
+// requests that run on several targets at once.
+func (f *Fingerprints) Convictions() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.convictions
+}
+
+func (f *Fingerprints) convict(r *CrashRecord) {
+	if r.Convicted {
+		return
 	}
+	r.Convicted = true
+	close(f.convictions)
+	f.convictions = make(chan struct{})
 }
 
 // Convicted reports whether the request must be refused.
@@ -147,12 +171,18 @@
 func (f *Fingerprints) Crashed(now time.Time, target, incarnation string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	id := target + "@" + incarnation
-	if at, counted := f.crashes[id]; counted && now.Sub(at) < suspectFor {
+	id, same := target+"@"+incarnation, suspectFor
+	if incarnation == "" {
+		same = sameCrash
+	}
+	if at, counted := f.crashes[id]; counted && now.Sub(at) < same {
 		return
 	}
 	f.prune(now)
 	f.crashes[id] = now
+	if incarnation == "" {
+		id += now.UTC().Format(time.RFC3339)
+	}
 	var suspects, fresh []Fingerprint
 	for _, fp := range f.running[target] {
 		if f.live(now, fp) == nil {
@@ -165,8 +195,8 @@
 		f.suspect(now, fresh, id)
 	} else if r := f.records[suspects[0]]; len(suspects) == 1 && !slices.Contains(r.Crashes, id) {
 		r.Crashes = append(r.Crashes, id)
-		r.Convicted = true
 		r.Expires = now.Add(convictFor)
+		f.convict(r)
 	}
 }
 
@@ -228,6 +258,9 @@
 			continue
 		}
 		r.merge(in)
+		if in.Convicted {
+			f.convict(r)
+		}
 	}
 }
 
@@ -246,7 +279,6 @@
 			r.Crashes = append(r.Crashes, id)
 		}
 	}
-	r.Convicted = r.Convicted || in.Convicted
 	if in.Expires.After(r.Expires) {
 		r.Expires = in.Expires
 	}
