--- a/internal/app/router/explain.go
+++ b/internal/app/router/explain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"mimosaseam.example/mimosaseam/internal/core/config"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 )
 
@@ -24,17 +25,40 @@
 
 // Status is what the router tells operators of itself.
 type Status struct {
-	Draining bool `json:"draining"`
+	Draining bool
 	// OpenRequests includes queued ones.
-	OpenRequests int      `json:"open_requests"`
-	OpenCircuits []string `json:"open_circuits"`
+	OpenRequests int
+	// Circuits maps the targets in the configuration to the state of their
+	// circuits.
+	Circuits map[string]retry.State
+	// BudgetTokens is what each route's retry budget holds, in attempts.
+	BudgetTokens map[string]float64
+	// Quarantined counts the requests that are refused for crashing targets.
+	Quarantined int
 }
 
 // Status returns the current status.
 func (r *Router) Status() Status {
+	now := r.Clock.Now()
+	s := Status{Circuits: map[string]retry.State{}, BudgetTokens: map[string]float64{},
+		Quarantined: r.Fingerprints.Quarantined(now)}
 	r.drain.mu.Lock()
-	defer r.drain.mu.Unlock()
-	return Status{Draining: r.drain.begun, OpenRequests: r.drain.open, OpenCircuits: r.circuits.Open()}
+	s.Draining, s.OpenRequests = r.drain.begun, r.drain.open
+	r.drain.mu.Unlock()
+	snap := r.Source.Current()
+	if snap == nil {
+		return s
+	}
+	for _, pool := range snap.Pools {
+		for _, t := range pool.Targets {
+			s.Circuits[t.Name] = r.circuits.State(t.Name)
+		}
+	}
+	for ref, route := range snap.Routes {
+		pool := snap.Pools[config.Ref{Team: ref.Team, Name: route.Pool}]
+		s.BudgetTokens[ref.String()] = r.budget(ref).Tokens(now, reserve(pool))
+	}
+	return s
 }
 
 // Demand returns each account's recent demand in requests per second, which
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -44,6 +44,14 @@
 	return true
 }
 
+// Tokens returns the extra attempts that the budget holds now.
+func (b *Budget) Tokens(now time.Time, reserve int) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now, reserve)
+	return b.tokens
+}
+
 func (b *Budget) refill(now time.Time, reserve int) {
 	if b.updated.IsZero() {
 		b.tokens = float64(reserve)
--- a/internal/core/retry/circuit.go
+++ b/internal/core/retry/circuit.go
@@ -1,7 +1,6 @@
 package retry
 
 import (
-	"slices"
 	"sync"
 	"time"
 )
@@ -160,18 +159,28 @@
 	}
 }
 
-// Open returns the targets whose circuits are not closed.
-func (c *Circuits) Open() []string {
+// State is the state of a circuit.
+type State string
+
+// The states of circuits.
+const (
+	StateClosed   State = "closed"
+	StateOpen     State = "open"
+	StateHalfOpen State = "half_open"
+)
+
+// State returns the state of the target's circuit.
+func (c *Circuits) State(target string) State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var open []string
-	for target, s := range c.all {
-		if s.open() {
-			open = append(open, target)
-		}
+	s := c.all[target]
+	switch {
+	case s == nil || !s.open():
+		return StateClosed
+	case s.halfOpen:
+		return StateHalfOpen
 	}
-	slices.Sort(open)
-	return open
+	return StateOpen
 }
 
 func (c *Circuits) get(target string) *circuit {
--- a/internal/core/retry/fingerprint.go
+++ b/internal/core/retry/fingerprint.go
@@ -216,6 +216,19 @@
 	}
 }
 
+// Quarantined returns the number of requests that are refused.
+func (f *Fingerprints) Quarantined(now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for fp := range f.records {
+		if r := f.live(now, fp); r != nil && r.Convicted {
+			n++
+		}
+	}
+	return n
+}
+
 // Export returns at most limit records for peers, convictions first.
 func (f *Fingerprints) Export(now time.Time, limit int) []CrashRecord {
 	f.mu.Lock()
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -57,7 +57,7 @@
 	is.True(c.Available(t0, "e")) // failures in a row count
 	c.Failure(t0, "e", Down)
 	is.True(!c.Available(t0, "e"))
-	is.Equal(c.Open(), []string{"e"})
+	is.Equal(c.State("e"), StateOpen)
 	is.True(!c.ClaimProbe(t0, "e"))
 
 	later := t0.Add(openMin)
@@ -70,6 +70,7 @@
 	is.True(c.ClaimProbe(later, "e"))
 	c.Probed(later, "e", true)
 	is.True(c.Available(later, "e"))
+	is.Equal(c.State("e"), StateHalfOpen)
 	c.Started(later, "e")
 	is.True(!c.Available(later, "e")) // one trial at a time
 	is.True(c.Available(later.Add(probeLost), "e"))
