--- a/internal/app/router/attempt.go
+++ b/internal/app/router/attempt.go
@@ -37,6 +37,7 @@
 	extended    int
 	opened      bool
 	delivered   bool
+	chunks      int // delivered from this attempt
 	incarnation port.Incarnation
 	weights     string
 }
--- a/internal/app/router/completion.go
+++ b/internal/app/router/completion.go
@@ -54,6 +54,11 @@
 // budget to others.
 const maxFruitless = 4
 
+// clearAfter is the number of chunks beyond its last crash after which a
+// request no longer counts as a crash suspect. Chunks that were on their way
+// when the target crashed are well below it.
+const clearAfter = 16
+
 // maxFreeReplacements bounds the placements that a request repeats without
 // spending budget because a target refused an outdated expectation.
 const maxFreeReplacements = 4
@@ -265,6 +270,9 @@
 	}
 	c.last = a.target.Name
 	c.fruitless = 0
+	if a.chunks++; a.chunks == clearAfter {
+		c.r.Fingerprints.Clear(c.fingerprint, false)
+	}
 	c.permit.Output(1)
 	if err := c.sink.Chunk(ctx, chunk); err != nil {
 		return false, &callerGoneError{Cause: err}
@@ -281,7 +289,7 @@
 		c.r.Metrics.Add(MetricPromptTokens, int64(chunk.Usage.PromptTokens))
 		c.r.Metrics.Add(MetricCachedTokens, int64(cached))
 	}
-	c.r.Fingerprints.Succeeded(c.fingerprint)
+	c.r.Fingerprints.Clear(c.fingerprint, true)
 	c.endAttempt(a, cached)
 	return true, nil
 }
--- a/internal/app/router/health.go
+++ b/internal/app/router/health.go
@@ -89,8 +89,7 @@
 		r.circuits.Failure(now, t.Name, retry.Down)
 		r.Placer.Drop(t.Name)
 	}
-	if crashed || h.restarted(before) {
-		r.Fingerprints.Crashed(now, t.Name, string(before))
+	if (crashed || h.restarted(before)) && r.Fingerprints.Crashed(now, t.Name, string(before)) {
 		r.Metrics.Add(MetricCrashes, 1)
 	}
 	if h.reachable {
--- a/internal/app/router/service.go
+++ b/internal/app/router/service.go
@@ -212,7 +212,7 @@
 		return ServiceReply{}, err
 	}
 	r.circuits.Success(t.Name)
-	r.Fingerprints.Succeeded(c.fingerprint)
+	r.Fingerprints.Clear(c.fingerprint, true)
 	return reply, nil
 }
 
--- a/internal/core/retry/fingerprint.go
+++ b/internal/core/retry/fingerprint.go
@@ -42,9 +42,10 @@
 	// Crashes lists the crashes that the request was running in, as target and
 	// incarnation.
 	Crashes []string `json:"crashes"`
-	// Cleared says that the request ran to its end after these crashes, so they
-	// are no evidence against it.
+	// Cleared says that the request ran past these crashes.
 	Cleared bool `json:"cleared,omitempty"`
+	// Whole says that it even ran to its end after these crashes.
+	Whole bool `json:"whole,omitempty"`
 	// Convicted requests are refused.
 	Convicted bool      `json:"convicted,omitempty"`
 	Expires   time.Time `json:"expires"`
@@ -54,8 +55,10 @@
 // crash targets. Every request that runs on a target when it crashes becomes a
 // suspect, unless a single earlier suspect was among them: then that one is
 // convicted and the others are not blamed. A suspect runs once at a time, on a
-// target without other suspects, so the second crash convicts. It is safe for
-// concurrent use.
+// target without other suspects, so the second crash convicts. A suspect that
+// gets past the place of the crash is cleared, so that honest requests are not
+// kept apart for long; if it is the only one to crash a third target, it is
+// convicted after all. It is safe for concurrent use.
 type Fingerprints struct {
 	mu      sync.Mutex
 	records map[Fingerprint]*CrashRecord
@@ -157,18 +160,20 @@
 	}
 }
 
-// Succeeded clears the suspicion: the request ran to its end.
-func (f *Fingerprints) Succeeded(fp Fingerprint) {
+// Clear ends the suspicion of a request that ran past the place of the crash.
+// whole says that it ran to its end, which acquits it of all earlier crashes.
+func (f *Fingerprints) Clear(fp Fingerprint, whole bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if r := f.records[fp]; r != nil && !r.Convicted {
 		r.Cleared = true
+		r.Whole = r.Whole || whole
 	}
 }
 
 // Crashed records that the target crashed in the given incarnation. Repeated
-// reports of one crash count once.
-func (f *Fingerprints) Crashed(now time.Time, target, incarnation string) {
+// reports of one crash count once; it reports whether this was the first.
+func (f *Fingerprints) Crashed(now time.Time, target, incarnation string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id, same := target+"@"+incarnation, suspectFor
@@ -176,25 +181,37 @@
 		same = sameCrash
 	}
 	if at, counted := f.crashes[id]; counted && now.Sub(at) < same {
-		return
+		return false
 	}
 	f.prune(now)
 	f.crashes[id] = now
 	if incarnation == "" {
 		id += now.UTC().Format(time.RFC3339)
 	}
-	var suspects, fresh []Fingerprint
+	f.blame(now, target, id)
+	return true
+}
+
+// blame decides which of the running requests crashed the target.
+func (f *Fingerprints) blame(now time.Time, target, crash string) {
+	var suspects, repeated, fresh []Fingerprint
 	for _, fp := range f.running[target] {
-		if f.live(now, fp) == nil {
+		switch r := f.records[fp]; {
+		case f.live(now, fp) == nil && r != nil && !r.Whole && len(r.Crashes) >= 2:
+			repeated = append(repeated, fp)
+		case f.live(now, fp) == nil:
 			fresh = append(fresh, fp)
-		} else if !slices.Contains(suspects, fp) {
+		case !slices.Contains(suspects, fp):
 			suspects = append(suspects, fp)
 		}
 	}
+	if len(suspects) == 0 && len(repeated) == 1 {
+		suspects = repeated
+	}
 	if len(suspects) == 0 {
-		f.suspect(now, fresh, id)
-	} else if r := f.records[suspects[0]]; len(suspects) == 1 && !slices.Contains(r.Crashes, id) {
-		r.Crashes = append(r.Crashes, id)
+		f.suspect(now, append(fresh, repeated...), crash)
+	} else if r := f.records[suspects[0]]; len(suspects) == 1 && !slices.Contains(r.Crashes, crash) {
+		r.Crashes = append(r.Crashes, crash)
 		r.Expires = now.Add(convictFor)
 		f.convict(r)
 	}
@@ -210,8 +227,13 @@
 			r = &CrashRecord{Fingerprint: fp}
 			f.records[fp] = r
 		}
-		r.Cleared = false
-		r.Crashes = append(r.Crashes, crash)
+		if r.Whole {
+			r.Crashes = nil
+		}
+		r.Cleared, r.Whole = false, false
+		if len(r.Crashes) < maxCrashIDs {
+			r.Crashes = append(r.Crashes, crash)
+		}
 		r.Expires = now.Add(suspectFor)
 	}
 }
@@ -287,6 +309,7 @@
 	case !theirs:
 		r.Cleared = r.Cleared && in.Cleared
 	}
+	r.Whole = r.Cleared && (r.Whole || in.Whole)
 	for _, id := range in.Crashes {
 		if !slices.Contains(r.Crashes, id) && len(r.Crashes) < maxCrashIDs {
 			r.Crashes = append(r.Crashes, id)
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -113,9 +113,17 @@
 		}, []Fingerprint{bad}, nil},
 		"success clears": {func(f *Fingerprints) {
 			crash(f, t0, "e1", "1", bad, good)
-			f.Succeeded(good)
+			f.Clear(good, true)
 			crash(f, t0, "e2", "1", good)
 		}, []Fingerprint{bad, good}, nil},
+		"third crash after clearing": {func(f *Fingerprints) {
+			for i, target := range []string{"e1", "e2", "e3"} {
+				crash(f, t0, target, "1", bad, good, Fingerprint(10+i))
+				f.Clear(bad, false)
+				f.Clear(good, i == 0)
+				f.Clear(Fingerprint(10+i), true)
+			}
+		}, []Fingerprint{bad}, []Fingerprint{bad}},
 		"expiry": {func(f *Fingerprints) { crash(f, t0.Add(-suspectFor), "e1", "1", bad) }, nil, nil},
 	}
 	for name, c := range cases {
@@ -156,7 +164,7 @@
 	is.True(!f.Start(t0, 2, "e2", "d")) // beside another suspect
 	is.True(!f.Start(t0, 1, "e3", "e")) // twice at a time
 	is.True(f.Start(t0, 3, "e2", "g"))  // no suspect
-	f.Succeeded(1)
+	f.Clear(1, true)
 	f.Merge(t0, peer.Export(t0, 10))
 	is.True(!f.Suspect(t0, 1))
 	peer.Merge(t0, f.Export(t0, 10))
