--- a/internal/app/router/attempt.go
+++ b/internal/app/router/attempt.go
@@ -59,7 +59,7 @@
 		patience: c.firstPatience(chosen.score), incarnation: t.Incarnation}
 	ctx, a.span = r.Tracer.Start(ctx, "attempt", trace.WithAttributes(
 		attribute.String("target", t.Name), attribute.String("attempt_id", a.id)))
-	a.ctx, a.cancel = context.WithCancel(ctx)
+	a.ctx, a.cancel = context.WithCancel(r.connection(ctx, t.Name, c.stalls > 0))
 	c.attempts++
 	c.active = append(c.active, a)
 	c.tried[t.Name] = true
@@ -134,7 +134,7 @@
 	c.sent = true
 	c.endAttempt(a, -1)
 	c.r.circuits.Ended(a.target.Name)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	ctx, cancel := context.WithTimeout(port.WithFreshConnection(context.WithoutCancel(ctx)), cancelTimeout)
 	go func() {
 		defer cancel()
 		if err := c.r.Engine.Cancel(ctx, a.target.Address, a.id); err != nil {
--- a/internal/app/router/completion.go
+++ b/internal/app/router/completion.go
@@ -42,6 +42,7 @@
 	begun     time.Time
 	fruitless int // extra attempts since the last progress
 	replaced  int
+	stalls    int
 	hedged    bool
 	// sent is set once an attempt may have run.
 	sent   bool
--- a/internal/app/router/fake_test.go
+++ b/internal/app/router/fake_test.go
@@ -202,7 +202,7 @@
 		},
 		Routes: map[config.Ref]config.Route{
 			ref("read"):    {Pool: "ledger-lm", Model: "ledger", TimeoutMs: 60000, StallTimeoutMs: 2000, RetryBudgetPercent: 10},
-			ref("lookup"):  {Pool: "desk", Repeat: config.RepeatAny, TimeoutMs: 5000, RetryBudgetPercent: 10},
+			ref("lookup"):  {Pool: "desk", Repeat: config.RepeatAny, TimeoutMs: 5000, StallTimeoutMs: 1000, RetryBudgetPercent: 10},
 			ref("reserve"): {Pool: "desk", Repeat: config.RepeatNever, TimeoutMs: 5000, RetryBudgetPercent: 10, KeyRetentionS: 60},
 		},
 		Accounts: map[config.Ref]config.Account{testAccount: {Routes: []string{"read", "lookup", "reserve"}, Share: 1}},
--- a/internal/app/router/health.go
+++ b/internal/app/router/health.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/config"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
@@ -31,7 +32,7 @@
 // share one probe, which outlives the request that began it.
 func (r *Router) ask(ctx context.Context, pool config.Pool, t placement.Target, before port.Incarnation) health {
 	return r.shared.do(t.Name+"@"+string(before), func() health {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+		ctx, cancel := context.WithTimeout(port.WithFreshConnection(context.WithoutCancel(ctx)), probeTimeout)
 		defer cancel()
 		if pool.Kind == config.PoolService {
 			return healthOf(r.serviceLoad(ctx, t.Address))
@@ -97,6 +98,51 @@
 	}
 }
 
+// silentFor is the time for which new attempts on a target use new connections
+// after an open one went silent. Pooled connections that are not used are closed
+// within it.
+const silentFor = 2 * time.Minute
+
+// silent remembers the targets whose pooled connections may be silent.
+type silent struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+func (s *silent) mark(now time.Time, target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.until == nil {
+		s.until = map[string]time.Time{}
+	}
+	s.until[target] = now.Add(silentFor)
+}
+
+func (s *silent) is(now time.Time, target string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.until[target])
+}
+
+// stalled records what a probe says of a target whose answer made no progress.
+// A frozen or unreachable target is no proof of a crash; a restart is. A target
+// that answers the probe has left a connection silent.
+func (r *Router) stalled(pool config.Pool, t placement.Target, before port.Incarnation, h health) {
+	r.judge(pool, t, before, h, false)
+	if h.reachable {
+		r.silent.mark(r.Clock.Now(), t.Name)
+	}
+}
+
+// connection returns the context for an attempt: on a new connection when the
+// attempt must not risk one that is silent.
+func (r *Router) connection(ctx context.Context, target string, fresh bool) context.Context {
+	if fresh || r.silent.is(r.Clock.Now(), target) {
+		return port.WithFreshConnection(ctx)
+	}
+	return ctx
+}
+
 // flights lets concurrent callers with the same key share one result.
 type flights struct {
 	mu  sync.Mutex
--- a/internal/app/router/plan.go
+++ b/internal/app/router/plan.go
@@ -131,7 +131,13 @@
 	return usable
 }
 
+// defaultStallTimeout stands in for a route that sets none.
+const defaultStallTimeout = 2 * time.Second
+
 func (p *plan) stallTimeout() time.Duration {
+	if p.route.StallTimeoutMs <= 0 {
+		return defaultStallTimeout
+	}
 	return time.Duration(p.route.StallTimeoutMs) * time.Millisecond
 }
 
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -80,6 +80,7 @@
 	limits   *limits.Controller
 	circuits *retry.Circuits
 	shared   flights
+	silent   silent
 	drain    drain
 
 	budgetsMu sync.Mutex
--- a/internal/app/router/service.go
+++ b/internal/app/router/service.go
@@ -198,7 +198,10 @@
 	r.Metrics.Add(MetricAttempts, 1)
 	defer func() { r.Placer.Finished(r.Clock.Now(), c.p.place, t.Name, t.Incarnation, -1) }()
 	reply, err := c.send(ctx, t, id)
+	var stalled *StalledError
 	switch {
+	case errors.As(err, &stalled):
+		r.stalled(c.p.pool, t, t.Incarnation, r.ask(ctx, c.p.pool, t, t.Incarnation))
 	case err != nil && ctx.Err() != nil:
 		r.circuits.Ended(t.Name) // the caller's leaving says nothing of the target
 	case err != nil && !notRun(err):
@@ -216,7 +219,36 @@
 	return reply, nil
 }
 
+// patience is how long an attempt may take. A call that may be repeated is
+// repeated when the connection may be silent; each attempt gets twice the time of
+// the one before, because the service may just be slow.
+func (c *call) patience() time.Duration {
+	left := c.p.deadline.Sub(c.r.Clock.Now())
+	if c.p.route.Repeat == config.RepeatNever {
+		return left
+	}
+	return min(c.p.stallTimeout()<<c.extra, left)
+}
+
+// send sends the call and reads the whole reply in time.
 func (c *call) send(ctx context.Context, t placement.Target, id string) (ServiceReply, error) {
+	patience := c.patience()
+	attempt, cancel := context.WithTimeout(c.connection(ctx, t), patience)
+	defer cancel()
+	reply, err := c.exchange(attempt, t, id)
+	if err != nil && !notRun(err) && attempt.Err() != nil && ctx.Err() == nil {
+		return reply, &StalledError{Target: t.Name, After: patience}
+	}
+	return reply, err
+}
+
+// connection avoids pooled connections, which may be silent, for calls that
+// cannot be repeated and for repeats.
+func (c *call) connection(ctx context.Context, t placement.Target) context.Context {
+	return c.r.connection(ctx, t.Name, c.extra > 0 || c.p.route.Repeat == config.RepeatNever)
+}
+
+func (c *call) exchange(ctx context.Context, t placement.Target, id string) (ServiceReply, error) {
 	reply, err := c.r.Service.Call(ctx, t.Address, port.Call{
 		RequestID: c.req.RequestID, AttemptID: id, Method: c.req.Method, Path: c.req.Path,
 		Header: c.req.Header, Body: c.req.Body, IdempotencyKey: c.req.IdempotencyKey, Deadline: c.p.deadline,
--- a/internal/app/router/service_test.go
+++ b/internal/app/router/service_test.go
@@ -29,6 +29,13 @@
 	large := func(context.Context, port.Call) (port.Reply, error) {
 		return port.Reply{Status: 200, Body: io.NopCloser(zeros{})}, nil
 	}
+	silent := func(ctx context.Context, c port.Call) (port.Reply, error) {
+		if port.WantsFreshConnection(ctx) && c.AttemptID != "attempt" {
+			return port.Reply{Status: 200, Body: http.NoBody}, nil
+		}
+		<-ctx.Done()
+		return port.Reply{}, &port.UnknownOutcomeError{Peer: "s1", Cause: ctx.Err()}
+	}
 	cases := map[string]struct {
 		route  string
 		script func(context.Context, port.Call) (port.Reply, error)
@@ -39,6 +46,8 @@
 		"lookup answered":                {"lookup", nil, 1, "", ""},
 		"lookup lost":                    {"lookup", fail(lost), 2, "", ""},
 		"lookup not run":                 {"lookup", fail(notRun), 2, "", ""},
+		"lookup on a silent connection":  {"lookup", silent, 2, "", ""},
+		"reservation without answer":     {"reserve", silent, 1, KindUnavailable, OutcomeMayHaveRun},
 		"lookup reply broken":            {"lookup", half, 2, "", ""},
 		"lookup reply too large":         {"lookup", large, 1, KindUpstream, OutcomeMayHaveRun},
 		"reservation answered":           {"reserve", nil, 1, "", ""},
--- a/internal/app/router/stall.go
+++ b/internal/app/router/stall.go
@@ -68,8 +68,8 @@
 		a.progress = c.r.Clock.Now()
 		return nil
 	}
-	// A frozen or unreachable target is no proof of a crash; a restart is.
-	c.r.judge(c.p.pool, a.target, a.incarnation, p.health, false)
+	c.stalls++
+	c.r.stalled(c.p.pool, a.target, a.incarnation, p.health)
 	c.lastOf = &StalledError{Target: a.target.Name, After: a.patience}
 	c.abandon(ctx, a)
 	if len(c.active) > 0 {
--- /dev/null
+++ b/internal/port/fresh.go
@@ -0,0 +1,17 @@
+package port
+
+import "context"
+
+type freshConnectionKey struct{}
+
+// WithFreshConnection asks adapters to run the calls made under ctx on a new
+// connection, because a pooled one may have gone silent.
+func WithFreshConnection(ctx context.Context) context.Context {
+	return context.WithValue(ctx, freshConnectionKey{}, true)
+}
+
+// WantsFreshConnection reports whether ctx asks for a new connection.
+func WantsFreshConnection(ctx context.Context) bool {
+	fresh, _ := ctx.Value(freshConnectionKey{}).(bool)
+	return fresh
+}
