--- a/internal/app/router/api.go
+++ b/internal/app/router/api.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/config"
-	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -66,11 +65,29 @@
 
 // Explanation tells how a request would be placed.
 type Explanation struct {
-	Route      config.Ref
-	Pool       config.Ref
-	Candidates []placement.Score
+	Route string `json:"route"`
+	Pool  string `json:"pool"`
+	// WeightsVersion is the version that the targets would be asked for.
+	WeightsVersion string `json:"weights_version"`
+	PromptTokens   int    `json:"prompt_tokens"`
+	// Candidates are in the order of preference.
+	Candidates []Candidate `json:"candidates"`
 	// Excluded maps targets that are no candidates to the reason.
-	Excluded map[string]string
+	Excluded map[string]string `json:"excluded"`
 	// Refused says that the request would be refused for crashing targets.
-	Refused bool
+	Refused bool `json:"refused"`
+}
+
+// Candidate is a target with its expected cost; see placement.Score.
+type Candidate struct {
+	Target       string  `json:"target"`
+	Reason       string  `json:"reason"`
+	CostMs       float64 `json:"cost_ms"`
+	QueueMs      float64 `json:"queue_ms"`
+	PrefillMs    float64 `json:"prefill_ms"`
+	LinkMs       float64 `json:"link_ms"`
+	ColdMs       float64 `json:"cold_ms"`
+	RecomputeMs  float64 `json:"recompute_ms"`
+	CrossMs      float64 `json:"cross_region_ms"`
+	CachedTokens int     `json:"cached_tokens"`
 }
--- a/internal/app/router/explain.go
+++ b/internal/app/router/explain.go
@@ -19,8 +19,14 @@
 	f := filter{weights: p.place.Scope.WeightsVersion,
 		fingerprint: retry.FingerprintOf(req.Account.String(), req.Model, req.Prompt)}
 	scores, _, excluded := r.rank(now, p, f)
-	return Explanation{Route: p.routeRef, Pool: p.poolRef, Candidates: scores, Excluded: excluded,
-		Refused: r.Fingerprints.Convicted(now, f.fingerprint)}, nil
+	e := Explanation{Route: p.routeRef.String(), Pool: p.poolRef.String(), WeightsVersion: f.weights,
+		PromptTokens: p.place.PromptTokens, Excluded: excluded, Refused: r.Fingerprints.Convicted(now, f.fingerprint)}
+	for _, s := range scores {
+		e.Candidates = append(e.Candidates, Candidate{Target: s.Target, Reason: s.Reason, CostMs: s.CostMs,
+			QueueMs: s.QueueMs, PrefillMs: s.PrefillMs, LinkMs: s.LinkMs, ColdMs: s.ColdMs,
+			RecomputeMs: s.RecomputeMs, CrossMs: s.CrossMs, CachedTokens: s.CachedTokens})
+	}
+	return e, nil
 }
 
 // Status is what the router tells operators of itself.
