Add the placement policy: learned home levels, rendezvous order, cost scoring

Policy implements Placer. A radix tree over block keys (scope mixed in) learns where prompts branch; the home of a request is the shallowest prefix whose subtree fits a share of one target's cache. Holders, retention, load, hot spread and summaries correct the rendezvous order. Not measured yet.

--- /dev/null
+++ b/internal/core/placement/holders.go
@@ -0,0 +1,103 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// holder records that a target had the first blocks of a segment in its cache.
+// The scope is part of the segment's keys; the epoch stands for the target's
+// incarnation and weights version.
+type holder struct {
+	target int32
+	epoch  uint32
+	blocks int32
+	// eventRun is the run of cache events that told so, 0 for own decisions.
+	eventRun uint32
+	last     int64
+}
+
+func (h holder) age(now time.Time) time.Duration { return time.Duration(now.UnixNano() - h.last) }
+
+// cutHolders divides the holders of a segment that is cut after n blocks.
+func cutHolders(all []holder, n int) (front, rest []holder) {
+	for _, h := range all {
+		first := h
+		first.blocks = min(h.blocks, int32(n))
+		front = append(front, first)
+		if h.blocks > int32(n) {
+			h.blocks -= int32(n)
+			rest = append(rest, h)
+		}
+	}
+	return front, rest
+}
+
+func (s *segment) holder(target int32) *holder {
+	for i := range s.holders {
+		if s.holders[i].target == target {
+			return &s.holders[i]
+		}
+	}
+	return nil
+}
+
+// setHolder stores h and replaces the holder used longest ago when full.
+func (s *segment) setHolder(h holder, limit int) {
+	if old := s.holder(h.target); old != nil {
+		*old = h
+		return
+	}
+	if len(s.holders) < limit {
+		s.holders = append(s.holders, h)
+		return
+	}
+	oldest := 0
+	for i := range s.holders {
+		if s.holders[i].last < s.holders[oldest].last {
+			oldest = i
+		}
+	}
+	s.holders[oldest] = h
+}
+
+func (s *segment) dropHolder(target int32) {
+	for i := range s.holders {
+		if s.holders[i].target == target {
+			s.holders = append(s.holders[:i], s.holders[i+1:]...)
+			return
+		}
+	}
+}
+
+const (
+	initialRetention = 60 * time.Second
+	minRetention     = 500 * time.Millisecond
+	maxRetention     = 30 * time.Minute
+	// retentionStep is the gain of the retention estimate. At 0.1 a run of ten
+	// surprises moves it by a factor of e.
+	retentionStep = 0.1
+)
+
+// retention estimates how long engines keep blocks that nobody uses. It learns
+// from the cached token counts of responses.
+type retention struct{ d time.Duration }
+
+// survival is the probability that a block is still cached at the given age.
+func (r retention) survival(age time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	x := age.Seconds() / r.d.Seconds()
+	return math.Exp(-x * x)
+}
+
+// learn moves the estimate towards the outcome of a prediction.
+func (r *retention) learn(predicted float64, hit bool) {
+	outcome := 0.0
+	if hit {
+		outcome = 1
+	}
+	next := r.d.Seconds() * math.Exp(retentionStep*(outcome-predicted))
+	r.d = min(max(time.Duration(next*float64(time.Second)), minRetention), maxRetention)
+}
--- /dev/null
+++ b/internal/core/placement/observe.go
@@ -0,0 +1,129 @@
+package placement
+
+import (
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// maxGuesses bounds the predictions kept for one attempt.
+const maxGuesses = 6
+
+// fingerprint tells the attempts on one target apart. Two requests with equal
+// prompts are interchangeable here.
+func fingerprint(c chain, req Request) uint64 {
+	last := c.seed
+	if c.len() > 0 {
+		last = c.key(c.len() - 1)
+	}
+	return mix64(last ^ uint64(req.PromptTokens)<<20 ^ uint64(req.OutputTokens))
+}
+
+// Started records that an attempt was sent to the target.
+func (p *Policy) Started(now time.Time, req Request, target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.target(target)
+	c := newChain(req.Scope.String(), req.Blocks)
+	p.path = p.segments.learn(now, c, p.path[:0])
+	v := view{now: now, req: req, chain: c, path: p.path, spread: 1, targets: max(1, p.shapes[c.seed].targets)}
+	p.adapt(&v)
+	p.locateHome(&v)
+	a := &attempt{fingerprint: fingerprint(c, req), start: now, epoch: t.epoch, home: v.home}
+	p.predict(&v, t, a)
+	t.attempts = append(t.attempts, a)
+	p.averagePending(now, t)
+	for _, st := range v.path {
+		p.hold(st, t, now, 0)
+	}
+}
+
+// predict fills in what the attempt is expected to find on the target.
+func (p *Policy) predict(v *view, t *targetState, a *attempt) {
+	cached := p.expectedCached(v, t, notHome)
+	a.missed = max(0, float64(v.req.PromptTokens)-cached)
+	if rate := p.shapes[v.chain.seed].prefillPerSec; rate > 0 {
+		a.expected = time.Duration((a.missed + t.pendingTokens(v.now)) / rate * float64(time.Second))
+	}
+	for i, st := range v.path {
+		h := st.segment.holder(t.id)
+		if !t.valid(h) || int(h.blocks) < st.matched || len(a.guesses) == maxGuesses {
+			break
+		}
+		q, _ := p.present(v, t, i, notHome)
+		a.guesses = append(a.guesses, guess{end: st.segment.depth + st.matched, p: q})
+	}
+}
+
+// hold records that the target has the matched part of the step.
+func (p *Policy) hold(st step, t *targetState, now time.Time, run uint32) {
+	if st.matched == 0 {
+		return
+	}
+	blocks := int32(st.matched)
+	if h := st.segment.holder(t.id); t.valid(h) && p.retained.survival(h.age(now)) > 0.5 {
+		blocks = max(blocks, h.blocks)
+	}
+	st.segment.setHolder(holder{target: t.id, epoch: t.epoch, blocks: blocks, eventRun: run, last: now.UnixNano()}, p.cfg.MaxHolders)
+}
+
+func (p *Policy) averagePending(now time.Time, t *targetState) {
+	perRequest := t.pendingTokens(now) / float64(len(t.attempts))
+	p.pendingPerRequest += averageStep * (perRequest - p.pendingPerRequest)
+}
+
+func (t *targetState) find(fingerprint uint64) int {
+	for i, a := range t.attempts {
+		if a.fingerprint == fingerprint {
+			return i
+		}
+	}
+	return -1
+}
+
+// FirstToken records the time from Started to the first token.
+func (p *Policy) FirstToken(now time.Time, req Request, target string, _ time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.target(target)
+	if i := t.find(fingerprint(newChain(req.Scope.String(), req.Blocks), req)); i >= 0 {
+		t.attempts[i].running = true
+	}
+}
+
+// Finished records the end of an attempt and learns from the cached tokens.
+func (p *Policy) Finished(now time.Time, req Request, target string, inc port.Incarnation, cachedTokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.target(target)
+	c := newChain(req.Scope.String(), req.Blocks)
+	i := t.find(fingerprint(c, req))
+	if i < 0 {
+		return
+	}
+	a := t.attempts[i]
+	t.attempts = append(t.attempts[:i], t.attempts[i+1:]...)
+	current := t.adopt(inc) && a.epoch == t.epoch
+	if cachedTokens < 0 || !current {
+		p.unhold(c, t, a)
+		return
+	}
+	p.service += averageStep * (now.Sub(a.start).Seconds() - p.service)
+	blocks := cachedTokens / max(req.BlockTokens, 1)
+	for _, g := range a.guesses {
+		p.retained.learn(g.p, blocks >= g.end)
+	}
+	if s := p.segments.head(a.home); s != nil {
+		s.work += averageStep * (float64(req.PromptTokens-cachedTokens) - s.work)
+	}
+}
+
+// unhold takes back what Started assumed of an attempt that failed.
+func (p *Policy) unhold(c chain, t *targetState, a *attempt) {
+	p.path = p.segments.walk(c, p.path[:0])
+	for _, st := range p.path {
+		if h := st.segment.holder(t.id); h != nil && h.last == a.start.UnixNano() {
+			st.segment.dropHolder(t.id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/placement/rank.go
@@ -0,0 +1,184 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// maxHomeCandidates bounds the home targets scored for one request.
+	maxHomeCandidates = 16
+	bytesPerMiB       = 1 << 20
+	// Near ties are costs within tieMs or tieShare of the best.
+	tieMs    = 2.0
+	tieShare = 0.03
+	// notHome is the order of candidates outside the home targets.
+	notHome = 1 << 20
+)
+
+// candidate is a target under consideration.
+type candidate struct {
+	index int
+	state *targetState
+	// order is the place in the rendezvous order, or at least notHome.
+	order  int
+	reason string
+	score  Score
+}
+
+// view is what the policy knows of one request.
+type view struct {
+	now    time.Time
+	req    Request
+	chain  chain
+	path   []step
+	home   uint64
+	spread int
+	// homeStep is the index of the home segment in path, len(path) when unknown.
+	homeStep int
+	targets  int
+}
+
+func (p *Policy) view(now time.Time, req Request, targets int) view {
+	v := view{now: now, req: req, chain: newChain(req.Scope.String(), req.Blocks), spread: 1, targets: targets}
+	p.path = p.segments.walk(v.chain, p.path[:0])
+	v.path = p.path
+	p.locateHome(&v)
+	return v
+}
+
+// Rank returns the candidates, best first.
+func (p *Policy) Rank(now time.Time, req Request, targets []Target) []Score {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(targets) == 0 {
+		return nil
+	}
+	v := p.view(now, req, len(targets))
+	p.noteShape(v.chain.seed, req, targets)
+	found := p.homeAndHolders(&v, targets)
+	found = p.addIdle(&v, targets, found)
+	for i := range found {
+		if found[i].score.Target == "" {
+			p.score(&v, &found[i], targets[found[i].index])
+		}
+	}
+	return p.order(found)
+}
+
+func (p *Policy) noteShape(seed uint64, req Request, targets []Target) {
+	s := shape{targets: len(targets), blockTokens: req.BlockTokens}
+	for i := range targets {
+		s.slots += float64(targets[i].Slots)
+		s.cacheBlocks += float64(targets[i].CacheBlocks)
+		s.prefillPerSec += targets[i].PrefillTokensPerSecond
+	}
+	n := float64(len(targets))
+	s.slots, s.cacheBlocks, s.prefillPerSec = s.slots/n, s.cacheBlocks/n, s.prefillPerSec/n
+	if len(p.shapes) >= maxScopes {
+		clear(p.shapes)
+	}
+	p.shapes[seed] = s
+}
+
+// homeAndHolders finds the first targets of the rendezvous order and those
+// known to hold a part of the prompt.
+func (p *Policy) homeAndHolders(v *view, targets []Target) []candidate {
+	// One more than the spread: the next in order takes the overflow on all routers.
+	limit := min(v.spread+1, maxHomeCandidates, len(targets))
+	type ranked struct {
+		weight uint64
+		index  int
+	}
+	top := make([]ranked, 0, limit+1)
+	held := p.holding(v)
+	var holders []int
+	for i := range targets {
+		hash := xxhash.Sum64String(targets[i].Name)
+		if len(held) > 0 && slices.Contains(held, hash) {
+			holders = append(holders, i)
+		}
+		w := rendezvous(v.home, hash)
+		if len(top) == limit && w <= top[limit-1].weight {
+			continue
+		}
+		at := len(top)
+		for at > 0 && top[at-1].weight < w {
+			at--
+		}
+		top = slices.Insert(top, at, ranked{w, i})
+		top = top[:min(len(top), limit)]
+	}
+	found := make([]candidate, 0, limit+len(holders)+p.cfg.IdleSample)
+	for order, r := range top {
+		found = append(found, candidate{index: r.index, order: order, reason: "home"})
+	}
+	for _, i := range holders {
+		found = addCandidate(found, candidate{index: i, order: notHome, reason: "holder"})
+	}
+	return found
+}
+
+// holding lists the name hashes of targets that hold a part of the path.
+func (p *Policy) holding(v *view) []uint64 {
+	var hashes []uint64
+	for _, st := range v.path {
+		for i := range st.segment.holders {
+			t := p.byID[st.segment.holders[i].target]
+			if t.valid(&st.segment.holders[i]) && !slices.Contains(hashes, t.hash) {
+				hashes = append(hashes, t.hash)
+			}
+		}
+	}
+	return hashes
+}
+
+// addIdle adds the two cheapest of a random few. Routers draw different
+// samples, so they do not all find the same idle target.
+func (p *Policy) addIdle(v *view, targets []Target, found []candidate) []candidate {
+	var sample []candidate
+	for range min(p.cfg.IdleSample, len(targets)) {
+		c := candidate{index: p.rng.IntN(len(targets)), order: notHome + 1 + p.rng.IntN(notHome), reason: "idle"}
+		sample = addCandidate(sample, c)
+	}
+	for i := range sample {
+		p.score(v, &sample[i], targets[sample[i].index])
+	}
+	slices.SortFunc(sample, byCost)
+	for _, c := range sample[:min(2, len(sample))] {
+		found = addCandidate(found, c)
+	}
+	return found
+}
+
+func addCandidate(found []candidate, c candidate) []candidate {
+	for i := range found {
+		if found[i].index == c.index {
+			return found
+		}
+	}
+	return append(found, c)
+}
+
+func byCost(a, b candidate) int {
+	return cmp.Or(cmp.Compare(a.score.CostMs, b.score.CostMs), cmp.Compare(a.order, b.order))
+}
+
+// order sorts by cost; near ties with the best go by rendezvous order.
+func (p *Policy) order(found []candidate) []Score {
+	slices.SortFunc(found, byCost)
+	limit := found[0].score.CostMs + max(tieMs, tieShare*found[0].score.CostMs)
+	ties := 1
+	for ties < len(found) && found[ties].score.CostMs <= limit {
+		ties++
+	}
+	slices.SortFunc(found[:ties], func(a, b candidate) int { return cmp.Compare(a.order, b.order) })
+	scores := make([]Score, len(found))
+	for i := range found {
+		scores[i] = found[i].score
+	}
+	return scores
+}
--- /dev/null
+++ b/internal/core/placement/settings.go
@@ -0,0 +1,79 @@
+package placement
+
+import "time"
+
+// Settings bound the memory of a Policy and hold the constants of its
+// decisions. Zero fields take the defaults of DefaultSettings.
+type Settings struct {
+	// Seed makes the random choices repeatable. Routers use different seeds.
+	Seed uint64 `json:"seed"`
+	// Region is the region of this router.
+	Region string `json:"region"`
+	// AvailabilityZone is the availability zone of this router.
+	AvailabilityZone string `json:"availability_zone"`
+	// MaxBlocks bounds the prompt blocks kept for level learning. Default 300000.
+	MaxBlocks int `json:"max_blocks"`
+	// MaxSegments bounds the prompt segments kept. Default 50000.
+	MaxSegments int `json:"max_segments"`
+	// MaxHolders bounds the targets remembered for each segment. Default 8.
+	MaxHolders int `json:"max_holders"`
+	// MaxPeerTargets bounds the in-flight counts kept from one peer. Default 64.
+	MaxPeerTargets int `json:"max_peer_targets"`
+	// IdleSegmentS is the time without use after which a segment is forgotten,
+	// in s. Default 300.
+	IdleSegmentS int `json:"idle_segment_s"`
+	// RateWindowS is the time constant of request rates in s. Default 30.
+	RateWindowS int `json:"rate_window_s"`
+	// CacheShare is the share of a target's cache that the subtree of one home
+	// prefix may fill. Default 0.25.
+	CacheShare float64 `json:"cache_share"`
+	// LoadShare is the share of a target's time that one home prefix may take
+	// before it is spread. Default 0.5.
+	LoadShare float64 `json:"load_share"`
+	// MissWeight is the cost, in ms per ms of missed prefill, of the delay and
+	// eviction that a miss imposes on other requests. Default 1.
+	MissWeight float64 `json:"miss_weight"`
+	// InterRegionMs is the one-way latency between regions in ms. Default 12.
+	InterRegionMs float64 `json:"inter_region_ms"`
+	// InterZoneMs is the one-way latency between zones of a region in ms. Default 1.
+	InterZoneMs float64 `json:"inter_zone_ms"`
+	// IdleSample is the number of random targets of which the two least loaded
+	// are candidates. Default 4.
+	IdleSample int `json:"idle_sample"`
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		MaxBlocks: 300000, MaxSegments: 50000, MaxHolders: 8, MaxPeerTargets: 64,
+		IdleSegmentS: 300, RateWindowS: 30, CacheShare: 0.25, LoadShare: 0.5, MissWeight: 1,
+		InterRegionMs: 12, InterZoneMs: 1, IdleSample: 4,
+	}
+}
+
+func (s Settings) withDefaults() Settings {
+	d := DefaultSettings()
+	defaultTo(&s.MaxBlocks, d.MaxBlocks)
+	defaultTo(&s.MaxSegments, d.MaxSegments)
+	defaultTo(&s.MaxHolders, d.MaxHolders)
+	defaultTo(&s.MaxPeerTargets, d.MaxPeerTargets)
+	defaultTo(&s.IdleSegmentS, d.IdleSegmentS)
+	defaultTo(&s.RateWindowS, d.RateWindowS)
+	defaultTo(&s.CacheShare, d.CacheShare)
+	defaultTo(&s.LoadShare, d.LoadShare)
+	defaultTo(&s.MissWeight, d.MissWeight)
+	defaultTo(&s.InterRegionMs, d.InterRegionMs)
+	defaultTo(&s.InterZoneMs, d.InterZoneMs)
+	defaultTo(&s.IdleSample, d.IdleSample)
+	return s
+}
+
+func defaultTo[T int | float64](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+func (s Settings) rateWindow() time.Duration { return time.Duration(s.RateWindowS) * time.Second }
+
+func (s Settings) idleSegment() time.Duration { return time.Duration(s.IdleSegmentS) * time.Second }
