--- /dev/null
+++ b/internal/bench/placement/result.go
@@ -0,0 +1,180 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	core "mimosaseam.example/mimosaseam/internal/core/placement"
+)
+
+// Result is what one policy did with the arrivals.
+type Result struct {
+	Policy    string `json:"policy"`
+	Seed      uint64 `json:"seed"`
+	Requests  int    `json:"requests"`
+	Completed int    `json:"completed"`
+	// Refused requests did not run; failed ones were lost in two crashes or had
+	// no target left after one.
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
+	// PrefixHitRate is the share of prompt tokens found cached.
+	PrefixHitRate float64 `json:"prefix_hit_rate"`
+	TTFTp50Ms     float64 `json:"ttft_p50_ms"`
+	TTFTp95Ms     float64 `json:"ttft_p95_ms"`
+	TTFTp99Ms     float64 `json:"ttft_p99_ms"`
+	PrefillTokens int64   `json:"prefill_tokens"`
+	// CompulsoryTokens are those computed for the first time per prefix, account
+	// and weights version; WastedTokens are the rest.
+	CompulsoryTokens          int64   `json:"compulsory_tokens"`
+	WastedTokens              int64   `json:"wasted_tokens"`
+	CrossRegionBytes          int64   `json:"cross_region_bytes"`
+	ControlBytesPerRouterPerS float64 `json:"control_bytes_per_router_per_s"`
+	// HitRateBefore and HitRateAfter are those of the 1000 requests before and
+	// the 200 after the restart of all routers; only set for that run.
+	HitRateBefore float64 `json:"hit_rate_before_restart,omitempty"`
+	HitRateAfter  float64 `json:"hit_rate_after_restart,omitempty"`
+	// HitRateUndisturbed is the hit rate of the same 200 requests without a restart.
+	HitRateUndisturbed float64 `json:"hit_rate_without_restart,omitempty"`
+}
+
+// metrics collects the measurements of a run.
+type metrics struct {
+	completed, refused, failed int
+	ttft                       []time.Duration
+	prompt, cached             int64
+	prefill, compulsory        int64
+	lost                       float64
+	crossBytes                 int64
+	// hits holds cached and prompt tokens by arrival, for the restart comparison.
+	hits [][2]int
+}
+
+// countPrefill accounts for a prefill that ended.
+func (d *driver) countPrefill(j *job) {
+	prompt := j.req.a.prompt
+	d.m.prompt += int64(prompt)
+	d.m.cached += int64(j.cached)
+	d.m.prefill += int64(prompt - j.cached)
+	if d.m.hits == nil {
+		d.m.hits = make([][2]int, d.w.Requests)
+	}
+	d.m.hits[j.req.a.id] = [2]int{j.cached, prompt}
+	// When all whole blocks are cached, the last token is computed all the same.
+	whole := len(j.blocks) * d.w.BlockTokens
+	if !j.req.tailCounted {
+		j.req.tailCounted = true
+		d.m.compulsory += int64(max(prompt-whole, min(1, prompt-j.cached)))
+	}
+	for i := j.cached / d.w.BlockTokens; i < len(j.blocks); i++ {
+		if !d.computed[j.blocks[i]] {
+			d.computed[j.blocks[i]] = true
+			d.m.compulsory += int64(d.w.BlockTokens)
+		}
+	}
+}
+
+// countLost accounts for a prefill that a crash cut short.
+func (d *driver) countLost(j *job) { d.m.lost += float64(j.req.a.prompt-j.cached) - j.left }
+
+func (d *driver) result() Result {
+	r := Result{Policy: d.opt.policy, Seed: d.opt.seed, Requests: d.w.Requests,
+		Completed: d.m.completed, Refused: d.m.refused, Failed: d.m.failed,
+		PrefillTokens: d.m.prefill + int64(d.m.lost), CompulsoryTokens: d.m.compulsory, CrossRegionBytes: d.m.crossBytes}
+	r.WastedTokens = r.PrefillTokens - r.CompulsoryTokens
+	if d.m.prompt > 0 {
+		r.PrefixHitRate = round(float64(d.m.cached)/float64(d.m.prompt), 4)
+	}
+	slices.Sort(d.m.ttft)
+	r.TTFTp50Ms, r.TTFTp95Ms, r.TTFTp99Ms = d.percentile(50), d.percentile(95), d.percentile(99)
+	bytes := 0.0
+	for _, x := range d.routers {
+		bytes += x.bytes
+	}
+	if d.now > 0 {
+		r.ControlBytesPerRouterPerS = round(bytes/float64(len(d.routers))/d.now.Seconds(), 1)
+	}
+	return r
+}
+
+func (d *driver) percentile(p int) float64 {
+	if len(d.m.ttft) == 0 {
+		return 0
+	}
+	at := (len(d.m.ttft)*p + 99) / 100
+	return round(float64(d.m.ttft[max(0, at-1)])/float64(time.Millisecond), 2)
+}
+
+func (m *metrics) hitRate(from, to int) float64 {
+	cached, prompt := 0, 0
+	for _, h := range m.hits[max(0, from):min(to, len(m.hits))] {
+		cached += h[0]
+		prompt += h[1]
+	}
+	if prompt == 0 {
+		return 0
+	}
+	return round(float64(cached)/float64(prompt), 4)
+}
+
+func round(x float64, digits int) float64 {
+	f := math.Pow10(digits)
+	return math.Round(x*f) / f
+}
+
+// Policies names the policies that Run compares, in order.
+var Policies = []string{"round-robin", "least-loaded", "prefix-hash", "mimosaseam"}
+
+// Extra runs of the product's policy.
+const (
+	policyOneRouter  = "mimosaseam, one router"
+	policyRestartAll = "mimosaseam, all routers restart"
+)
+
+// Run sends the same arrivals through every policy. With extra it adds the run
+// with one router that sees everything and the run in which all routers restart
+// at half time.
+func Run(w Workload, seed uint64, extra bool) []Result {
+	all := arrivals(w, seed)
+	var results []Result
+	var last *driver
+	for _, name := range Policies {
+		last = newDriver(w, options{policy: name, seed: seed, make: maker(w, name)})
+		results = append(results, last.run(all))
+	}
+	if !extra {
+		return results
+	}
+	product := maker(w, "mimosaseam")
+	one := newDriver(w, options{policy: policyOneRouter, seed: seed, make: product, single: true})
+	results = append(results, one.run(all))
+	half := w.Requests / 2
+	restart := newDriver(w, options{policy: policyRestartAll, seed: seed, make: product, restartAt: half})
+	r := restart.run(all)
+	r.HitRateBefore, r.HitRateAfter = restart.m.hitRate(half-1000, half), restart.m.hitRate(half, half+200)
+	r.HitRateUndisturbed = last.m.hitRate(half, half+200)
+	return append(results, r)
+}
+
+func maker(w Workload, policy string) func(seed uint64, region string) core.Placer {
+	switch policy {
+	case "round-robin":
+		return func(seed uint64, _ string) core.Placer {
+			return &roundRobin{inFlight: newInFlight(), turn: int(seed % 1000)}
+		}
+	case "least-loaded":
+		return func(seed uint64, _ string) core.Placer {
+			return &leastLoaded{inFlight: newInFlight(), rng: rand.New(rand.NewPCG(seed, 3))}
+		}
+	case "prefix-hash":
+		first := 0
+		if len(w.Levels) > 0 {
+			first = w.Levels[0].Tokens / w.BlockTokens
+		}
+		return func(uint64, string) core.Placer { return &prefixHash{inFlight: newInFlight(), firstBlocks: first} }
+	}
+	return func(seed uint64, region string) core.Placer {
+		return core.New(core.Settings{Seed: seed, Region: region, InterRegionMs: w.InterRegionMs})
+	}
+}
