Placement: expect only the usual share of prefill behind peers' requests

Cause: six routers sent 40% of requests off their home, one router that sees everything far fewer. The work behind a peer's request was sampled when an own attempt with a miss had just started, so a target with eight requests in flight, nearly all of them decoding, looked 600 ms busy. Ruled out: level learning (all routers split the same 8 roots). Now: time average of the prefill left over time in flight; the unexplained part of load reports is smoothed with its sign.

--- a/internal/core/placement/observe.go
+++ b/internal/core/placement/observe.go
@@ -32,7 +32,6 @@
 	a := &attempt{fingerprint: fingerprint(c, req), start: now, epoch: t.epoch, home: v.home}
 	p.predict(&v, t, a)
 	t.attempts = append(t.attempts, a)
-	p.averagePending(now, t)
 	for _, st := range v.path {
 		p.hold(st, t, now, 0)
 	}
@@ -67,11 +66,6 @@
 	st.segment.setHolder(holder{target: t.id, epoch: t.epoch, blocks: blocks, eventRun: run, last: now.UnixNano()}, p.cfg.MaxHolders)
 }
 
-func (p *Policy) averagePending(now time.Time, t *targetState) {
-	perRequest := t.pendingTokens(now) / float64(len(t.attempts))
-	p.pendingPerRequest += averageStep * (perRequest - p.pendingPerRequest)
-}
-
 func (t *targetState) find(fingerprint uint64) int {
 	for i, a := range t.attempts {
 		if a.fingerprint == fingerprint {
@@ -87,7 +81,7 @@
 	defer p.mu.Unlock()
 	t := p.target(target)
 	if i := t.find(fingerprint(newChain(req.Scope.String(), req.Blocks), req)); i >= 0 {
-		t.attempts[i].running = true
+		t.attempts[i].running, t.attempts[i].ttft = true, now.Sub(t.attempts[i].start)
 	}
 }
 
@@ -108,7 +102,7 @@
 		p.unhold(c, t, a)
 		return
 	}
-	p.service += averageStep * (now.Sub(a.start).Seconds() - p.service)
+	p.averageWork(now, a, float64(req.PromptTokens-cachedTokens))
 	blocks := cachedTokens / max(req.BlockTokens, 1)
 	for _, g := range a.guesses {
 		p.retained.learn(g.p, blocks >= g.end)
@@ -118,6 +112,23 @@
 	}
 }
 
+// averageWork learns from a finished attempt. Its prefill is taken to shrink
+// evenly until the first token.
+func (p *Policy) averageWork(now time.Time, a *attempt, missed float64) {
+	flight := now.Sub(a.start).Seconds()
+	p.service += averageStep * (flight - p.service)
+	p.flightSum += averageStep * (flight - p.flightSum)
+	p.pendingSum += averageStep * (missed*a.ttft.Seconds()/2 - p.pendingSum)
+}
+
+// pendingPerRequest is the prefill work to expect behind a request in flight.
+func (p *Policy) pendingPerRequest() float64 {
+	if p.flightSum <= 0 {
+		return 0
+	}
+	return p.pendingSum / p.flightSum
+}
+
 // unhold takes back what Started assumed of an attempt that failed.
 func (p *Policy) unhold(c chain, t *targetState, a *attempt) {
 	p.path = p.segments.walk(c, p.path[:0])
--- a/internal/core/placement/policy.go
+++ b/internal/core/placement/policy.go
@@ -13,6 +13,10 @@
 	peerFreshFor = 15 * time.Second
 	// averageStep is the gain of the running averages over requests.
 	averageStep = 0.05
+	// unexplainedStep smooths the part of load reports that is not explained. The
+	// report and the peers' counts are of different moments, so their difference
+	// is mostly noise around zero.
+	unexplainedStep = 0.3
 	// maxScopes bounds the scopes whose pool shape is kept.
 	maxScopes = 20000
 )
@@ -30,8 +34,10 @@
 	routers  int
 	shapes   map[uint64]shape
 	retained retention
-	// pendingPerRequest is the usual prefill work left per request in flight.
-	pendingPerRequest float64
+	// pendingSum and flightSum average, over finished requests, the integral of
+	// the tokens left to prefill and the time in flight. Their quotient is the
+	// prefill work to expect behind a request of which only the count is known.
+	pendingSum, flightSum float64
 	// service is the usual time of a request on a target, in s.
 	service float64
 	path    []step
@@ -87,7 +93,7 @@
 			known++
 		}
 	}
-	t.unexplained = float64(max(0, report.Running+report.Waiting-known))
+	t.unexplained += unexplainedStep * (float64(report.Running+report.Waiting-known) - t.unexplained)
 	t.reportedAt = report.MeasuredAt
 }
 
--- a/internal/core/placement/restore.go
+++ b/internal/core/placement/restore.go
@@ -6,7 +6,7 @@
 func (p *Policy) merge(now time.Time, s summaryData) {
 	if p.service == 0 {
 		p.retained.d = min(max(s.retention, minRetention), maxRetention)
-		p.pendingPerRequest, p.service = s.pending, s.service
+		p.pendingSum, p.flightSum, p.service = s.pending*s.service, s.service, s.service
 	}
 	states := make([]*targetState, len(s.targets))
 	for i, t := range s.targets {
--- a/internal/core/placement/summary.go
+++ b/internal/core/placement/summary.go
@@ -54,7 +54,7 @@
 	p := w.p
 	w.out = append(w.out, summaryFormat)
 	w.uint(int(p.retained.d.Milliseconds()))
-	w.float(p.pendingPerRequest)
+	w.float(p.pendingPerRequest())
 	w.float(p.service)
 	listed := make([]*targetState, 0, len(p.byID))
 	for _, t := range p.byID {
--- a/internal/core/placement/targets.go
+++ b/internal/core/placement/targets.go
@@ -59,6 +59,7 @@
 	missed float64
 	// expected is the expected time to the first token.
 	expected time.Duration
+	ttft     time.Duration
 	running  bool
 	home     uint64
 	guesses  []guess
@@ -136,7 +137,7 @@
 func (t *targetState) running(now time.Time) float64 {
 	n := float64(len(t.attempts) + t.peers)
 	if now.Sub(t.reportedAt) < reportFreshFor {
-		n += t.unexplained
+		n += max(0, t.unexplained)
 	}
 	return n
 }
