Placement: expect no cached blocks on a target or for a prefix that is too young

Ruled out: slow start alone. Now: the span is the least of retention, age of the prefix and age of the cache; late first tokens and overdue attempts count as hidden queue; service time leaves the wait out.

--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -11,7 +11,7 @@
 // score fills in the expected cost of a candidate.
 func (p *Policy) score(v *view, c *candidate, target Target) {
 	t := p.target(target.Name)
-	t.adopt(target.Incarnation)
+	t.adopt(v.now, target.Incarnation)
 	cached := p.expectedCached(v, t, c.order)
 	missed := max(0, float64(v.req.PromptTokens)-cached)
 	perMs := max(target.PrefillTokensPerSecond, 1) / 1000
@@ -48,7 +48,7 @@
 	if slots := float64(max(target.Slots, 1)); running >= slots {
 		ms += (running - slots + 1) / slots * p.service * 1000
 	}
-	return ms
+	return ms + t.hiddenMs(now)
 }
 
 // expectedCached is the expected number of cached prompt tokens on a target.
@@ -78,7 +78,7 @@
 			own = 1
 		}
 	}
-	others := p.othersHold(v, s, i, order)
+	others := p.othersHold(v, t, s, i, order)
 	if others > 0 && float64(s.length) > part {
 		if own*part < others*float64(s.length) {
 			return others, float64(s.length)
@@ -91,7 +91,7 @@
 // othersHold is the probability that requests of other routers brought the
 // segment to the target within the retention time: those of a home prefix go
 // to its home targets, those above it to all targets.
-func (p *Policy) othersHold(v *view, s *segment, i, order int) float64 {
+func (p *Policy) othersHold(v *view, t *targetState, s *segment, i, order int) float64 {
 	share := 0.0
 	switch {
 	case i < v.homeStep:
@@ -102,5 +102,6 @@
 		return 0
 	}
 	rate := s.rateAt(v.now, p.cfg.rateWindow()) * float64(p.routers-1)
-	return 1 - math.Exp(-rate*share*p.retained.d.Seconds())
+	span := min(p.retained.d, v.now.Sub(s.born), v.now.Sub(t.emptySince))
+	return 1 - math.Exp(-rate*share*max(0, span.Seconds()))
 }
--- a/internal/core/placement/events.go
+++ b/internal/core/placement/events.go
@@ -16,7 +16,7 @@
 	if t.incarnation != "" && events.Incarnation != t.incarnation {
 		return
 	}
-	t.adopt(events.Incarnation)
+	t.adopt(now, events.Incarnation)
 	for _, e := range events.Events {
 		switch {
 		case !t.events.started:
--- a/internal/core/placement/observe.go
+++ b/internal/core/placement/observe.go
@@ -23,6 +23,7 @@
 func (p *Policy) Started(now time.Time, req Request, target string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.latest = now
 	t := p.target(target)
 	c := newChain(req.Scope.String(), req.Blocks)
 	p.path = p.segments.learn(now, c, p.path[:0])
@@ -39,17 +40,16 @@
 
 // predict fills in what the attempt is expected to find on the target.
 func (p *Policy) predict(v *view, t *targetState, a *attempt) {
-	cached := p.expectedCached(v, t, notHome)
+	order, expectedMs := p.recall(a.fingerprint, t.id)
+	cached := p.expectedCached(v, t, order)
 	a.missed = max(0, float64(v.req.PromptTokens)-cached)
-	if rate := p.shapes[v.chain.seed].prefillPerSec; rate > 0 {
-		a.expected = time.Duration((a.missed + t.pendingTokens(v.now)) / rate * float64(time.Second))
-	}
+	a.expected = time.Duration(expectedMs * float64(time.Millisecond))
 	for i, st := range v.path {
 		h := st.segment.holder(t.id)
 		if !t.valid(h) || int(h.blocks) < st.matched || len(a.guesses) == maxGuesses {
 			break
 		}
-		q, _ := p.present(v, t, i, notHome)
+		q, _ := p.present(v, t, i, order)
 		a.guesses = append(a.guesses, guess{end: st.segment.depth + st.matched, p: q})
 	}
 }
@@ -80,8 +80,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.target(target)
-	if i := t.find(fingerprint(newChain(req.Scope.String(), req.Blocks), req)); i >= 0 {
-		t.attempts[i].running, t.attempts[i].ttft = true, now.Sub(t.attempts[i].start)
+	i := t.find(fingerprint(newChain(req.Scope.String(), req.Blocks), req))
+	if i < 0 {
+		return
+	}
+	a := t.attempts[i]
+	a.running, a.ttft = true, now.Sub(a.start)
+	if a.expected > 0 {
+		t.surprise(now, a.ttft-a.expected)
 	}
 }
 
@@ -97,7 +103,7 @@
 	}
 	a := t.attempts[i]
 	t.attempts = append(t.attempts[:i], t.attempts[i+1:]...)
-	current := t.adopt(inc) && a.epoch == t.epoch
+	current := t.adopt(now, inc) && a.epoch == t.epoch
 	if cachedTokens < 0 || !current {
 		p.unhold(c, t, a)
 		return
@@ -116,7 +122,9 @@
 // evenly until the first token.
 func (p *Policy) averageWork(now time.Time, a *attempt, missed float64) {
 	flight := now.Sub(a.start).Seconds()
-	p.service += averageStep * (flight - p.service)
+	if a.running {
+		p.service += averageStep * (flight - a.ttft.Seconds() - p.service)
+	}
 	p.flightSum += averageStep * (flight - p.flightSum)
 	p.pendingSum += averageStep * (missed*a.ttft.Seconds()/2 - p.pendingSum)
 }
--- a/internal/core/placement/policy.go
+++ b/internal/core/placement/policy.go
@@ -38,9 +38,14 @@
 	// the tokens left to prefill and the time in flight. Their quotient is the
 	// prefill work to expect behind a request of which only the count is known.
 	pendingSum, flightSum float64
-	// service is the usual time of a request on a target, in s.
+	// service is the usual time from the first token to the end of a request, in s.
 	service float64
 	path    []step
+	recent  [recentRanks]ranking
+	// nextRecent counts the rankings.
+	nextRecent int
+	// latest is the latest time that a call told.
+	latest time.Time
 }
 
 var _ Placer = (*Policy)(nil)
@@ -83,10 +88,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.target(target)
-	if !t.adopt(report.Incarnation) {
+	if !t.adopt(now, report.Incarnation) {
 		return
 	}
-	t.adoptWeights(report.WeightsVersion)
+	t.adoptWeights(now, report.WeightsVersion)
 	known := t.peers
 	for _, a := range t.attempts {
 		if a.start.Before(report.MeasuredAt) {
@@ -141,5 +146,5 @@
 func (p *Policy) Drop(target string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.target(target).dropCache()
+	p.target(target).dropCache(p.latest)
 }
--- a/internal/core/placement/rank.go
+++ b/internal/core/placement/rank.go
@@ -57,6 +57,7 @@
 	if len(targets) == 0 {
 		return nil
 	}
+	p.latest = now
 	v := p.view(now, req, len(targets))
 	p.noteShape(v.chain.seed, req, targets)
 	found := p.homeAndHolders(&v, targets)
@@ -66,7 +67,49 @@
 			p.score(&v, &found[i], targets[found[i].index])
 		}
 	}
-	return p.order(found)
+	scores := p.order(found)
+	p.remember(fingerprint(v.chain, req), found)
+	return scores
+}
+
+// recentRanks bounds the rankings kept until the attempt starts. Callers start
+// the attempt right after Rank, so only concurrent requests come in between.
+const recentRanks = 256
+
+// ranking keeps the places of the candidates of one recent Rank.
+type ranking struct {
+	fingerprint uint64
+	targets     []int32
+	orders      []int
+	// expected holds the expected TTFTs in ms.
+	expected []float64
+}
+
+func (p *Policy) remember(fingerprint uint64, found []candidate) {
+	r := &p.recent[p.nextRecent%recentRanks]
+	p.nextRecent++
+	r.fingerprint, r.targets, r.orders, r.expected = fingerprint, r.targets[:0], r.orders[:0], r.expected[:0]
+	for i := range found {
+		r.targets = append(r.targets, found[i].state.id)
+		r.orders = append(r.orders, found[i].order)
+		s := &found[i].score
+		r.expected = append(r.expected, s.QueueMs+s.PrefillMs+s.LinkMs+s.ColdMs)
+	}
+}
+
+// recall returns the place of the target in the last ranking of the request and
+// the TTFT expected then, 0 when it is not known.
+func (p *Policy) recall(fingerprint uint64, target int32) (order int, expectedMs float64) {
+	for back := 1; back <= min(recentRanks, p.nextRecent); back++ {
+		r := &p.recent[(p.nextRecent-back)%recentRanks]
+		if r.fingerprint != fingerprint {
+			continue
+		}
+		if i := slices.Index(r.targets, target); i >= 0 {
+			return r.orders[i], r.expected[i]
+		}
+	}
+	return notHome, 0
 }
 
 func (p *Policy) noteShape(seed uint64, req Request, targets []Target) {
--- a/internal/core/placement/restore.go
+++ b/internal/core/placement/restore.go
@@ -14,7 +14,7 @@
 		// a summary may be older than the target's last restart.
 		state := p.target(t.name)
 		if state.incarnation == "" {
-			state.adopt(t.incarnation)
+			state.adopt(now, t.incarnation)
 		}
 		if state.incarnation == t.incarnation {
 			states[i] = state
--- a/internal/core/placement/segments.go
+++ b/internal/core/placement/segments.go
@@ -29,6 +29,8 @@
 	subtree int
 	rate    float64
 	last    time.Time
+	// born is when the segment was first used; zero when a summary told of it.
+	born time.Time
 	// split is set while the subtree does not fit one target: the home of a
 	// request is then the next segment of its path.
 	split bool
@@ -151,7 +153,7 @@
 func (t *segments) cut(s *segment, n int) {
 	rest := &segment{
 		length: s.length - n, depth: s.depth + n, parent: s, children: s.children, reusedChildren: s.reusedChildren,
-		uses: s.uses, reused: s.reused, subtree: s.subtree, rate: s.rate, last: s.last, split: s.split, spread: s.spread, work: s.work,
+		uses: s.uses, reused: s.reused, subtree: s.subtree, rate: s.rate, last: s.last, born: s.born, split: s.split, spread: s.spread, work: s.work,
 	}
 	if len(s.keys) > n {
 		rest.keys = append(rest.keys, s.keys[n:]...)
@@ -187,7 +189,7 @@
 }
 
 func (t *segments) add(now time.Time, c chain, from int, parent *segment) *segment {
-	s := &segment{length: c.len() - from, depth: from, parent: parent, last: now, spread: 1}
+	s := &segment{length: c.len() - from, depth: from, parent: parent, last: now, born: now, spread: 1}
 	s.keys = make([]uint64, 0, s.length)
 	t.fill(s, c)
 	if parent != nil {
--- a/internal/core/placement/targets.go
+++ b/internal/core/placement/targets.go
@@ -37,7 +37,12 @@
 	// the peers' in-flight counts explain.
 	unexplained float64
 	reportedAt  time.Time
-	events      eventState
+	// emptySince is when the cache was last known to be empty.
+	emptySince time.Time
+	// excess is by how much first tokens were late lately, in ms.
+	excess   float64
+	excessAt time.Time
+	events   eventState
 }
 
 // eventState follows the cache events of one target.
@@ -84,7 +89,7 @@
 
 // adopt takes note of the incarnation that a target reported and says whether
 // it is the current one. An incarnation that was replaced never returns.
-func (t *targetState) adopt(inc port.Incarnation) bool {
+func (t *targetState) adopt(now time.Time, inc port.Incarnation) bool {
 	if inc == "" || inc == t.incarnation {
 		return true
 	}
@@ -96,25 +101,26 @@
 		if len(t.past) > pastIncarnations {
 			t.past = t.past[1:]
 		}
-		t.dropCache()
+		t.dropCache(now)
 	}
 	t.incarnation = inc
 	return true
 }
 
 // adoptWeights drops what was cached when the target serves other weights.
-func (t *targetState) adoptWeights(version string) {
+func (t *targetState) adoptWeights(now time.Time, version string) {
 	if version == "" || version == t.weights {
 		return
 	}
 	if t.weights != "" {
-		t.dropCache()
+		t.dropCache(now)
 	}
 	t.weights = version
 }
 
-func (t *targetState) dropCache() {
+func (t *targetState) dropCache(now time.Time) {
 	t.epoch++
+	t.emptySince = now
 	t.dropEvents()
 }
 
@@ -142,6 +148,36 @@
 	return n
 }
 
+const (
+	// excessWindow is the time constant with which a late first token is forgotten.
+	excessWindow = 3 * time.Second
+	// excessStep is the gain of the average lateness.
+	excessStep = 0.3
+)
+
+// surprise takes note of a first token that came later or earlier than expected.
+func (t *targetState) surprise(now time.Time, late time.Duration) {
+	t.excess = t.excessAfter(now)
+	t.excess += excessStep * (late.Seconds()*1000 - t.excess)
+	t.excessAt = now
+}
+
+func (t *targetState) excessAfter(now time.Time) float64 {
+	return t.excess * decay(now.Sub(t.excessAt), excessWindow)
+}
+
+// hiddenMs is the wait that neither counts nor reports explain: late first
+// tokens, and attempts that are overdue by now.
+func (t *targetState) hiddenMs(now time.Time) float64 {
+	hidden := max(0, t.excessAfter(now))
+	for _, a := range t.attempts {
+		if !a.running && a.expected > 0 {
+			hidden = max(hidden, (now.Sub(a.start)-a.expected).Seconds()*1000)
+		}
+	}
+	return hidden
+}
+
 // pendingTokens is the prefill work of own attempts that is still to be done.
 func (t *targetState) pendingTokens(now time.Time) float64 {
 	sum := 0.0
