Placement: charge a miss on others only outside the home targets

Cause: a prefix held nowhere went to whichever target was a few ms cheaper, so six routers computed it in up to six places. Ruled out: disagreement about homes (all split alike).

--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -18,7 +18,7 @@
 	s := Score{Target: target.Name, CachedTokens: int(cached), Reason: c.reason}
 	s.PrefillMs = missed / perMs
 	s.QueueMs = p.queueMs(v.now, t, target, perMs)
-	s.RecomputeMs = (p.cfg.MissWeight + v.req.Weights.Recompute) * s.PrefillMs
+	s.RecomputeMs = (p.missWeight(v, c.order) + v.req.Weights.Recompute) * s.PrefillMs
 	s.LinkMs = 2 * p.linkMs(target)
 	if target.Region != p.cfg.Region {
 		s.CrossMs = v.req.Weights.CrossRegionMsPerMiB * float64(v.req.PromptBytes) / bytesPerMiB
@@ -30,6 +30,16 @@
 	c.state, c.score = t, s
 }
 
+// missWeight is the weight of a miss on others. What a home target computes
+// serves the requests of all routers; a copy elsewhere has to be computed once
+// more and takes room from other prefixes.
+func (p *Policy) missWeight(v *view, order int) float64 {
+	if order < v.spread {
+		return 0
+	}
+	return p.cfg.MissWeight
+}
+
 func (p *Policy) linkMs(target Target) float64 {
 	switch {
 	case target.Region != p.cfg.Region:
--- a/internal/core/placement/observe.go
+++ b/internal/core/placement/observe.go
@@ -26,13 +26,17 @@
 	p.latest = now
 	t := p.target(target)
 	c := newChain(req.Scope.String(), req.Blocks)
+	a := &attempt{fingerprint: fingerprint(c, req), start: now, epoch: t.epoch}
+	// Predictions come before learning, so that the rates do not count this use.
+	targets := max(1, p.shapes[c.seed].targets)
+	v := p.view(now, req, targets)
+	p.predict(&v, t, a)
+	t.attempts = append(t.attempts, a)
 	p.path = p.segments.learn(now, c, p.path[:0])
-	v := view{now: now, req: req, chain: c, path: p.path, spread: 1, targets: max(1, p.shapes[c.seed].targets)}
+	v = view{now: now, req: req, chain: c, path: p.path, spread: 1, targets: targets}
 	p.adapt(&v)
 	p.locateHome(&v)
-	a := &attempt{fingerprint: fingerprint(c, req), start: now, epoch: t.epoch, home: v.home}
-	p.predict(&v, t, a)
-	t.attempts = append(t.attempts, a)
+	a.home = v.home
 	for _, st := range v.path {
 		p.hold(st, t, now, 0)
 	}
--- a/internal/core/placement/settings.go
+++ b/internal/core/placement/settings.go
@@ -30,8 +30,8 @@
 	// LoadShare is the share of a target's time that one home prefix may take
 	// before it is spread. Default 0.5.
 	LoadShare float64 `json:"load_share"`
-	// MissWeight is the cost, in ms per ms of missed prefill, of the delay and
-	// eviction that a miss imposes on other requests. Default 1.
+	// MissWeight is the cost, in ms per ms of missed prefill, of a copy outside
+	// the home targets. Default 1.
 	MissWeight float64 `json:"miss_weight"`
 	// InterRegionMs is the one-way latency between regions in ms. Default 12.
 	InterRegionMs float64 `json:"inter_region_ms"`
