--- a/internal/bench/placement/engine.go
+++ b/internal/bench/placement/engine.go
@@ -27,7 +27,7 @@
 	req    *request
 	engine *engine
 	blocks []port.BlockHash
-	// cached is the number of tokens found cached when the job got its slot.
+	// cached is the number of tokens found cached when the prefill began.
 	cached  int
 	left    float64
 	started bool
@@ -94,13 +94,23 @@
 		j := e.waiting[0]
 		e.waiting = e.waiting[1:]
 		e.running[j] = true
-		j.cached = e.cache.match(j.blocks) * e.d.w.BlockTokens
-		// The last token is always computed: it yields the first output token.
-		j.cached = min(j.cached, j.req.a.prompt-1)
-		j.left = float64(j.req.a.prompt - j.cached)
-		j.started = true
 		e.prefill = append(e.prefill, j)
 	}
+	e.begin()
+}
+
+// begin starts the prefill of the oldest job that waits for it. The cache is
+// looked up only now, so a job finds what the jobs before it computed.
+func (e *engine) begin() {
+	if len(e.prefill) == 0 || e.prefill[0].started {
+		return
+	}
+	j := e.prefill[0]
+	j.started = true
+	j.cached = e.cache.match(j.blocks) * e.d.w.BlockTokens
+	// The last token is always computed: it yields the first output token.
+	j.cached = min(j.cached, j.req.a.prompt-1)
+	j.left = float64(j.req.a.prompt - j.cached)
 }
 
 // speed is the prefill speed in tokens per second.
@@ -113,18 +123,16 @@
 	return full * (coldSpeed + (1-coldSpeed)*done)
 }
 
-// advance brings the shared prefill up to the current time.
+// advance brings the prefill up to the current time. The batch shares the
+// prefill speed: the oldest job gets all of it, as with chunked prefill.
 func (e *engine) advance() {
 	elapsed := (e.d.now - e.updated).Seconds()
 	e.updated = e.d.now
 	if len(e.prefill) == 0 || elapsed <= 0 {
 		return
 	}
-	share := elapsed * e.speed() / float64(len(e.prefill))
-	for _, j := range e.prefill {
-		done := min(share, j.left)
-		j.left -= done
-	}
+	j := e.prefill[0]
+	j.left = max(0, j.left-elapsed*e.speed())
 }
 
 // replan schedules the next end of a prefill. A cold engine is looked at again
@@ -134,11 +142,7 @@
 	if len(e.prefill) == 0 {
 		return
 	}
-	least := e.prefill[0].left
-	for _, j := range e.prefill {
-		least = min(least, j.left)
-	}
-	wait := seconds(least*float64(len(e.prefill))/e.speed()) + time.Microsecond
+	wait := seconds(e.prefill[0].left/e.speed()) + time.Microsecond
 	if e.d.now < e.coldUntil {
 		wait = min(wait, time.Second)
 	}
@@ -146,22 +150,20 @@
 	e.d.after(wait, func() {
 		if plan == e.plan {
 			e.advance()
-			e.endPrefills()
+			e.endPrefill()
 			e.replan()
 		}
 	})
 }
 
-func (e *engine) endPrefills() {
-	rest := e.prefill[:0]
-	for _, j := range e.prefill {
-		if j.left > 0.5 {
-			rest = append(rest, j)
-			continue
-		}
-		e.firstToken(j)
+func (e *engine) endPrefill() {
+	j := e.prefill[0]
+	if j.left > 0.5 {
+		return
 	}
-	e.prefill = rest
+	e.prefill = e.prefill[1:]
+	e.firstToken(j)
+	e.begin()
 }
 
 func (e *engine) firstToken(j *job) {
@@ -247,8 +249,8 @@
 func (e *engine) crash() []*job {
 	e.advance()
 	lost := append([]*job(nil), e.waiting...)
-	for _, j := range e.prefill {
-		e.d.countLost(j)
+	if len(e.prefill) > 0 {
+		e.d.countLost(e.prefill[0])
 	}
 	for j := range e.running {
 		lost = append(lost, j)
