--- a/internal/app/router/completion_test.go
+++ b/internal/app/router/completion_test.go
@@ -360,3 +360,19 @@
 		is.True(!strings.Contains(logs.String(), "secret"))
 	})
 }
+
+// Guards against cached blocks that outlive their engine, and against restarted
+// engines that are not started slowly.
+func TestTargetsObserveRestarts(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, is *is.I, b *bench) {
+		v := b.targets
+		v.Observe("e1", "i1", "v1", time.Minute)
+		is.True(v.State("e1").ColdUntil.IsZero()) // the first sight is no restart
+		v.Observe("e1", "i2", "v1", time.Minute)
+		is.Equal(v.State("e1").ColdUntil, time.Now().Add(time.Minute))
+		v.Observe("e1", "", "v2", 0)
+		is.Equal(v.State("e1").Incarnation, port.Incarnation("i2"))
+		v.Observe("e1", "i2", "v2", 0)
+		is.Equal(b.placer.dropped, []string{"e1", "e1"})
+	})
+}
--- a/internal/app/router/failure.go
+++ b/internal/app/router/failure.go
@@ -161,6 +161,9 @@
 	case errors.As(err, &refused):
 		f.Kind, f.Message = kindOfRefusal(refused.Reason)
 		f.RetryAfter = refused.RetryAfter
+		if f.RetryAfter <= 0 {
+			f.RetryAfter = retryAfterDefault
+		}
 		return f
 	case errors.As(err, &bad):
 		f.Kind, f.Message = KindInvalid, "the target refused the request: "+bad.Message
