--- /dev/null
+++ b/cmd/mimosaseam/backend.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/adapter/adminhttp"
+	"mimosaseam.example/mimosaseam/internal/app/router"
+	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/core/membership"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+const (
+	// askTimeout bounds asking one router for its configuration offset.
+	askTimeout = time.Second
+	// askParallel bounds the routers asked at once.
+	askParallel = 32
+)
+
+// Readiness implements adminhttp.Backend.
+func (n *node) Readiness() adminhttp.Readiness {
+	n.mu.Lock()
+	draining := n.draining
+	n.mu.Unlock()
+	if draining {
+		return adminhttp.Readiness{Reason: "stopping"}
+	}
+	select {
+	case <-n.config.Ready():
+		return adminhttp.Readiness{Ready: true}
+	default:
+		return adminhttp.Readiness{Reason: "the configuration has not been read from the log or from a peer"}
+	}
+}
+
+// Status implements adminhttp.Backend.
+func (n *node) Status() adminhttp.Status {
+	s := n.settings
+	routerStatus := n.router.Status()
+	status := adminhttp.Status{
+		VM: s.VM.Name, Region: s.VM.Region, AvailabilityZone: s.VM.AvailabilityZone,
+		Version: version, StartedAt: n.started, Readiness: n.Readiness(), ConfigOffset: n.config.Applied(),
+		BudgetTokens: routerStatus.BudgetTokens, Quarantined: routerStatus.Quarantined,
+		Targets: n.targetStatus(routerStatus),
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	status.LogContact = n.logContact
+	for _, r := range n.fleet.Routers() {
+		status.Peers = append(status.Peers, adminhttp.Peer{
+			Name: r.Name, Address: r.Address, Region: r.Region, AvailabilityZone: r.AvailabilityZone,
+			State: r.State.String(), ConfigOffset: n.offsets[r.Name],
+		})
+	}
+	return status
+}
+
+func (n *node) targetStatus(s router.Status) []adminhttp.Target {
+	inFlight := n.placer.InFlight()
+	var out []adminhttp.Target
+	for ref, pool := range n.config.Current().Pools {
+		for _, t := range pool.Targets {
+			state := n.targets.State(t.Name)
+			out = append(out, adminhttp.Target{
+				Pool: ref.String(), Name: t.Name, Address: t.Address, Region: t.Region,
+				Incarnation: string(state.Incarnation), Circuit: string(s.Circuits[t.Name]),
+				Leaving: state.Leaving, InFlight: inFlight[t.Name],
+			})
+		}
+	}
+	slices.SortFunc(out, func(a, b adminhttp.Target) int {
+		return cmp.Or(strings.Compare(a.Pool, b.Pool), strings.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+// Applied implements adminhttp.Backend: it asks every router that may be running.
+func (n *node) Applied(ctx context.Context, offset port.Offset) adminhttp.Applied {
+	answer := adminhttp.Applied{Offset: offset}
+	note := func(name string, applied bool) {
+		if applied {
+			answer.InForce = append(answer.InForce, name)
+		} else {
+			answer.Lagging = append(answer.Lagging, name)
+		}
+	}
+	note(n.settings.VM.Name, n.config.Applied() >= offset)
+	routers := slices.DeleteFunc(n.fleet.Routers(), func(r membership.Router) bool {
+		return r.State == port.MemberDead && !r.Listed
+	})
+	results := make([]bool, len(routers))
+	slots := make(chan struct{}, askParallel)
+	var asked sync.WaitGroup
+	for i, r := range routers {
+		asked.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			results[i] = n.askOffset(ctx, r.Address) >= offset
+		})
+	}
+	asked.Wait()
+	for i, r := range routers {
+		note(r.Name, results[i])
+	}
+	return answer
+}
+
+func (n *node) askOffset(ctx context.Context, address string) port.Offset {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answer, err := n.peers.Exchange(ctx, address, port.PeerExchange{From: n.fleet.Self(), ConfigOffset: n.config.Applied()})
+	if err != nil {
+		return 0
+	}
+	return answer.ConfigOffset
+}
+
+// Explain implements adminhttp.Backend.
+func (n *node) Explain(ctx context.Context, r adminhttp.ExplainRequest) (any, error) {
+	team, name, _ := strings.Cut(r.ClientAccount, "/")
+	return n.router.Explain(ctx, router.CompletionRequest{
+		Account: config.Ref{Team: team, Name: name}, Model: r.Model, Prompt: r.Prompt, MaxTokens: r.MaxTokens,
+	})
+}
--- /dev/null
+++ b/cmd/mimosaseam/node.go
@@ -0,0 +1,336 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/grpc/credentials"
+
+	"mimosaseam.example/mimosaseam/internal/adapter/callerhttp"
+	"mimosaseam.example/mimosaseam/internal/adapter/enginehttp"
+	"mimosaseam.example/mimosaseam/internal/adapter/httpconn"
+	"mimosaseam.example/mimosaseam/internal/adapter/peergrpc"
+	"mimosaseam.example/mimosaseam/internal/adapter/servicehttp"
+	"mimosaseam.example/mimosaseam/internal/adapter/telemetry"
+	"mimosaseam.example/mimosaseam/internal/adapter/tlsconfig"
+	"mimosaseam.example/mimosaseam/internal/app/atmostonce"
+	"mimosaseam.example/mimosaseam/internal/app/configsync"
+	"mimosaseam.example/mimosaseam/internal/app/fleet"
+	"mimosaseam.example/mimosaseam/internal/app/follow"
+	"mimosaseam.example/mimosaseam/internal/app/observe"
+	"mimosaseam.example/mimosaseam/internal/app/orders"
+	"mimosaseam.example/mimosaseam/internal/app/router"
+	"mimosaseam.example/mimosaseam/internal/app/shares"
+	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/core/membership"
+	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/retry"
+	"mimosaseam.example/mimosaseam/internal/port"
+	"mimosaseam.example/mimosaseam/internal/settings"
+)
+
+// node holds the parts of one router process.
+type node struct {
+	settings settings.Settings
+	log      *slog.Logger
+	traces   telemetry.Traces
+	metrics  *telemetry.Metrics
+	started  time.Time
+	holder   string
+
+	platform     platform
+	engine       *enginehttp.Client
+	service      *servicehttp.Client
+	peers        *peergrpc.Client
+	peerCreds    credentials.TransportCredentials
+	config       *configsync.Sync
+	ledger       *atmostonce.Service
+	placer       *placement.Policy
+	targets      *router.Targets
+	fingerprints *retry.Fingerprints
+	shares       *shares.Shares
+	fleet        *fleet.Fleet
+	orders       *orders.Manager
+	observer     *observe.Observer
+	follower     *follow.Follower
+	router       *router.Router
+	callers      *callerhttp.Server
+
+	mu         sync.Mutex
+	draining   bool
+	logContact time.Time
+	offsets    map[string]port.Offset
+}
+
+// newNode builds the parts without starting any.
+func newNode(ctx context.Context, s settings.Settings, logger *slog.Logger) (*node, error) {
+	n := &node{settings: s, log: logger, started: time.Now(), offsets: map[string]port.Offset{}}
+	n.holder = s.VM.Name + "/" + strconv.FormatInt(n.started.UnixMilli(), 10)
+	n.metrics = telemetry.NewMetrics("mimosaseam", "mimosaseam_durations")
+	n.fingerprints = retry.NewFingerprints()
+	var err error
+	if n.traces, err = telemetry.StartTraces(ctx, s.Telemetry, s.VM); err != nil {
+		return nil, err
+	}
+	if err := n.buildClients(); err != nil {
+		return nil, err
+	}
+	n.buildState()
+	n.buildFleet()
+	n.buildServing()
+	return n, nil
+}
+
+func (n *node) buildClients() error {
+	s := n.settings
+	var err error
+	if n.platform, err = newPlatform(s); err != nil {
+		return err
+	}
+	targetTLS, err := tlsconfig.Client(s.Targets.TLS.CAFile)
+	if err != nil {
+		return err
+	}
+	connections := httpconn.Options{TLS: targetTLS}
+	n.engine = enginehttp.New(enginehttp.Options{Options: connections})
+	n.service = servicehttp.New(servicehttp.Options{Options: connections})
+	server, client, err := tlsconfig.Mutual(s.Peers.TLS.CertFile, s.Peers.TLS.KeyFile, s.Peers.TLS.CAFile)
+	if err != nil {
+		return err
+	}
+	var clientCreds credentials.TransportCredentials
+	if server != nil {
+		n.peerCreds, clientCreds = credentials.NewTLS(server), credentials.NewTLS(client)
+	}
+	n.peers = peergrpc.NewClient(clientCreds)
+	return nil
+}
+
+// buildState builds what follows the log and what learns from traffic.
+func (n *node) buildState() {
+	s := n.settings
+	n.config = configsync.New(configsync.Options{
+		Log: n.platform.log, Peer: peerRecords{n}, SystemKey: systemKey(s),
+		Retention: s.Platform.Retention(), Logger: n.log,
+	})
+	n.ledger = atmostonce.New(atmostonce.Options{
+		Log: n.platform.log, Router: n.holder, Retention: s.Platform.Retention(),
+		AppendsPerSecond: s.Platform.AppendsPerSecond, Logger: n.log,
+	})
+	seed := uint64(s.Resources.Seed)
+	if seed == 0 {
+		seed = router.SystemRandom{}.Uint64()
+	}
+	placerSettings := placement.DefaultSettings()
+	placerSettings.Seed, placerSettings.Region = seed, s.VM.Region
+	placerSettings.AvailabilityZone = s.VM.AvailabilityZone
+	n.placer = placement.New(placerSettings)
+	n.targets = router.NewTargets(port.SystemClock{}, n.placer)
+	n.orders = orders.New(orders.Deps{
+		Log: n.platform.log, Engine: n.engine, Weights: n.platform.weights, Clock: port.SystemClock{},
+		Logger: n.log, Holder: n.holder, Desired: n.desired,
+	})
+	n.follower = &follow.Follower{
+		Log: n.platform.log, Stream: port.StreamFleet, Logger: n.log, Handle: n.observeFleetRecord,
+		Contact: n.noteLogContact,
+	}
+	n.observer = observe.New(observe.Deps{
+		Engine: n.engine, Source: n.config, Placer: n.placer, Targets: n.targets,
+		Clock: port.SystemClock{}, Logger: n.log,
+	})
+}
+
+func (n *node) buildServing() {
+	n.router = router.New(router.Deps{
+		Engine: n.engine, Service: n.service, Placer: n.placer, Runner: n.ledger, Source: n.config,
+		Targets: n.targets, Shares: n.shares, Fingerprints: n.fingerprints,
+		Logger: n.log, Tracer: n.traces.Tracer, Metrics: n.metrics,
+	})
+	c := n.settings.Callers
+	n.callers = callerhttp.New(callerhttp.Deps{
+		Router: n.router, Source: n.config, Logger: n.log, Tracer: n.traces.Tracer, Metrics: n.metrics,
+		Limits: callerhttp.Limits{
+			HeaderBytes: c.HeaderBytes, BodyBytes: int64(c.BodyBytes),
+			BodyTimeout:  time.Duration(c.ReadTimeoutS) * time.Second,
+			WriteTimeout: time.Duration(c.WriteStallS) * time.Second,
+			Open:         c.Connections,
+		},
+	})
+}
+
+func (n *node) buildFleet() {
+	s := n.settings
+	n.fleet = fleet.New(fleet.Options{
+		Self: port.Member{
+			Name: s.VM.Name, Address: s.Peers.Address, Region: s.VM.Region,
+			AvailabilityZone: s.VM.AvailabilityZone, Incarnation: uint64(n.started.UnixMilli()),
+		},
+		Seeds: s.Peers.Seeds, Peer: n.peers, VMList: n.platform.vmList, Logger: n.log,
+		ListInterval: time.Duration(s.Platform.VMListPollMs) * time.Millisecond,
+		Sources: fleet.Sources{
+			ConfigOffset:   n.config.Applied,
+			InFlight:       n.placer.InFlight,
+			Demand:         func() map[string]float64 { return n.router.Demand() },
+			Summary:        func(max int) []byte { return n.placer.Summary(time.Now(), max) },
+			SummaryChanges: func(max int) []byte { return n.placer.Summary(time.Now(), max) },
+			Records:        n.config.PullRecords,
+		},
+		Callbacks: fleet.Callbacks{
+			OnPeerInFlight: n.takePeerInFlight,
+			OnFingerprints: n.takeCrashRecords,
+			OnSummary:      n.takeSummary,
+			OnTargets:      func([]port.TargetMark) { n.refreshLeaving() },
+			OnRouters:      n.takeRouters,
+			OnConfigOffset: n.takeConfigOffset,
+		},
+	})
+	n.shares = shares.New(s.VM.Name, n.fleet.Demand)
+}
+
+// peerRecords reads configuration records from other routers.
+type peerRecords struct{ n *node }
+
+func (p peerRecords) PullRecords(ctx context.Context, stream string, from port.Offset, limit int) (port.Batch, error) {
+	return p.n.fleet.PullRecords(ctx, stream, from, limit)
+}
+
+func (n *node) takePeerInFlight(peer string, counts map[string]int) {
+	n.placer.ObservePeer(time.Now(), peer, counts)
+	n.shares.SetInFlight(peer, counts)
+}
+
+func (n *node) takeSummary(peer string, summary []byte) {
+	if err := n.placer.Restore(time.Now(), summary); err != nil {
+		n.log.Warn("hot-prefix summary refused", "peer", peer, "error", err)
+	}
+}
+
+func (n *node) takeRouters(routers []membership.Router) { n.shares.SetRouters(routers) }
+
+func (n *node) takeConfigOffset(peer string, offset port.Offset) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.offsets[peer] = max(n.offsets[peer], offset)
+}
+
+// takeCrashRecords merges records that peers found.
+func (n *node) takeCrashRecords(values []string) {
+	for _, v := range values {
+		var record retry.CrashRecord
+		if err := json.Unmarshal([]byte(v), &record); err != nil {
+			n.log.Warn("crash record refused", "error", err)
+			continue
+		}
+		n.fingerprints.Merge(time.Now(), []retry.CrashRecord{record})
+	}
+}
+
+// refreshLeaving passes the targets that must get no new work to the router.
+func (n *node) refreshLeaving() {
+	marks := map[string]bool{}
+	for _, m := range n.fleet.LeavingTargets() {
+		marks[m.Target] = true
+	}
+	leaving := map[string]bool{}
+	for _, pool := range n.config.Current().Pools {
+		for _, t := range pool.Targets {
+			if marks[t.Name] || marks[t.Address] {
+				leaving[t.Name] = true
+			}
+		}
+	}
+	n.targets.SetLeaving(leaving)
+}
+
+// desired lists what each engine should serve.
+func (n *node) desired() []orders.Desired {
+	var out []orders.Desired
+	for ref, pool := range n.config.Current().Pools {
+		if pool.Kind != config.PoolEngine || pool.WeightsVersion == "" {
+			continue
+		}
+		for _, t := range pool.Targets {
+			out = append(out, orders.Desired{
+				Pool: ref.String(), Target: t.Name, Address: t.Address, Model: pool.Model,
+				WeightsVersion: pool.WeightsVersion, ChecksFencing: pool.ChecksFencing,
+			})
+		}
+	}
+	return out
+}
+
+func (n *node) noteLogContact() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.logContact = time.Now()
+}
+
+// fleetRecord is a record of the fleet stream that is not a lease claim.
+type fleetRecord struct {
+	Kind  string   `json:"kind"`
+	Crash []string `json:"crash,omitempty"`
+}
+
+const kindCrash = "crash_records"
+
+func (n *node) observeFleetRecord(r port.Record) {
+	n.orders.Observe(r)
+	var record fleetRecord
+	if json.Unmarshal(r.Data, &record) == nil && record.Kind == kindCrash {
+		n.takeCrashRecords(record.Crash)
+	}
+}
+
+// crashInterval is the time between two looks for new crash records. A caller
+// repeats a failed request at once, often through another router.
+const crashInterval = 200 * time.Millisecond
+
+// maxCrashRecords bounds the records told to peers at once.
+const maxCrashRecords = 64
+
+// spreadCrashRecords tells peers of requests that crash targets, and writes
+// convictions to the log for routers that start later.
+func (n *node) spreadCrashRecords(ctx context.Context) error {
+	ticker := time.NewTicker(crashInterval)
+	defer ticker.Stop()
+	told := map[string]bool{}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		current := map[string]bool{}
+		for _, record := range n.fingerprints.Export(time.Now(), maxCrashRecords) {
+			text, err := json.Marshal(record)
+			if err != nil {
+				continue
+			}
+			value := string(text)
+			current[value] = true
+			if told[value] {
+				continue
+			}
+			n.fleet.ReportFingerprint(value)
+			if record.Convicted {
+				n.keepConviction(ctx, value)
+			}
+		}
+		told = current
+	}
+}
+
+func (n *node) keepConviction(ctx context.Context, value string) {
+	data, err := json.Marshal(fleetRecord{Kind: kindCrash, Crash: []string{value}})
+	if err != nil {
+		return
+	}
+	if _, err := n.platform.log.Append(ctx, port.StreamFleet, []port.Record{{ID: uuid.NewString(), Data: data}}); err != nil {
+		n.log.Warn("conviction not written to the log, peers know it", "error", err)
+	}
+}
--- /dev/null
+++ b/cmd/mimosaseam/platform.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"crypto/ed25519"
+	"crypto/tls"
+	"encoding/base64"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"mimosaseam.example/mimosaseam/internal/adapter/platformhttp"
+	"mimosaseam.example/mimosaseam/internal/adapter/tlsconfig"
+	"mimosaseam.example/mimosaseam/internal/port"
+	"mimosaseam.example/mimosaseam/internal/settings"
+)
+
+// platform holds the clients of the platform's services.
+type platform struct {
+	log     port.Log
+	vmList  port.VMList
+	weights port.WeightStore
+}
+
+const (
+	platformDialTimeout = 2 * time.Second
+	platformIdleConns   = 16
+)
+
+func newPlatform(s settings.Settings) (platform, error) {
+	clientTLS, err := tlsconfig.Client(s.Platform.TLS.CAFile)
+	if err != nil {
+		return platform{}, err
+	}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: platformDialTimeout}).DialContext,
+		TLSClientConfig:     clientTLS,
+		MaxIdleConnsPerHost: platformIdleConns,
+	}}
+	options := func(url string) platformhttp.Options {
+		return platformhttp.Options{BaseURL: url, Client: client}
+	}
+	p := platform{
+		log:    platformhttp.NewLog(options(s.Platform.LogURL)),
+		vmList: platformhttp.NewVMList(options(s.Platform.VMListURL)),
+	}
+	if s.Platform.WeightStoreURL != "" {
+		p.weights = platformhttp.NewWeightStore(options(s.Platform.WeightStoreURL))
+	}
+	return p, nil
+}
+
+// systemKey returns the key that the settings check has accepted.
+func systemKey(s settings.Settings) ed25519.PublicKey {
+	key, _ := base64.StdEncoding.DecodeString(s.System.PublicKey)
+	return key
+}
+
+// listen opens a listener, with TLS when the files are set. A limit of 0 sets none.
+func listen(address string, files settings.ServerTLS, limit int) (net.Listener, error) {
+	serverTLS, err := tlsconfig.Server(files.CertFile, files.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &ListenError{Address: address, Cause: err}
+	}
+	if limit > 0 {
+		l = netutil.LimitListener(l, limit)
+	}
+	if serverTLS != nil {
+		l = tls.NewListener(l, serverTLS)
+	}
+	return l, nil
+}
+
+// ListenError means that an address of the settings cannot be listened on.
+type ListenError struct {
+	Address string
+	Cause   error
+}
+
+func (e *ListenError) Error() string { return "listen on " + e.Address + ": " + e.Cause.Error() }
+
+func (e *ListenError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/cmd/mimosaseam/serve.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+
+	"mimosaseam.example/mimosaseam/internal/adapter/adminhttp"
+	"mimosaseam.example/mimosaseam/internal/adapter/peergrpc"
+	"mimosaseam.example/mimosaseam/internal/adapter/telemetry"
+	"mimosaseam.example/mimosaseam/internal/settings"
+)
+
+// ErrStopped ends the run group after a graceful shutdown.
+var ErrStopped = eris.New("stopped by signal")
+
+const (
+	// joinTimeout bounds the wait for a peer's summary at the start.
+	joinTimeout = 3 * time.Second
+	// leaveTimeout bounds telling the neighbours of a planned stop.
+	leaveTimeout = 2 * time.Second
+	// flushTimeout bounds writing the last outcomes to the log.
+	flushTimeout = 10 * time.Second
+	// closeTimeout bounds closing what is left after the drain.
+	closeTimeout = 5 * time.Second
+	// adminHeaderTimeout bounds reading the headers of an operator's request.
+	adminHeaderTimeout = 5 * time.Second
+	// leavingInterval is the time between two looks at the leaving targets, for
+	// configuration changes that add a target already marked.
+	leavingInterval = 500 * time.Millisecond
+)
+
+func serveCommand() command {
+	var file string
+	c := newCommand("serve", "Run a router.", func(io.Writer) error {
+		if file == "" {
+			return &UsageError{Message: "serve needs --settings FILE"}
+		}
+		s, err := settings.Load(file)
+		if err != nil {
+			return err
+		}
+		return serve(s)
+	})
+	c.String(&file, "s", "settings", "Settings file, JSON with comments.")
+	return c
+}
+
+func serve(s settings.Settings) error {
+	logger := telemetry.Logger(os.Stderr, s.Telemetry, s.VM)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n, err := newNode(ctx, s, logger)
+	if err != nil {
+		return err
+	}
+	var group run.Group
+	if err := n.addServers(&group); err != nil {
+		return err
+	}
+	n.addLoops(ctx, cancel, &group)
+	n.addSignal(ctx, cancel, &group)
+	logger.Info("starting", "version", version, "callers", s.Callers.Address, "admin", s.Admin.Address, "peers", s.Peers.Address)
+	err = group.Run()
+	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancelClosing()
+	if closeErr := n.traces.Close(closing); closeErr != nil {
+		logger.Warn("traces not exported", "error", closeErr)
+	}
+	if errors.Is(err, ErrStopped) {
+		logger.Info("stopped")
+		return nil
+	}
+	return err
+}
+
+func (n *node) addServers(group *run.Group) error {
+	s := n.settings
+	callers, err := listen(s.Callers.Address, s.Callers.TLS, s.Callers.Connections)
+	if err != nil {
+		return err
+	}
+	addHTTP(group, callers, n.callers.HTTPServer(s.Callers.Address))
+	admin, err := listen(s.Admin.Address, s.Admin.TLS, 0)
+	if err != nil {
+		return err
+	}
+	addHTTP(group, admin, &http.Server{
+		Handler: adminhttp.Handler(n), ReadHeaderTimeout: adminHeaderTimeout,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
+	})
+	peers, err := listen(s.Peers.Address, settings.ServerTLS{}, 0)
+	if err != nil {
+		return err
+	}
+	server := peergrpc.NewServer(n.fleet, n.peerCreds)
+	group.Add(func() error { return server.Serve(peers) }, func(error) { server.Stop() })
+	return nil
+}
+
+func addHTTP(group *run.Group, l net.Listener, server *http.Server) {
+	group.Add(func() error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return eris.Wrap(err, "serve")
+		}
+		return nil
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		if server.Shutdown(ctx) != nil {
+			server.Close()
+		}
+	})
+}
+
+// addLoops adds everything that runs until the process stops.
+func (n *node) addLoops(ctx context.Context, cancel context.CancelFunc, group *run.Group) {
+	loops := []func(context.Context) error{
+		n.config.Run, n.ledger.Follow, n.follower.Run, n.orders.Run, n.observer.Run,
+		n.spreadCrashRecords, n.watchLeaving, n.joinThenRunFleet,
+	}
+	for _, loop := range loops {
+		group.Add(func() error { return loop(ctx) }, func(error) { cancel() })
+	}
+}
+
+// joinThenRunFleet takes the state of a peer before the first exchange, so that
+// a restarted router places requests as its peers do.
+func (n *node) joinThenRunFleet(ctx context.Context) error {
+	joining, cancel := context.WithTimeout(ctx, joinTimeout)
+	if err := n.fleet.Join(joining); err != nil {
+		n.log.Info("started without a peer", "reason", err)
+	}
+	cancel()
+	return n.fleet.Run(ctx)
+}
+
+func (n *node) watchLeaving(ctx context.Context) error {
+	ticker := time.NewTicker(leavingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			n.refreshLeaving()
+		}
+	}
+}
+
+// addSignal ends the group after SIGTERM or SIGINT and a graceful shutdown.
+func (n *node) addSignal(ctx context.Context, cancel context.CancelFunc, group *run.Group) {
+	group.Add(func() error {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+		defer signal.Stop(signals)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case received := <-signals:
+			n.log.Info("stopping", "signal", received.String())
+			n.shutDown(ctx)
+			return ErrStopped
+		}
+	}, func(error) { cancel() })
+}
+
+// shutDown makes the router unready at once, tells its peers, lets open
+// requests end, and writes what must not be lost.
+func (n *node) shutDown(ctx context.Context) {
+	n.mu.Lock()
+	n.draining = true
+	n.mu.Unlock()
+	step := func(name string, timeout time.Duration, do func(context.Context) error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		if err := do(ctx); err != nil {
+			n.log.Warn("shutdown step incomplete", "step", name, "error", err)
+		}
+	}
+	step("leave", leaveTimeout, n.fleet.Leave)
+	pause(ctx, time.Duration(n.settings.Shutdown.UnreadyMs)*time.Millisecond)
+	n.router.BeginDrain()
+	step("drain", time.Duration(n.settings.Shutdown.DrainTimeoutS)*time.Second, n.router.WaitDrained)
+	step("flush", flushTimeout, n.ledger.Flush)
+	step("handoff", leaveTimeout, n.fleet.Handoff)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/cmd/mimosaseam/trial.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"strconv"
+
+	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// trial folds changes into an empty configuration with keys of its own, so
+// that values can be checked without a log.
+type trial struct {
+	state     *config.State
+	systemKey ed25519.PrivateKey
+	teamKeys  map[string]ed25519.PrivateKey
+}
+
+func newTrial(public ed25519.PublicKey, key ed25519.PrivateKey) *trial {
+	return &trial{state: config.NewState(public), systemKey: key, teamKeys: map[string]ed25519.PrivateKey{}}
+}
+
+// put folds one entry in and returns what is wrong with it.
+func (t *trial) put(e bundleEntry) []config.Problem {
+	path, err := config.ParsePath(e.path)
+	if err != nil {
+		return []config.Problem{{Path: e.path, Found: "an unknown path", Expected: "/system/teams/<team> or /<team>/pools|routes|accounts/<name>"}}
+	}
+	key := t.systemKey
+	if path.Ref.Team != config.SystemTeam {
+		key = t.teamKey(path.Ref.Team)
+	}
+	return problems(e.path, t.apply(path.Ref.Team, e, key))
+}
+
+// teamKey returns the trial key of a team and creates the team at first use.
+func (t *trial) teamKey(team string) ed25519.PrivateKey {
+	if key, ok := t.teamKeys[team]; ok {
+		return key
+	}
+	public, key, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return nil // the change is then refused for its signature
+	}
+	t.teamKeys[team] = key
+	value, _ := json.Marshal(config.Team{PublicKey: base64.StdEncoding.EncodeToString(public)})
+	t.apply(config.SystemTeam, bundleEntry{"/system/teams/" + team, value}, t.systemKey)
+	return key
+}
+
+func (t *trial) apply(author string, e bundleEntry, key ed25519.PrivateKey) error {
+	offset := t.state.Applied() + 1
+	change := config.Change{
+		ID: strconv.FormatUint(uint64(offset), 10), Author: author, Path: e.path, Value: e.value,
+		BaseRevision: t.state.Compile().Revisions[e.path],
+	}
+	signed, err := config.Sign(change, key)
+	if err != nil {
+		return err
+	}
+	data, err := config.EncodeChange(signed)
+	if err != nil {
+		return err
+	}
+	return t.state.Apply(port.Record{Offset: offset, ID: change.ID, Data: data}).Err
+}
+
+func problems(path string, err error) []config.Problem {
+	var invalid *config.InvalidError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &invalid):
+		return invalid.Problems
+	}
+	return []config.Problem{{Path: path, Found: err.Error(), Expected: "a valid value"}}
+}
--- a/internal/adapter/adminhttp/adminhttp.go
+++ b/internal/adapter/adminhttp/adminhttp.go
@@ -52,7 +52,6 @@
 	StartedAt        time.Time   `json:"started_at"`
 	Readiness        Readiness   `json:"readiness"`
 	ConfigOffset     port.Offset `json:"config_offset"`
-	LedgerOffset     port.Offset `json:"ledger_offset"`
 	// LogContact is when the platform log last answered.
 	LogContact time.Time `json:"log_contact"`
 	Peers      []Peer    `json:"peers"`
--- /dev/null
+++ b/internal/app/observe/observe.go
@@ -0,0 +1,109 @@
+// Package observe reads load reports and cache events of model engines within
+// a fixed rate, whatever the number of targets.
+package observe
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+const (
+	// loadReadsPerSecond keeps load reports of about 220 bytes to half of the
+	// control budget of 2 KB/s.
+	loadReadsPerSecond = 4
+	readTimeout        = 2 * time.Second
+)
+
+// Targets takes what a target reports of itself.
+type Targets interface {
+	Observe(target string, inc port.Incarnation, weights string, coldStart time.Duration)
+}
+
+// Deps are what an Observer needs.
+type Deps struct {
+	Engine  port.Engine
+	Source  config.Source
+	Placer  placement.Placer
+	Targets Targets
+	Clock   port.Clock
+	Logger  *slog.Logger
+}
+
+// Observer reads one engine at a time, in turn.
+type Observer struct {
+	Deps
+	turn int
+}
+
+// New returns an Observer.
+func New(d Deps) *Observer { return &Observer{Deps: d} }
+
+// Run reads until the context ends.
+func (o *Observer) Run(ctx context.Context) error {
+	ticker := time.NewTicker(time.Second / loadReadsPerSecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			o.readNext(ctx)
+		}
+	}
+}
+
+// engineTarget is a target together with its pool.
+type engineTarget struct {
+	config.PoolTarget
+	pool config.Pool
+}
+
+func (o *Observer) readNext(ctx context.Context) {
+	targets := engines(o.Source.Current())
+	if len(targets) == 0 {
+		return
+	}
+	t := targets[o.turn%len(targets)]
+	o.turn++
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	report, err := o.Engine.Load(ctx, t.Address)
+	if err != nil {
+		o.Logger.Debug("load report not read", "target", t.Name, "error", err)
+		return
+	}
+	coldStart := time.Duration(t.pool.ColdStartS) * time.Second
+	o.Targets.Observe(t.Name, report.Incarnation, report.WeightsVersion, coldStart)
+	o.Placer.ObserveLoad(o.Clock.Now(), t.Name, report)
+}
+
+// engines lists the targets of all engine pools; a target in two pools counts once.
+func engines(s *config.Snapshot) []engineTarget {
+	var out []engineTarget
+	seen := map[string]bool{}
+	for _, pool := range s.Pools {
+		if pool.Kind != config.PoolEngine {
+			continue
+		}
+		for _, t := range pool.Targets {
+			if !seen[t.Address] {
+				seen[t.Address] = true
+				out = append(out, engineTarget{t, pool})
+			}
+		}
+	}
+	// Pools are in map order; a stable order gives each target its turn.
+	sortByAddress(out)
+	return out
+}
+
+func sortByAddress(targets []engineTarget) {
+	slices.SortFunc(targets, func(a, b engineTarget) int { return strings.Compare(a.Address, b.Address) })
+}
