--- a/internal/app/router/attempt.go
+++ b/internal/app/router/attempt.go
@@ -31,15 +31,15 @@
 	started time.Time
 	// progress is the time of the last new chunk, or of the start.
 	progress time.Time
-	// patience is the time without progress after which the attempt is probed.
-	patience    time.Duration
-	probing     bool
-	extended    int
-	opened      bool
-	delivered   bool
-	chunks      int // delivered from this attempt
-	incarnation port.Incarnation
-	weights     string
+	// progressTimeout is the time without progress after which the attempt is probed.
+	progressTimeout time.Duration
+	probing         bool
+	extended        int
+	opened          bool
+	delivered       bool
+	chunks          int // delivered from this attempt
+	incarnation     port.Incarnation
+	weights         string
 }
 
 // event is one step of an attempt: opened, a chunk, or its end.
@@ -56,7 +56,7 @@
 	r, t := c.r, chosen.target
 	now := r.Clock.Now()
 	a := &attempt{id: chosen.attempt, target: t, score: chosen.score, started: now, progress: now,
-		patience: c.firstPatience(chosen.score), incarnation: t.Incarnation}
+		progressTimeout: c.firstTokenTimeout(chosen.score), incarnation: t.Incarnation}
 	ctx, a.span = r.Tracer.Start(ctx, "attempt", trace.WithAttributes(
 		attribute.String("target", t.Name), attribute.String("attempt_id", a.id)))
 	a.ctx, a.cancel = context.WithCancel(r.connection(ctx, t.Name, c.stalls > 0))
--- a/internal/app/router/completion.go
+++ b/internal/app/router/completion.go
@@ -26,34 +26,34 @@
 	permit      *limits.Permit
 	fingerprint retry.Fingerprint
 
-	asm    stream.Assembler
-	events chan event
-	probes chan probeResult
-	stall  *time.Timer
-	alarm  <-chan struct{} // closed when some request is convicted
-	relay  trace.Span      // from the first chunk on
+	asm         stream.Assembler
+	events      chan event
+	probes      chan probeResult
+	stall       *time.Timer
+	quarantines <-chan struct{} // closed when some request is quarantined
+	relay       trace.Span      // from the first chunk on
 	// active holds the attempts under way: one, or two while a hedge waits for
 	// its first token.
 	active []*attempt
 	tried  map[string]bool
 	// weights is the version that every attempt must serve.
-	weights   string
-	attempts  int
-	begun     time.Time
-	fruitless int // extra attempts since the last progress
-	replaced  int
-	stalls    int
-	hedged    bool
+	weights       string
+	attempts      int
+	begun         time.Time
+	failuresInRow int // extra attempts since the last progress
+	replaced      int
+	stalls        int
+	hedged        bool
 	// sent is set once an attempt may have run.
 	sent   bool
 	last   string // target of the last delivered chunk
 	lastOf error  // cause of the last failed attempt
 }
 
-// maxFruitless bounds the extra attempts of one request without progress, so
+// maxFailuresInRow bounds the extra attempts of one request without progress, so
 // that a request which fails everywhere is refused soon and leaves the route's
 // budget to others.
-const maxFruitless = 4
+const maxFailuresInRow = 4
 
 // clearAfter is the number of chunks beyond its last crash after which a
 // request no longer counts as a crash suspect. Chunks that were on their way
@@ -89,9 +89,9 @@
 		events: make(chan event), probes: make(chan probeResult, 2),
 		tried: map[string]bool{}, weights: p.place.Scope.WeightsVersion,
 		fingerprint: retry.FingerprintOf(req.Account.String(), req.Model, req.Prompt)}
-	c.alarm = r.Fingerprints.Convictions()
-	if r.Fingerprints.Convicted(r.Clock.Now(), c.fingerprint) {
-		return Completion{}, c.end(ctx, ErrConvicted)
+	c.quarantines = r.Fingerprints.Quarantines()
+	if r.Fingerprints.Quarantined(r.Clock.Now(), c.fingerprint) {
+		return Completion{}, c.end(ctx, ErrQuarantined)
 	}
 	if c.permit, err = r.admit(ctx, p, p.place.PromptTokens, req.MaxTokens); err != nil {
 		return Completion{}, c.end(ctx, err)
@@ -180,10 +180,10 @@
 		c.probeStalled(ctx)
 	case <-timerChan(hedge):
 		c.hedge(ctx)
-	case <-c.alarm:
-		c.alarm = c.r.Fingerprints.Convictions()
-		if c.r.Fingerprints.Convicted(c.r.Clock.Now(), c.fingerprint) {
-			return false, ErrConvicted
+	case <-c.quarantines:
+		c.quarantines = c.r.Fingerprints.Quarantines()
+		if c.r.Fingerprints.Quarantined(c.r.Clock.Now(), c.fingerprint) {
+			return false, ErrQuarantined
 		}
 	case <-ctx.Done():
 		return false, ctx.Err()
@@ -270,7 +270,7 @@
 		c.r.Metrics.Observe(MetricFirstToken, now.Sub(c.begun))
 	}
 	c.last = a.target.Name
-	c.fruitless = 0
+	c.failuresInRow = 0
 	if a.chunks++; a.chunks == clearAfter {
 		c.r.Fingerprints.Clear(c.fingerprint, false)
 	}
@@ -279,7 +279,7 @@
 		return false, &callerGoneError{Cause: err}
 	}
 	a.progress = c.r.Clock.Now()
-	a.patience = c.p.stallTimeout()
+	a.progressTimeout = c.p.stallTimeout()
 	a.probing = false
 	if !c.asm.Complete() {
 		return false, nil
@@ -303,8 +303,8 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	if c.r.Fingerprints.Convicted(c.r.Clock.Now(), c.fingerprint) {
-		return eris.Wrap(ErrConvicted, logText(cause))
+	if c.r.Fingerprints.Quarantined(c.r.Clock.Now(), c.fingerprint) {
+		return eris.Wrap(ErrQuarantined, logText(cause))
 	}
 	if v == verdictStop {
 		return cause
@@ -322,20 +322,20 @@
 
 // pay takes an extra attempt from the route's budget and waits the backoff.
 func (c *completion) pay(ctx context.Context, cause error) error {
-	if c.fruitless >= maxFruitless {
+	if c.failuresInRow >= maxFailuresInRow {
 		return c.fail(KindUnavailable, "several attempts in a row failed", cause)
 	}
 	if !c.r.budget(c.p.routeRef).Spend(c.r.Clock.Now(), reserve(c.p.pool)) {
 		return c.fail(KindUnavailable, "the route's retry budget is spent", cause)
 	}
-	c.fruitless++
+	c.failuresInRow++
 	c.r.Metrics.Add(MetricExtraAttempts, 1)
-	return sleep(ctx, retry.Backoff(c.fruitless, c.r.Random.Float64()))
+	return sleep(ctx, retry.Backoff(c.failuresInRow, c.r.Random.Float64()))
 }
 
-// firstPatience is how long the first token may take before the attempt is
+// firstTokenTimeout is how long the first token may take before the attempt is
 // probed: the stall timeout beyond twice what placement expects.
-func (c *completion) firstPatience(s placement.Score) time.Duration {
+func (c *completion) firstTokenTimeout(s placement.Score) time.Duration {
 	expected := s.QueueMs + s.PrefillMs + s.LinkMs + s.ColdMs
 	return c.p.stallTimeout() + time.Duration(2*max(expected, 0)*float64(time.Millisecond))
 }
--- a/internal/app/router/completion_test.go
+++ b/internal/app/router/completion_test.go
@@ -119,7 +119,7 @@
 		is.Equal(f.Outcome, OutcomeMayHaveRun)
 		is.Equal(sink.text.String(), whole("p", 3))
 		is.Equal(fmt.Sprint(b.engine.addresses()[:3]), "[e1 e2 e3]")
-		is.True(len(b.engine.sent) <= 1+maxFruitless)
+		is.True(len(b.engine.sent) <= 1+maxFailuresInRow)
 	})
 }
 
--- a/internal/app/router/crash_test.go
+++ b/internal/app/router/crash_test.go
@@ -56,7 +56,7 @@
 			if strings.HasPrefix(g.Prompt, poison) {
 				time.AfterFunc(35*time.Millisecond, func() { f.crash(address) })
 			}
-			return &mortalStream{fakeStream: s, life: life}, nil
+			return &crashableStream{fakeStream: s, life: life}, nil
 		}
 		e.loads[address] = func() (port.LoadReport, error) {
 			f.mu.Lock()
@@ -66,13 +66,13 @@
 	}
 }
 
-// mortalStream breaks when its engine crashes.
-type mortalStream struct {
+// crashableStream breaks when its engine crashes.
+type crashableStream struct {
 	*fakeStream
 	life context.Context
 }
 
-func (s *mortalStream) Next() (port.Chunk, error) {
+func (s *crashableStream) Next() (port.Chunk, error) {
 	c, err := s.fakeStream.Next()
 	if s.life.Err() != nil && err == nil {
 		return port.Chunk{}, &port.BrokenStreamError{Cause: s.life.Err()}
--- a/internal/app/router/explain.go
+++ b/internal/app/router/explain.go
@@ -20,7 +20,7 @@
 		fingerprint: retry.FingerprintOf(req.Account.String(), req.Model, req.Prompt)}
 	scores, _, excluded := r.rank(now, p, f)
 	e := Explanation{Route: p.routeRef.String(), Pool: p.poolRef.String(), WeightsVersion: f.weights,
-		PromptTokens: p.place.PromptTokens, Excluded: excluded, Refused: r.Fingerprints.Convicted(now, f.fingerprint)}
+		PromptTokens: p.place.PromptTokens, Excluded: excluded, Refused: r.Fingerprints.Quarantined(now, f.fingerprint)}
 	for _, s := range scores {
 		e.Candidates = append(e.Candidates, Candidate{Target: s.Target, Reason: s.Reason, CostMs: s.CostMs,
 			QueueMs: s.QueueMs, PrefillMs: s.PrefillMs, LinkMs: s.LinkMs, ColdMs: s.ColdMs,
@@ -47,7 +47,7 @@
 func (r *Router) Status() Status {
 	now := r.Clock.Now()
 	s := Status{Circuits: map[string]retry.State{}, BudgetTokens: map[string]float64{},
-		Quarantined: r.Fingerprints.Quarantined(now)}
+		Quarantined: r.Fingerprints.QuarantinedCount(now)}
 	r.drain.mu.Lock()
 	s.Draining, s.OpenRequests = r.drain.begun, r.drain.open
 	r.drain.mu.Unlock()
--- a/internal/app/router/failure.go
+++ b/internal/app/router/failure.go
@@ -66,8 +66,8 @@
 // ErrNotDraining says that WaitDrained was called before BeginDrain.
 var ErrNotDraining = eris.New("the router is not draining")
 
-// ErrConvicted says that the request crashed its targets and is refused.
-var ErrConvicted = eris.New("requests like this one crashed the targets that ran them")
+// ErrQuarantined says that the request crashed its targets and is refused.
+var ErrQuarantined = eris.New("requests like this one crashed the targets that ran them")
 
 // NoTargetError says that no target of the pool was usable in time.
 type NoTargetError struct {
@@ -169,8 +169,8 @@
 		f.Kind, f.Message = KindInvalid, "the target refused the request: "+bad.Message
 	case errors.As(err, &large):
 		f.Kind, f.Message = KindUpstream, "the reply is too large"
-	case errors.Is(err, ErrConvicted):
-		f.Kind, f.Message = KindCrashSuspect, ErrConvicted.Error()
+	case errors.Is(err, ErrQuarantined):
+		f.Kind, f.Message = KindCrashSuspect, ErrQuarantined.Error()
 	case errors.As(err, &gone):
 		f.Kind, f.Message = KindCanceled, "the caller left"
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, context.DeadlineExceeded):
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -116,17 +116,18 @@
 	score   placement.Score
 }
 
-// choose claims the best target, waiting for one to become usable. A crash
-// suspect waits for a target of its own until its deadline, because it may be
-// innocent and must not meet other suspects.
+// choose claims the best target, waiting for one to become usable. It waits
+// until the deadline for a place on a target that is full, and for a target
+// without other suspects when the request is a crash suspect itself, because it
+// may be innocent.
 func (r *Router) choose(ctx context.Context, p *plan, f filter, attempt string, wait time.Duration) (claim, error) {
 	_, span := r.Tracer.Start(ctx, "place")
 	defer span.End()
 	start := r.Clock.Now()
 	for {
 		now := r.Clock.Now()
-		if r.Fingerprints.Convicted(now, f.fingerprint) {
-			return claim{}, ErrConvicted
+		if r.Fingerprints.Quarantined(now, f.fingerprint) {
+			return claim{}, ErrQuarantined
 		}
 		scores, byName, excluded := r.rank(now, p, f)
 		r.probeDue(ctx, p, excluded)
@@ -135,8 +136,8 @@
 				return claim{attempt: attempt, target: byName[s.Target], score: s}, nil
 			}
 		}
-		waited := now.Sub(start)
-		if waited >= wait && !r.Fingerprints.Suspect(now, f.fingerprint) {
+		queued := r.Fingerprints.Suspect(now, f.fingerprint) || anyFull(excluded)
+		if now.Sub(start) >= wait && !queued {
 			return claim{}, &NoTargetError{Pool: p.poolRef.String(), Excluded: excluded}
 		}
 		if err := sleep(ctx, placePoll); err != nil {
@@ -145,6 +146,16 @@
 	}
 }
 
+// anyFull reports whether a target only lacks a free place.
+func anyFull(excluded map[string]string) bool {
+	for _, reason := range excluded {
+		if reason == excludedFull {
+			return true
+		}
+	}
+	return false
+}
+
 // probeDue probes targets whose circuits have been open for their time. No
 // request is risked on a target that does not answer.
 func (r *Router) probeDue(ctx context.Context, p *plan, excluded map[string]string) {
--- a/internal/app/router/service.go
+++ b/internal/app/router/service.go
@@ -173,7 +173,7 @@
 		if v == verdictStop || ctx.Err() != nil || c.sent && !repeat {
 			return ServiceReply{}, err
 		}
-		if c.extra >= maxFruitless || !c.r.budget(c.p.routeRef).Spend(c.r.Clock.Now(), reserve(c.p.pool)) {
+		if c.extra >= maxFailuresInRow || !c.r.budget(c.p.routeRef).Spend(c.r.Clock.Now(), reserve(c.p.pool)) {
 			return ServiceReply{}, err
 		}
 		c.extra++
@@ -219,10 +219,10 @@
 	return reply, nil
 }
 
-// patience is how long an attempt may take. A call that may be repeated is
+// attemptTimeout is how long an attempt may take. A call that may be repeated is
 // repeated when the connection may be silent; each attempt gets twice the time of
 // the one before, because the service may just be slow.
-func (c *call) patience() time.Duration {
+func (c *call) attemptTimeout() time.Duration {
 	left := c.p.deadline.Sub(c.r.Clock.Now())
 	if c.p.route.Repeat == config.RepeatNever {
 		return left
@@ -232,12 +232,12 @@
 
 // send sends the call and reads the whole reply in time.
 func (c *call) send(ctx context.Context, t placement.Target, id string) (ServiceReply, error) {
-	patience := c.patience()
-	attempt, cancel := context.WithTimeout(c.connection(ctx, t), patience)
+	timeout := c.attemptTimeout()
+	attempt, cancel := context.WithTimeout(c.connection(ctx, t), timeout)
 	defer cancel()
 	reply, err := c.exchange(attempt, t, id)
 	if err != nil && !notRun(err) && attempt.Err() != nil && ctx.Err() == nil {
-		return reply, &StalledError{Target: t.Name, After: patience}
+		return reply, &StalledError{Target: t.Name, After: timeout}
 	}
 	return reply, err
 }
--- a/internal/app/router/stall.go
+++ b/internal/app/router/stall.go
@@ -29,7 +29,7 @@
 	wait := idleWait
 	for _, a := range c.active {
 		if !a.probing {
-			wait = min(wait, a.progress.Add(a.patience).Sub(now))
+			wait = min(wait, a.progress.Add(a.progressTimeout).Sub(now))
 		}
 	}
 	return wait
@@ -40,7 +40,7 @@
 func (c *completion) probeStalled(ctx context.Context) {
 	now := c.r.Clock.Now()
 	for _, a := range c.active {
-		if a.probing || now.Before(a.progress.Add(a.patience)) {
+		if a.probing || now.Before(a.progress.Add(a.progressTimeout)) {
 			continue
 		}
 		a.probing = true
@@ -70,7 +70,7 @@
 	}
 	c.stalls++
 	c.r.stalled(c.p.pool, a.target, a.incarnation, p.health)
-	c.lastOf = &StalledError{Target: a.target.Name, After: a.patience}
+	c.lastOf = &StalledError{Target: a.target.Name, After: a.progressTimeout}
 	c.abandon(ctx, a)
 	if len(c.active) > 0 {
 		return nil
--- a/internal/core/limits/controller.go
+++ b/internal/core/limits/controller.go
@@ -102,7 +102,7 @@
 	if a.Limits.Concurrency > 0 && c.quota(a) == 0 {
 		return nil, &RefusedError{Reason: ReasonConcurrency, RetryAfter: time.Second}
 	}
-	if l := p.lines[a.Account]; l != nil && len(l.waiting) >= maxQueued {
+	if l := p.accounts[a.Account]; l != nil && len(l.waiting) >= maxQueued {
 		return nil, &RefusedError{Reason: ReasonQueueFull, RetryAfter: max(p.hold, time.Second)}
 	}
 	if wait := max(p.expectedWait(a), c.quotaWait(p, a)); wait > a.Deadline.Sub(now) || !now.Before(a.Deadline) {
@@ -164,7 +164,7 @@
 		return 0
 	}
 	ahead := 0
-	if l := p.lines[a.Account]; l != nil {
+	if l := p.accounts[a.Account]; l != nil {
 		ahead = aheadIn(l, a.Priority, a.Deadline)
 	}
 	return time.Duration(float64(ahead+1) / float64(quota) * float64(p.hold))
@@ -191,23 +191,23 @@
 func (c *Controller) pool(name string) *pool {
 	p := c.pools[name]
 	if p == nil {
-		p = &pool{lines: map[string]*line{}}
+		p = &pool{accounts: map[string]*accountQueue{}}
 		c.pools[name] = p
 	}
 	return p
 }
 
-// stackFactor is how far a target may be filled beyond its slots while the pool
+// overcommitFactor is how far a target may be filled beyond its slots while the pool
 // as a whole is not: placement may prefer a short wait on a target that holds
 // the prefix to a free target that does not.
-const stackFactor = 1.5
+const overcommitFactor = 1.5
 
 // TargetFree reports whether the target is below this router's share of its
 // concurrency.
 func (c *Controller) TargetFree(target string, slots int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return float64(c.targets[target]) < stackFactor*float64(c.divider.target(target, slots))
+	return float64(c.targets[target]) < overcommitFactor*float64(c.divider.target(target, slots))
 }
 
 // StartTarget counts a request that is sent to the target.
--- a/internal/core/limits/queue.go
+++ b/internal/core/limits/queue.go
@@ -26,16 +26,16 @@
 // cost is what a request counts in the fair order.
 func (w *waiter) cost() float64 { return float64(1 + w.ask.PromptTokens + w.ask.OutputTokens) }
 
-// line holds the waiting requests of one account, by priority and then by
+// accountQueue holds the waiting requests of one account, by priority and then by
 // deadline.
-type line struct {
+type accountQueue struct {
 	waiting []*waiter
 	// pass is the account's position in the fair order: the cost of what it was
 	// granted, divided by its share.
 	pass float64
 }
 
-func (l *line) add(w *waiter) {
+func (l *accountQueue) add(w *waiter) {
 	at, _ := slices.BinarySearchFunc(l.waiting, w, func(have, want *waiter) int {
 		if have.ask.Priority != want.ask.Priority {
 			return want.ask.Priority - have.ask.Priority
@@ -48,7 +48,7 @@
 	l.waiting = slices.Insert(l.waiting, at, w)
 }
 
-func (l *line) remove(w *waiter) bool {
+func (l *accountQueue) remove(w *waiter) bool {
 	at := slices.Index(l.waiting, w)
 	if at < 0 {
 		return false
@@ -61,7 +61,7 @@
 type pool struct {
 	capacity int
 	running  int
-	lines    map[string]*line
+	accounts map[string]*accountQueue
 	queued   int
 	// pass is the position of the account that was served last.
 	pass float64
@@ -69,29 +69,29 @@
 	hold time.Duration
 }
 
-func (p *pool) line(account string) *line {
-	l := p.lines[account]
+func (p *pool) account(account string) *accountQueue {
+	l := p.accounts[account]
 	if l == nil {
-		if len(p.lines) >= keptAccounts {
+		if len(p.accounts) >= keptAccounts {
 			p.forgetIdle()
 		}
-		l = &line{}
-		p.lines[account] = l
+		l = &accountQueue{}
+		p.accounts[account] = l
 	}
 	return l
 }
 
 // forgetIdle drops accounts that would rejoin at the current position anyway.
 func (p *pool) forgetIdle() {
-	for name, l := range p.lines {
+	for name, l := range p.accounts {
 		if len(l.waiting) == 0 && l.pass <= p.pass {
-			delete(p.lines, name)
+			delete(p.accounts, name)
 		}
 	}
 }
 
 func (p *pool) enqueue(w *waiter) {
-	l := p.line(w.ask.Account)
+	l := p.account(w.ask.Account)
 	if len(l.waiting) == 0 {
 		l.pass = max(l.pass, p.pass)
 	}
@@ -100,7 +100,7 @@
 }
 
 func (p *pool) remove(w *waiter) bool {
-	l := p.lines[w.ask.Account]
+	l := p.accounts[w.ask.Account]
 	if l == nil || !l.remove(w) {
 		return false
 	}
@@ -113,8 +113,8 @@
 // may not run now are passed over.
 func (p *pool) next(mayRun func(*waiter) bool) *waiter {
 	var best *waiter
-	var from *line
-	for _, l := range p.lines {
+	var from *accountQueue
+	for _, l := range p.accounts {
 		if len(l.waiting) == 0 {
 			continue
 		}
@@ -132,7 +132,7 @@
 	return best
 }
 
-func before(a *waiter, la *line, b *waiter, lb *line) bool {
+func before(a *waiter, la *accountQueue, b *waiter, lb *accountQueue) bool {
 	switch {
 	case a.ask.Priority != b.ask.Priority:
 		return a.ask.Priority > b.ask.Priority
@@ -152,11 +152,11 @@
 		return 0
 	}
 	own := 0
-	if l := p.lines[a.Account]; l != nil {
+	if l := p.accounts[a.Account]; l != nil {
 		own = aheadIn(l, a.Priority, a.Deadline)
 	}
 	ahead := own
-	for name, l := range p.lines {
+	for name, l := range p.accounts {
 		if name != a.Account && len(l.waiting) > 0 {
 			ahead += p.aheadOf(l, a, own+1)
 		}
@@ -166,7 +166,7 @@
 
 // aheadOf estimates how many requests of another account run before the
 // request that is the given number in its own line.
-func (p *pool) aheadOf(l *line, a Ask, number int) int {
+func (p *pool) aheadOf(l *accountQueue, a Ask, number int) int {
 	higher := 0
 	for higher < len(l.waiting) && l.waiting[higher].ask.Priority > a.Priority {
 		higher++
@@ -179,7 +179,7 @@
 	return higher + min(equal-higher, int(math.Ceil(float64(number)*share)))
 }
 
-func aheadIn(l *line, priority int, deadline time.Time) int {
+func aheadIn(l *accountQueue, priority int, deadline time.Time) int {
 	n := 0
 	for _, w := range l.waiting {
 		if w.ask.Priority < priority || w.ask.Priority == priority && w.ask.Deadline.After(deadline) {
--- a/internal/core/retry/fingerprint.go
+++ b/internal/core/retry/fingerprint.go
@@ -28,9 +28,9 @@
 
 // Times for which crash evidence is kept, and the size of the set.
 const (
-	suspectFor = 10 * time.Minute
-	convictFor = time.Hour
-	maxRecords = 4096
+	suspectFor    = 10 * time.Minute
+	quarantineFor = time.Hour
+	maxRecords    = 4096
 	// sameCrash is the time within which reports of a crash of an unknown
 	// incarnation are one crash; broken streams of a crash end within it.
 	sameCrash = 5 * time.Second
@@ -46,26 +46,26 @@
 	Cleared bool `json:"cleared,omitempty"`
 	// Whole says that it even ran to its end after these crashes.
 	Whole bool `json:"whole,omitempty"`
-	// Convicted requests are refused.
-	Convicted bool      `json:"convicted,omitempty"`
-	Expires   time.Time `json:"expires"`
+	// Quarantined requests are refused.
+	Quarantined bool      `json:"quarantined,omitempty"`
+	Expires     time.Time `json:"expires"`
 }
 
 // Fingerprints follows which requests run on which target and which of them
 // crash targets. Every request that runs on a target when it crashes becomes a
 // suspect, unless a single earlier suspect was among them: then that one is
-// convicted and the others are not blamed. A suspect runs once at a time, on a
-// target without other suspects, so the second crash convicts. A suspect that
+// quarantined and the others are not suspected. A suspect runs once at a time, on a
+// target without other suspects, so the second crash quarantines it. A suspect that
 // gets past the place of the crash is cleared, so that honest requests are not
 // kept apart for long; if it is the only one to crash a third target, it is
-// convicted after all. It is safe for concurrent use.
+// quarantined after all. It is safe for concurrent use.
 type Fingerprints struct {
 	mu      sync.Mutex
 	records map[Fingerprint]*CrashRecord
 	running map[string]map[string]Fingerprint // target -> attempt -> request
 	crashes map[string]time.Time              // crashes already counted
-	// convictions is closed and replaced when a request is convicted.
-	convictions chan struct{}
+	// quarantines is closed and replaced when a request is quarantined.
+	quarantines chan struct{}
 }
 
 // NewFingerprints returns an empty set.
@@ -75,33 +75,33 @@
 		running: map[string]map[string]Fingerprint{},
 		crashes: map[string]time.Time{},
 
-		convictions: make(chan struct{}),
+		quarantines: make(chan struct{}),
 	}
 }
 
-// Convictions returns a channel that is closed at the next conviction, for
+// Quarantines returns a channel that is closed at the next quarantine, for
 // requests that run on several targets at once.
-func (f *Fingerprints) Convictions() <-chan struct{} {
+func (f *Fingerprints) Quarantines() <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.convictions
+	return f.quarantines
 }
 
-func (f *Fingerprints) convict(r *CrashRecord) {
-	if r.Convicted {
+func (f *Fingerprints) quarantine(r *CrashRecord) {
+	if r.Quarantined {
 		return
 	}
-	r.Convicted = true
-	close(f.convictions)
-	f.convictions = make(chan struct{})
+	r.Quarantined = true
+	close(f.quarantines)
+	f.quarantines = make(chan struct{})
 }
 
-// Convicted reports whether the request must be refused.
-func (f *Fingerprints) Convicted(now time.Time, fp Fingerprint) bool {
+// Quarantined reports whether the request must be refused.
+func (f *Fingerprints) Quarantined(now time.Time, fp Fingerprint) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := f.live(now, fp)
-	return r != nil && r.Convicted
+	return r != nil && r.Quarantined
 }
 
 // Suspect reports whether the request was running in a crash.
@@ -165,7 +165,7 @@
 func (f *Fingerprints) Clear(fp Fingerprint, whole bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if r := f.records[fp]; r != nil && !r.Convicted {
+	if r := f.records[fp]; r != nil && !r.Quarantined {
 		r.Cleared = true
 		r.Whole = r.Whole || whole
 	}
@@ -188,12 +188,12 @@
 	if incarnation == "" {
 		id += now.UTC().Format(time.RFC3339)
 	}
-	f.blame(now, target, id)
+	f.attribute(now, target, id)
 	return true
 }
 
-// blame decides which of the running requests crashed the target.
-func (f *Fingerprints) blame(now time.Time, target, crash string) {
+// attribute decides which of the running requests crashed the target.
+func (f *Fingerprints) attribute(now time.Time, target, crash string) {
 	var suspects, repeated, fresh []Fingerprint
 	for _, fp := range f.running[target] {
 		switch r := f.records[fp]; {
@@ -212,8 +212,8 @@
 		f.suspect(now, append(fresh, repeated...), crash)
 	} else if r := f.records[suspects[0]]; len(suspects) == 1 && !slices.Contains(r.Crashes, crash) {
 		r.Crashes = append(r.Crashes, crash)
-		r.Expires = now.Add(convictFor)
-		f.convict(r)
+		r.Expires = now.Add(quarantineFor)
+		f.quarantine(r)
 	}
 }
 
@@ -238,20 +238,20 @@
 	}
 }
 
-// Quarantined returns the number of requests that are refused.
-func (f *Fingerprints) Quarantined(now time.Time) int {
+// QuarantinedCount returns the number of requests that are refused.
+func (f *Fingerprints) QuarantinedCount(now time.Time) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
 	for fp := range f.records {
-		if r := f.live(now, fp); r != nil && r.Convicted {
+		if r := f.live(now, fp); r != nil && r.Quarantined {
 			n++
 		}
 	}
 	return n
 }
 
-// Export returns at most limit records for peers, convictions first.
+// Export returns at most limit records for peers, quarantines first.
 func (f *Fingerprints) Export(now time.Time, limit int) []CrashRecord {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -263,8 +263,8 @@
 		out = append(out, copied)
 	}
 	slices.SortFunc(out, func(a, b CrashRecord) int {
-		if a.Convicted != b.Convicted {
-			if a.Convicted {
+		if a.Quarantined != b.Quarantined {
+			if a.Quarantined {
 				return -1
 			}
 			return 1
@@ -274,27 +274,27 @@
 	return out[:min(limit, len(out))]
 }
 
-// Merge takes records of a peer. A conviction stands on every router; a
+// Merge takes records of a peer. A quarantine stands on every router; a
 // suspicion stands unless the request was cleared of the same crashes.
 func (f *Fingerprints) Merge(now time.Time, records []CrashRecord) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.prune(now)
 	for _, in := range records {
-		if !now.Before(in.Expires) || in.Expires.Sub(now) > convictFor+clockSkew {
+		if !now.Before(in.Expires) || in.Expires.Sub(now) > quarantineFor+clockSkew {
 			continue
 		}
 		r := f.records[in.Fingerprint]
 		if r == nil {
-			if len(f.records) < maxRecords {
-				in.Crashes = slices.Clone(in.Crashes[:min(len(in.Crashes), maxCrashIDs)])
-				f.records[in.Fingerprint] = &in
+			if len(f.records) >= maxRecords {
+				continue
 			}
-			continue
+			r = &CrashRecord{Fingerprint: in.Fingerprint, Cleared: in.Cleared, Whole: in.Whole}
+			f.records[in.Fingerprint] = r
 		}
 		r.merge(in)
-		if in.Convicted {
-			f.convict(r)
+		if in.Quarantined {
+			f.quarantine(r)
 		}
 	}
 }
@@ -332,13 +332,14 @@
 // clockSkew is the most by which the clocks of two routers may differ.
 const clockSkew = time.Minute
 
-// maxCrashIDs bounds the crashes kept for one fingerprint; two convict.
+// maxCrashIDs bounds the crashes kept for one fingerprint; two are enough
+// for a quarantine.
 const maxCrashIDs = 8
 
-// live returns the record of a suspect or convicted request.
+// live returns the record of a suspect or quarantined request.
 func (f *Fingerprints) live(now time.Time, fp Fingerprint) *CrashRecord {
 	r := f.records[fp]
-	if r == nil || !now.Before(r.Expires) || r.Cleared && !r.Convicted {
+	if r == nil || !now.Before(r.Expires) || r.Cleared && !r.Quarantined {
 		return nil
 	}
 	return r
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -83,8 +83,8 @@
 	is.True(!c.Busy(later.Add(time.Second), "e"))
 }
 
-// Guards against requests that crash more than two targets, and against blame
-// for requests that ran beside them.
+// Guards against requests that crash more than two targets, and against
+// quarantine for requests that ran beside them.
 func TestFingerprints(t *testing.T) {
 	const bad, good, other = Fingerprint(1), Fingerprint(2), Fingerprint(3)
 	crash := func(f *Fingerprints, at time.Time, target, life string, running ...Fingerprint) {
@@ -98,9 +98,9 @@
 		}
 	}
 	cases := map[string]struct {
-		steps     func(f *Fingerprints)
-		suspects  []Fingerprint
-		convicted []Fingerprint
+		steps       func(f *Fingerprints)
+		suspects    []Fingerprint
+		quarantined []Fingerprint
 	}{
 		"one crash": {func(f *Fingerprints) { crash(f, t0, "e1", "1", bad, good) }, []Fingerprint{bad, good}, nil},
 		"second crash blames the suspect only": {func(f *Fingerprints) {
@@ -133,17 +133,17 @@
 			c.steps(f)
 			peer.Merge(t0, f.Export(t0, 10))
 			for _, set := range []*Fingerprints{f, peer} {
-				var suspects, convicted []Fingerprint
+				var suspects, quarantined []Fingerprint
 				for _, fp := range []Fingerprint{bad, good, other} {
 					if set.Suspect(t0, fp) {
 						suspects = append(suspects, fp)
 					}
-					if set.Convicted(t0, fp) {
-						convicted = append(convicted, fp)
+					if set.Quarantined(t0, fp) {
+						quarantined = append(quarantined, fp)
 					}
 				}
 				is.Equal(suspects, c.suspects)
-				is.Equal(convicted, c.convicted)
+				is.Equal(quarantined, c.quarantined)
 			}
 		})
 	}
