--- a/internal/app/router/completion.go
+++ b/internal/app/router/completion.go
@@ -101,6 +101,7 @@
 	c.stall = time.NewTimer(idleWait)
 	defer c.stall.Stop()
 	if err = c.run(ctx); err != nil {
+		r.Fingerprints.Publish(r.Clock.Now(), c.fingerprint)
 		return Completion{}, c.end(ctx, err)
 	}
 	return Completion{FinishReason: c.asm.FinishReason(), Usage: c.asm.Usage(), Attempts: c.attempts, Target: c.last}, nil
--- a/internal/app/router/crash_test.go
+++ b/internal/app/router/crash_test.go
@@ -88,6 +88,8 @@
 		is := is.New(t)
 		fleet := &crashFleet{lives: map[string]int{}, kill: map[string]context.CancelFunc{}}
 		one, two := newBench(t, nil), newBench(t, nil)
+		var told []string
+		one.Fingerprints.SetReport(func(value string) { told = append(told, value) })
 		fleet.install(one.engine)
 		fleet.install(two.engine)
 
@@ -120,9 +122,10 @@
 			is.NoErr(<-honest)
 		}
 		is.Equal(fleet.crashes, 2)
+		is.Equal(len(told), 1) // neighbours that were cleared are not told
 
 		// The caller repeats, here and on a router that heard of it from its peer.
-		two.Fingerprints.Merge(time.Now(), one.Fingerprints.Export(time.Now(), 16))
+		two.Fingerprints.Receive(time.Now(), told)
 		for _, b := range []*bench{one, two} {
 			_, err := b.complete(t.Context(), poison, 20, &textSink{})
 			is.Equal(failure(t, err).Kind, KindCrashSuspect)
@@ -139,6 +142,8 @@
 		is := is.New(t)
 		fleet := &crashFleet{lives: map[string]int{}, kill: map[string]context.CancelFunc{}}
 		one, two := newBench(t, nil), newBench(t, nil)
+		var told []string
+		one.Fingerprints.SetReport(func(value string) { told = append(told, value) })
 		fleet.install(one.engine)
 		fleet.install(two.engine)
 		ctx, leave := context.WithTimeout(t.Context(), 45*time.Millisecond)
@@ -146,7 +151,7 @@
 		_, err := one.complete(ctx, poison, 20, &textSink{})
 		is.Equal(fleet.crashes, 1)
 		is.True(err != nil)
-		two.Fingerprints.Merge(time.Now(), one.Fingerprints.Export(time.Now(), 16))
+		two.Fingerprints.Receive(time.Now(), told)
 		_, err = two.complete(t.Context(), poison, 20, &textSink{})
 		is.Equal(failure(t, err).Kind, KindCrashSuspect)
 		is.Equal(fleet.crashes, 2)
--- a/internal/app/router/service.go
+++ b/internal/app/router/service.go
@@ -80,6 +80,7 @@
 		reply, err = c.attempts(ctx, r.newID, true)
 	}
 	if err != nil {
+		r.Fingerprints.Publish(r.Clock.Now(), c.fingerprint)
 		return ServiceReply{}, c.end(ctx, err)
 	}
 	return reply, nil
--- a/internal/core/retry/fingerprint.go
+++ b/internal/core/retry/fingerprint.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -39,8 +40,8 @@
 // CrashRecord is what routers tell each other of one fingerprint.
 type CrashRecord struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
-	// Crashes lists the crashes that the request was running in, as target and
-	// incarnation.
+	// Crashes lists the crashes that the request was running in, as hashes of
+	// target and incarnation.
 	Crashes []string `json:"crashes"`
 	// Cleared says that the request ran past these crashes.
 	Cleared bool `json:"cleared,omitempty"`
@@ -66,6 +67,9 @@
 	crashes map[string]time.Time              // crashes already counted
 	// quarantines is closed and replaced when a request is quarantined.
 	quarantines chan struct{}
+	// report tells peers; news waits to be told without the lock held.
+	report func(value string)
+	news   []string
 }
 
 // NewFingerprints returns an empty set.
@@ -92,6 +96,7 @@
 		return
 	}
 	r.Quarantined = true
+	f.news = append(f.news, r.encode())
 	close(f.quarantines)
 	f.quarantines = make(chan struct{})
 }
@@ -174,6 +179,7 @@
 // Crashed records that the target crashed in the given incarnation. Repeated
 // reports of one crash count once; it reports whether this was the first.
 func (f *Fingerprints) Crashed(now time.Time, target, incarnation string) bool {
+	defer f.tell()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id, same := target+"@"+incarnation, suspectFor
@@ -188,7 +194,7 @@
 	if incarnation == "" {
 		id += now.UTC().Format(time.RFC3339)
 	}
-	f.attribute(now, target, id)
+	f.attribute(now, target, strconv.FormatUint(xxhash.Sum64String(id), 16))
 	return true
 }
 
@@ -251,87 +257,6 @@
 	return n
 }
 
-// Export returns at most limit records for peers, quarantines first.
-func (f *Fingerprints) Export(now time.Time, limit int) []CrashRecord {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.prune(now)
-	out := make([]CrashRecord, 0, len(f.records))
-	for _, r := range f.records {
-		copied := *r
-		copied.Crashes = slices.Clone(r.Crashes)
-		out = append(out, copied)
-	}
-	slices.SortFunc(out, func(a, b CrashRecord) int {
-		if a.Quarantined != b.Quarantined {
-			if a.Quarantined {
-				return -1
-			}
-			return 1
-		}
-		return b.Expires.Compare(a.Expires)
-	})
-	return out[:min(limit, len(out))]
-}
-
-// Merge takes records of a peer. A quarantine stands on every router; a
-// suspicion stands unless the request was cleared of the same crashes.
-func (f *Fingerprints) Merge(now time.Time, records []CrashRecord) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.prune(now)
-	for _, in := range records {
-		if !now.Before(in.Expires) || in.Expires.Sub(now) > quarantineFor+clockSkew {
-			continue
-		}
-		r := f.records[in.Fingerprint]
-		if r == nil {
-			if len(f.records) >= maxRecords {
-				continue
-			}
-			r = &CrashRecord{Fingerprint: in.Fingerprint, Cleared: in.Cleared, Whole: in.Whole}
-			f.records[in.Fingerprint] = r
-		}
-		r.merge(in)
-		if in.Quarantined {
-			f.quarantine(r)
-		}
-	}
-}
-
-func (r *CrashRecord) merge(in CrashRecord) {
-	theirs, ours := containsAll(r.Crashes, in.Crashes), containsAll(in.Crashes, r.Crashes)
-	switch {
-	case theirs && ours:
-		r.Cleared = r.Cleared || in.Cleared
-	case ours: // the peer knows more crashes
-		r.Cleared = in.Cleared
-	case !theirs:
-		r.Cleared = r.Cleared && in.Cleared
-	}
-	r.Whole = r.Cleared && (r.Whole || in.Whole)
-	for _, id := range in.Crashes {
-		if !slices.Contains(r.Crashes, id) && len(r.Crashes) < maxCrashIDs {
-			r.Crashes = append(r.Crashes, id)
-		}
-	}
-	if in.Expires.After(r.Expires) {
-		r.Expires = in.Expires
-	}
-}
-
-func containsAll(set, ids []string) bool {
-	for _, id := range ids {
-		if !slices.Contains(set, id) {
-			return false
-		}
-	}
-	return true
-}
-
-// clockSkew is the most by which the clocks of two routers may differ.
-const clockSkew = time.Minute
-
 // maxCrashIDs bounds the crashes kept for one fingerprint; two are enough
 // for a quarantine.
 const maxCrashIDs = 8
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -149,6 +149,16 @@
 	}
 }
 
+// Guards against values of peers that are misread or that crash the reader.
+func TestReceive(t *testing.T) {
+	is := is.New(t)
+	f := NewFingerprints()
+	f.Receive(t0, []string{"", "x.1.a", "s.zz.a", "q.1", "s.2.a", "q.3.a,b"})
+	is.True(!f.Suspect(t0, 1))
+	is.True(f.Suspect(t0, 2) && !f.Quarantined(t0, 2))
+	is.True(f.Quarantined(t0, 3) && !f.Quarantined(t0.Add(quarantineFor), 3))
+}
+
 // Guards against suspects that meet, and against a suspicion that a peer brings
 // back after the request was cleared.
 func TestSuspectsAreKeptApart(t *testing.T) {
