--- a/internal/core/retry/fingerprint.go
+++ b/internal/core/retry/fingerprint.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -28,9 +29,9 @@
 
 // Times for which crash evidence is kept, and the size of the set.
 const (
-	suspectFor = 10 * time.Minute
-	convictFor = time.Hour
-	maxRecords = 4096
+	suspectFor    = 10 * time.Minute
+	quarantineFor = time.Hour
+	maxRecords    = 4096
 	// sameCrash is the time within which reports of a crash of an unknown
 	// incarnation are one crash; broken streams of a crash end within it.
 	sameCrash = 5 * time.Second
@@ -39,33 +40,36 @@
 // CrashRecord is what routers tell each other of one fingerprint.
 type CrashRecord struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
-	// Crashes lists the crashes that the request was running in, as target and
-	// incarnation.
+	// Crashes lists the crashes that the request was running in, as hashes of
+	// target and incarnation.
 	Crashes []string `json:"crashes"`
 	// Cleared says that the request ran past these crashes.
 	Cleared bool `json:"cleared,omitempty"`
 	// Whole says that it even ran to its end after these crashes.
 	Whole bool `json:"whole,omitempty"`
-	// Convicted requests are refused.
-	Convicted bool      `json:"convicted,omitempty"`
-	Expires   time.Time `json:"expires"`
+	// Quarantined requests are refused.
+	Quarantined bool      `json:"quarantined,omitempty"`
+	Expires     time.Time `json:"expires"`
 }
 
 // Fingerprints follows which requests run on which target and which of them
 // crash targets. Every request that runs on a target when it crashes becomes a
 // suspect, unless a single earlier suspect was among them: then that one is
-// convicted and the others are not blamed. A suspect runs once at a time, on a
-// target without other suspects, so the second crash convicts. A suspect that
+// quarantined and the others are not suspected. A suspect runs once at a time, on a
+// target without other suspects, so the second crash quarantines it. A suspect that
 // gets past the place of the crash is cleared, so that honest requests are not
 // kept apart for long; if it is the only one to crash a third target, it is
-// convicted after all. It is safe for concurrent use.
+// quarantined after all. It is safe for concurrent use.
 type Fingerprints struct {
 	mu      sync.Mutex
 	records map[Fingerprint]*CrashRecord
 	running map[string]map[string]Fingerprint // target -> attempt -> request
 	crashes map[string]time.Time              // crashes already counted
-	// convictions is closed and replaced when a request is convicted.
-	convictions chan struct{}
+	// quarantines is closed and replaced when a request is quarantined.
+	quarantines chan struct{}
+	// report tells peers; news waits to be told without the lock held.
+	report func(value string)
+	news   []string
 }
 
 // NewFingerprints returns an empty set.
@@ -75,33 +79,34 @@
 		running: map[string]map[string]Fingerprint{},
 		crashes: map[string]time.Time{},
 
-		convictions: make(chan struct{}),
+		quarantines: make(chan struct{}),
 	}
 }
 
-// Convictions returns a channel that is closed at the next conviction, for
+// Quarantines returns a channel that is closed at the next quarantine, for
 // requests that run on several targets at once.
-func (f *Fingerprints) Convictions() <-chan struct{} {
+func (f *Fingerprints) Quarantines() <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.convictions
+	return f.quarantines
 }
 
-func (f *Fingerprints) convict(r *CrashRecord) {
-	if r.Convicted {
+func (f *Fingerprints) quarantine(r *CrashRecord) {
+	if r.Quarantined {
 		return
 	}
-	r.Convicted = true
-	close(f.convictions)
-	f.convictions = make(chan struct{})
+	r.Quarantined = true
+	f.news = append(f.news, r.encode())
+	close(f.quarantines)
+	f.quarantines = make(chan struct{})
 }
 
-// Convicted reports whether the request must be refused.
-func (f *Fingerprints) Convicted(now time.Time, fp Fingerprint) bool {
+// Quarantined reports whether the request must be refused.
+func (f *Fingerprints) Quarantined(now time.Time, fp Fingerprint) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := f.live(now, fp)
-	return r != nil && r.Convicted
+	return r != nil && r.Quarantined
 }
 
 // Suspect reports whether the request was running in a crash.
@@ -165,7 +170,7 @@
 func (f *Fingerprints) Clear(fp Fingerprint, whole bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if r := f.records[fp]; r != nil && !r.Convicted {
+	if r := f.records[fp]; r != nil && !r.Quarantined {
 		r.Cleared = true
 		r.Whole = r.Whole || whole
 	}
@@ -174,6 +179,7 @@
 // Crashed records that the target crashed in the given incarnation. Repeated
 // reports of one crash count once; it reports whether this was the first.
 func (f *Fingerprints) Crashed(now time.Time, target, incarnation string) bool {
+	defer f.tell()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id, same := target+"@"+incarnation, suspectFor
@@ -188,12 +194,12 @@
 	if incarnation == "" {
 		id += now.UTC().Format(time.RFC3339)
 	}
-	f.blame(now, target, id)
+	f.attribute(now, target, strconv.FormatUint(xxhash.Sum64String(id), 16))
 	return true
 }
 
-// blame decides which of the running requests crashed the target.
-func (f *Fingerprints) blame(now time.Time, target, crash string) {
+// attribute decides which of the running requests crashed the target.
+func (f *Fingerprints) attribute(now time.Time, target, crash string) {
 	var suspects, repeated, fresh []Fingerprint
 	for _, fp := range f.running[target] {
 		switch r := f.records[fp]; {
@@ -212,8 +218,8 @@
 		f.suspect(now, append(fresh, repeated...), crash)
 	} else if r := f.records[suspects[0]]; len(suspects) == 1 && !slices.Contains(r.Crashes, crash) {
 		r.Crashes = append(r.Crashes, crash)
-		r.Expires = now.Add(convictFor)
-		f.convict(r)
+		r.Expires = now.Add(quarantineFor)
+		f.quarantine(r)
 	}
 }
 
@@ -238,107 +244,27 @@
 	}
 }
 
-// Quarantined returns the number of requests that are refused.
-func (f *Fingerprints) Quarantined(now time.Time) int {
+// QuarantinedCount returns the number of requests that are refused.
+func (f *Fingerprints) QuarantinedCount(now time.Time) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
 	for fp := range f.records {
-		if r := f.live(now, fp); r != nil && r.Convicted {
+		if r := f.live(now, fp); r != nil && r.Quarantined {
 			n++
 		}
 	}
 	return n
 }
 
-// Export returns at most limit records for peers, convictions first.
-func (f *Fingerprints) Export(now time.Time, limit int) []CrashRecord {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.prune(now)
-	out := make([]CrashRecord, 0, len(f.records))
-	for _, r := range f.records {
-		copied := *r
-		copied.Crashes = slices.Clone(r.Crashes)
-		out = append(out, copied)
-	}
-	slices.SortFunc(out, func(a, b CrashRecord) int {
-		if a.Convicted != b.Convicted {
-			if a.Convicted {
-				return -1
-			}
-			return 1
-		}
-		return b.Expires.Compare(a.Expires)
-	})
-	return out[:min(limit, len(out))]
-}
-
-// Merge takes records of a peer. A conviction stands on every router; a
-// suspicion stands unless the request was cleared of the same crashes.
-func (f *Fingerprints) Merge(now time.Time, records []CrashRecord) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.prune(now)
-	for _, in := range records {
-		if !now.Before(in.Expires) || in.Expires.Sub(now) > convictFor+clockSkew {
-			continue
-		}
-		r := f.records[in.Fingerprint]
-		if r == nil {
-			if len(f.records) < maxRecords {
-				in.Crashes = slices.Clone(in.Crashes[:min(len(in.Crashes), maxCrashIDs)])
-				f.records[in.Fingerprint] = &in
-			}
-			continue
-		}
-		r.merge(in)
-		if in.Convicted {
-			f.convict(r)
-		}
-	}
-}
-
-func (r *CrashRecord) merge(in CrashRecord) {
-	theirs, ours := containsAll(r.Crashes, in.Crashes), containsAll(in.Crashes, r.Crashes)
-	switch {
-	case theirs && ours:
-		r.Cleared = r.Cleared || in.Cleared
-	case ours: // the peer knows more crashes
-		r.Cleared = in.Cleared
-	case !theirs:
-		r.Cleared = r.Cleared && in.Cleared
-	}
-	r.Whole = r.Cleared && (r.Whole || in.Whole)
-	for _, id := range in.Crashes {
-		if !slices.Contains(r.Crashes, id) && len(r.Crashes) < maxCrashIDs {
-			r.Crashes = append(r.Crashes, id)
-		}
-	}
-	if in.Expires.After(r.Expires) {
-		r.Expires = in.Expires
-	}
-}
-
-func containsAll(set, ids []string) bool {
-	for _, id := range ids {
-		if !slices.Contains(set, id) {
-			return false
-		}
-	}
-	return true
-}
-
-// clockSkew is the most by which the clocks of two routers may differ.
-const clockSkew = time.Minute
-
-// maxCrashIDs bounds the crashes kept for one fingerprint; two convict.
+// maxCrashIDs bounds the crashes kept for one fingerprint; two are enough
+// for a quarantine.
 const maxCrashIDs = 8
 
-// live returns the record of a suspect or convicted request.
+// live returns the record of a suspect or quarantined request.
 func (f *Fingerprints) live(now time.Time, fp Fingerprint) *CrashRecord {
 	r := f.records[fp]
-	if r == nil || !now.Before(r.Expires) || r.Cleared && !r.Convicted {
+	if r == nil || !now.Before(r.Expires) || r.Cleared && !r.Quarantined {
 		return nil
 	}
 	return r
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -83,8 +83,8 @@
 	is.True(!c.Busy(later.Add(time.Second), "e"))
 }
 
-// Guards against requests that crash more than two targets, and against blame
-// for requests that ran beside them.
+// Guards against requests that crash more than two targets, and against
+// quarantine for requests that ran beside them.
 func TestFingerprints(t *testing.T) {
 	const bad, good, other = Fingerprint(1), Fingerprint(2), Fingerprint(3)
 	crash := func(f *Fingerprints, at time.Time, target, life string, running ...Fingerprint) {
@@ -98,9 +98,9 @@
 		}
 	}
 	cases := map[string]struct {
-		steps     func(f *Fingerprints)
-		suspects  []Fingerprint
-		convicted []Fingerprint
+		steps       func(f *Fingerprints)
+		suspects    []Fingerprint
+		quarantined []Fingerprint
 	}{
 		"one crash": {func(f *Fingerprints) { crash(f, t0, "e1", "1", bad, good) }, []Fingerprint{bad, good}, nil},
 		"second crash blames the suspect only": {func(f *Fingerprints) {
@@ -133,22 +133,32 @@
 			c.steps(f)
 			peer.Merge(t0, f.Export(t0, 10))
 			for _, set := range []*Fingerprints{f, peer} {
-				var suspects, convicted []Fingerprint
+				var suspects, quarantined []Fingerprint
 				for _, fp := range []Fingerprint{bad, good, other} {
 					if set.Suspect(t0, fp) {
 						suspects = append(suspects, fp)
 					}
-					if set.Convicted(t0, fp) {
-						convicted = append(convicted, fp)
+					if set.Quarantined(t0, fp) {
+						quarantined = append(quarantined, fp)
 					}
 				}
 				is.Equal(suspects, c.suspects)
-				is.Equal(convicted, c.convicted)
+				is.Equal(quarantined, c.quarantined)
 			}
 		})
 	}
 }
 
+// Guards against values of peers that are misread or that crash the reader.
+func TestReceive(t *testing.T) {
+	is := is.New(t)
+	f := NewFingerprints()
+	f.Receive(t0, []string{"", "x.1.a", "s.zz.a", "q.1", "s.2.a", "q.3.a,b"})
+	is.True(!f.Suspect(t0, 1))
+	is.True(f.Suspect(t0, 2) && !f.Quarantined(t0, 2))
+	is.True(f.Quarantined(t0, 3) && !f.Quarantined(t0.Add(quarantineFor), 3))
+}
+
 // Guards against suspects that meet, and against a suspicion that a peer brings
 // back after the request was cleared.
 func TestSuspectsAreKeptApart(t *testing.T) {
