--- a/cmd/mimosaseam/node.go
+++ b/cmd/mimosaseam/node.go
@@ -61,6 +61,9 @@
 	router       *router.Router
 	callers      *callerhttp.Server
 
+	// evidence holds crash evidence that is not in the log yet.
+	evidence chan string
+
 	mu         sync.Mutex
 	draining   bool
 	logContact time.Time
@@ -69,10 +72,12 @@
 
 // newNode builds the parts without starting any.
 func newNode(ctx context.Context, s settings.Settings, logger *slog.Logger) (*node, error) {
-	n := &node{settings: s, log: logger, started: time.Now(), offsets: map[string]port.Offset{}}
+	n := &node{settings: s, log: logger, started: time.Now(), offsets: map[string]port.Offset{},
+		evidence: make(chan string, newFingerprints)}
 	n.holder = s.VM.Name + "/" + strconv.FormatInt(n.started.UnixMilli(), 10)
 	n.metrics = telemetry.NewMetrics("mimosaseam", "mimosaseam_durations")
 	n.fingerprints = retry.NewFingerprints()
+	n.fingerprints.SetReport(n.reportFingerprint)
 	var err error
 	if n.traces, err = telemetry.StartTraces(ctx, s.Telemetry, s.VM); err != nil {
 		return nil, err
@@ -182,7 +187,7 @@
 		},
 		Callbacks: fleet.Callbacks{
 			OnPeerInFlight: n.takePeerInFlight,
-			OnFingerprints: n.takeCrashRecords,
+			OnFingerprints: n.takeFingerprints,
 			OnSummary:      n.takeSummary,
 			OnTargets:      func([]port.TargetMark) { n.refreshLeaving() },
 			OnRouters:      n.takeRouters,
@@ -218,17 +223,8 @@
 	n.offsets[peer] = max(n.offsets[peer], offset)
 }
 
-// takeCrashRecords merges records that peers found.
-func (n *node) takeCrashRecords(values []string) {
-	for _, v := range values {
-		var record retry.CrashRecord
-		if err := json.Unmarshal([]byte(v), &record); err != nil {
-			n.log.Warn("crash record refused", "error", err)
-			continue
-		}
-		n.fingerprints.Merge(time.Now(), []retry.CrashRecord{record})
-	}
-}
+// takeFingerprints merges the crash evidence that peers found.
+func (n *node) takeFingerprints(values []string) { n.fingerprints.Receive(time.Now(), values) }
 
 // refreshLeaving passes the targets that must get no new work to the router.
 func (n *node) refreshLeaving() {
@@ -272,65 +268,66 @@
 
 // fleetRecord is a record of the fleet stream that is not a lease claim.
 type fleetRecord struct {
-	Kind  string   `json:"kind"`
-	Crash []string `json:"crash,omitempty"`
+	Kind         string   `json:"kind"`
+	Fingerprints []string `json:"fingerprints,omitempty"`
 }
 
-const kindCrash = "crash_records"
+const kindFingerprints = "fingerprints"
 
 func (n *node) observeFleetRecord(r port.Record) {
 	n.orders.Observe(r)
+	if time.Since(r.AppendedAt) > membership.FingerprintTTL {
+		return
+	}
 	var record fleetRecord
-	if json.Unmarshal(r.Data, &record) == nil && record.Kind == kindCrash {
-		n.takeCrashRecords(record.Crash)
+	if json.Unmarshal(r.Data, &record) == nil && record.Kind == kindFingerprints {
+		n.takeFingerprints(record.Fingerprints)
 	}
 }
 
-// crashInterval is the time between two looks for new crash records. A caller
-// repeats a failed request at once, often through another router.
-const crashInterval = 200 * time.Millisecond
+// newFingerprints bounds the crash evidence waiting to be written to the log.
+const newFingerprints = 256
 
-// maxCrashRecords bounds the records told to peers at once.
-const maxCrashRecords = 64
+// reportFingerprint tells peers at once, and the log for routers that start later.
+func (n *node) reportFingerprint(value string) {
+	n.fleet.ReportFingerprint(value)
+	select {
+	case n.evidence <- value:
+	default: // peers know it; only a restart of all routers would miss it
+	}
+}
 
-// spreadCrashRecords tells peers of requests that crash targets, and writes
-// convictions to the log for routers that start later.
-func (n *node) spreadCrashRecords(ctx context.Context) error {
-	ticker := time.NewTicker(crashInterval)
-	defer ticker.Stop()
-	told := map[string]bool{}
+// keepFingerprints writes crash evidence to the log, one append for all that waits.
+func (n *node) keepFingerprints(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
+		case value := <-n.evidence:
+			n.appendFingerprints(ctx, n.withWaiting(value))
 		}
-		current := map[string]bool{}
-		for _, record := range n.fingerprints.Export(time.Now(), maxCrashRecords) {
-			text, err := json.Marshal(record)
-			if err != nil {
-				continue
-			}
-			value := string(text)
-			current[value] = true
-			if told[value] {
-				continue
-			}
-			n.fleet.ReportFingerprint(value)
-			if record.Convicted {
-				n.keepConviction(ctx, value)
-			}
+	}
+}
+
+func (n *node) withWaiting(value string) []string {
+	values := []string{value}
+	for {
+		select {
+		case value := <-n.evidence:
+			values = append(values, value)
+		default:
+			return values
 		}
-		told = current
 	}
 }
 
-func (n *node) keepConviction(ctx context.Context, value string) {
-	data, err := json.Marshal(fleetRecord{Kind: kindCrash, Crash: []string{value}})
+func (n *node) appendFingerprints(ctx context.Context, values []string) {
+	data, err := json.Marshal(fleetRecord{Kind: kindFingerprints, Fingerprints: values})
 	if err != nil {
 		return
 	}
-	if _, err := n.platform.log.Append(ctx, port.StreamFleet, []port.Record{{ID: uuid.NewString(), Data: data}}); err != nil {
-		n.log.Warn("conviction not written to the log, peers know it", "error", err)
+	_, err = n.platform.log.Append(ctx, port.StreamFleet, []port.Record{{ID: uuid.NewString(), Data: data}})
+	if err != nil {
+		n.log.Warn("crash evidence not written to the log, peers know it", "error", err)
 	}
 }
--- a/cmd/mimosaseam/serve.go
+++ b/cmd/mimosaseam/serve.go
@@ -127,7 +127,7 @@
 func (n *node) addLoops(ctx context.Context, cancel context.CancelFunc, group *run.Group) {
 	loops := []func(context.Context) error{
 		n.config.Run, n.ledger.Follow, n.follower.Run, n.orders.Run, n.observer.Run,
-		n.spreadCrashRecords, n.watchLeaving, n.joinThenRunFleet,
+		n.keepFingerprints, n.watchLeaving, n.joinThenRunFleet,
 	}
 	for _, loop := range loops {
 		group.Add(func() error { return loop(ctx) }, func(error) { cancel() })
