--- a/internal/app/atmostonce/call.go
+++ b/internal/app/atmostonce/call.go
@@ -17,6 +17,8 @@
 	// repeat of the key finds it open.
 	notRunWait = time.Second
 	retryAfter = 2 * time.Second
+	// minRetryAfter is more than a follower lags behind the log.
+	minRetryAfter = time.Second
 	// resendInterval is how long an intent may take to be read back before it
 	// is appended again.
 	resendInterval = 500 * time.Millisecond
@@ -42,6 +44,7 @@
 	inFlight bool // and its result is not known yet
 	landed   bool // the intent is in the log, or may be
 	refused  bool // the log will never take the intent
+	opened   bool // the own not_run record opened the key again
 	resendAt time.Time
 	// supersedes is the attempt of a resendable key that the intent replaces.
 	supersedes string
@@ -162,10 +165,10 @@
 // so nothing else ran before, or the caller says that nothing was sent before.
 func (s *Service) giveUp(c *call, cause error) error {
 	e := s.state.Lookup(c.key)
-	won := c.decision == ledger.Won
 	s.cancelIntent(c)
-	other := e.Status != ledger.Open && e.Attempt != c.attempt
-	if won && len(e.Previous) == 0 || !won && c.req.First && !other && e.ClosedAt == 0 {
+	won := c.decision == ledger.Won && !c.req.Resendable
+	alone := e.ClosedAt == 0 && (e.Status == ledger.Open || e.Attempt == c.attempt && len(e.Previous) == 0)
+	if won || c.req.First && alone {
 		return &NotRunError{RetryAfter: retryAfter, Cause: cause}
 	}
 	return &MayHaveRunError{RetryAfter: retryAfter, Cause: cause}
--- a/internal/app/atmostonce/dispatch.go
+++ b/internal/app/atmostonce/dispatch.go
@@ -130,7 +130,6 @@
 func (s *Service) settleNotRun(ctx context.Context, c *call, cause *port.NotRunError) error {
 	s.mu.Lock()
 	s.sendNotRun(c)
-	tainted := len(s.state.Lookup(c.key).Previous) > 0
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, notRunWait)
 	defer cancel()
@@ -142,10 +141,15 @@
 		case <-ctx.Done():
 		}
 	}
-	if tainted {
-		return &MayHaveRunError{RetryAfter: cause.RetryAfter, Cause: cause}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// The other routers need a moment to read that the key is open again.
+	after := max(cause.RetryAfter, minRetryAfter)
+	// Another attempt may take a resendable key over before the record lands.
+	if c.req.Resendable && !c.opened {
+		return &MayHaveRunError{RetryAfter: after, Cause: cause}
 	}
-	return &NotRunError{RetryAfter: cause.RetryAfter, Cause: cause}
+	return &NotRunError{RetryAfter: after, Cause: cause}
 }
 
 // holds reports whether the key is still pending for the call's attempt.
--- a/internal/app/atmostonce/follow.go
+++ b/internal/app/atmostonce/follow.go
@@ -92,8 +92,9 @@
 			s.o.Logger.Warn("ledger record is ignored", "offset", uint64(rec.Offset), "error", effect.Err)
 			continue
 		}
-		if c := s.calls[effect.Attempt]; c != nil && effect.Decision != "" {
+		if c := s.calls[effect.Attempt]; c != nil {
 			c.decided(effect.Decision, s.epoch)
+			c.opened = c.opened || effect.Opened
 		}
 		if s.state.Lookup(effect.Key).Status == ledger.Done {
 			delete(s.answers, effect.Key)
--- a/internal/app/atmostonce/run.go
+++ b/internal/app/atmostonce/run.go
@@ -90,7 +90,7 @@
 	case ledger.Reused:
 		return failed(&KeyReusedError{Key: c.key.Value})
 	case ledger.Closed:
-		return failed(&MayHaveRunError{Cause: ErrKeyClosed})
+		return failed(&MayHaveRunError{RetryAfter: minRetryAfter, Cause: ErrKeyClosed})
 	}
 	switch {
 	case c.epoch != s.epoch && c.sent:
@@ -108,9 +108,12 @@
 // nextPending waits for the winner's outcome. A resendable key is taken over
 // once the winner may no longer dispatch.
 func (s *Service) nextPending(c *call, e ledger.Entry) step {
-	if !e.Resendable || !c.req.Resendable || !s.healthy || !s.caughtUp || c.inFlight || s.running[e.Attempt] {
+	if !e.Resendable || !c.req.Resendable || !s.healthy || !s.caughtUp || c.inFlight {
 		return step{}
 	}
+	if s.running[e.Attempt] || s.calls[e.Attempt] != nil {
+		return step{} // still open on this router
+	}
 	if takeover := e.Deadline.Add(clockSkew); !e.Released && s.o.Clock.Now().Before(takeover) && e.Router != s.o.Router {
 		return step{until: takeover}
 	}
@@ -156,7 +159,7 @@
 // closed answers a call whose key an earlier request's not_run closed.
 func (s *Service) closed(c *call) error {
 	s.cancelIntent(c)
-	return &MayHaveRunError{Cause: ErrKeyClosed}
+	return &MayHaveRunError{RetryAfter: minRetryAfter, Cause: ErrKeyClosed}
 }
 
 func failed(err error) step { return step{done: true, err: err} }
--- a/internal/core/ledger/fold.go
+++ b/internal/core/ledger/fold.go
@@ -82,6 +82,7 @@
 	Key      Key
 	Attempt  string
 	Decision Decision // of intents only
+	Opened   bool     // a not_run record opened the key again
 	Err      error    // of malformed records only
 }
 
@@ -131,8 +132,7 @@
 		s.outcome(*r.Outcome, rec)
 		return Effect{Key: r.Outcome.Key, Attempt: r.Outcome.Attempt}
 	case r.NotRun != nil:
-		s.notRun(*r.NotRun, rec)
-		return Effect{Key: r.NotRun.Key, Attempt: r.NotRun.Attempt}
+		return Effect{Key: r.NotRun.Key, Attempt: r.NotRun.Attempt, Opened: s.notRun(*r.NotRun, rec)}
 	default:
 		s.carry(*r.Carry, rec)
 		return Effect{Key: r.Carry.Entry.Key}
@@ -204,22 +204,24 @@
 
 // notRun closes the attempt, also when its intent comes later, and opens the
 // key again when the attempt is the current one.
-func (s *State) notRun(n NotRun, rec port.Record) {
+func (s *State) notRun(n NotRun, rec port.Record) bool {
 	e, _ := s.live(n.Key)
 	if slices.Contains(e.Closed, n.Attempt) || e.Status == Done {
-		return
+		return false
 	}
+	opened := false
 	e.Closed = append(slices.Clone(e.Closed), n.Attempt)
 	e.Closed = e.Closed[max(0, len(e.Closed)-maxClosed):]
 	if e.Status == Pending && e.Attempt == n.Attempt {
 		if len(e.Previous) > 0 {
 			e.Released = true
 		} else {
-			e.Status, e.ClosedAt = Open, rec.Offset
+			e.Status, e.ClosedAt, opened = Open, rec.Offset, true
 		}
 	}
 	e.Expires = later(e.Expires, n.Expires)
 	s.store(e, rec)
+	return opened
 }
 
 // carry adopts an entry whose records this state has not seen. A state that
