Test that fresh connections are new and that a stalled stream can be closed

The engine stand-in sets the deadline's timer before it sends its header: a manual clock that moved in between left the attempt running for good.

--- a/internal/adapter/enginehttp/chunk_test.go
+++ b/internal/adapter/enginehttp/chunk_test.go
@@ -1,7 +1,9 @@
 package enginehttp
 
 import (
+	"context"
 	"encoding/json"
+	"flag"
 	"io"
 	"net/http"
 	"strings"
@@ -15,6 +17,7 @@
 
 // Guards against a fast path that reads a chunk otherwise than encoding/json.
 func TestPlainChunksDecodeAsJSON(t *testing.T) {
+	is.New(t).NoErr(flag.Set("rapid.seed", "1"))
 	rapid.Check(t, func(t *rapid.T) {
 		text := rapid.OneOf(rapid.String(), rapid.StringMatching(`[ -~]*`), rapid.Map(rapid.SliceOf(rapid.Byte()), func(b []byte) string { return string(b) })).Draw(t, "text")
 		index := rapid.SampledFrom([]string{"0", "7", "07", "-1", "123456789", "1234567890", "1e2", "", "9999999999999999999999"}).Draw(t, "index")
@@ -76,3 +79,34 @@
 		})
 	}
 }
+
+// waitingBody blocks reads until its context ends.
+type waitingBody struct {
+	ctx     context.Context
+	entered chan struct{}
+}
+
+func (b waitingBody) Read([]byte) (int, error) {
+	close(b.entered)
+	<-b.ctx.Done()
+	return 0, b.ctx.Err()
+}
+
+func (waitingBody) Close() error { return nil }
+
+// Guards against a stalled stream that cannot be closed.
+func TestCloseEndsWaitingRead(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	body := waitingBody{ctx: ctx, entered: make(chan struct{})}
+	s := newStream("e", &http.Response{Body: body}, cancel, 4096)
+	failed := make(chan error)
+	go func() {
+		_, err := s.Next()
+		failed <- err
+	}()
+	<-body.entered
+	go func() { _ = s.Close() }()
+	_, broken := (<-failed).(*port.BrokenStreamError)
+	is.True(broken)
+}
--- a/internal/port/enginetest/faults.go
+++ b/internal/port/enginetest/faults.go
@@ -39,6 +39,9 @@
 	stream := start(ctx, t, h, generation("a", 50))
 	_, err := stream.Next()
 	is.NoErr(err)
+	// Leaves a second, idle connection in the pool, which goes silent too.
+	_, err = h.Engine.Load(t.Context(), h.Address)
+	is.NoErr(err)
 	h.Inject(engine.Fault{Kind: engine.FaultSilent})
 	h.Advance(5 * DecodeInterval)
 	fresh := port.WithFreshConnection(t.Context())
--- a/internal/port/enginetest/service.go
+++ b/internal/port/enginetest/service.go
@@ -136,9 +136,9 @@
 func silentService(t *testing.T, h ServiceHarness) {
 	lookup(t.Context(), t, h)
 	h.Inject(apprunner.Fault{Kind: apprunner.FaultSilent})
-	err := giveUp(t, h, func(e apprunner.Effects) bool { return e.Calls == 2 })
-	wantFailure(t, err, &port.UnknownOutcomeError{})
 	lookup(port.WithFreshConnection(t.Context()), t, h)
+	err := giveUp(t, h, func(e apprunner.Effects) bool { return e.Calls == 3 })
+	wantFailure(t, err, &port.UnknownOutcomeError{})
 }
 
 // giveUp makes a reservation and cancels it once the service saw it.
--- a/internal/standin/engine/manualclock.go
+++ b/internal/standin/engine/manualclock.go
@@ -27,8 +27,13 @@
 	return c.now
 }
 
-// AfterFunc makes Advance call f when the clock has moved by d.
+// AfterFunc makes Advance call f when the clock has moved by d. Without a wait
+// f is called at once, on another goroutine.
 func (c *ManualClock) AfterFunc(d time.Duration, f func()) func() bool {
+	if d <= 0 {
+		go f()
+		return func() bool { return false }
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	timer := &manualTimer{at: c.now.Add(d), f: f}
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -38,13 +38,14 @@
 		*pooled = s.buffer[:0]
 		buffers.Put(pooled)
 	}()
-	w.WriteHeader(http.StatusOK)
-	flusher.Flush()
+	// The deadline's timer is set before the client can see the answer.
 	expired := make(chan struct{})
 	if a.deadline > 0 {
 		stop := e.config.Clock.AfterFunc(a.deadline-e.since(), func() { close(expired) })
 		defer stop()
 	}
+	w.WriteHeader(http.StatusOK)
+	flusher.Flush()
 	for s.written < a.total {
 		select {
 		case <-a.signal:
