--- a/internal/core/placement/settings.go
+++ b/internal/core/placement/settings.go
@@ -25,7 +25,7 @@
 	// RateWindowS is the time constant of request rates in s. Default 30.
 	RateWindowS int `json:"rate_window_s"`
 	// CacheShare is the share of a target's cache that the subtree of one home
-	// prefix may fill. Default 0.25.
+	// prefix may fill. Default 0.05.
 	CacheShare float64 `json:"cache_share"`
 	// LoadShare is the share of a target's time that one home prefix may take
 	// before it is spread. Default 0.5.
@@ -46,7 +46,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		MaxBlocks: 300000, MaxSegments: 50000, MaxHolders: 8, MaxPeerTargets: 64,
-		IdleSegmentS: 300, RateWindowS: 30, CacheShare: 0.25, LoadShare: 0.5, MissWeight: 1,
+		IdleSegmentS: 300, RateWindowS: 30, CacheShare: 0.05, LoadShare: 0.5, MissWeight: 1,
 		InterRegionMs: 12, InterZoneMs: 1, IdleSample: 4,
 	}
 }
