--- a/cmd/mimosaseam/backend.go
+++ b/cmd/mimosaseam/backend.go
@@ -30,11 +30,21 @@
 	if draining {
 		return adminhttp.Readiness{Reason: "stopping"}
 	}
+	if !closed(n.config.Ready()) {
+		return adminhttp.Readiness{Reason: "the configuration has not been read from the log or from a peer"}
+	}
+	if !closed(n.joined) {
+		return adminhttp.Readiness{Reason: "waiting for the hot prefixes of a peer"}
+	}
+	return adminhttp.Readiness{Ready: true}
+}
+
+func closed(c <-chan struct{}) bool {
 	select {
-	case <-n.config.Ready():
-		return adminhttp.Readiness{Ready: true}
+	case <-c:
+		return true
 	default:
-		return adminhttp.Readiness{Reason: "the configuration has not been read from the log or from a peer"}
+		return false
 	}
 }
 
--- a/cmd/mimosaseam/node.go
+++ b/cmd/mimosaseam/node.go
@@ -64,6 +64,10 @@
 	// evidence holds crash evidence that is not in the log yet.
 	evidence chan string
 
+	// joined is closed once the hot prefixes of a peer or of the log are taken,
+	// or neither can be had.
+	joined chan struct{}
+
 	mu         sync.Mutex
 	draining   bool
 	logContact time.Time
@@ -73,7 +77,7 @@
 // newNode builds the parts without starting any.
 func newNode(ctx context.Context, s settings.Settings, logger *slog.Logger) (*node, error) {
 	n := &node{settings: s, log: logger, started: time.Now(), offsets: map[string]port.Offset{},
-		evidence: make(chan string, newFingerprints)}
+		evidence: make(chan string, newFingerprints), joined: make(chan struct{})}
 	n.holder = s.VM.Name + "/" + strconv.FormatInt(n.started.UnixMilli(), 10)
 	n.metrics = telemetry.NewMetrics("mimosaseam", "mimosaseam_durations")
 	n.fingerprints = retry.NewFingerprints()
--- a/cmd/mimosaseam/serve.go
+++ b/cmd/mimosaseam/serve.go
@@ -25,8 +25,6 @@
 var ErrStopped = eris.New("stopped by signal")
 
 const (
-	// joinTimeout bounds the wait for a peer's summary at the start.
-	joinTimeout = 3 * time.Second
 	// leaveTimeout bounds telling the neighbours of a planned stop.
 	leaveTimeout = 2 * time.Second
 	// flushTimeout bounds writing the last outcomes to the log.
@@ -127,7 +125,7 @@
 func (n *node) addLoops(ctx context.Context, cancel context.CancelFunc, group *run.Group) {
 	loops := []func(context.Context) error{
 		n.config.Run, n.ledger.Follow, n.orders.Run, n.observer.Run,
-		n.keepFingerprints, n.watchLeaving, n.joinThenRunFleet,
+		n.keepFingerprints, n.keepSummary, n.watchLeaving, n.joinThenRunFleet,
 	}
 	for _, f := range n.followers {
 		loops = append(loops, f.Run)
@@ -140,11 +138,7 @@
 // joinThenRunFleet takes the state of a peer before the first exchange, so that
 // a restarted router places requests as its peers do.
 func (n *node) joinThenRunFleet(ctx context.Context) error {
-	joining, cancel := context.WithTimeout(ctx, joinTimeout)
-	if err := n.fleet.Join(joining); err != nil {
-		n.log.Info("started without a peer", "reason", err)
-	}
-	cancel()
+	n.join(ctx)
 	return n.fleet.Run(ctx)
 }
 
