--- a/cmd/mimosaseam/node.go
+++ b/cmd/mimosaseam/node.go
@@ -92,6 +92,7 @@
 	n.buildState()
 	n.buildFleet()
 	n.buildServing()
+	n.publishGauges()
 	return n, nil
 }
 
