--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -119,8 +119,6 @@
 type Resources struct {
 	// IndexBytes bounds the prefix index, in bytes. Default 67108864.
 	IndexBytes int `json:"index_bytes"`
-	// QueueRequests bounds the requests waiting for a target. Default 2000.
-	QueueRequests int `json:"queue_requests"`
 	// Seed of random choices; 0 takes one from the system. Default 0.
 	Seed int64 `json:"seed"`
 }
@@ -162,7 +160,7 @@
 		},
 		Platform:  Platform{RetentionS: 7 * 24 * 3600, AppendsPerSecond: 20, VMListPollMs: 1000},
 		Telemetry: Telemetry{LogLevel: "info", LogFormat: "json", TraceRatio: 1},
-		Resources: Resources{IndexBytes: 64 << 20, QueueRequests: 2000},
+		Resources: Resources{IndexBytes: 64 << 20},
 		Shutdown:  Shutdown{DrainTimeoutS: 120, UnreadyMs: 1000},
 	}
 }
