--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/integrii/flaggy"
@@ -11,12 +12,18 @@
 func main() {
 	flaggy.SetName("measure")
 	flaggy.SetDescription("load and experiment tools of mimosaseam")
-	placement := registerPlacement()
+	placement, relay := registerPlacement(), registerRelay()
 	flaggy.Parse()
-	if !placement.Used {
+	var run func(io.Writer) error
+	switch {
+	case placement.Used:
+		run = placement.run
+	case relay.Used:
+		run = relay.run
+	default:
 		flaggy.ShowHelpAndExit("name a subcommand")
 	}
-	if err := placement.run(os.Stdout); err != nil {
+	if err := run(os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/internal/adapter/httpconn/pool.go
+++ b/internal/adapter/httpconn/pool.go
@@ -185,3 +185,6 @@
 	}
 	return min(max(wait, 0), maxRetryAfter)
 }
+
+// RoundTrip implements http.RoundTripper without classifying failures.
+func (p *Pool) RoundTrip(r *http.Request) (*http.Response, error) { return p.pooled.RoundTrip(r) }
--- /dev/null
+++ b/internal/bench/relay/relay.go
@@ -0,0 +1,243 @@
+// Package relay measures what a router adds to streams. It calls the engine
+// stand-in directly, through a plain pass-through handler and through the
+// router, in one process and one run, over loopback.
+package relay
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"mimosaseam.example/mimosaseam/internal/standin/engine"
+)
+
+// The targets of docs/design.md, section 9.
+const (
+	TargetAddedP99        = 2 * time.Millisecond
+	TargetTokensPerCore   = 50000
+	TargetBytesPerStream  = 64 << 10
+	TargetStreamsForP99   = 100
+	defaultTokens         = 64
+	defaultRounds         = 3
+	defaultPromptBytes    = 4096
+	defaultTokenInterval  = 30 * time.Millisecond
+	engineSlots           = 1 << 14
+	engineCapacityBlocks  = 1 << 16
+	weightsVersion        = "v1"
+	modelName             = "bench"
+	idleIntervalForMemory = time.Hour
+)
+
+// Failures of a run.
+var (
+	ErrIncomplete = eris.New("a stream ended early or out of order")
+	ErrRefused    = eris.New("a stream was refused")
+)
+
+// Front is a handler between the callers and the engine.
+type Front struct {
+	Handler http.Handler
+	// Close releases what the handler holds.
+	Close func()
+}
+
+// Factory makes the front for an engine at an address (host:port).
+type Factory func(engineAddress string) Front
+
+// Options configures a run. Zero fields mean the defaults.
+type Options struct {
+	// Streams lists the numbers of concurrent streams measured.
+	Streams []int
+	// Requests is the number of requests each stream makes per round.
+	Requests int
+	// Rounds is how often each way is measured, in turns.
+	Rounds        int
+	Tokens        int
+	PromptBytes   int
+	TokenInterval time.Duration
+	Seed          uint64
+	// Fronts are compared with calling the engine directly.
+	Fronts map[string]Factory
+}
+
+// Figures are the measurements of one way to call the engine at one number of
+// streams. Added figures compare with the direct way and are 0 for it.
+type Figures struct {
+	Way      string        `json:"way"`
+	Streams  int           `json:"streams"`
+	Requests int           `json:"requests"`
+	TTFTp50  time.Duration `json:"ttft_p50_ns"`
+	TTFTp99  time.Duration `json:"ttft_p99_ns"`
+	// TokensPerSecond is the rate at which tokens arrived at callers.
+	TokensPerSecond float64 `json:"tokens_per_second"`
+	// CPUPerToken is the CPU time of the whole process per token: callers,
+	// engine, and the front if there is one.
+	CPUPerToken time.Duration `json:"cpu_per_token_ns"`
+	// HeapPerStream is heap and stacks of the whole process per open stream.
+	HeapPerStream int64 `json:"heap_per_stream_bytes"`
+
+	AddedTTFTp50 time.Duration `json:"added_ttft_p50_ns"`
+	AddedTTFTp99 time.Duration `json:"added_ttft_p99_ns"`
+	// AddedTokensPerCore is the tokens that one core relays in a second: the
+	// inverse of the added CPU time per token.
+	AddedTokensPerCore  float64 `json:"added_tokens_per_second_per_core"`
+	AddedBytesPerStream int64   `json:"added_bytes_per_stream"`
+}
+
+// Direct names the way without a front.
+const Direct = "direct"
+
+func (o Options) withDefaults() Options {
+	if len(o.Streams) == 0 {
+		o.Streams = []int{1, 100, 2000}
+	}
+	setDefault(&o.Rounds, defaultRounds)
+	setDefault(&o.Tokens, defaultTokens)
+	setDefault(&o.PromptBytes, defaultPromptBytes)
+	if o.TokenInterval <= 0 {
+		o.TokenInterval = defaultTokenInterval
+	}
+	return o
+}
+
+func setDefault(field *int, value int) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// requests returns how many requests each of n streams makes per round, so that
+// few streams still give enough samples for a p99.
+func (o Options) requests(n int) int {
+	if o.Requests > 0 {
+		return o.Requests
+	}
+	const samples = 600
+	return min(max(2, samples/n), 20)
+}
+
+// Run measures all numbers of streams and all ways.
+func Run(o Options) ([]Figures, error) {
+	o = o.withDefaults()
+	var all []Figures
+	for _, n := range o.Streams {
+		figures, err := o.level(n)
+		if err != nil {
+			return all, err
+		}
+		all = append(all, figures...)
+	}
+	return all, nil
+}
+
+// ways returns the names of the ways measured, the direct one first.
+func (o Options) ways() []string {
+	names := []string{Direct}
+	for name := range o.Fronts {
+		names = append(names, name)
+	}
+	slices.Sort(names[1:])
+	return names
+}
+
+func (o Options) level(n int) ([]Figures, error) {
+	names := o.ways()
+	samples := make(map[string]*sample, len(names))
+	for _, name := range names {
+		samples[name] = &sample{}
+	}
+	for round := range o.Rounds {
+		for i := range names {
+			// Starts with another way each round, so that none always runs first.
+			name := names[(i+round)%len(names)]
+			if err := o.round(name, n, round, samples[name]); err != nil {
+				return nil, eris.Wrapf(err, "%s with %d streams", name, n)
+			}
+		}
+	}
+	var figures []Figures
+	for _, name := range names {
+		bytes, err := o.memory(name, n)
+		if err != nil {
+			return nil, eris.Wrapf(err, "memory of %s with %d streams", name, n)
+		}
+		f := samples[name].figures(name, n)
+		f.HeapPerStream = bytes
+		if name != Direct {
+			f.compare(figures[0])
+		}
+		figures = append(figures, f)
+	}
+	return figures, nil
+}
+
+func (f *Figures) compare(direct Figures) {
+	f.AddedTTFTp50 = f.TTFTp50 - direct.TTFTp50
+	f.AddedTTFTp99 = f.TTFTp99 - direct.TTFTp99
+	if added := f.CPUPerToken - direct.CPUPerToken; added > 0 {
+		f.AddedTokensPerCore = float64(time.Second) / float64(added)
+	}
+	f.AddedBytesPerStream = f.HeapPerStream - direct.HeapPerStream
+}
+
+// bed is an engine and, unless the way is direct, a front before it.
+type bed struct {
+	address string
+	close   func()
+}
+
+func (o Options) open(way string, interval time.Duration) (*bed, error) {
+	e := engine.New(engine.Config{
+		Slots: engineSlots, MaxWaiting: engineSlots, CapacityBlocks: engineCapacityBlocks,
+		StopAfter: 1 << 30, DecodeInterval: interval, WeightsVersion: weightsVersion, Model: modelName,
+	})
+	address, stop, err := serve(e.Server())
+	if err != nil {
+		return nil, err
+	}
+	b := &bed{address: address, close: func() { e.Close(); stop() }}
+	if way == Direct {
+		return b, nil
+	}
+	front := o.Fronts[way](address)
+	address, stopFront, err := serve(&http.Server{Handler: front.Handler, ReadHeaderTimeout: time.Minute})
+	if err != nil {
+		b.close()
+		return nil, err
+	}
+	return &bed{address: address, close: func() {
+		stopFront()
+		front.Close()
+		b.close()
+	}}, nil
+}
+
+func serve(server *http.Server) (address string, stop func(), err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, eris.Wrap(err, "listening on loopback")
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(listener)
+	}()
+	return listener.Addr().String(), func() {
+		_ = server.Close()
+		<-done
+	}, nil
+}
+
+// prompt returns a prompt that shares no block with that of another stream.
+func (o Options) prompt(random *rand.Rand) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz      "
+	text := make([]byte, o.PromptBytes)
+	for i := range text {
+		text[i] = letters[random.IntN(len(letters))]
+	}
+	return string(text)
+}
--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -38,7 +39,11 @@
 
 func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	var body completionRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&body); err != nil {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err == nil {
+		err = json.Unmarshal(data, &body)
+	}
+	if err != nil {
 		writeError(w, http.StatusBadRequest, "bad_request", "body is not a completion request: "+err.Error())
 		return
 	}
