--- /dev/null
+++ b/internal/app/atmostonce/keys_test.go
@@ -0,0 +1,213 @@
+package atmostonce
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+	"mimosaseam.example/mimosaseam/internal/port/portfake"
+)
+
+// Guards against a key that runs although its records may be gone, and against
+// keys that are mixed up.
+func TestKeys(t *testing.T) {
+	cases := map[string]struct {
+		change func(*Request)
+		want   string
+	}{
+		"same":                 {func(*Request) {}, "replay"},
+		"another body":         {func(r *Request) { r.BodyHash = "other" }, "reused"},
+		"another account":      {func(r *Request) { r.Key.ClientAccount = "other" }, "ok"},
+		"another key":          {func(r *Request) { r.Key.Value = "other" }, "ok"},
+		"older than retention": {func(r *Request) { r.Key.CreatedAt = r.Key.CreatedAt.Add(-keyRetention - time.Second) }, "expired"},
+		"future within skew":   {func(r *Request) { r.Key.CreatedAt = r.Key.CreatedAt.Add(clockSkew) }, "replay"},
+		"future":               {func(r *Request) { r.Key.CreatedAt = r.Key.CreatedAt.Add(clockSkew + time.Second) }, "expired"},
+		"first use of old key": {func(r *Request) {
+			r.Key.Value, r.Key.CreatedAt, r.Retention = "old", time.Now().Add(-logRetention), 30*logRetention
+		}, "expired"},
+		"repeat of an old key":  {func(r *Request) { r.Key.CreatedAt, r.Retention = time.Now().Add(-logRetention), 30*logRetention }, "replay"},
+		"deadline in the past":  {func(r *Request) { r.Key.Value, r.Deadline = "late", time.Now().Add(-time.Second) }, "may have run"},
+		"first, deadline past":  {func(r *Request) { r.Key.Value, r.Deadline, r.First = "late", time.Now(), true }, "not run"},
+		"first, but known":      {func(r *Request) { r.First = true }, "replay"},
+		"caller's other router": {func(r *Request) { r.Route = "other" }, "replay"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				is := is.New(t)
+				a, b := w.router("a"), w.router("b")
+				_, err := a.send(request("k"), "first")
+				is.NoErr(err)
+				<-time.After(time.Second)
+				req := request("k")
+				c.change(&req)
+				is.Equal(kind(b.send(req, "second")), c.want)
+			})
+		})
+	}
+}
+
+// Guards against an outcome or a pending key that is forgotten when its
+// records expire and every router has restarted, and against expired keys that
+// stay in memory.
+func TestEntriesOutliveTheLog(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.retention = 2 * time.Hour
+		w.log = portfake.NewLog(portfake.LogOptions{Retention: w.retention})
+		long := 4 * w.retention
+		a, b := w.router("a"), w.router("b")
+		done, pending := request("done"), request("pending")
+		done.Retention, pending.Retention = long, long
+		out, err := a.send(done, "first")
+		is.NoErr(err)
+		_, err = b.Run(w.ctx, pending, func(context.Context, string) (Outcome, error) {
+			return Outcome{}, &port.UnknownOutcomeError{Peer: "target"}
+		})
+		is.Equal(kind(Outcome{}, err), "may have run")
+		<-time.After(5 * w.retention / 2)
+		a.stop()
+		b.stop()
+		c := w.router("c")
+		done.Deadline, pending.Deadline = time.Now().Add(callTimeout), time.Now().Add(callTimeout)
+		again, err := c.send(done, "repeat")
+		is.Equal(kind(again, err), "replay")
+		is.Equal(again.Body, out.Body)
+		is.Equal(kind(c.send(pending, "repeat")), "may have run")
+		is.Equal(len(w.target.runs), 1)
+		<-time.After(2 * w.retention)
+		is.Equal(kind(c.send(done, "late")), "expired")
+		_, err = c.send(request("fresh"), "fresh") // moves the log's time on
+		is.NoErr(err)
+		<-time.After(time.Hour)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		is.True(c.state.Bytes() < 2000) // one entry
+	})
+}
+
+// Guards against a router that was frozen for longer than the retention and
+// then decides from records that are gone.
+func TestFrozenPastRetention(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		a, b := w.router("a"), w.router("b")
+		<-time.After(time.Minute)
+		resume := a.pause()
+		_, err := b.send(request("k"), "first")
+		is.NoErr(err)
+		is.NoErr(b.Flush(w.ctx))
+		w.log.Expire(port.StreamLedger, 3)
+		resume()
+		<-time.After(time.Minute)
+		is.Equal(a.epoch, 1)
+		is.Equal(kind(a.send(request("other"), "second")), "ok")
+	})
+}
+
+// Guards against a resendable key that stays "may have run", and against a
+// takeover while the first attempt may still be sent by another router.
+func TestResendable(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.target.dedupe = true
+		a, b := w.router("a"), w.router("b")
+		req := request("k")
+		req.Resendable = true
+		_, err := a.Run(w.ctx, req, func(context.Context, string) (Outcome, error) {
+			w.target.effect("k", "first")
+			return Outcome{}, &port.UnknownOutcomeError{Peer: "target"}
+		})
+		is.Equal(kind(Outcome{}, err), "may have run")
+		is.Equal(kind(b.send(req, "too early")), "may have run")
+		req.Deadline = time.Now().Add(2 * clockSkew)
+		var token port.Offset
+		out, err := b.Run(w.ctx, req, func(ctx context.Context, _ string) (Outcome, error) {
+			token, _ = FencingToken(ctx)
+			return w.target.effect("k", "second"), nil
+		})
+		is.Equal(kind(out, err), "ok")
+		is.True(token > 1)
+		is.Equal(w.target.count("k"), 1)
+		<-time.After(time.Second)
+		is.Equal(kind(a.send(req, "third")), "replay")
+	})
+}
+
+// Guards against a large body that fills the log or is lost without a notice.
+func TestLargeBody(t *testing.T) {
+	for size, kept := range map[int]bool{MaxStoredBody: true, MaxStoredBody + 1: false} {
+		inWorld(t, func(t *testing.T, w *world) {
+			is := is.New(t)
+			a, b := w.router("a"), w.router("b")
+			body := bytes.Repeat([]byte("x"), size)
+			out, err := a.Run(w.ctx, request("k"), func(context.Context, string) (Outcome, error) {
+				return Outcome{Status: 200, Header: http.Header{"X-A": {"1"}}, Body: body}, nil
+			})
+			is.NoErr(err)
+			is.Equal(len(out.Body), size)
+			is.Equal(out.Header.Get(HeaderBodyKept) == "", kept)
+			<-time.After(time.Second)
+			again, err := b.send(request("k"), "repeat")
+			is.Equal(kind(again, err), "replay")
+			is.Equal(again.Status, 200)
+			is.Equal(len(again.Body) == size, kept)
+			is.Equal(again.Header.Get(HeaderBodyKept) == "", kept)
+			is.Equal(again.Header.Get("X-A") == "1", kept)
+		})
+	}
+}
+
+// Guards against one append per call, and against appends above the rate.
+func TestAppendsAreGrouped(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.log = portfake.NewLog(portfake.LogOptions{AppendsPerSecond: defaultAppendsPerSecond + 1})
+		a := w.router("a")
+		began := time.Now()
+		const calls = 300
+		var wg sync.WaitGroup
+		for i := range calls {
+			wg.Go(func() {
+				_, err := a.send(request(fmt.Sprint("k", i)), "c")
+				is.NoErr(err)
+			})
+		}
+		wg.Wait()
+		is.NoErr(a.Flush(w.ctx))
+		is.Equal(len(w.target.runs), calls)
+		is.True(time.Since(began) <= time.Second) // at most 20 appends
+	})
+}
+
+// Guards against a stop that loses outcomes, and against memory without bound.
+func TestFlushAndFull(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		a, b := w.router("a"), w.router("b")
+		a.on(beforeOutcome, func() { w.log.SetFaults(portfake.Faults{Outage: true}) })
+		_, err := a.send(request("k"), "first")
+		is.NoErr(err)
+		synctest.Wait()
+		flushed := make(chan error, 1)
+		go func() { flushed <- a.Flush(w.ctx) }()
+		<-time.After(time.Minute)
+		is.Equal(len(flushed), 0)
+		w.log.SetFaults(portfake.Faults{})
+		is.NoErr(<-flushed)
+		a.stop()
+		<-time.After(time.Second)
+		b.o.MaxBytes = 1
+		is.Equal(kind(b.send(request("k"), "repeat")), "replay")
+		is.Equal(kind(b.send(request("new"), "new")), "may have run")
+		is.Equal(w.target.count("new"), 0)
+	})
+}
--- a/internal/app/atmostonce/world_test.go
+++ b/internal/app/atmostonce/world_test.go
@@ -34,9 +34,10 @@
 
 // world is one log, one target and routers inside a synctest bubble.
 type world struct {
-	ctx    context.Context
-	log    *portfake.Log
-	target target
+	ctx       context.Context
+	log       *portfake.Log
+	retention time.Duration // of the log
+	target    target
 }
 
 // run is one effect at the target.
@@ -78,7 +79,7 @@
 func inWorld(t *testing.T, test func(t *testing.T, w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		w := &world{ctx: ctx, log: portfake.NewLog(portfake.LogOptions{Retention: logRetention})}
+		w := &world{ctx: ctx, log: portfake.NewLog(portfake.LogOptions{Retention: logRetention}), retention: logRetention}
 		test(t, w)
 		cancel()
 		synctest.Wait()
@@ -111,7 +112,7 @@
 	ctx, stop := context.WithCancel(w.ctx)
 	r := &router{w: w, hooks: map[string]func(){}, gate: make(chan struct{}), order: make(chan struct{}, 1), stop: stop}
 	close(r.gate)
-	r.Service = New(Options{Log: r, Router: name, Retention: logRetention, Clock: r,
+	r.Service = New(Options{Log: r, Router: name, Retention: w.retention, Clock: r,
 		Rand: func() float64 { return 0.5 }, Logger: slog.New(slog.DiscardHandler)})
 	go func() { _ = r.Follow(ctx) }()
 	return r
