--- a/internal/core/placement/home.go
+++ b/internal/core/placement/home.go
@@ -11,9 +11,6 @@
 	splitRelease = 0.6
 	// spreadRelease is the same for the spread of hot prefixes.
 	spreadRelease = 0.6
-	// maxReplication bounds the blocks that a split copies to every child's
-	// home, in multiples of the average subtree of a child.
-	maxReplication = 2.0
 )
 
 // locateHome finds the shallowest prefix of the request that fits one target.
@@ -69,7 +66,7 @@
 		return false
 	}
 	perChild := float64(subtree-s.length) / float64(children)
-	return float64(s.end()) <= maxReplication*perChild
+	return float64(s.end()) <= p.cfg.MaxReplication*perChild
 }
 
 // loadOf is the share of one target's time that requests through s would take.
--- a/internal/core/placement/settings.go
+++ b/internal/core/placement/settings.go
@@ -27,6 +27,9 @@
 	// CacheShare is the share of a target's cache that the subtree of one home
 	// prefix may fill. Default 0.05.
 	CacheShare float64 `json:"cache_share"`
+	// MaxReplication bounds the prefix that a split copies to the home of every
+	// child, in multiples of the average subtree of a child. Default 0.5.
+	MaxReplication float64 `json:"max_replication"`
 	// LoadShare is the share of a target's time that one home prefix may take
 	// before it is spread. Default 0.5.
 	LoadShare float64 `json:"load_share"`
@@ -46,7 +49,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		MaxBlocks: 300000, MaxSegments: 50000, MaxHolders: 8, MaxPeerTargets: 64,
-		IdleSegmentS: 300, RateWindowS: 30, CacheShare: 0.05, LoadShare: 0.5, MissWeight: 1,
+		IdleSegmentS: 300, RateWindowS: 30, CacheShare: 0.05, MaxReplication: 0.5, LoadShare: 0.5, MissWeight: 1,
 		InterRegionMs: 12, InterZoneMs: 1, IdleSample: 4,
 	}
 }
@@ -60,6 +63,7 @@
 	defaultTo(&s.IdleSegmentS, d.IdleSegmentS)
 	defaultTo(&s.RateWindowS, d.RateWindowS)
 	defaultTo(&s.CacheShare, d.CacheShare)
+	defaultTo(&s.MaxReplication, d.MaxReplication)
 	defaultTo(&s.LoadShare, d.LoadShare)
 	defaultTo(&s.MissWeight, d.MissWeight)
 	defaultTo(&s.InterRegionMs, d.InterRegionMs)
