--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -110,6 +110,10 @@
 	switch {
 	case i < v.homeStep:
 		share = 1 / float64(v.targets)
+	case i > v.homeStep && order > 0:
+		return 0
+	case i > v.homeStep:
+		share = 1
 	case order < v.spread:
 		share = 1 / float64(v.spread)
 	default:
--- a/internal/core/placement/home.go
+++ b/internal/core/placement/home.go
@@ -27,6 +27,10 @@
 		v.homeStep = i
 		if !s.split || st.matched < s.length || s.end() >= v.chain.len() {
 			v.spread = max(1, min(s.spread, v.targets))
+			v.child = v.home
+			if st.matched == s.length && s.end() < v.chain.len() {
+				v.child = v.chain.key(s.end())
+			}
 			return
 		}
 		v.home = v.chain.key(s.end())
--- a/internal/core/placement/rank.go
+++ b/internal/core/placement/rank.go
@@ -31,11 +31,14 @@
 
 // view is what the policy knows of one request.
 type view struct {
-	now    time.Time
-	req    Request
-	chain  chain
-	path   []step
-	home   uint64
+	now   time.Time
+	req   Request
+	chain chain
+	path  []step
+	home  uint64
+	// child is the first block after the home segment: it deals the prompts of a
+	// spread home out to its targets.
+	child  uint64
 	spread int
 	// homeStep is the index of the home segment in path, len(path) when unknown.
 	homeStep int
@@ -134,6 +137,7 @@
 	limit := min(v.spread+1, maxHomeCandidates, len(targets))
 	type ranked struct {
 		weight uint64
+		hash   uint64
 		index  int
 	}
 	top := make([]ranked, 0, limit+1)
@@ -152,9 +156,15 @@
 		for at > 0 && top[at-1].weight < w {
 			at--
 		}
-		top = slices.Insert(top, at, ranked{w, i})
+		top = slices.Insert(top, at, ranked{w, hash, i})
 		top = top[:min(len(top), limit)]
 	}
+	if n := min(v.spread, len(top)); n > 1 {
+		for i := range top[:n] {
+			top[i].weight = rendezvous(v.child, top[i].hash)
+		}
+		slices.SortFunc(top[:n], func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) })
+	}
 	found := make([]candidate, 0, limit+len(holders)+p.cfg.IdleSample)
 	for order, r := range top {
 		found = append(found, candidate{index: r.index, order: order, reason: "home"})
