--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -12,7 +12,7 @@
 func main() {
 	flaggy.SetName("measure")
 	flaggy.SetDescription("load and experiment tools of mimosaseam")
-	placement, relay := registerPlacement(), registerRelay()
+	placement, relay, detection := registerPlacement(), registerRelay(), registerDetection()
 	flaggy.Parse()
 	var run func(io.Writer) error
 	switch {
@@ -20,6 +20,8 @@
 		run = placement.run
 	case relay.Used:
 		run = relay.run
+	case detection.Used:
+		run = detection.run
 	default:
 		flaggy.ShowHelpAndExit("name a subcommand")
 	}
--- a/internal/bench/detection/detection_test.go
+++ b/internal/bench/detection/detection_test.go
@@ -9,7 +9,7 @@
 // Guards against a detector that counts a slow answer as a failure without
 // passing its limit, or misses one that does.
 func TestApplyCountsAnswersBeyondTheLimit(t *testing.T) {
-	multiples, fixed := detectors()[0], detectors()[1]
+	multiples, fixed := detectors()[0], detectors()[2]
 	cases := map[string]struct {
 		detector                 detector
 		trips                    []float64
@@ -26,7 +26,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			r := apply(c.detector, c.trips, 0, c.link)
+			r := apply(c.detector, c.trips, Load{}, c.link)
 			is.Equal(r.FalseSuspicions, c.suspicions)
 			is.Equal(r.FalseFailovers, c.failovers)
 			is.Equal(r.DetectionMs, c.detection)
