--- a/cmd/measure/detection.go
+++ b/cmd/measure/detection.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"text/tabwriter"
@@ -36,9 +35,7 @@
 		return err
 	}
 	if c.json {
-		encoder := json.NewEncoder(out)
-		encoder.SetIndent("", "  ")
-		return eris.Wrap(encoder.Encode(results), "print results")
+		return printJSON(out, results)
 	}
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "detector\tstreams\tbusy\tlink ms\tprobes\tfalse suspicions\tfalse failovers\tdetection ms\tround trip p50\tmax\t")
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -12,7 +12,8 @@
 func main() {
 	flaggy.SetName("measure")
 	flaggy.SetDescription("load and experiment tools of mimosaseam")
-	placement, relay, detection := registerPlacement(), registerRelay(), registerDetection()
+	placement, relay := registerPlacement(), registerRelay()
+	detection, capacity := registerDetection(), registerCapacity()
 	flaggy.Parse()
 	var run func(io.Writer) error
 	switch {
@@ -22,6 +23,8 @@
 		run = relay.run
 	case detection.Used:
 		run = detection.run
+	case capacity.Used:
+		run = capacity.run
 	default:
 		flaggy.ShowHelpAndExit("name a subcommand")
 	}
--- a/internal/bench/detection/detection.go
+++ b/internal/bench/detection/detection.go
@@ -66,7 +66,7 @@
 	probeTimeout  = 10 * time.Second
 	// maxProbing bounds the probes of one load, which are slow on a busy machine.
 	maxProbing = 30 * time.Second
-	settleTime    = 500 * time.Millisecond
+	settleTime = 500 * time.Millisecond
 	// busyPerCore is the number of goroutines per core that occupy a busy machine.
 	busyPerCore = 4
 	// suspectMultiple and failMultiple are the paper's multiples of the round trip.
