--- a/cmd/demo/client.go
+++ b/cmd/demo/client.go
@@ -70,6 +70,28 @@
 	}
 }
 
+// writeValue writes a configuration value to a file and returns its name.
+func (s *system) writeValue(name string, value any) string {
+	file := filepath.Join(s.dir, name)
+	text, _ := json.Marshal(value)
+	_ = os.WriteFile(file, text, 0o600) // a missing file fails the command that reads it
+	return file
+}
+
+// revision returns the revision of a path as config get lists it.
+func (s *system) revision(ctx context.Context, path string) string {
+	out, err := s.command(ctx, "config", "get", "--settings", s.settings[0])
+	if err != nil {
+		return ""
+	}
+	for line := range strings.Lines(out) {
+		if fields := strings.Fields(line); len(fields) == 2 && fields[1] == path {
+			return fields[0]
+		}
+	}
+	return ""
+}
+
 // answer is what a caller received.
 type answer struct {
 	status       int
--- a/cmd/demo/scenario.go
+++ b/cmd/demo/scenario.go
@@ -88,6 +88,8 @@
 	routerKilled(ctx, s, r)
 	alive := []*process{s.routers[0], s.routers[2]}
 	nestedPrefixes(ctx, s, r, "after", 10, alive)
+	routerRestarted(ctx, s, r)
+	operatorRace(ctx, s, r)
 	plannedStop(ctx, s, r)
 }
 
@@ -212,6 +214,51 @@
 	s.addStream(r, id+"-again", accountTwo, s.routers[2], text, longAnswer, a, err)
 }
 
+// routerRestarted starts the killed router again: its first request must find
+// its prefix cached, since the router takes the hot prefixes from a peer.
+func routerRestarted(ctx context.Context, s *system, r *report) {
+	const id = "first-after-restart"
+	p, err := s.startRouter(1, s.routers[1].address)
+	if !r.check(err == nil, fmt.Sprintf("restart: %v", err)) {
+		return
+	}
+	s.routers[1] = p
+	err = s.awaitReady(ctx, 1)
+	r.check(err == nil, fmt.Sprintf("the restarted router is not ready: %v", err))
+	text := prompt(0, 50)
+	a, err := stream(ctx, p.address, accountOne, id, text, shortAnswer, 0, nil)
+	s.addStream(r, id, accountOne, p, text, shortAnswer, a, err)
+	r.check(a.cached > 0, "the first request of a restarted router found nothing cached")
+}
+
+// operatorRace publishes two changes of one path that build on the same
+// revision: one wins, the other is refused by name.
+func operatorRace(ctx context.Context, s *system, r *report) {
+	const path = "/demo/routes/lookup"
+	var results [2]error
+	var both sync.WaitGroup
+	for i, timeout := range []int{5000, 7000} {
+		file := s.writeValue(fmt.Sprintf("race-%d.jsonc", i), map[string]any{
+			"pool": "app", "repeat": "any", "timeout_ms": timeout, "weights": map[string]any{}})
+		both.Go(func() {
+			_, results[i] = s.command(ctx, "config", "put", "--settings", s.settings[0], "--author", team,
+				"--key", s.teamKey, "--path", path, "--file", file, "--base-revision", s.revision(ctx, path), "--wait")
+		})
+	}
+	both.Wait()
+	won, refused := 0, 0
+	for _, err := range results {
+		switch {
+		case err == nil:
+			won++
+		case strings.Contains(err.Error(), "conflict"):
+			refused++
+		}
+	}
+	ok := r.check(won == 1 && refused == 1, fmt.Sprintf("operator race: %d won, %d refused: %v", won, refused, results))
+	r.add(row{"two operators, one path", team, "", "", "", "", okText(ok) + fmt.Sprintf(", %d accepted and in force, %d refused", won, refused)})
+}
+
 // plannedStop ends a router while it streams: the stream must arrive whole and
 // the process must end by itself.
 func plannedStop(ctx context.Context, s *system, r *report) {
