--- a/cmd/mimosaseam/adminclient.go
+++ b/cmd/mimosaseam/adminclient.go
@@ -142,7 +142,7 @@
 	}
 	fmt.Fprintf(out, "%s (%s, %s), version %s: %s\n", s.VM, s.Region, s.AvailabilityZone, s.Version, ready)
 	fmt.Fprintf(out, "configuration offset %d, log last answered %s, quarantined requests %d\n\n",
-		s.ConfigOffset, s.LogContact.Format(time.RFC3339), s.Quarantined)
+		s.ConfigOffset, logContact(s), s.Quarantined)
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "ROUTER\tADDRESS\tAVAILABILITY ZONE\tSTATE\tCONFIG")
 	for _, p := range s.Peers {
@@ -159,6 +159,13 @@
 	return w.Flush()
 }
 
+func logContact(s adminhttp.Status) string {
+	if s.LogContact.IsZero() {
+		return "never"
+	}
+	return s.LogContact.Format(time.RFC3339)
+}
+
 func explainCommand() command {
 	var router, file, promptFile string
 	var r adminhttp.ExplainRequest
