--- a/internal/app/atmostonce/keys_test.go
+++ b/internal/app/atmostonce/keys_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"fmt"
+	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -142,6 +144,47 @@
 	})
 }
 
+// Guards against a repeat that takes a resendable key over while the first
+// attempt is still open on the same router.
+func TestResendableWaitsForItsOwnRouter(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		a := w.router("a")
+		req := request("k")
+		req.Resendable = true
+		meet := make(chan struct{})
+		a.on(onDispatch, func() { <-meet })
+		answers := make(chan string, 2)
+		for i := range 2 {
+			go func() { answers <- kind(a.send(req, fmt.Sprint(i))) }()
+			<-time.After(time.Second)
+		}
+		close(meet)
+		got := []string{<-answers, <-answers}
+		slices.Sort(got)
+		is.Equal(got, []string{"ok", "replay"})
+		is.Equal(w.target.count("k"), 1)
+	})
+}
+
+// Guards against a dispatch on the word of a state that was built anew and may
+// lack the record of an earlier winner.
+func TestRestartEndsOpenCalls(t *testing.T) {
+	is := is.New(t)
+	s := New(Options{Log: portfake.NewLog(portfake.LogOptions{}), Logger: slog.New(slog.DiscardHandler)})
+	s.apply(nil)
+	c := s.arrive(request("k"))
+	is.Equal(s.next(c), step{})
+	is.True(c.sent)
+	s.restart(5)
+	rec := s.appender.take()[0].record
+	rec.Offset = 5
+	s.apply([]port.Record{rec})
+	next := s.next(c)
+	is.True(!next.dispatch)
+	is.Equal(kind(next.outcome, next.err), "may have run")
+}
+
 // Guards against a large body that fills the log or is lost without a notice.
 func TestLargeBody(t *testing.T) {
 	for size, kept := range map[int]bool{MaxStoredBody: true, MaxStoredBody + 1: false} {
--- a/internal/app/atmostonce/world_test.go
+++ b/internal/app/atmostonce/world_test.go
@@ -80,9 +80,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		w := &world{ctx: ctx, log: portfake.NewLog(portfake.LogOptions{Retention: logRetention}), retention: logRetention}
+		defer func() { // also when the test fails
+			cancel()
+			synctest.Wait()
+		}()
 		test(t, w)
-		cancel()
-		synctest.Wait()
 	})
 }
 
--- a/internal/app/configsync/configsync_test.go
+++ b/internal/app/configsync/configsync_test.go
@@ -89,9 +89,11 @@
 func bubble(t *testing.T, test func(ctx context.Context, is *is.I)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
+		defer func() { // also when the test fails
+			cancel()
+			synctest.Wait()
+		}()
 		test(ctx, is.New(t))
-		cancel()
-		synctest.Wait()
 	})
 }
 
