--- a/internal/app/atmostonce/faults_test.go
+++ b/internal/app/atmostonce/faults_test.go
@@ -217,3 +217,16 @@
 		is.Equal(kind(out, err), "ok")
 	})
 }
+
+// Guards against a slow log that is taken for one that is down.
+func TestSlowLog(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.log.SetFaults(portfake.Faults{DelayMS: 2500})
+		a := w.router("a")
+		<-time.After(time.Minute)
+		req := request("k")
+		req.Deadline = time.Now().Add(time.Minute)
+		is.Equal(kind(a.send(req, "first")), "ok")
+	})
+}
--- a/internal/app/atmostonce/follow.go
+++ b/internal/app/atmostonce/follow.go
@@ -10,11 +10,14 @@
 )
 
 const (
-	readLimit  = 500
-	readWait   = 2 * time.Second
-	readGrace  = time.Second
-	minBackoff = 50 * time.Millisecond
-	maxBackoff = 2 * time.Second
+	readLimit = 500
+	readWait  = 2 * time.Second
+	// minReadGrace and maxReadGrace bound what the log is given beyond the wait:
+	// little, so that a silent connection is left soon, unless the log is slow.
+	minReadGrace = time.Second
+	maxReadGrace = 16 * time.Second
+	minBackoff   = 50 * time.Millisecond
+	maxBackoff   = 2 * time.Second
 
 	// A node carries entries forward when a random part of the retention
 	// between these has passed, so that mostly one node writes a given entry
@@ -29,6 +32,7 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		err := s.readLog(ctx)
+		s.adaptGrace(err == nil)
 		if err == nil {
 			backoff = minBackoff
 			continue
@@ -51,7 +55,7 @@
 		wait = 0
 	}
 	s.mu.Unlock()
-	rctx, cancel := context.WithTimeout(ctx, wait+readGrace)
+	rctx, cancel := context.WithTimeout(ctx, wait+s.grace)
 	defer cancel()
 	batch, err := s.o.Log.Read(rctx, port.StreamLedger, from, readLimit, wait)
 	var expired *port.ExpiredError
@@ -67,6 +71,15 @@
 	return nil
 }
 
+// adaptGrace gives a slow log more time after a failure, and slowly less again.
+func (s *Service) adaptGrace(ok bool) {
+	if ok {
+		s.grace = max(s.grace*49/50, minReadGrace)
+		return
+	}
+	s.grace = min(s.grace*2, maxReadGrace)
+}
+
 // restart builds the state anew from the oldest record kept: what expired
 // unread may have decided any key.
 func (s *Service) restart(oldest port.Offset) {
@@ -137,7 +150,7 @@
 				break
 			}
 			// The batch is due until it is read back.
-			sleep(ctx, readGrace)
+			sleep(ctx, minReadGrace)
 		}
 	}
 }
--- a/internal/app/atmostonce/property_test.go
+++ b/internal/app/atmostonce/property_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -209,6 +210,7 @@
 			out, err := fresh.send(request(fmt.Sprint("k", key)), "fresh")
 			e.answered(-1, fmt.Sprint("k", key), out, err)
 		}
+		synctest.Wait()
 		e.check()
 	})
 	return e.failures
--- a/internal/app/atmostonce/service.go
+++ b/internal/app/atmostonce/service.go
@@ -91,6 +91,7 @@
 	o        Options
 	appender *appender
 	stopped  chan struct{} // closed when Follow has ended
+	grace    time.Duration // of the follower's next read
 
 	mu    sync.Mutex
 	state *ledger.State
@@ -115,6 +116,7 @@
 		o:        o,
 		appender: newAppender(o),
 		stopped:  make(chan struct{}),
+		grace:    minReadGrace,
 		state:    ledger.NewState(1),
 		healthy:  true,
 		calls:    map[string]*call{},
--- a/internal/app/configsync/configsync.go
+++ b/internal/app/configsync/configsync.go
@@ -18,10 +18,12 @@
 
 const (
 	readLimit = 500
-	// readWait and readGrace keep a silent connection from hiding changes for
-	// longer than 3 s, within the 5 s in which a change must be in force.
-	readWait  = 2 * time.Second
-	readGrace = time.Second
+	// readWait and minReadGrace keep a silent connection from hiding changes
+	// for longer than 3 s, within the 5 s in which a change must be in force.
+	readWait     = 2 * time.Second
+	minReadGrace = time.Second
+	// maxReadGrace bounds what a slow log is given beyond readWait.
+	maxReadGrace = 16 * time.Second
 	// pullTimeout bounds one read from a peer.
 	pullTimeout = time.Second
 	minBackoff  = 50 * time.Millisecond
@@ -61,6 +63,8 @@
 	current atomic.Pointer[config.Snapshot]
 	ready   chan struct{} // closed when the configuration is applied
 
+	grace time.Duration // of the follower's next read; only the follower uses it
+
 	mu      sync.Mutex
 	state   *config.State
 	changed chan struct{} // closed and replaced after each change below
@@ -91,6 +95,7 @@
 	s := &Sync{
 		o:       o,
 		ready:   make(chan struct{}),
+		grace:   minReadGrace,
 		state:   config.NewState(o.SystemKey),
 		changed: make(chan struct{}),
 		pending: map[*publication]struct{}{},
--- a/internal/app/configsync/configsync_test.go
+++ b/internal/app/configsync/configsync_test.go
@@ -171,6 +171,21 @@
 	}
 }
 
+// Guards against a slow log that is taken for one that is down.
+func TestSlowLog(t *testing.T) {
+	bubble(t, func(ctx context.Context, is *is.I) {
+		log := portfake.NewLog(portfake.LogOptions{})
+		put(log, addTeam("a"))
+		log.SetFaults(portfake.Faults{DelayMS: 4000})
+		node := newSync(log, nil, 0.5)
+		run(ctx, node)
+		is.NoErr(node.WaitApplied(within(ctx, time.Minute), 1))
+		v, err := node.Publish(within(ctx, time.Minute), change("x", "a", "/a/pools/p", 0, pool(3)))
+		is.NoErr(err)
+		is.True(v.Accepted)
+	})
+}
+
 // Guards against a router that cannot start, or falls behind, while the log is
 // down although a peer has the configuration.
 func TestPeerDelivers(t *testing.T) {
--- a/internal/app/configsync/follow.go
+++ b/internal/app/configsync/follow.go
@@ -16,6 +16,7 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		err := s.readLog(ctx)
+		s.adaptGrace(err == nil)
 		if err == nil {
 			backoff = minBackoff
 			continue
@@ -66,8 +67,17 @@
 	return nil
 }
 
+// adaptGrace gives a slow log more time after a failure, and slowly less again.
+func (s *Sync) adaptGrace(ok bool) {
+	if ok {
+		s.grace = max(s.grace*49/50, minReadGrace)
+		return
+	}
+	s.grace = min(s.grace*2, maxReadGrace)
+}
+
 func (s *Sync) read(ctx context.Context, from port.Offset, wait time.Duration) (port.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
+	ctx, cancel := context.WithTimeout(ctx, wait+s.grace)
 	defer cancel()
 	return s.o.Log.Read(ctx, port.StreamConfig, from, readLimit, wait)
 }
