--- a/internal/app/configsync/configsync_test.go
+++ b/internal/app/configsync/configsync_test.go
@@ -89,9 +89,11 @@
 func bubble(t *testing.T, test func(ctx context.Context, is *is.I)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
+		defer func() { // also when the test fails
+			cancel()
+			synctest.Wait()
+		}()
 		test(ctx, is.New(t))
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -169,6 +171,21 @@
 	}
 }
 
+// Guards against a slow log that is taken for one that is down.
+func TestSlowLog(t *testing.T) {
+	bubble(t, func(ctx context.Context, is *is.I) {
+		log := portfake.NewLog(portfake.LogOptions{})
+		put(log, addTeam("a"))
+		log.SetFaults(portfake.Faults{DelayMS: 4000})
+		node := newSync(log, nil, 0.5)
+		run(ctx, node)
+		is.NoErr(node.WaitApplied(within(ctx, time.Minute), 1))
+		v, err := node.Publish(within(ctx, time.Minute), change("x", "a", "/a/pools/p", 0, pool(3)))
+		is.NoErr(err)
+		is.True(v.Accepted)
+	})
+}
+
 // Guards against a router that cannot start, or falls behind, while the log is
 // down although a peer has the configuration.
 func TestPeerDelivers(t *testing.T) {
