Bound state reads and concurrent loads of the orders manager

Cause: the holder read every engine once a second, 5,100 reads a second at the planned size, and reloaded one target of a pool at a time, ten hours for a pool of 640. It now reads four targets a second, those that load first, orders a pool only after it has read all of it under its lease, and lets a twentieth of a pool load at once, at least one target.

--- a/internal/app/orders/orders.go
+++ b/internal/app/orders/orders.go
@@ -62,8 +62,13 @@
 	observed time.Time
 	// heldUntil is when this router must stop giving orders; zero without lease.
 	heldUntil time.Time
+	// tenure is the offset of the first claim of this router's present tenure.
+	tenure port.Offset
 	// settled is when engines that ignore fencing tokens may be ordered.
 	settled time.Time
+
+	// survey is used by Run only.
+	survey survey
 }
 
 // New returns a manager; Observe must be given the records of the stream of
@@ -92,7 +97,7 @@
 	}
 	m.heldUntil = lease.HeldUntil(begun, leaseTTL)
 	if before.Holder != m.deps.Holder {
-		m.settled = now.Add(orderTimeout)
+		m.tenure, m.settled = r.Offset, now.Add(orderTimeout)
 	}
 }
 
@@ -114,8 +119,8 @@
 	if claim, due := m.claimDue(); due {
 		m.claim(ctx, claim)
 	}
-	if _, held := m.held(); held {
-		m.reconcile(ctx)
+	if token, held := m.held(); held {
+		m.reconcile(ctx, token)
 	}
 }
 
--- a/internal/app/orders/orders_test.go
+++ b/internal/app/orders/orders_test.go
@@ -25,12 +25,14 @@
 	at      []time.Time
 	states  map[string]port.EngineState
 	// loads is how long a load takes.
-	loads time.Duration
+	loads              time.Duration
+	reads, mostLoading int
 }
 
 func (e *fakeEngine) State(_ context.Context, address string) (port.EngineState, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.reads++
 	return e.states[address], nil
 }
 
@@ -44,6 +46,13 @@
 	e.tokens = append(e.tokens, o.Fencing)
 	e.at = append(e.at, time.Now())
 	e.states[address] = port.EngineState{Model: o.Model, Loading: true}
+	loading := 0
+	for _, state := range e.states {
+		if state.Loading {
+			loading++
+		}
+	}
+	e.mostLoading = max(e.mostLoading, loading)
 	time.AfterFunc(e.loads, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -225,3 +234,22 @@
 	<-time.After(2 * leaseTTL)
 	return nil
 }
+
+// Guards against control traffic that grows with the number of targets, and
+// against a large pool whose targets are all reloaded at once.
+func TestReadsAndLoadsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(40, true)
+		_, stop := r.start("one", nil)
+		defer stop()
+		advance(40 * time.Second)
+		is.True(r.engine.reads <= readsPerTick*40)
+		is.True(r.engine.mostLoading >= 1)
+		is.True(r.engine.mostLoading <= 2) // a twentieth of 40 targets
+		advance(400 * time.Second)
+		for _, d := range r.desired() {
+			is.Equal(r.engine.states[d.Address].WeightsVersion, "v1")
+		}
+	})
+}
