--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -10,6 +12,12 @@
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
+// TestMain fixes the seed of the property tests unless one is given.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
 func record(offset, after port.Offset, holder string) port.Record {
 	data, _ := Encode(Claim{Holder: holder, After: after, TTLMs: 1000})
 	return port.Record{Offset: offset, Data: data}
