--- a/cmd/mimosaseam/backend.go
+++ b/cmd/mimosaseam/backend.go
@@ -65,11 +65,11 @@
 	var out []adminhttp.Target
 	for ref, pool := range n.config.Current().Pools {
 		for _, t := range pool.Targets {
-			state := n.targets.State(t.Name)
+			state := n.targets.State(t.Address)
 			out = append(out, adminhttp.Target{
 				Pool: ref.String(), Name: t.Name, Address: t.Address, Region: t.Region,
-				Incarnation: string(state.Incarnation), Circuit: string(s.Circuits[t.Name]),
-				Leaving: state.Leaving, InFlight: inFlight[t.Name],
+				Incarnation: string(state.Incarnation), Circuit: string(s.Circuits[t.Address]),
+				Leaving: state.Leaving, InFlight: inFlight[t.Address],
 			})
 		}
 	}
--- a/cmd/mimosaseam/node.go
+++ b/cmd/mimosaseam/node.go
@@ -54,6 +54,7 @@
 	targets      *router.Targets
 	fingerprints *retry.Fingerprints
 	shares       *shares.Shares
+	vms          *listedVMs
 	fleet        *fleet.Fleet
 	orders       *orders.Manager
 	observer     *observe.Observer
@@ -170,12 +171,13 @@
 
 func (n *node) buildFleet() {
 	s := n.settings
+	n.vms = &listedVMs{VMList: n.platform.vmList}
 	n.fleet = fleet.New(fleet.Options{
 		Self: port.Member{
 			Name: s.VM.Name, Address: s.Peers.Address, Region: s.VM.Region,
 			AvailabilityZone: s.VM.AvailabilityZone, Incarnation: uint64(n.started.UnixMilli()),
 		},
-		Seeds: s.Peers.Seeds, Peer: n.peers, VMList: n.platform.vmList, Logger: n.log,
+		Seeds: s.Peers.Seeds, Peer: n.peers, VMList: n.vms, Logger: n.log,
 		ListInterval: time.Duration(s.Platform.VMListPollMs) * time.Millisecond,
 		Sources: fleet.Sources{
 			ConfigOffset:   n.config.Applied,
@@ -228,19 +230,7 @@
 
 // refreshLeaving passes the targets that must get no new work to the router.
 func (n *node) refreshLeaving() {
-	marks := map[string]bool{}
-	for _, m := range n.fleet.LeavingTargets() {
-		marks[m.Target] = true
-	}
-	leaving := map[string]bool{}
-	for _, pool := range n.config.Current().Pools {
-		for _, t := range pool.Targets {
-			if marks[t.Name] || marks[t.Address] {
-				leaving[t.Name] = true
-			}
-		}
-	}
-	n.targets.SetLeaving(leaving)
+	n.targets.SetLeaving(leavingAddresses(n.fleet.LeavingTargets(), n.vms.addressOf, n.config.Current()))
 }
 
 // desired lists what each engine should serve.
--- a/internal/app/observe/observe.go
+++ b/internal/app/observe/observe.go
@@ -80,8 +80,8 @@
 		return
 	}
 	coldStart := time.Duration(t.pool.ColdStartS) * time.Second
-	o.Targets.Observe(t.Name, report.Incarnation, report.WeightsVersion, coldStart)
-	o.Placer.ObserveLoad(o.Clock.Now(), t.Name, report)
+	o.Targets.Observe(t.Address, report.Incarnation, report.WeightsVersion, coldStart)
+	o.Placer.ObserveLoad(o.Clock.Now(), t.Address, report)
 }
 
 // engines lists the targets of all engine pools; a target in two pools counts once.
--- a/internal/app/router/attempt.go
+++ b/internal/app/router/attempt.go
@@ -22,7 +22,7 @@
 // that sent it.
 type attempt struct {
 	id     string
-	target placement.Target
+	target target
 	score  placement.Score
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -59,13 +59,13 @@
 		progressTimeout: c.firstTokenTimeout(chosen.score), incarnation: t.Incarnation}
 	ctx, a.span = r.Tracer.Start(ctx, "attempt", trace.WithAttributes(
 		attribute.String("target", t.Name), attribute.String("attempt_id", a.id)))
-	a.ctx, a.cancel = context.WithCancel(r.connection(ctx, t.Name, c.stalls > 0))
+	a.ctx, a.cancel = context.WithCancel(r.connection(ctx, t.Address, c.stalls > 0))
 	c.attempts++
 	c.active = append(c.active, a)
-	c.tried[t.Name] = true
-	r.limits.StartTarget(t.Name)
-	r.circuits.Started(now, t.Name)
-	r.Placer.Started(now, c.p.place, t.Name)
+	c.tried[t.Address] = true
+	r.limits.StartTarget(t.Address)
+	r.circuits.Started(now, t.Address)
+	r.Placer.Started(now, c.p.place, t.Address)
 	r.Metrics.Add(MetricAttempts, 1)
 	go c.read(a, c.generation(a))
 }
@@ -123,9 +123,9 @@
 	r := c.r
 	a.cancel()
 	a.span.End()
-	r.limits.EndTarget(a.target.Name)
-	r.Fingerprints.Ended(a.target.Name, a.id)
-	r.Placer.Finished(r.Clock.Now(), c.p.place, a.target.Name, a.incarnation, cachedTokens)
+	r.limits.EndTarget(a.target.Address)
+	r.Fingerprints.Ended(a.target.Address, a.id)
+	r.Placer.Finished(r.Clock.Now(), c.p.place, a.target.Address, a.incarnation, cachedTokens)
 }
 
 // abandon ends an attempt that may still be running and tells the engine to
@@ -133,7 +133,7 @@
 func (c *completion) abandon(ctx context.Context, a *attempt) {
 	c.sent = true
 	c.endAttempt(a, -1)
-	c.r.circuits.Ended(a.target.Name)
+	c.r.circuits.Ended(a.target.Address)
 	ctx, cancel := context.WithTimeout(port.WithFreshConnection(context.WithoutCancel(ctx)), cancelTimeout)
 	go func() {
 		defer cancel()
@@ -177,28 +177,28 @@
 
 // judgeRefusal records what the failure of an attempt that did not run says of
 // its target.
-func (r *Router) judgeRefusal(t placement.Target, err error) verdict {
+func (r *Router) judgeRefusal(t target, err error) verdict {
 	var refused *port.NotRunError
 	var bad *port.BadRequestError
 	var limited *port.RateLimitedError
 	switch {
 	case errors.As(err, &bad):
-		r.circuits.Ended(t.Name)
+		r.circuits.Ended(t.Address)
 		return verdictStop
 	case errors.As(err, &limited):
-		r.setBusy(t.Name, limited.RetryAfter)
+		r.setBusy(t.Address, limited.RetryAfter)
 		return verdictRetry
 	case !errors.As(err, &refused) || refused.Reason == port.NotRunUnreachable:
-		r.circuits.Failure(r.Clock.Now(), t.Name, retry.Down)
-		r.Placer.Drop(t.Name)
+		r.circuits.Failure(r.Clock.Now(), t.Address, retry.Down)
+		r.Placer.Drop(t.Address)
 		return verdictRetry
 	case refused.Reason == port.NotRunIncarnationChanged || refused.Reason == port.NotRunWeightsChanged:
-		r.Placer.Drop(t.Name)
-		r.circuits.Ended(t.Name)
+		r.Placer.Drop(t.Address)
+		r.circuits.Ended(t.Address)
 		r.Metrics.Add(MetricExpectationFailed, 1)
 		return verdictReplace
 	}
-	r.setBusy(t.Name, refused.RetryAfter)
+	r.setBusy(t.Address, refused.RetryAfter)
 	return verdictRetry
 }
 
--- a/internal/app/router/completion.go
+++ b/internal/app/router/completion.go
@@ -112,9 +112,10 @@
 	_, span := r.Tracer.Start(ctx, "admit")
 	defer span.End()
 	start := r.Clock.Now()
+	m := r.members(p)
 	permit, err := r.limits.Acquire(ctx, limits.Ask{
 		Account: p.accountRef.String(), Limits: p.account.Limits, Share: p.account.Share,
-		Pool: p.poolRef.String(), Targets: r.usableTargets(p), Slots: p.pool.Slots, Priority: p.route.Priority,
+		Pool: p.poolRef.String(), Targets: r.usableTargets(m), Members: m.index, Slots: p.pool.Slots, Priority: p.route.Priority,
 		PromptTokens: promptTokens, OutputTokens: outputTokens, Deadline: p.deadline,
 	})
 	r.Metrics.Observe(MetricQueueWait, r.Clock.Now().Sub(start))
@@ -225,7 +226,7 @@
 	a.opened = true
 	a.incarnation, a.weights = s.Incarnation(), s.WeightsVersion()
 	c.sent = true
-	c.r.Targets.Observe(a.target.Name, a.incarnation, a.weights, coldStart(c.p.pool))
+	c.r.Targets.Observe(a.target.Address, a.incarnation, a.weights, coldStart(c.p.pool))
 	if c.weights == "" || a.weights == "" || a.weights == c.weights {
 		return nil
 	}
@@ -255,8 +256,8 @@
 	now := c.r.Clock.Now()
 	if !a.delivered {
 		a.delivered = true
-		c.r.Placer.FirstToken(now, c.p.place, a.target.Name, now.Sub(a.started))
-		c.r.circuits.Success(a.target.Name)
+		c.r.Placer.FirstToken(now, c.p.place, a.target.Address, now.Sub(a.started))
+		c.r.circuits.Success(a.target.Address)
 		for _, other := range append([]*attempt(nil), c.active...) {
 			if other != a {
 				c.abandon(ctx, other)
@@ -314,7 +315,7 @@
 		return nil
 	}
 	if v == verdictReplace {
-		delete(c.tried, a.target.Name) // it is as good as any other
+		delete(c.tried, a.target.Address) // it is as good as any other
 		c.r.observe(ctx, c.p.pool, a.target)
 		return c.replace(ctx, cause)
 	}
--- /dev/null
+++ b/internal/app/router/decision_bench_test.go
@@ -0,0 +1,114 @@
+package router
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/app/shares"
+	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/core/membership"
+	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+const (
+	benchAccounts = 9500
+	benchPeers    = 8
+	// warmUp is over the number of accounts whose place in the fair order is kept.
+	warmUp = 1100
+)
+
+// largeConfig is one team with one engine pool of the given size and the
+// accounts of the largest deployment.
+func largeConfig(targets int) *config.Snapshot {
+	ref := func(name string) config.Ref { return config.Ref{Team: "team", Name: name} }
+	pool := config.Pool{Kind: config.PoolEngine, Model: "m", WeightsVersion: "v1", Slots: 32,
+		PrefillTokensPerSecond: 20000, DecodeMsPerToken: 25, CacheBlocks: 2000}
+	for i := range targets {
+		address := fmt.Sprintf("10.%d.%d.1:8000", i/250, i%250)
+		pool.Targets = append(pool.Targets, config.PoolTarget{Name: address, Address: address, Region: "r"})
+	}
+	s := &config.Snapshot{
+		Pools:    map[config.Ref]config.Pool{ref("pool"): pool},
+		Routes:   map[config.Ref]config.Route{ref("route"): {Pool: "pool", Model: "m", TimeoutMs: 60000, RetryBudgetPercent: 10}},
+		Accounts: map[config.Ref]config.Account{},
+	}
+	for i := range benchAccounts {
+		s.Accounts[ref(fmt.Sprint("account", i))] = config.Account{Routes: []string{"route"}, Share: 1,
+			Limits: config.Limits{RequestsPerSecond: 1e9, Concurrency: 1000}}
+	}
+	return s
+}
+
+// benchShares is a router with neighbours that reported work in flight.
+func benchShares(pool config.Pool) *shares.Shares {
+	s := shares.New("router0", func() map[string]map[string]float64 { return nil })
+	var others []membership.Router
+	for i := range benchPeers {
+		name := fmt.Sprint("router", i+1)
+		others = append(others, membership.Router{Member: port.Member{Name: name, State: port.MemberAlive}, Listed: true})
+		counts := map[string]int{}
+		for j := range 64 {
+			counts[pool.Targets[j%len(pool.Targets)].Address] = 1
+		}
+		s.SetInFlight(name, counts)
+	}
+	s.SetRouters(others)
+	return s
+}
+
+// BenchmarkDecision measures planning, admission and choice of a target without
+// I/O. In "one open circuit" one target of the pool is out of use.
+func BenchmarkDecision(b *testing.B) {
+	for _, targets := range []int{12, 500, 5100} {
+		for _, open := range []int{0, 1} {
+			b.Run(fmt.Sprintf("targets=%d/circuits_open=%d", targets, open), func(b *testing.B) {
+				benchmarkDecision(b, targets, open)
+			})
+		}
+	}
+}
+
+func benchmarkDecision(b *testing.B, targets, open int) {
+	snap := largeConfig(targets)
+	pool := snap.Pools[config.Ref{Team: "team", Name: "pool"}]
+	r := New(Deps{Engine: &fakeEngine{}, Service: &fakeService{}, Runner: &fakeRunner{}, Source: fixedSource{snap},
+		Placer: placement.New(placement.DefaultSettings()), Shares: benchShares(pool), Random: fixedRandom{}})
+	for i, t := range pool.Targets {
+		r.Targets.Observe(t.Address, port.Incarnation(fmt.Sprint(i)), "v1", 0)
+	}
+	for i := range open {
+		r.circuits.Failure(time.Now().Add(time.Hour), pool.Targets[i].Address, 1)
+	}
+	var requests [benchAccounts]CompletionRequest
+	for i := range requests {
+		requests[i] = CompletionRequest{RequestID: "r", Model: "m", Prompt: strings.Repeat(fmt.Sprint("prompt", i), 100),
+			MaxTokens: 10, Account: config.Ref{Team: "team", Name: fmt.Sprint("account", i)}}
+	}
+	decide := func(i int) {
+		p, err := r.planCompletion(requests[i%benchAccounts])
+		if err != nil {
+			b.Fatal(err)
+		}
+		permit, err := r.admit(b.Context(), p, p.place.PromptTokens, 10)
+		if err != nil {
+			b.Fatal(err)
+		}
+		chosen, err := r.choose(b.Context(), p, filter{weights: p.place.Scope.WeightsVersion, fingerprint: 1}, "a", 0)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Fingerprints.Ended(chosen.target.Address, "a")
+		permit.Release()
+	}
+	for i := range warmUp {
+		decide(i)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		decide(i)
+	}
+}
--- a/internal/app/router/explain.go
+++ b/internal/app/router/explain.go
@@ -18,11 +18,11 @@
 	now := r.Clock.Now()
 	f := filter{weights: p.place.Scope.WeightsVersion,
 		fingerprint: retry.FingerprintOf(req.Account.String(), req.Model, req.Prompt)}
-	scores, _, excluded := r.rank(now, p, f)
+	ranked := r.rank(now, p, f)
 	e := Explanation{Route: p.routeRef.String(), Pool: p.poolRef.String(), WeightsVersion: f.weights,
-		PromptTokens: p.place.PromptTokens, Excluded: excluded, Refused: r.Fingerprints.Quarantined(now, f.fingerprint)}
-	for _, s := range scores {
-		e.Candidates = append(e.Candidates, Candidate{Target: s.Target, Reason: s.Reason, CostMs: s.CostMs,
+		PromptTokens: p.place.PromptTokens, Excluded: ranked.reasons(), Refused: r.Fingerprints.Quarantined(now, f.fingerprint)}
+	for _, s := range ranked.scores {
+		e.Candidates = append(e.Candidates, Candidate{Target: ranked.target(s.Target).Name, Reason: s.Reason, CostMs: s.CostMs,
 			QueueMs: s.QueueMs, PrefillMs: s.PrefillMs, LinkMs: s.LinkMs, ColdMs: s.ColdMs,
 			RecomputeMs: s.RecomputeMs, CrossMs: s.CrossMs, CachedTokens: s.CachedTokens})
 	}
@@ -34,8 +34,8 @@
 	Draining bool
 	// OpenRequests includes queued ones.
 	OpenRequests int
-	// Circuits maps the targets in the configuration to the state of their
-	// circuits.
+	// Circuits maps the addresses of the targets in the configuration to the
+	// state of their circuits.
 	Circuits map[string]retry.State
 	// BudgetTokens is what each route's retry budget holds, in attempts.
 	BudgetTokens map[string]float64
@@ -57,7 +57,7 @@
 	}
 	for _, pool := range snap.Pools {
 		for _, t := range pool.Targets {
-			s.Circuits[t.Name] = r.circuits.State(t.Name)
+			s.Circuits[t.Address] = r.circuits.State(t.Address)
 		}
 	}
 	for ref, route := range snap.Routes {
--- a/internal/app/router/health.go
+++ b/internal/app/router/health.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/config"
-	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
@@ -30,8 +29,8 @@
 
 // ask probes the target over a fresh connection. Requests that broke together
 // share one probe, which outlives the request that began it.
-func (r *Router) ask(ctx context.Context, pool config.Pool, t placement.Target, before port.Incarnation) health {
-	return r.shared.do(t.Name+"@"+string(before), func() health {
+func (r *Router) ask(ctx context.Context, pool config.Pool, t target, before port.Incarnation) health {
+	return r.shared.do(t.Address+"@"+string(before), func() health {
 		ctx, cancel := context.WithTimeout(port.WithFreshConnection(context.WithoutCancel(ctx)), probeTimeout)
 		defer cancel()
 		if pool.Kind == config.PoolService {
@@ -66,35 +65,35 @@
 
 // examine probes the target of a broken attempt and records what it shows. A
 // target that lost its connections and no longer answers counts as crashed.
-func (r *Router) examine(ctx context.Context, pool config.Pool, t placement.Target, before port.Incarnation) {
+func (r *Router) examine(ctx context.Context, pool config.Pool, t target, before port.Incarnation) {
 	h := r.ask(ctx, pool, t, before)
 	r.judge(pool, t, before, h, !h.reachable)
 }
 
 // observe learns the state of a target that refused an outdated expectation.
-func (r *Router) observe(ctx context.Context, pool config.Pool, t placement.Target) {
+func (r *Router) observe(ctx context.Context, pool config.Pool, t target) {
 	if h := r.ask(ctx, pool, t, ""); h.reachable {
-		r.Targets.Observe(t.Name, h.incarnation, h.weights, coldStart(pool))
+		r.Targets.Observe(t.Address, h.incarnation, h.weights, coldStart(pool))
 	} else {
-		r.Targets.Forget(t.Name)
+		r.Targets.Forget(t.Address)
 	}
 }
 
 // judge records what a probe says of a target after a broken or stalled
 // attempt.
-func (r *Router) judge(pool config.Pool, t placement.Target, before port.Incarnation, h health, crashed bool) {
+func (r *Router) judge(pool config.Pool, t target, before port.Incarnation, h health, crashed bool) {
 	now := r.Clock.Now()
 	if h.reachable {
-		r.circuits.Failure(now, t.Name, retry.Failed)
+		r.circuits.Failure(now, t.Address, retry.Failed)
 	} else {
-		r.circuits.Failure(now, t.Name, retry.Down)
-		r.Placer.Drop(t.Name)
+		r.circuits.Failure(now, t.Address, retry.Down)
+		r.Placer.Drop(t.Address)
 	}
-	if (crashed || h.restarted(before)) && r.Fingerprints.Crashed(now, t.Name, string(before)) {
+	if (crashed || h.restarted(before)) && r.Fingerprints.Crashed(now, t.Address, string(before)) {
 		r.Metrics.Add(MetricCrashes, 1)
 	}
 	if h.reachable {
-		r.Targets.Observe(t.Name, h.incarnation, h.weights, coldStart(pool))
+		r.Targets.Observe(t.Address, h.incarnation, h.weights, coldStart(pool))
 	}
 }
 
@@ -127,10 +126,10 @@
 // stalled records what a probe says of a target whose answer made no progress.
 // A frozen or unreachable target is no proof of a crash; a restart is. A target
 // that answers the probe has left a connection silent.
-func (r *Router) stalled(pool config.Pool, t placement.Target, before port.Incarnation, h health) {
+func (r *Router) stalled(pool config.Pool, t target, before port.Incarnation, h health) {
 	r.judge(pool, t, before, h, false)
 	if h.reachable {
-		r.silent.mark(r.Clock.Now(), t.Name)
+		r.silent.mark(r.Clock.Now(), t.Address)
 	}
 }
 
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,75 +29,132 @@
 	weights     string
 }
 
-// candidates splits the pool's members into usable targets and the reasons
-// for which the others are not usable.
-func (r *Router) candidates(now time.Time, p *plan, f filter) ([]placement.Target, map[string]string) {
-	usable := make([]placement.Target, 0, len(p.pool.Targets))
-	excluded := map[string]string{}
-	for _, t := range p.pool.Targets {
-		if reason := r.exclude(now, p, f, t.Name); reason != "" {
-			excluded[t.Name] = reason
-			continue
+// ranking is the order in which a request prefers the usable targets.
+type ranking struct {
+	p       *plan
+	members *members
+	weights string
+	scores  []placement.Score
+	// excluded maps the addresses of targets that are out of use for now to the
+	// reasons. Leaving targets and those with other weights are not listed.
+	excluded map[string]string
+}
+
+// target returns the pool member with the address as placement saw it.
+func (k ranking) target(address string) target {
+	i := k.members.index[address]
+	return target{Name: k.p.pool.Targets[i].Name, Address: address, Incarnation: k.members.states[i].Incarnation}
+}
+
+// reasons maps the names of all members that are no candidates to the reasons.
+func (k ranking) reasons() map[string]string {
+	out := map[string]string{}
+	for i, t := range k.p.pool.Targets {
+		if reason := k.members.excluded(i, k.weights); reason != "" {
+			out[t.Name] = reason
+		} else if reason := k.excluded[t.Address]; reason != "" {
+			out[t.Name] = reason
 		}
-		usable = append(usable, r.target(p.pool, t))
 	}
-	return usable, excluded
+	return out
 }
 
-func (r *Router) exclude(now time.Time, p *plan, f filter, name string) string {
-	state := r.Targets.State(name)
-	switch {
-	case state.Leaving:
-		return excludedLeaving
-	case !r.circuits.Available(now, name):
-		return excludedCircuit
-	case r.circuits.Busy(now, name):
-		return excludedBusy
-	case f.weights != "" && state.WeightsVersion != "" && state.WeightsVersion != f.weights:
-		return excludedWeights
-	case !r.limits.TargetFree(name, p.pool.Slots):
-		return excludedFull
-	case !r.Fingerprints.MayRun(now, f.fingerprint, name):
-		return excludedSuspect
-	}
-	return ""
-}
+// scratch holds copies of target lists, which are large in large pools.
+var scratch = sync.Pool{New: func() any { return new([]placement.Target) }}
 
 // rank orders the usable targets. Targets that the request tried before are
 // ranked only when no other will do. The targets for a crash suspect are divided
 // between the routers, so that two suspects of different routers do not meet.
-func (r *Router) rank(now time.Time, p *plan, f filter) ([]placement.Score, map[string]placement.Target, map[string]string) {
-	usable, excluded := r.candidates(now, p, f)
-	usable = prefer(usable, func(t placement.Target) bool { return !f.tried[t.Name] })
-	if routers := r.Shares.Routers(); routers.Count > 1 && r.Fingerprints.Suspect(now, f.fingerprint) {
-		usable = prefer(usable, func(t placement.Target) bool {
-			return int(xxhash.Sum64String(t.Name)%uint64(routers.Count)) == routers.Index
-		})
+func (r *Router) rank(now time.Time, p *plan, f filter) ranking {
+	m := r.members(p)
+	k := ranking{p: p, members: m, weights: f.weights, excluded: r.exclude(now, p, m, f)}
+	usable := m.serving(f.weights)
+	suspect := r.Fingerprints.Suspect(now, f.fingerprint)
+	if len(k.excluded) > 0 || len(f.tried) > 0 || suspect {
+		kept := scratch.Get().(*[]placement.Target)
+		defer func() {
+			clear(*kept)
+			scratch.Put(kept)
+		}()
+		*kept = r.filter((*kept)[:0], usable, k.excluded, f, suspect)
+		usable = *kept
 	}
-	byName := make(map[string]placement.Target, len(usable))
-	for _, t := range usable {
-		byName[t.Name] = t
+	if len(usable) > 0 {
+		k.scores = r.Placer.Rank(now, p.place, usable)
 	}
-	if len(usable) == 0 {
-		return nil, byName, excluded
+	return k
+}
+
+// exclude finds the members that are out of use for now. It looks only at
+// targets with something against them, which are few in a large pool.
+func (r *Router) exclude(now time.Time, p *plan, m *members, f filter) map[string]string {
+	var excluded map[string]string
+	add := func(address, reason string) {
+		if _, member := m.index[address]; !member || excluded[address] != "" {
+			return
+		}
+		if excluded == nil {
+			excluded = map[string]string{}
+		}
+		excluded[address] = reason
+	}
+	for address, reason := range r.circuits.Unusable(now) {
+		if reason == retry.ReasonOpen {
+			add(address, excludedCircuit)
+		} else {
+			add(address, excludedBusy)
+		}
 	}
-	return r.Placer.Rank(now, p.place, usable), byName, excluded
+	for _, address := range r.limits.FullTargets(p.pool.Slots) {
+		add(address, excludedFull)
+	}
+	if r.Fingerprints.Suspect(now, f.fingerprint) {
+		for _, t := range p.pool.Targets {
+			if !r.Fingerprints.MayRun(now, f.fingerprint, t.Address) {
+				add(t.Address, excludedSuspect)
+			}
+		}
+	}
+	return excluded
 }
 
-// prefer keeps the targets that satisfy want, or all when none does.
-func prefer(targets []placement.Target, want func(placement.Target) bool) []placement.Target {
-	kept := targets[:0:0]
-	for _, t := range targets {
-		if want(t) {
-			kept = append(kept, t)
+// filter appends to kept the targets that are not excluded and that the request
+// should use: of those, where there are any, the ones that it did not try and,
+// when it is a crash suspect, the ones that are this router's.
+func (r *Router) filter(kept, all []placement.Target, excluded map[string]string, f filter, suspect bool) []placement.Target {
+	for i := range all {
+		if excluded[all[i].Address] == "" {
+			kept = append(kept, all[i])
 		}
 	}
-	if len(kept) == 0 {
-		return targets
+	if len(f.tried) > 0 {
+		kept = prefer(kept, func(t *placement.Target) bool { return !f.tried[t.Address] })
+	}
+	if routers := r.Shares.Routers(); suspect && routers.Count > 1 {
+		kept = prefer(kept, func(t *placement.Target) bool {
+			return int(xxhash.Sum64String(t.Address)%uint64(routers.Count)) == routers.Index
+		})
 	}
 	return kept
 }
 
+// prefer keeps the targets that satisfy want, in place, or all when none does.
+func prefer(targets []placement.Target, want func(*placement.Target) bool) []placement.Target {
+	n := 0
+	for i := range targets {
+		if want(&targets[i]) {
+			// A swap, so that all are left when none satisfies want. Those wanted
+			// stay in order.
+			targets[n], targets[i] = targets[i], targets[n]
+			n++
+		}
+	}
+	if n == 0 {
+		return targets
+	}
+	return targets[:n]
+}
+
 // Waits for a usable target.
 const (
 	// placeWait bounds the wait of a request of which nothing was delivered yet:
@@ -112,7 +170,7 @@
 // there.
 type claim struct {
 	attempt string
-	target  placement.Target
+	target  target
 	score   placement.Score
 }
 
@@ -129,16 +187,16 @@
 		if r.Fingerprints.Quarantined(now, f.fingerprint) {
 			return claim{}, ErrQuarantined
 		}
-		scores, byName, excluded := r.rank(now, p, f)
-		r.probeDue(ctx, p, excluded)
-		for _, s := range scores {
+		ranked := r.rank(now, p, f)
+		r.probeDue(ctx, ranked)
+		for _, s := range ranked.scores {
 			if r.Fingerprints.Start(now, f.fingerprint, s.Target, attempt) {
-				return claim{attempt: attempt, target: byName[s.Target], score: s}, nil
+				return claim{attempt: attempt, target: ranked.target(s.Target), score: s}, nil
 			}
 		}
-		queued := r.Fingerprints.Suspect(now, f.fingerprint) || anyFull(excluded)
+		queued := r.Fingerprints.Suspect(now, f.fingerprint) || anyFull(ranked.excluded)
 		if now.Sub(start) >= wait && !queued {
-			return claim{}, &NoTargetError{Pool: p.poolRef.String(), Excluded: excluded}
+			return claim{}, &NoTargetError{Pool: p.poolRef.String(), Excluded: ranked.reasons()}
 		}
 		if err := sleep(ctx, placePoll); err != nil {
 			return claim{}, err
@@ -158,18 +216,21 @@
 
 // probeDue probes targets whose circuits have been open for their time. No
 // request is risked on a target that does not answer.
-func (r *Router) probeDue(ctx context.Context, p *plan, excluded map[string]string) {
+func (r *Router) probeDue(ctx context.Context, k ranking) {
 	now := r.Clock.Now()
-	for _, t := range p.pool.Targets {
-		if excluded[t.Name] != excludedCircuit || !r.circuits.ClaimProbe(now, t.Name) {
+	pool := k.p.pool
+	for address, reason := range k.excluded {
+		if reason != excludedCircuit || k.members.excluded(k.members.index[address], k.weights) != "" ||
+			!r.circuits.ClaimProbe(now, address) {
 			continue
 		}
+		t := k.target(address)
 		go func() {
-			h := r.ask(ctx, p.pool, r.target(p.pool, t), "")
+			h := r.ask(ctx, pool, t, "")
 			if h.reachable {
-				r.Targets.Observe(t.Name, h.incarnation, h.weights, coldStart(p.pool))
+				r.Targets.Observe(address, h.incarnation, h.weights, coldStart(pool))
 			}
-			r.circuits.Probed(r.Clock.Now(), t.Name, h.reachable)
+			r.circuits.Probed(r.Clock.Now(), address, h.reachable)
 		}()
 	}
 }
--- a/internal/app/router/plan.go
+++ b/internal/app/router/plan.go
@@ -6,12 +6,14 @@
 	"mimosaseam.example/mimosaseam/internal/core/config"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/prompt"
+	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
 // plan is what the configuration says of one request. It is taken from one
 // snapshot, so a request sees one configuration from start to end.
 type plan struct {
+	snapshot   *config.Snapshot
 	accountRef config.Ref
 	account    config.Account
 	routeRef   config.Ref
@@ -39,7 +41,7 @@
 			continue
 		}
 		poolRef := config.Ref{Team: account.Team, Name: route.Pool}
-		return &plan{accountRef: account, account: acc, routeRef: ref, route: route, poolRef: poolRef,
+		return &plan{snapshot: snap, accountRef: account, account: acc, routeRef: ref, route: route, poolRef: poolRef,
 			pool: snap.Pools[poolRef]}, nil
 	}
 	return nil, &Failure{Kind: KindNotFound, Message: "the account has no such route", Outcome: OutcomeNotRun}
@@ -88,45 +90,24 @@
 // servedWeights returns the weights version to ask for: the configured one,
 // or, while none of the targets serves that yet, the one that most of them
 // serve.
-func (r *Router) servedWeights(p *plan) string {
-	counts := map[string]int{}
-	best := ""
-	for _, t := range p.pool.Targets {
-		state := r.Targets.State(t.Name)
-		version := state.WeightsVersion
-		if state.Leaving {
-			continue
-		}
-		if version == "" || version == p.pool.WeightsVersion {
-			return p.pool.WeightsVersion
-		}
-		counts[version]++
-		if best == "" || counts[version] > counts[best] || counts[version] == counts[best] && version > best {
-			best = version
-		}
-	}
-	if best == "" {
-		return p.pool.WeightsVersion
-	}
-	return best
-}
+func (r *Router) servedWeights(p *plan) string { return r.members(p).served }
 
-// usableTargets names the pool's targets that take new work. While the
-// circuits of all of them are open, requests may still wait for one to return.
-func (r *Router) usableTargets(p *plan) []string {
-	now := r.Clock.Now()
-	var usable, waiting []string
-	for _, t := range p.pool.Targets {
-		switch {
-		case r.Targets.State(t.Name).Leaving:
-		case r.circuits.Available(now, t.Name):
-			usable = append(usable, t.Name)
-		default:
-			waiting = append(waiting, t.Name)
+// usableTargets lists the addresses of the pool's targets that take new work.
+// While the circuits of all of them are open, requests may still wait for one to
+// return.
+func (r *Router) usableTargets(m *members) []string {
+	shut := r.circuits.Unusable(r.Clock.Now())
+	if !m.anyOf(shut, retry.ReasonOpen) {
+		return m.working
+	}
+	usable := make([]string, 0, len(m.working))
+	for _, address := range m.working {
+		if shut[address] != retry.ReasonOpen {
+			usable = append(usable, address)
 		}
 	}
 	if len(usable) == 0 {
-		return waiting
+		return m.working
 	}
 	return usable
 }
@@ -144,15 +125,3 @@
 func coldStart(pool config.Pool) time.Duration {
 	return time.Duration(pool.ColdStartS) * time.Second
 }
-
-// target describes a pool member as placement wants it.
-func (r *Router) target(pool config.Pool, t config.PoolTarget) placement.Target {
-	state := r.Targets.State(t.Name)
-	return placement.Target{
-		Name: t.Name, Address: t.Address, Region: t.Region, AvailabilityZone: t.AvailabilityZone,
-		Incarnation: state.Incarnation, ColdUntil: state.ColdUntil,
-		Slots: pool.Slots, CacheBlocks: pool.CacheBlocks,
-		PrefillTokensPerSecond: float64(pool.PrefillTokensPerSecond),
-		DecodeMsPerToken:       float64(pool.DecodeMsPerToken),
-	}
-}
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -81,6 +81,7 @@
 	circuits *retry.Circuits
 	shared   flights
 	silent   silent
+	pools    pools
 	drain    drain
 
 	budgetsMu sync.Mutex
--- a/internal/app/router/service.go
+++ b/internal/app/router/service.go
@@ -165,7 +165,7 @@
 		if err != nil {
 			return ServiceReply{}, err
 		}
-		c.tried[chosen.target.Name] = true
+		c.tried[chosen.target.Address] = true
 		reply, err := c.attempt(ctx, chosen.target, chosen.attempt)
 		if err == nil {
 			return reply, nil
@@ -186,36 +186,36 @@
 }
 
 // attempt sends one attempt and reads the whole reply.
-func (c *call) attempt(ctx context.Context, t placement.Target, id string) (ServiceReply, error) {
+func (c *call) attempt(ctx context.Context, t target, id string) (ServiceReply, error) {
 	r := c.r
 	now := r.Clock.Now()
 	ctx, span := r.Tracer.Start(ctx, "attempt", trace.WithAttributes(
 		attribute.String("target", t.Name), attribute.String("attempt_id", id)))
 	defer span.End()
-	r.limits.StartTarget(t.Name)
-	defer r.limits.EndTarget(t.Name)
-	r.circuits.Started(now, t.Name)
-	r.Placer.Started(now, c.p.place, t.Name)
+	r.limits.StartTarget(t.Address)
+	defer r.limits.EndTarget(t.Address)
+	r.circuits.Started(now, t.Address)
+	r.Placer.Started(now, c.p.place, t.Address)
 	r.Metrics.Add(MetricAttempts, 1)
-	defer func() { r.Placer.Finished(r.Clock.Now(), c.p.place, t.Name, t.Incarnation, -1) }()
+	defer func() { r.Placer.Finished(r.Clock.Now(), c.p.place, t.Address, t.Incarnation, -1) }()
 	reply, err := c.send(ctx, t, id)
 	var stalled *StalledError
 	switch {
 	case errors.As(err, &stalled):
 		r.stalled(c.p.pool, t, t.Incarnation, r.ask(ctx, c.p.pool, t, t.Incarnation))
 	case err != nil && ctx.Err() != nil:
-		r.circuits.Ended(t.Name) // the caller's leaving says nothing of the target
+		r.circuits.Ended(t.Address) // the caller's leaving says nothing of the target
 	case err != nil && !notRun(err):
 		// The request stays among the running ones until it is known whether the
 		// target crashed with it.
 		r.examine(ctx, c.p.pool, t, t.Incarnation)
 	}
-	r.Fingerprints.Ended(t.Name, id)
+	r.Fingerprints.Ended(t.Address, id)
 	if err != nil {
 		span.SetStatus(codes.Error, logText(err))
 		return ServiceReply{}, err
 	}
-	r.circuits.Success(t.Name)
+	r.circuits.Success(t.Address)
 	r.Fingerprints.Clear(c.fingerprint, true)
 	return reply, nil
 }
@@ -232,7 +232,7 @@
 }
 
 // send sends the call and reads the whole reply in time.
-func (c *call) send(ctx context.Context, t placement.Target, id string) (ServiceReply, error) {
+func (c *call) send(ctx context.Context, t target, id string) (ServiceReply, error) {
 	timeout := c.attemptTimeout()
 	attempt, cancel := context.WithTimeout(c.connection(ctx, t), timeout)
 	defer cancel()
@@ -245,11 +245,11 @@
 
 // connection avoids pooled connections, which may be silent, for calls that
 // cannot be repeated and for repeats.
-func (c *call) connection(ctx context.Context, t placement.Target) context.Context {
-	return c.r.connection(ctx, t.Name, c.extra > 0 || c.p.route.Repeat == config.RepeatNever)
+func (c *call) connection(ctx context.Context, t target) context.Context {
+	return c.r.connection(ctx, t.Address, c.extra > 0 || c.p.route.Repeat == config.RepeatNever)
 }
 
-func (c *call) exchange(ctx context.Context, t placement.Target, id string) (ServiceReply, error) {
+func (c *call) exchange(ctx context.Context, t target, id string) (ServiceReply, error) {
 	reply, err := c.r.Service.Call(ctx, t.Address, port.Call{
 		RequestID: c.req.RequestID, AttemptID: id, Method: c.req.Method, Path: c.req.Path,
 		Header: c.req.Header, Body: c.req.Body, IdempotencyKey: c.req.IdempotencyKey, Deadline: c.p.deadline,
--- a/internal/app/router/stall.go
+++ b/internal/app/router/stall.go
@@ -99,8 +99,8 @@
 func (c *completion) hedge(ctx context.Context) {
 	c.hedged = true
 	now := c.r.Clock.Now()
-	scores, byName, _ := c.r.rank(now, c.p, c.filter())
-	for _, s := range scores {
+	ranked := c.r.rank(now, c.p, c.filter())
+	for _, s := range ranked.scores {
 		if c.tried[s.Target] {
 			continue
 		}
@@ -113,7 +113,7 @@
 			return
 		}
 		c.r.Metrics.Add(MetricHedges, 1)
-		c.startAttempt(ctx, claim{attempt: id, target: byName[s.Target], score: s})
+		c.startAttempt(ctx, claim{attempt: id, target: ranked.target(s.Target), score: s})
 		return
 	}
 }
--- a/internal/app/router/targets.go
+++ b/internal/app/router/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/placement"
@@ -19,9 +20,11 @@
 	Leaving bool
 }
 
-// TargetView gives the state of targets by name.
+// TargetView gives the state of targets by address.
 type TargetView interface {
 	State(target string) TargetState
+	// Revision changes with every change of any state.
+	Revision() uint64
 	// Observe records the incarnation and the weights version that a target
 	// reported, and the slow start that applies after a restart.
 	Observe(target string, inc port.Incarnation, weights string, coldStart time.Duration)
@@ -35,8 +38,9 @@
 	clock  port.Clock
 	placer placement.Placer
 
-	mu     sync.RWMutex
-	states map[string]TargetState
+	mu       sync.RWMutex
+	states   map[string]TargetState
+	revision atomic.Uint64
 }
 
 // NewTargets returns an empty view that drops a target's cached blocks from
@@ -52,6 +56,17 @@
 	return t.states[target]
 }
 
+// Revision changes with every change of any state.
+func (t *Targets) Revision() uint64 { return t.revision.Load() }
+
+// set stores the state and raises the revision when it is another.
+func (t *Targets) set(target string, s TargetState) {
+	if old, known := t.states[target]; !known || old != s {
+		t.states[target] = s
+		t.revision.Add(1)
+	}
+}
+
 // Observe records what the target reported of itself.
 func (t *Targets) Observe(target string, inc port.Incarnation, weights string, coldStart time.Duration) {
 	t.mu.Lock()
@@ -67,7 +82,7 @@
 	if restarted {
 		s.ColdUntil = t.clock.Now().Add(coldStart)
 	}
-	t.states[target] = s
+	t.set(target, s)
 	t.mu.Unlock()
 	if restarted || reloaded {
 		t.placer.Drop(target)
@@ -79,22 +94,22 @@
 	t.mu.Lock()
 	s := t.states[target]
 	s.Incarnation, s.WeightsVersion = "", ""
-	t.states[target] = s
+	t.set(target, s)
 	t.mu.Unlock()
 	t.placer.Drop(target)
 }
 
-// SetLeaving marks the targets that get no new work; all others are cleared.
+// SetLeaving marks the addresses of the targets that get no new work; all others are cleared.
 func (t *Targets) SetLeaving(leaving map[string]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for name := range leaving {
-		if _, known := t.states[name]; !known {
-			t.states[name] = TargetState{}
+	for address := range leaving {
+		if _, known := t.states[address]; !known {
+			t.set(address, TargetState{})
 		}
 	}
-	for name, s := range t.states {
-		s.Leaving = leaving[name]
-		t.states[name] = s
+	for address, s := range t.states {
+		s.Leaving = leaving[address]
+		t.set(address, s)
 	}
 }
--- a/internal/app/shares/shares.go
+++ b/internal/app/shares/shares.go
@@ -21,6 +21,8 @@
 	mu       sync.RWMutex
 	routers  limits.Routers
 	inFlight map[string]map[string]int
+	// loads sums up inFlight; it is replaced, never changed.
+	loads map[string]int
 }
 
 // New returns the shares of a router that knows no peers yet.
@@ -59,9 +61,22 @@
 	defer s.mu.Unlock()
 	if counts == nil {
 		delete(s.inFlight, peer)
-		return
+	} else {
+		s.inFlight[peer] = counts
 	}
-	s.inFlight[peer] = counts
+	s.loads = map[string]int{}
+	for _, counts := range s.inFlight {
+		for target, n := range counts {
+			s.loads[target] += n
+		}
+	}
+}
+
+// PeerLoads returns the requests that peers have in flight on each target.
+func (s *Shares) PeerLoads() map[string]int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.loads
 }
 
 // Routers implements limits.ShareSource.
@@ -84,9 +99,5 @@
 func (s *Shares) PeerInFlight(target string) int {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	sum := 0
-	for _, counts := range s.inFlight {
-		sum += counts[target]
-	}
-	return sum
+	return s.loads[target]
 }
--- a/internal/core/limits/controller.go
+++ b/internal/core/limits/controller.go
@@ -171,13 +171,7 @@
 }
 
 // capacity is the number of requests that this router may run in the pool.
-func (c *Controller) capacity(a Ask) int {
-	sum := 0
-	for _, t := range a.Targets {
-		sum += c.divider.target(t, a.Slots)
-	}
-	return sum
-}
+func (c *Controller) capacity(a Ask) int { return c.divider.capacity(a) }
 
 func (c *Controller) account(name string) *account {
 	a := c.accounts[name]
@@ -191,7 +185,7 @@
 func (c *Controller) pool(name string) *pool {
 	p := c.pools[name]
 	if p == nil {
-		p = &pool{accounts: map[string]*accountQueue{}}
+		p = &pool{accounts: map[string]*accountQueue{}, busy: map[string]*accountQueue{}}
 		c.pools[name] = p
 	}
 	return p
@@ -210,6 +204,20 @@
 	return float64(c.targets[target]) < overcommitFactor*float64(c.divider.target(target, slots))
 }
 
+// FullTargets lists the targets that are not TargetFree. It looks only at those
+// with requests of this router, because an idle target is free.
+func (c *Controller) FullTargets(slots int) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var full []string
+	for target, n := range c.targets {
+		if float64(n) >= overcommitFactor*float64(c.divider.target(target, slots)) {
+			full = append(full, target)
+		}
+	}
+	return full
+}
+
 // StartTarget counts a request that is sent to the target.
 func (c *Controller) StartTarget(target string) {
 	c.mu.Lock()
--- a/internal/core/limits/limits.go
+++ b/internal/core/limits/limits.go
@@ -54,8 +54,11 @@
 	Share int
 	// Pool names the pool; Targets are its usable targets, each of which runs
 	// Slots requests at once for all routers together.
-	Pool         string
-	Targets      []string
+	Pool    string
+	Targets []string
+	// Members is the set of all targets of the pool, usable or not. It may be
+	// nil; it saves time where Targets are all of them.
+	Members      map[string]int
 	Slots        int
 	Priority     int
 	PromptTokens int
--- a/internal/core/limits/queue.go
+++ b/internal/core/limits/queue.go
@@ -62,7 +62,9 @@
 	capacity int
 	running  int
 	accounts map[string]*accountQueue
-	queued   int
+	// busy holds the accounts with waiting requests, which are few among many.
+	busy   map[string]*accountQueue
+	queued int
 	// pass is the position of the account that was served last.
 	pass float64
 	// hold is the mean time for which a request holds its place.
@@ -96,6 +98,7 @@
 		l.pass = max(l.pass, p.pass)
 	}
 	l.add(w)
+	p.busy[w.ask.Account] = l
 	p.queued++
 }
 
@@ -104,6 +107,9 @@
 	if l == nil || !l.remove(w) {
 		return false
 	}
+	if len(l.waiting) == 0 {
+		delete(p.busy, w.ask.Account)
+	}
 	p.queued--
 	return true
 }
@@ -114,10 +120,7 @@
 func (p *pool) next(mayRun func(*waiter) bool) *waiter {
 	var best *waiter
 	var from *accountQueue
-	for _, l := range p.accounts {
-		if len(l.waiting) == 0 {
-			continue
-		}
+	for _, l := range p.busy {
 		head := l.waiting[0]
 		if (best == nil || before(head, l, best, from)) && mayRun(head) {
 			best, from = head, l
@@ -156,8 +159,8 @@
 		own = aheadIn(l, a.Priority, a.Deadline)
 	}
 	ahead := own
-	for name, l := range p.accounts {
-		if name != a.Account && len(l.waiting) > 0 {
+	for name, l := range p.busy {
+		if name != a.Account {
 			ahead += p.aheadOf(l, a, own+1)
 		}
 	}
--- a/internal/core/limits/share.go
+++ b/internal/core/limits/share.go
@@ -90,13 +90,54 @@
 // target's slots; the target itself then refuses the excess as not run.
 func (d *divider) target(name string, slots int) int {
 	count, _, inContact := d.routers()
+	if count == 1 || !inContact {
+		return targetQuota(count, inContact, slots, 0)
+	}
+	return targetQuota(count, inContact, slots, d.source.PeerInFlight(name))
+}
+
+func targetQuota(count int, inContact bool, slots, peers int) int {
 	if count == 1 {
 		return slots
 	}
 	quota := slots / count
 	if inContact {
 		most := int(maxShift * float64(slots) / float64(count))
-		quota = max(quota, min(slots-d.source.PeerInFlight(name), most))
+		quota = max(quota, min(slots-peers, most))
 	}
 	return max(quota, 1)
 }
+
+// peerLoads is implemented by sources that can list the targets on which peers
+// have requests in flight. The map is not changed afterwards.
+type peerLoads interface{ PeerLoads() map[string]int }
+
+// capacity sums up the quotas of the targets. Where the source lists the loaded
+// targets and all members are usable, it looks only at the loaded ones.
+func (d *divider) capacity(a Ask) int {
+	count, _, inContact := d.routers()
+	idle := targetQuota(count, inContact, a.Slots, 0)
+	if count == 1 || !inContact {
+		return idle * len(a.Targets)
+	}
+	source, lists := d.source.(peerLoads)
+	if !lists || len(a.Members) != len(a.Targets) {
+		inFlight := d.source.PeerInFlight
+		if lists {
+			loads := source.PeerLoads()
+			inFlight = func(target string) int { return loads[target] }
+		}
+		sum := 0
+		for _, t := range a.Targets {
+			sum += targetQuota(count, inContact, a.Slots, inFlight(t))
+		}
+		return sum
+	}
+	sum := idle * len(a.Targets)
+	for t, peers := range source.PeerLoads() {
+		if _, member := a.Members[t]; member {
+			sum -= idle - targetQuota(count, inContact, a.Slots, peers)
+		}
+	}
+	return sum
+}
--- a/internal/core/retry/circuit.go
+++ b/internal/core/retry/circuit.go
@@ -40,6 +40,40 @@
 	busyUntil time.Time
 }
 
+// Reason says why a target is out of use for now.
+type Reason string
+
+// The reasons for which targets are out of use.
+const (
+	ReasonOpen Reason = "open"
+	ReasonBusy Reason = "busy"
+)
+
+// Unusable returns the targets that are not Available or that are Busy. It is
+// nil when there are none, as most of the time.
+func (c *Circuits) Unusable(now time.Time) map[string]Reason {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out map[string]Reason
+	for target, s := range c.all {
+		reason := ReasonBusy
+		if !s.available(now) {
+			reason = ReasonOpen
+		} else if !now.Before(s.busyUntil) {
+			continue
+		}
+		if out == nil {
+			out = map[string]Reason{}
+		}
+		out[target] = reason
+	}
+	return out
+}
+
+func (s *circuit) available(now time.Time) bool {
+	return !s.open() || s.halfOpen && !underWay(now, s.trial)
+}
+
 func (s *circuit) open() bool { return !s.openUntil.IsZero() }
 
 func underWay(now, since time.Time) bool {
@@ -62,7 +96,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.all[target]
-	return s == nil || !s.open() || s.halfOpen && !underWay(now, s.trial)
+	return s == nil || s.available(now)
 }
 
 // ClaimProbe reports whether the target is due for a probe, and claims it. The
