Continue callers' traces to engines, services and peers

The W3C trace context of authenticated callers is continued, and sent on to engines, plain services and other routers. Calls to peers, appends, reads that are no idle long polls and reads of the VM list have spans.

--- a/cmd/mimosaseam/configcmd.go
+++ b/cmd/mimosaseam/configcmd.go
@@ -340,7 +340,7 @@
 		ctx, cancel = context.WithTimeout(context.Background(), timeout)
 	}
 	defer cancel()
-	p, err := newPlatform(s)
+	p, err := newPlatform(s, nil)
 	if err != nil {
 		return err
 	}
--- a/cmd/mimosaseam/node.go
+++ b/cmd/mimosaseam/node.go
@@ -95,7 +95,7 @@
 func (n *node) buildClients() error {
 	s := n.settings
 	var err error
-	if n.platform, err = newPlatform(s); err != nil {
+	if n.platform, err = newPlatform(s, n.traces.Tracer); err != nil {
 		return err
 	}
 	targetTLS, err := tlsconfig.Client(s.Targets.TLS.CAFile)
@@ -113,7 +113,7 @@
 	if server != nil {
 		n.peerCreds, clientCreds = credentials.NewTLS(server), credentials.NewTLS(client)
 	}
-	n.peers = peergrpc.NewClient(clientCreds)
+	n.peers = peergrpc.NewClient(clientCreds, peergrpc.WithTracer(n.traces.Tracer))
 	return nil
 }
 
--- a/cmd/mimosaseam/platform.go
+++ b/cmd/mimosaseam/platform.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/net/netutil"
 
 	"mimosaseam.example/mimosaseam/internal/adapter/platformhttp"
@@ -28,7 +29,7 @@
 	platformIdleConns   = 16
 )
 
-func newPlatform(s settings.Settings) (platform, error) {
+func newPlatform(s settings.Settings, tracer trace.Tracer) (platform, error) {
 	clientTLS, err := tlsconfig.Client(s.Platform.TLS.CAFile)
 	if err != nil {
 		return platform{}, err
@@ -39,7 +40,7 @@
 		MaxIdleConnsPerHost: platformIdleConns,
 	}}
 	options := func(url string) platformhttp.Options {
-		return platformhttp.Options{BaseURL: url, Client: client}
+		return platformhttp.Options{BaseURL: url, Client: client, Tracer: tracer}
 	}
 	p := platform{
 		log:    platformhttp.NewLog(options(s.Platform.LogURL)),
--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
@@ -135,11 +136,17 @@
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{s: s, w: w, r: r, rc: http.NewResponseController(w), id: requestID(r), started: s.Clock.Now()}
-	ctx, span := s.Tracer.Start(r.Context(), "accept", trace.WithAttributes(attribute.String("request_id", x.id)))
+	account, ok := s.keys.account(s.Source.Current(), r.Header.Get("Authorization"))
+	ctx := r.Context()
+	if ok {
+		// The traces of strangers are not continued: their flags would decide
+		// what is sampled here.
+		ctx = propagation.TraceContext{}.Extract(ctx, propagation.HeaderCarrier(r.Header))
+	}
+	ctx, span := s.Tracer.Start(ctx, "accept", trace.WithAttributes(attribute.String("request_id", x.id)))
 	defer span.End()
 	x.r = r.WithContext(ctx)
 	w.Header().Set("X-Request-Id", x.id)
-	account, ok := s.keys.account(s.Source.Current(), r.Header.Get("Authorization"))
 	if !ok {
 		x.refuse(http.StatusUnauthorized, "unauthorized", "the API key is missing or unknown", 0)
 		return
--- a/internal/adapter/httpconn/pool.go
+++ b/internal/adapter/httpconn/pool.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"time"
 
+	"go.opentelemetry.io/otel/propagation"
+
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -127,8 +129,8 @@
 
 func (e *Failure) Unwrap() error { return e.Cause }
 
-// Send sends the request that build returns and waits for the header of the
-// answer. It builds and sends the request again, on a new connection, when a
+// Send sends the request that build returns, with the trace context of ctx in
+// the W3C headers, and waits for the header of the answer. It builds and sends the request again, on a new connection, when a
 // pooled connection turned out to be closed before anything was written.
 func (p *Pool) Send(ctx context.Context, build func(context.Context) (*http.Request, error)) (*http.Response, error) {
 	transport := p.pooled
@@ -141,6 +143,7 @@
 		if err != nil {
 			return nil, &Failure{NothingSent: true, Cause: err}
 		}
+		propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(request.Header))
 		response, err := transport.RoundTrip(request)
 		if err == nil {
 			return response, nil
--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
@@ -27,9 +29,21 @@
 	pool *pool
 }
 
+// Option configures a Client.
+type Option func(*clientOptions)
+
+type clientOptions struct{ tracer trace.Tracer }
+
+// WithTracer gives each call a span.
+func WithTracer(t trace.Tracer) Option { return func(o *clientOptions) { o.tracer = t } }
+
 // NewClient returns a client. The credentials should hold a client
 // certificate; nil: no TLS.
-func NewClient(creds credentials.TransportCredentials) *Client {
+func NewClient(creds credentials.TransportCredentials, options ...Option) *Client {
+	o := clientOptions{tracer: noop.NewTracerProvider().Tracer("")}
+	for _, set := range options {
+		set(&o)
+	}
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
@@ -41,6 +55,7 @@
 		grpc.WithStaticStreamWindowSize(windowBytes),
 		grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithIdleTimeout(maxIdle),
+		grpc.WithUnaryInterceptor(traceCalls(o.tracer)),
 		grpc.WithDefaultCallOptions(
 			grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
 	)}
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -48,7 +48,7 @@
 		grpc.StaticConnWindowSize(windowBytes),
 		grpc.ConnectionTimeout(maxHandleTime),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: maxIdle}),
-		grpc.UnaryInterceptor(limitTime),
+		grpc.ChainUnaryInterceptor(limitTime, continueTrace),
 	}
 	if creds != nil {
 		options = append(options, grpc.Creds(creds))
--- a/internal/adapter/platformhttp/caller.go
+++ b/internal/adapter/platformhttp/caller.go
@@ -10,6 +10,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -19,6 +20,9 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"mimosaseam.example/mimosaseam/internal/port"
 )
@@ -65,9 +69,13 @@
 	Timeout time.Duration
 	// MaxResponseBytes bounds the body of an answer. 0: 8 MiB.
 	MaxResponseBytes int64
+	// Tracer gives each append, each read that is no idle long poll, and each
+	// read of the VM list a span. Nil: none.
+	Tracer trace.Tracer
 }
 
 type caller struct {
+	tracer   trace.Tracer
 	peer     string
 	base     string
 	client   http.Client
@@ -94,6 +102,10 @@
 		base:     strings.TrimSuffix(o.BaseURL, "/"),
 		timeout:  o.Timeout,
 		maxBytes: o.MaxResponseBytes,
+		tracer:   o.Tracer,
+	}
+	if c.tracer == nil {
+		c.tracer = noop.NewTracerProvider().Tracer("")
 	}
 	if o.Client != nil {
 		c.client = *o.Client
@@ -212,3 +224,12 @@
 	}
 	return time.Duration(s) * time.Second
 }
+
+// endSpan ends a span. It tells the kind of a failure only, because answers of
+// the platform may repeat what they were sent.
+func endSpan(span trace.Span, err error) {
+	if err != nil {
+		span.SetStatus(codes.Error, fmt.Sprintf("%T", err))
+	}
+	span.End()
+}
--- a/internal/adapter/platformhttp/log.go
+++ b/internal/adapter/platformhttp/log.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"mimosaseam.example/mimosaseam/internal/port"
 )
@@ -39,7 +41,10 @@
 }
 
 // Append implements port.Log.
-func (l *Log) Append(ctx context.Context, stream string, records []port.Record) (port.Offset, error) {
+func (l *Log) Append(ctx context.Context, stream string, records []port.Record) (first port.Offset, err error) {
+	ctx, span := l.caller.tracer.Start(ctx, "platform append", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("stream", stream), attribute.Int("records", len(records))))
+	defer func() { endSpan(span, err) }()
 	in := struct {
 		Records []newRecord `json:"records"`
 	}{Records: make([]newRecord, len(records))}
@@ -66,16 +71,30 @@
 // records are asked for, so that large records cannot stop a reader.
 func (l *Log) Read(ctx context.Context, stream string, from port.Offset, limit int, wait time.Duration) (port.Batch, error) {
 	from = max(from, 1)
+	begun := time.Now()
 	for {
 		b, err := l.read(ctx, stream, from, limit, wait)
 		var large *ResponseTooLargeError
 		if limit <= 1 || !errors.As(err, &large) {
+			l.traceRead(ctx, begun, stream, b, err)
 			return b, err
 		}
 		limit /= 2
 	}
 }
 
+// traceRead records a read once it is known to be no idle long poll. Without
+// traffic most reads are, and their spans would drown all others.
+func (l *Log) traceRead(ctx context.Context, begun time.Time, stream string, b port.Batch, err error) {
+	if err == nil && len(b.Records) == 0 {
+		return
+	}
+	_, span := l.caller.tracer.Start(ctx, "platform read", trace.WithTimestamp(begun),
+		trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("stream", stream), attribute.Int("records", len(b.Records))))
+	endSpan(span, err)
+}
+
 func (l *Log) read(ctx context.Context, stream string, from port.Offset, limit int, wait time.Duration) (port.Batch, error) {
 	q := url.Values{}
 	q.Set("from", strconv.FormatUint(uint64(from), 10))
--- a/internal/adapter/platformhttp/stores.go
+++ b/internal/adapter/platformhttp/stores.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"net/url"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -15,8 +17,9 @@
 func NewVMList(o Options) *VMList { return &VMList{caller: newCaller("VM list", o)} }
 
 // List implements port.VMList.
-func (v *VMList) List(ctx context.Context) (port.VMSnapshot, error) {
-	var out port.VMSnapshot
+func (v *VMList) List(ctx context.Context) (out port.VMSnapshot, err error) {
+	ctx, span := v.caller.tracer.Start(ctx, "platform list VMs", trace.WithSpanKind(trace.SpanKindClient))
+	defer func() { endSpan(span, err) }()
 	a, err := v.caller.doJSON(ctx, request{method: http.MethodGet, path: "/v1/vms"}, nil, &out)
 	if err == nil {
 		err = v.caller.accept(a)
