Leave targets out of large pools without scanning them

Capacity, exclusion and the copy for placement work on the few targets that are out of use. The demand of peers is no longer copied for every request.

--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -131,7 +131,8 @@
 type report struct {
 	at           time.Time
 	configOffset port.Offset
-	demand       []port.AccountDemand
+	// demand is by client account and is not changed.
+	demand map[string]float64
 }
 
 // New returns a Fleet that knows itself and its seeds.
@@ -187,17 +188,14 @@
 }
 
 // Demand returns the demand of each router that reported lately, by client
-// account.
+// account. The caller does not change the inner maps: every request asks, so they
+// are not copied.
 func (f *Fleet) Demand() map[string]map[string]float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := make(map[string]map[string]float64, len(f.reports))
 	for peer, r := range f.reports {
-		accounts := make(map[string]float64, len(r.demand))
-		for _, d := range r.demand {
-			accounts[d.ClientAccount] = d.Demand
-		}
-		out[peer] = accounts
+		out[peer] = r.demand
 	}
 	return out
 }
--- a/internal/app/fleet/loop.go
+++ b/internal/app/fleet/loop.go
@@ -91,7 +91,11 @@
 	if e.Urgent || e.From.Name == f.o.Self.Name {
 		return
 	}
-	f.reports[e.From.Name] = report{at: now, configOffset: e.ConfigOffset, demand: e.Demand}
+	demand := make(map[string]float64, len(e.Demand))
+	for _, d := range e.Demand {
+		demand[d.ClientAccount] = d.Demand
+	}
+	f.reports[e.From.Name] = report{at: now, configOffset: e.ConfigOffset, demand: demand}
 }
 
 // tell passes a message on to the callbacks; no lock is held.
--- a/internal/app/router/decision_bench_test.go
+++ b/internal/app/router/decision_bench_test.go
@@ -16,8 +16,6 @@
 const (
 	benchAccounts = 9500
 	benchPeers    = 8
-	// warmUp is over the number of accounts whose place in the fair order is kept.
-	warmUp = 1100
 )
 
 // largeConfig is one team with one engine pool of the given size and the
@@ -103,7 +101,7 @@
 		r.Fingerprints.Ended(chosen.target.Address, "a")
 		permit.Release()
 	}
-	for i := range warmUp {
+	for i := range benchAccounts {
 		decide(i)
 	}
 	b.ReportAllocs()
--- a/internal/app/router/members.go
+++ b/internal/app/router/members.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"sync"
 
 	"mimosaseam.example/mimosaseam/internal/core/config"
@@ -20,7 +21,7 @@
 
 // members is what one configuration snapshot and the observed states of targets
 // say of a pool. It is computed once for many requests, because pools are large
-// and both change rarely. It is immutable but for the lists in byWeights.
+// and both change rarely. It is immutable but for byWeights.
 type members struct {
 	snapshot *config.Snapshot
 	revision uint64
@@ -31,12 +32,20 @@
 	// served is the weights version to ask for.
 	served string
 	// working lists the addresses that are not leaving.
-	working []string
+	working      []string
+	workingIndex map[string]int
 
 	mu sync.Mutex
 	// byWeights holds, for each version that requests asked for, the targets
 	// that may serve it.
-	byWeights map[string][]placement.Target
+	byWeights map[string]roster
+}
+
+// roster lists the members that may serve one weights version, as placement
+// wants them, with their positions in the pool. It is shared and not changed.
+type roster struct {
+	targets   []placement.Target
+	positions []int
 }
 
 // pools keeps the members of the pools in the latest snapshot.
@@ -77,7 +86,7 @@
 func (r *Router) newMembers(p *plan, last *members, revision uint64) *members {
 	m := &members{snapshot: p.snapshot, revision: revision, pool: p.pool,
 		states: make([]TargetState, len(p.pool.Targets)), working: make([]string, 0, len(p.pool.Targets)),
-		byWeights: map[string][]placement.Target{}}
+		byWeights: map[string]roster{}}
 	if last != nil {
 		m.index = last.index
 	} else {
@@ -92,6 +101,13 @@
 			m.working = append(m.working, t.Address)
 		}
 	}
+	m.workingIndex = m.index
+	if len(m.working) < len(m.index) {
+		m.workingIndex = make(map[string]int, len(m.working))
+		for i, address := range m.working {
+			m.workingIndex[address] = i
+		}
+	}
 	m.served = servedVersion(p.pool.WeightsVersion, m.states)
 	return m
 }
@@ -132,21 +148,21 @@
 	return ""
 }
 
-// serving lists the members that may serve the weights version, as placement
-// wants them. The list is shared and must not be changed.
-func (m *members) serving(weights string) []placement.Target {
+// serving lists the members that may serve the weights version.
+func (m *members) serving(weights string) roster {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if list, known := m.byWeights[weights]; known {
 		return list
 	}
-	list := make([]placement.Target, 0, len(m.pool.Targets))
+	list := roster{make([]placement.Target, 0, len(m.pool.Targets)), make([]int, 0, len(m.pool.Targets))}
 	for i, t := range m.pool.Targets {
 		if m.excluded(i, weights) != "" {
 			continue
 		}
 		// Placement tells targets apart by name, so it is given the address.
-		list = append(list, placement.Target{
+		list.positions = append(list.positions, i)
+		list.targets = append(list.targets, placement.Target{
 			Name: t.Address, Address: t.Address, Region: t.Region, AvailabilityZone: t.AvailabilityZone,
 			Incarnation: m.states[i].Incarnation, ColdUntil: m.states[i].ColdUntil,
 			Slots: m.pool.Slots, CacheBlocks: m.pool.CacheBlocks,
@@ -158,12 +174,32 @@
 	return list
 }
 
-// anyOf reports whether one of the members is out of use for the reason.
-func (m *members) anyOf(unusable map[string]retry.Reason, reason retry.Reason) bool {
-	for address, why := range unusable {
-		if _, member := m.index[address]; member && why == reason {
-			return true
+// without appends the targets of the roster to kept, except those at the given
+// positions in the pool. It copies runs, because few of many are left out.
+func (l roster) without(kept []placement.Target, out []int) []placement.Target {
+	slices.Sort(out)
+	begin := 0
+	for _, position := range out {
+		at, found := slices.BinarySearch(l.positions, position)
+		if found && at >= begin {
+			kept = append(kept, l.targets[begin:at]...)
+			begin = at + 1
 		}
 	}
-	return false
+	return append(kept, l.targets[begin:]...)
+}
+
+// withoutCircuit lists the working targets whose circuits are open. While all
+// are, none is listed: requests may still wait for one to return.
+func (r *Router) withoutCircuit(m *members) []string {
+	var open []string
+	for address, reason := range r.circuits.Unusable(r.Clock.Now()) {
+		if _, working := m.workingIndex[address]; working && reason == retry.ReasonOpen {
+			open = append(open, address)
+		}
+	}
+	if len(open) == len(m.working) {
+		return nil
+	}
+	return open
 }
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,15 +69,13 @@
 func (r *Router) rank(now time.Time, p *plan, f filter) ranking {
 	m := r.members(p)
 	k := ranking{p: p, members: m, weights: f.weights, excluded: r.exclude(now, p, m, f)}
-	usable := m.serving(f.weights)
+	serving := m.serving(f.weights)
+	usable := serving.targets
 	suspect := r.Fingerprints.Suspect(now, f.fingerprint)
 	if len(k.excluded) > 0 || len(f.tried) > 0 || suspect {
 		kept := scratch.Get().(*[]placement.Target)
-		defer func() {
-			clear(*kept)
-			scratch.Put(kept)
-		}()
-		*kept = r.filter((*kept)[:0], usable, k.excluded, f, suspect)
+		defer scratch.Put(kept)
+		*kept = r.filter((*kept)[:0], k, serving, f, suspect)
 		usable = *kept
 	}
 	if len(usable) > 0 {
@@ -121,14 +120,20 @@
 // filter appends to kept the targets that are not excluded and that the request
 // should use: of those, where there are any, the ones that it did not try and,
 // when it is a crash suspect, the ones that are this router's.
-func (r *Router) filter(kept, all []placement.Target, excluded map[string]string, f filter, suspect bool) []placement.Target {
-	for i := range all {
-		if excluded[all[i].Address] == "" {
-			kept = append(kept, all[i])
+func (r *Router) filter(kept []placement.Target, k ranking, serving roster, f filter, suspect bool) []placement.Target {
+	out := make([]int, 0, len(k.excluded)+len(f.tried))
+	for address := range k.excluded {
+		out = append(out, k.members.index[address])
+	}
+	excluded := len(out)
+	for address := range f.tried {
+		if position, member := k.members.index[address]; member {
+			out = append(out, position)
 		}
 	}
-	if len(f.tried) > 0 {
-		kept = prefer(kept, func(t *placement.Target) bool { return !f.tried[t.Address] })
+	kept = serving.without(kept, slices.Clone(out))
+	if len(kept) == 0 && len(f.tried) > 0 {
+		kept = serving.without(kept, out[:excluded])
 	}
 	if routers := r.Shares.Routers(); suspect && routers.Count > 1 {
 		kept = prefer(kept, func(t *placement.Target) bool {
--- a/internal/app/router/plan.go
+++ b/internal/app/router/plan.go
@@ -6,7 +6,6 @@
 	"mimosaseam.example/mimosaseam/internal/core/config"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/prompt"
-	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -92,26 +91,6 @@
 // serve.
 func (r *Router) servedWeights(p *plan) string { return r.members(p).served }
 
-// usableTargets lists the addresses of the pool's targets that take new work.
-// While the circuits of all of them are open, requests may still wait for one to
-// return.
-func (r *Router) usableTargets(m *members) []string {
-	shut := r.circuits.Unusable(r.Clock.Now())
-	if !m.anyOf(shut, retry.ReasonOpen) {
-		return m.working
-	}
-	usable := make([]string, 0, len(m.working))
-	for _, address := range m.working {
-		if shut[address] != retry.ReasonOpen {
-			usable = append(usable, address)
-		}
-	}
-	if len(usable) == 0 {
-		return m.working
-	}
-	return usable
-}
-
 // defaultStallTimeout stands in for a route that sets none.
 const defaultStallTimeout = 2 * time.Second
 
--- a/internal/core/limits/limits.go
+++ b/internal/core/limits/limits.go
@@ -52,12 +52,13 @@
 	Limits  config.Limits
 	// Share weighs the account against others in the queue.
 	Share int
-	// Pool names the pool; Targets are its usable targets, each of which runs
-	// Slots requests at once for all routers together.
+	// Pool names the pool; Targets are its targets, each of which runs Slots
+	// requests at once for all routers together, and Without those of them that
+	// cannot be used now.
 	Pool    string
 	Targets []string
-	// Members is the set of all targets of the pool, usable or not. It may be
-	// nil; it saves time where Targets are all of them.
+	Without []string
+	// Members is the set of Targets. It may be nil; it saves time in large pools.
 	Members      map[string]int
 	Slots        int
 	Priority     int
--- a/internal/core/limits/share.go
+++ b/internal/core/limits/share.go
@@ -112,31 +112,29 @@
 // have requests in flight. The map is not changed afterwards.
 type peerLoads interface{ PeerLoads() map[string]int }
 
-// capacity sums up the quotas of the targets. Where the source lists the loaded
-// targets and all members are usable, it looks only at the loaded ones.
+// capacity sums up the quotas of the usable targets. Where the source lists the
+// loaded targets, it looks only at those and at the targets left out.
 func (d *divider) capacity(a Ask) int {
 	count, _, inContact := d.routers()
 	idle := targetQuota(count, inContact, a.Slots, 0)
+	sum := idle * len(a.Targets)
+	for _, t := range a.Without {
+		sum -= d.target(t, a.Slots)
+	}
 	if count == 1 || !inContact {
-		return idle * len(a.Targets)
+		return sum
 	}
+	correct := func(peers int) { sum -= idle - targetQuota(count, inContact, a.Slots, peers) }
 	source, lists := d.source.(peerLoads)
-	if !lists || len(a.Members) != len(a.Targets) {
-		inFlight := d.source.PeerInFlight
-		if lists {
-			loads := source.PeerLoads()
-			inFlight = func(target string) int { return loads[target] }
-		}
-		sum := 0
+	if !lists || a.Members == nil {
 		for _, t := range a.Targets {
-			sum += targetQuota(count, inContact, a.Slots, inFlight(t))
+			correct(d.source.PeerInFlight(t))
 		}
 		return sum
 	}
-	sum := idle * len(a.Targets)
 	for t, peers := range source.PeerLoads() {
 		if _, member := a.Members[t]; member {
-			sum -= idle - targetQuota(count, inContact, a.Slots, peers)
+			correct(peers)
 		}
 	}
 	return sum
