Read cache events within a byte budget

The observer follows as many engines as resources.event_bytes_per_s allows, 500 by default, and gives up those whose events do not fit. Routers start at different targets.

--- a/cmd/mimosaseam/node.go
+++ b/cmd/mimosaseam/node.go
@@ -148,6 +148,7 @@
 	n.observer = observe.New(observe.Deps{
 		Engine: n.engine, Source: n.config, Placer: n.placer, Targets: n.targets,
 		Clock: port.SystemClock{}, Logger: n.log,
+		EventBytesPerSecond: s.Resources.EventBytesPerS, Router: s.VM.Name,
 	})
 }
 
--- a/internal/app/observe/observe.go
+++ b/internal/app/observe/observe.go
@@ -34,16 +34,26 @@
 	Targets Targets
 	Clock   port.Clock
 	Logger  *slog.Logger
+	// EventBytesPerSecond is the budget for reading cache events; 0 reads none.
+	EventBytesPerSecond int
+	// Router is the name of this router.
+	Router string
 }
 
 // Observer reads one engine at a time, in turn.
 type Observer struct {
 	Deps
 	turn int
+	// targets are the engines of the snapshot.
+	snapshot *config.Snapshot
+	targets  []engineTarget
+	events   *eventFollower
 }
 
 // New returns an Observer.
-func New(d Deps) *Observer { return &Observer{Deps: d} }
+func New(d Deps) *Observer {
+	return &Observer{Deps: d, events: newEventFollower(d.EventBytesPerSecond, d.Router)}
+}
 
 // Run reads until the context ends.
 func (o *Observer) Run(ctx context.Context) error {
@@ -54,7 +64,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			o.readNext(ctx)
+			o.step(ctx)
 		}
 	}
 }
@@ -65,11 +75,17 @@
 	pool config.Pool
 }
 
-func (o *Observer) readNext(ctx context.Context) {
-	targets := engines(o.Source.Current())
+// step reads one load report, and cache events when the budget allows it.
+func (o *Observer) step(ctx context.Context) {
+	targets := o.engines()
 	if len(targets) == 0 {
 		return
 	}
+	o.readLoad(ctx, targets)
+	o.readEvents(ctx, targets)
+}
+
+func (o *Observer) readLoad(ctx context.Context, targets []engineTarget) {
 	t := targets[o.turn%len(targets)]
 	o.turn++
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -84,8 +100,19 @@
 	o.Placer.ObserveLoad(o.Clock.Now(), t.Address, report)
 }
 
+// engines lists the engines of the configuration in force.
+func (o *Observer) engines() []engineTarget {
+	if current := o.Source.Current(); current != o.snapshot {
+		o.snapshot, o.targets = current, engines(current)
+	}
+	return o.targets
+}
+
 // engines lists the targets of all engine pools; a target in two pools counts once.
 func engines(s *config.Snapshot) []engineTarget {
+	if s == nil {
+		return nil
+	}
 	var out []engineTarget
 	seen := map[string]bool{}
 	for _, pool := range s.Pools {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -23,6 +23,7 @@
 	s.checkTelemetry(d)
 	checkRange(d, "/resources/index_bytes", s.Resources.IndexBytes, 1<<20, 1<<34)
 	checkRange(d, "/resources/queue_requests", s.Resources.QueueRequests, 1, 1_000_000)
+	checkRange(d, "/resources/event_bytes_per_s", s.Resources.EventBytesPerS, 0, 1<<24)
 	checkRange(d, "/shutdown/drain_timeout_s", s.Shutdown.DrainTimeoutS, 0, 3600)
 	checkRange(d, "/shutdown/unready_ms", s.Shutdown.UnreadyMs, 0, 60_000)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -121,6 +121,10 @@
 	IndexBytes int `json:"index_bytes"`
 	// QueueRequests bounds the requests waiting for a target. Default 2000.
 	QueueRequests int `json:"queue_requests"`
+	// EventBytesPerS bounds the reading of cache events of engines, in bytes per
+	// second; 0 reads none. With the 900 of load reports and the exchanges with
+	// peers it stays below the 2 KB/s of a router. Default 500.
+	EventBytesPerS int `json:"event_bytes_per_s"`
 	// Seed of random choices; 0 takes one from the system. Default 0.
 	Seed int64 `json:"seed"`
 }
@@ -162,7 +166,7 @@
 		},
 		Platform:  Platform{RetentionS: 7 * 24 * 3600, AppendsPerSecond: 20, VMListPollMs: 1000},
 		Telemetry: Telemetry{LogLevel: "info", LogFormat: "json", TraceRatio: 1},
-		Resources: Resources{IndexBytes: 64 << 20, QueueRequests: 2000},
+		Resources: Resources{IndexBytes: 64 << 20, QueueRequests: 2000, EventBytesPerS: 500},
 		Shutdown:  Shutdown{DrainTimeoutS: 120, UnreadyMs: 1000},
 	}
 }
