--- a/cmd/mimosaseam/leaving.go
+++ b/cmd/mimosaseam/leaving.go
@@ -44,6 +44,10 @@
 // an address of the configuration, the mark means the target of that name, but
 // only when one address has it: other teams may use the name for another target.
 func leavingAddresses(marks []port.TargetMark, addressOf func(vm string) string, s *config.Snapshot) map[string]bool {
+	leaving := map[string]bool{}
+	if len(marks) == 0 {
+		return leaving
+	}
 	named := map[string]string{}
 	ambiguous := map[string]bool{}
 	known := map[string]bool{}
@@ -56,7 +60,6 @@
 			named[t.Name] = t.Address
 		}
 	}
-	leaving := map[string]bool{}
 	for _, m := range marks {
 		switch address := addressOf(m.Target); {
 		case known[address]:
--- a/internal/app/router/decision_bench_test.go
+++ b/internal/app/router/decision_bench_test.go
@@ -10,6 +10,7 @@
 	"mimosaseam.example/mimosaseam/internal/core/config"
 	"mimosaseam.example/mimosaseam/internal/core/membership"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -58,18 +59,25 @@
 }
 
 // BenchmarkDecision measures planning, admission and choice of a target without
-// I/O. In "one open circuit" one target of the pool is out of use.
+// I/O: with all targets usable, with one open circuit, and with a target that
+// restarts before each decision.
 func BenchmarkDecision(b *testing.B) {
 	for _, targets := range []int{12, 500, 5100} {
-		for _, open := range []int{0, 1} {
-			b.Run(fmt.Sprintf("targets=%d/circuits_open=%d", targets, open), func(b *testing.B) {
-				benchmarkDecision(b, targets, open)
+		for _, state := range []string{benchUsable, benchOpen, benchRestarts} {
+			b.Run(fmt.Sprintf("targets=%d/%s", targets, state), func(b *testing.B) {
+				benchmarkDecision(b, targets, state)
 			})
 		}
 	}
 }
 
-func benchmarkDecision(b *testing.B, targets, open int) {
+const (
+	benchUsable   = "all_usable"
+	benchOpen     = "one_open_circuit"
+	benchRestarts = "restarts"
+)
+
+func benchmarkDecision(b *testing.B, targets int, state string) {
 	snap := largeConfig(targets)
 	pool := snap.Pools[config.Ref{Team: "team", Name: "pool"}]
 	r := New(Deps{Engine: &fakeEngine{}, Service: &fakeService{}, Runner: &fakeRunner{}, Source: fixedSource{snap},
@@ -77,8 +85,8 @@
 	for i, t := range pool.Targets {
 		r.Targets.Observe(t.Address, port.Incarnation(fmt.Sprint(i)), "v1", 0)
 	}
-	for i := range open {
-		r.circuits.Failure(time.Now().Add(time.Hour), pool.Targets[i].Address, 1)
+	if state == benchOpen {
+		r.circuits.Failure(time.Now().Add(time.Hour), pool.Targets[0].Address, retry.Down)
 	}
 	var requests [benchAccounts]CompletionRequest
 	for i := range requests {
@@ -107,6 +115,9 @@
 	b.ReportAllocs()
 	b.ResetTimer()
 	for i := range b.N {
+		if state == benchRestarts {
+			r.Targets.Observe(pool.Targets[0].Address, port.Incarnation(fmt.Sprint("life", i)), "v1", 0)
+		}
 		decide(i)
 	}
 }
--- a/internal/core/limits/controller.go
+++ b/internal/core/limits/controller.go
@@ -196,16 +196,9 @@
 // the prefix to a free target that does not.
 const overcommitFactor = 1.5
 
-// TargetFree reports whether the target is below this router's share of its
-// concurrency.
-func (c *Controller) TargetFree(target string, slots int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return float64(c.targets[target]) < overcommitFactor*float64(c.divider.target(target, slots))
-}
-
-// FullTargets lists the targets that are not TargetFree. It looks only at those
-// with requests of this router, because an idle target is free.
+// FullTargets lists the targets that reached this router's share of their
+// concurrency. It looks only at those with requests of this router, because
+// every other target has room.
 func (c *Controller) FullTargets(slots int) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
