--- a/internal/core/limits/controller.go
+++ b/internal/core/limits/controller.go
@@ -171,13 +171,7 @@
 }
 
 // capacity is the number of requests that this router may run in the pool.
-func (c *Controller) capacity(a Ask) int {
-	sum := 0
-	for _, t := range a.Targets {
-		sum += c.divider.target(t, a.Slots)
-	}
-	return sum
-}
+func (c *Controller) capacity(a Ask) int { return c.divider.capacity(a) }
 
 func (c *Controller) account(name string) *account {
 	a := c.accounts[name]
@@ -191,7 +185,7 @@
 func (c *Controller) pool(name string) *pool {
 	p := c.pools[name]
 	if p == nil {
-		p = &pool{accounts: map[string]*accountQueue{}}
+		p = &pool{accounts: map[string]*accountQueue{}, busy: map[string]*accountQueue{}}
 		c.pools[name] = p
 	}
 	return p
@@ -202,12 +196,19 @@
 // the prefix to a free target that does not.
 const overcommitFactor = 1.5
 
-// TargetFree reports whether the target is below this router's share of its
-// concurrency.
-func (c *Controller) TargetFree(target string, slots int) bool {
+// FullTargets lists the targets that reached this router's share of their
+// concurrency. It looks only at those with requests of this router, because
+// every other target has room.
+func (c *Controller) FullTargets(slots int) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return float64(c.targets[target]) < overcommitFactor*float64(c.divider.target(target, slots))
+	var full []string
+	for target, n := range c.targets {
+		if float64(n) >= overcommitFactor*float64(c.divider.target(target, slots)) {
+			full = append(full, target)
+		}
+	}
+	return full
 }
 
 // StartTarget counts a request that is sent to the target.
