Placement driver: spend the control budget on profiles, follow events when cheap

Stores no longer refresh what own requests told, and an eviction that is read within 3 s of an own request is taken to be older than it.

--- a/internal/bench/placement/driver.go
+++ b/internal/bench/placement/driver.go
@@ -90,7 +90,9 @@
 	computed map[port.BlockHash]bool
 	scopeOf  map[port.BlockHash]string
 	m        metrics
-	log      []byte
+	// log is the last summary appended, logTurn counts them.
+	log     []byte
+	logTurn int
 }
 
 // options vary one run.
@@ -133,7 +135,7 @@
 	region := d.w.region(i)
 	return &router{name: "router-" + strconv.Itoa(i+1), region: region, placer: d.opt.make(d.opt.seed*1000+uint64(i), region),
 		broken: map[string]time.Duration{}, cold: map[string]time.Duration{}, seen: map[string]port.Incarnation{},
-		next: exchange{read: map[string]uint64{}}}
+		next: exchange{read: map[string]uint64{}, cost: controlBudget * eventWindow.Seconds()}}
 }
 
 // epoch is the wall time at which the virtual clock starts.
@@ -309,6 +311,7 @@
 	}
 	d.after(d.link(r, e), func() {
 		r.placer.Finished(d.clock(d.now), j.req.core, e.name, inc, j.cached)
+		r.next.missed += float64(j.req.a.prompt - j.cached)
 		d.open--
 		d.m.completed++
 	})
--- a/internal/bench/placement/engine.go
+++ b/internal/bench/placement/engine.go
@@ -19,7 +19,7 @@
 	// queueFactor bounds the queue of an engine, in multiples of its slots.
 	queueFactor = 8
 	// keptEvents bounds the cache events that an engine keeps for readers.
-	keptEvents = 4096
+	keptEvents = 512
 )
 
 // job is one attempt on an engine.
--- a/internal/bench/placement/upkeep.go
+++ b/internal/bench/placement/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	core "mimosaseam.example/mimosaseam/internal/core/placement"
@@ -10,17 +11,29 @@
 
 const (
 	// loadReadsPerSecond is the number of load reports a router reads per
-	// second. At 220 bytes each they take half of the control budget.
-	loadReadsPerSecond = 4
+	// second, about 220 bytes each. Four a second gave no better placement.
+	loadReadsPerSecond = 1
 	// controlBudget is the number of control bytes per second for each router.
-	controlBudget = 2000
+	// Profiles and cache events are sent while it leaves room.
+	controlBudget = 1800
+	// maxCounts bounds the in-flight counts in one exchange.
+	maxCounts = 16
+	// eventWindow is the time after which the number of targets whose cache
+	// events are followed is set anew.
+	eventWindow = 10 * time.Second
+	// eventCostStep is the gain of the average cost of events. The estimate
+	// starts at the whole budget, so events are followed only once they are
+	// known to be cheap.
+	eventCostStep = 0.1
+	// blockEventBytes is the size of a block hash in an event.
+	blockEventBytes = 19
 	// eventReadInterval is the time between reads of cache events.
 	eventReadInterval = 500 * time.Millisecond
 	// profileEvery is the number of exchanges after which profiles go along, and
 	// profileBytes their size.
-	profileEvery, profileBytes = 10, 1024
+	profileEvery, profileBytes = 4, 1024
 	// logSummaryInterval and logSummaryBytes are those of the hot-prefix summary
-	// that one router appends to the log.
+	// that the routers append to the log in turn.
 	logSummaryInterval = 30 * time.Second
 	logSummaryBytes    = 32 << 10
 	// exchangeHeadBytes is what an exchange carries besides counts and profiles:
@@ -36,9 +49,16 @@
 	loadTurn int
 	// read is the last sequence number read from each target followed.
 	read map[string]uint64
-	// eventTarget is the number of targets whose cache events are followed.
+	// eventTargets is the number of targets whose cache events are followed,
+	// events the bytes read of them in this window.
 	eventTargets int
-	window       float64
+	events       float64
+	// cost is the estimated size of one target's events in a window, in bytes.
+	cost float64
+	// missed is the number of tokens that requests missed in this window.
+	missed float64
+	// total is the sum of all control bytes at the start of the window.
+	total float64
 }
 
 // observesRouters is implemented by placers that want the number of routers.
@@ -51,6 +71,7 @@
 	d.every(time.Second, d.exchangeAll)
 	d.every(time.Second/loadReadsPerSecond, d.readLoads)
 	d.every(eventReadInterval, d.readEvents)
+	d.every(eventWindow, d.budgetEvents)
 	d.every(100*time.Millisecond, func() {
 		for _, e := range d.engines {
 			e.sample()
@@ -90,13 +111,13 @@
 }
 
 func (d *driver) send(from, to *router) {
-	counts := from.placer.InFlight()
+	counts := top(from.placer.InFlight(), maxCounts)
 	bytes := float64(exchangeHeadBytes)
 	for name := range counts {
 		bytes += float64(len(name) + 4)
 	}
 	to.placer.ObservePeer(d.clock(d.now), from.name, counts)
-	if from.next.turn%profileEvery == 0 {
+	if from.next.turn%profileEvery == 0 && d.hasRoom(from) && d.hasRoom(to) {
 		summary := from.placer.Summary(d.clock(d.now), profileBytes)
 		bytes += float64(len(summary))
 		_ = to.placer.Restore(d.clock(d.now), summary)
@@ -105,6 +126,40 @@
 	to.bytes += bytes
 }
 
+// top keeps the n largest counts.
+func top(counts map[string]int, n int) map[string]int {
+	names := sortedKeys(counts)
+	if len(names) <= n {
+		return counts
+	}
+	slices.SortStableFunc(names, func(a, b string) int { return counts[b] - counts[a] })
+	for _, name := range names[n:] {
+		delete(counts, name)
+	}
+	return counts
+}
+
+// hasRoom says whether a router used less than its control budget so far.
+func (d *driver) hasRoom(r *router) bool { return r.bytes <= controlBudget*d.now.Seconds() }
+
+// budgetEvents follows the cache events of as many targets as fit the budget
+// next to the other control traffic. What events cost is estimated from the
+// tokens that the router's own requests missed: each block is stored once and
+// evicted once.
+func (d *driver) budgetEvents() {
+	for _, r := range d.routers {
+		x := &r.next
+		perTarget := float64(len(d.routers)) / float64(len(d.engines)*d.w.BlockTokens) * 2 * blockEventBytes
+		x.cost += eventCostStep * (x.missed*perTarget - x.cost)
+		room := controlBudget*eventWindow.Seconds() - (r.bytes - x.total - x.events)
+		x.eventTargets = min(len(d.engines), max(0, int(room/(2*x.cost+1))))
+		if !d.hasRoom(r) {
+			x.eventTargets = 0
+		}
+		x.total, x.events, x.missed = r.bytes, 0, 0
+	}
+}
+
 func (d *driver) readLoads() {
 	for i, r := range d.routers {
 		e := d.engines[(r.next.loadTurn+i)%len(d.engines)]
@@ -134,6 +189,7 @@
 			}
 			events := e.eventsAfter(after)
 			r.bytes += eventBytes(events)
+			r.next.events += eventBytes(events)
 			r.placer.ObserveEvents(d.clock(d.now), e.name, after, events)
 			if n := len(events.Events); n > 0 {
 				after = events.Events[n-1].Seq
@@ -148,17 +204,19 @@
 func eventBytes(events port.CacheEvents) float64 {
 	bytes := 2 * readHeadBytes
 	for _, e := range events.Events {
-		bytes += 60 + len(e.Scope) + 19*len(e.Blocks)
+		bytes += 60 + len(e.Scope) + blockEventBytes*len(e.Blocks)
 	}
 	return float64(bytes)
 }
 
 func (d *driver) appendSummary() {
-	summary := d.routers[0].placer.Summary(d.clock(d.now), logSummaryBytes)
+	r := d.routers[d.logTurn%len(d.routers)]
+	d.logTurn++
+	summary := r.placer.Summary(d.clock(d.now), logSummaryBytes)
 	if len(summary) > 0 {
 		d.log = summary
 	}
-	d.routers[0].bytes += float64(len(summary))
+	r.bytes += float64(len(summary))
 }
 
 func (d *driver) crashOne() {
--- a/internal/core/placement/events.go
+++ b/internal/core/placement/events.go
@@ -45,19 +45,23 @@
 			continue
 		}
 		if e.Op == port.CacheEvict {
-			at.segment.evicted(t.id, int32(at.index))
+			at.segment.evicted(t.id, int32(at.index), now)
 			continue
 		}
 		at.segment.stored(t, int32(at.index), now, p.cfg.MaxHolders)
 	}
 }
 
+// evictionLag is the age under which an own request is taken to be later than
+// an eviction that is read now: events arrive late.
+const evictionLag = 3 * time.Second
+
 // evicted notes that the target lost the block at the index and, as a prefix
 // is useless without it, all blocks after it.
-func (s *segment) evicted(target, index int32) {
+func (s *segment) evicted(target, index int32, now time.Time) {
 	h := s.holder(target)
 	switch {
-	case h == nil:
+	case h == nil || h.eventRun == 0 && h.age(now) < evictionLag:
 	case index == 0:
 		s.dropHolder(target)
 	default:
@@ -66,18 +70,15 @@
 }
 
 // stored notes that the target got the block at the index. Blocks are stored in
-// order, so a block counts only when those before it are held.
+// order, so a block counts only when those before it are held. What the own
+// requests told is left alone: it outlives a gap in the events.
 func (s *segment) stored(t *targetState, index int32, now time.Time, limit int) {
 	h := s.holder(t.id)
-	if !t.valid(h) {
-		if index > 0 {
-			return
-		}
+	switch {
+	case index == 0 && (!t.valid(h) || h.eventRun != 0 || h.age(now) > evictionLag):
 		s.setHolder(holder{target: t.id, epoch: t.epoch, blocks: 1, eventRun: t.events.run, last: now.UnixNano()}, limit)
-		return
-	}
-	if index == h.blocks {
+	case t.valid(h) && h.eventRun != 0 && index == h.blocks:
 		h.blocks++
+		h.last = now.UnixNano()
 	}
-	h.last = max(h.last, now.UnixNano())
 }
