--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -9,6 +9,10 @@
 // into a number of requests.
 const minMissed = 400
 
+// overflowShare is the share of the miss weight on the target next to the home
+// targets in the order: routers agree on it, so a copy there is of some use to all.
+const overflowShare = 0.5
+
 // slowStart is the time over which a cold target's penalty fades.
 const slowStart = 30 * time.Second
 
@@ -41,7 +45,11 @@
 	if order < v.spread {
 		return 0
 	}
-	return p.cfg.MissWeight * (1 + queuedTokens/max(p.missed, minMissed))
+	weight := p.cfg.MissWeight
+	if order == v.spread {
+		weight *= overflowShare
+	}
+	return weight * (1 + queuedTokens/max(p.missed, minMissed))
 }
 
 func (p *Policy) linkMs(target Target) float64 {
