--- a/internal/core/placement/policy.go
+++ b/internal/core/placement/policy.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -110,24 +112,30 @@
 	defer p.mu.Unlock()
 	for name, old := range p.peers {
 		if name == peer || now.Sub(old.at) > peerFreshFor {
-			p.addPeerCounts(old.counts, -1)
+			p.forgetPeer(old)
 			delete(p.peers, name)
 		}
 	}
 	state := &peerState{at: now, counts: make(map[string]int, min(len(inFlight), p.cfg.MaxPeerTargets))}
-	for target, n := range inFlight {
-		if len(state.counts) < p.cfg.MaxPeerTargets || p.targets[target] != nil && len(inFlight) <= p.cfg.MaxPeerTargets {
-			state.counts[target] = n
+	// In name order, so that a run with the same seed numbers targets alike.
+	for _, target := range slices.Sorted(maps.Keys(inFlight)) {
+		if len(state.counts) == p.cfg.MaxPeerTargets {
+			break
 		}
+		state.counts[target] = inFlight[target]
+		p.target(target).peers += inFlight[target]
 	}
-	p.addPeerCounts(state.counts, 1)
 	p.peers[peer] = state
 	p.routers = max(p.routers, len(p.peers)+1)
 }
 
-func (p *Policy) addPeerCounts(counts map[string]int, sign int) {
-	for name, n := range counts {
-		p.target(name).peers += sign * n
+// forgetPeer takes the counts of a peer off. A target that was replaced in the
+// meantime has none of them.
+func (p *Policy) forgetPeer(old *peerState) {
+	for name, n := range old.counts {
+		if t, ok := p.targets[name]; ok {
+			t.peers = max(0, t.peers-n)
+		}
 	}
 }
 
--- a/internal/core/placement/settings.go
+++ b/internal/core/placement/settings.go
@@ -17,6 +17,8 @@
 	MaxSegments int `json:"max_segments"`
 	// MaxHolders bounds the targets remembered for each segment. Default 8.
 	MaxHolders int `json:"max_holders"`
+	// MaxTargets bounds the targets kept. Default 20000.
+	MaxTargets int `json:"max_targets"`
 	// MaxPeerTargets bounds the in-flight counts kept from one peer. Default 64.
 	MaxPeerTargets int `json:"max_peer_targets"`
 	// IdleSegmentS is the time without use after which a segment is forgotten,
@@ -48,7 +50,7 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
-		MaxBlocks: 300000, MaxSegments: 50000, MaxHolders: 8, MaxPeerTargets: 64,
+		MaxBlocks: 300000, MaxSegments: 50000, MaxHolders: 8, MaxTargets: 20000, MaxPeerTargets: 64,
 		IdleSegmentS: 300, RateWindowS: 30, CacheShare: 0.05, MaxReplication: 0.5, LoadShare: 0.5, MissWeight: 1,
 		InterRegionMs: 12, InterZoneMs: 1, IdleSample: 4,
 	}
@@ -59,6 +61,7 @@
 	defaultTo(&s.MaxBlocks, d.MaxBlocks)
 	defaultTo(&s.MaxSegments, d.MaxSegments)
 	defaultTo(&s.MaxHolders, d.MaxHolders)
+	defaultTo(&s.MaxTargets, d.MaxTargets)
 	defaultTo(&s.MaxPeerTargets, d.MaxPeerTargets)
 	defaultTo(&s.IdleSegmentS, d.IdleSegmentS)
 	defaultTo(&s.RateWindowS, d.RateWindowS)
--- a/internal/core/placement/targets.go
+++ b/internal/core/placement/targets.go
@@ -26,7 +26,9 @@
 	hash        uint64
 	incarnation port.Incarnation
 	past        []port.Incarnation
-	weights     string
+	// touched is when the target was last ranked, used or reported.
+	touched time.Time
+	weights string
 	// epoch numbers the lives of the target's cache; holders of older epochs
 	// count for nothing.
 	epoch    uint32
@@ -78,15 +80,37 @@
 
 func (p *Policy) target(name string) *targetState {
 	if t, ok := p.targets[name]; ok {
+		t.touched = p.latest
 		return t
 	}
-	t := &targetState{id: int32(len(p.byID)), name: name, hash: xxhash.Sum64String(name), epoch: 1}
+	t := &targetState{id: int32(len(p.byID)), name: name, hash: xxhash.Sum64String(name), epoch: 1, touched: p.latest}
 	t.events.run = 1
+	if old := p.oldestTarget(); old != nil {
+		// Holders name targets by id; the next epoch voids those of the old one.
+		t.id, t.epoch, t.events.run = old.id, old.epoch+1, old.events.run+1
+		delete(p.targets, old.name)
+		p.byID[t.id] = t
+	} else {
+		p.byID = append(p.byID, t)
+	}
 	p.targets[name] = t
-	p.byID = append(p.byID, t)
 	return t
 }
 
+// oldestTarget returns the idle target to replace when the bound is reached.
+func (p *Policy) oldestTarget() *targetState {
+	if len(p.byID) < p.cfg.MaxTargets {
+		return nil
+	}
+	var oldest *targetState
+	for _, t := range p.byID {
+		if len(t.attempts) == 0 && (oldest == nil || t.touched.Before(oldest.touched)) {
+			oldest = t
+		}
+	}
+	return oldest
+}
+
 // adopt takes note of the incarnation that a target reported and says whether
 // it is the current one. An incarnation that was replaced never returns.
 func (t *targetState) adopt(now time.Time, inc port.Incarnation) bool {
