--- a/internal/app/configsync/snapshots.go
+++ b/internal/app/configsync/snapshots.go
@@ -49,11 +49,11 @@
 	t.pick(random)
 }
 
-// seen counts a snapshot record if it is usable and fresh, so that a broken
-// writer cannot keep the others from writing.
-func (t *snapshotTimes) seen(systemKey ed25519.PublicKey, rec port.Record, random float64) {
+// seen counts a snapshot record if it is fresh and agrees with the own state,
+// so that a broken writer cannot keep the others from writing.
+func (t *snapshotTimes) seen(own *config.State, systemKey ed25519.PublicKey, rec port.Record, random float64) {
 	state, err := config.DecodeSnapshot(systemKey, rec.Data)
-	if err != nil || state.Applied() >= rec.Offset || rec.Offset-state.Applied() > maxSnapshotLag {
+	if err != nil || state.Applied() >= rec.Offset || rec.Offset-state.Applied() > maxSnapshotLag || !own.Confirms(state) {
 		return
 	}
 	t.adopted(rec.AppendedAt, random)
--- a/internal/core/config/snapshot.go
+++ b/internal/core/config/snapshot.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"cmp"
 	"crypto/ed25519"
 	"encoding/json"
@@ -138,6 +139,23 @@
 	return nil
 }
 
+// Confirms reports whether an earlier state, read from a snapshot record,
+// agrees with this one on all paths that did not change since.
+func (s *State) Confirms(earlier *State) bool {
+	for path, e := range s.entries {
+		old, ok := earlier.entries[path]
+		if e.revision <= earlier.applied && (!ok || old.revision != e.revision || !bytes.Equal(old.value, e.value)) {
+			return false
+		}
+	}
+	for path, e := range earlier.entries {
+		if _, ok := s.entries[path]; !ok && e.value != nil {
+			return false
+		}
+	}
+	return earlier.applied <= s.applied
+}
+
 // Compile returns the state as an immutable snapshot that shares no memory
 // with the fold or with other snapshots.
 func (s *State) Compile() *Snapshot {
