Hold less memory per open stream in the engine client and encode prompts faster

The request body is let go once the answer begins, and the buffers of a connection and of a stream shrink to 1 KiB.

--- a/cmd/measure/relay.go
+++ b/cmd/measure/relay.go
@@ -33,6 +33,7 @@
 	c.Duration(&c.options.TokenInterval, "i", "token-interval", "time between two tokens of a stream (default 30ms)")
 	c.UInt64(&c.options.Seed, "s", "seed", "seed of prompts and starts")
 	c.Int(&c.cores, "c", "cores", "cores used by callers, router and engine together")
+	c.String(&c.options.ProfileDir, "d", "profile-dir", "directory for CPU and heap profiles; they slow the run down")
 	c.Bool(&c.asJSON, "j", "json", "print JSON instead of a table")
 	flaggy.AttachSubcommand(c.Subcommand, 1)
 	return c
--- a/internal/adapter/enginehttp/chunk.go
+++ b/internal/adapter/enginehttp/chunk.go
@@ -56,7 +56,7 @@
 }
 
 // parsePlain decodes a chunk in the form that engines send for all chunks but
-// the last, without reflection. It refuses all it is not sure of: escapes,
+// the last, without reflection. It refuses all it is not sure of: \u escapes,
 // control characters, invalid UTF-8, other fields, another order of fields.
 func parsePlain(data []byte) (port.Chunk, bool) {
 	rest, ok := bytes.CutPrefix(data, indexPart)
@@ -74,21 +74,59 @@
 	if rest, ok = bytes.CutPrefix(rest[digits:], textPart); !ok {
 		return port.Chunk{}, false
 	}
-	text, ok := bytes.CutSuffix(rest, endPart)
-	if !ok || !plainText(text) {
+	inside, ok := bytes.CutSuffix(rest, endPart)
+	if !ok {
 		return port.Chunk{}, false
 	}
-	return port.Chunk{Index: index, Text: string(text)}, true
+	text, ok := unquote(inside)
+	return port.Chunk{Index: index, Text: text}, ok
 }
 
-// plainText reports whether the inside of a JSON string stands for itself.
-func plainText(text []byte) bool {
-	ascii := true
-	for _, c := range text {
-		if c < ' ' || c == '"' || c == '\\' {
-			return false
+// unquote decodes the inside of a JSON string.
+func unquote(inside []byte) (string, bool) {
+	ascii, escaped := true, false
+	for i := 0; i < len(inside); i++ {
+		c := inside[i]
+		if c == '\\' {
+			// The escaped character is checked when it is decoded.
+			escaped = true
+			i++
+			continue
+		}
+		if c < ' ' || c == '"' {
+			return "", false
 		}
 		ascii = ascii && c < utf8.RuneSelf
 	}
-	return ascii || utf8.Valid(text)
+	if !ascii && !utf8.Valid(inside) {
+		return "", false
+	}
+	if escaped {
+		return unescape(inside)
+	}
+	return string(inside), true
+}
+
+// unescape decodes escapes of one character; it refuses \u, which is rare.
+func unescape(inside []byte) (string, bool) {
+	out := make([]byte, 0, len(inside))
+	for i := 0; i < len(inside); i++ {
+		c := inside[i]
+		if c == '\\' {
+			i++
+			if i == len(inside) {
+				return "", false
+			}
+			if c = unescaped[inside[i]]; c == 0 {
+				return "", false
+			}
+		}
+		out = append(out, c)
+	}
+	return string(out), true
+}
+
+// unescaped maps the character after a backslash to the one it stands for.
+var unescaped = [256]byte{
+	'"': '"', '\\': '\\', '/': '/', 'b': '\b', 'f': '\f', 'n': '\n', 'r': '\r', 't': '\t',
 }
--- a/internal/adapter/enginehttp/chunk_test.go
+++ b/internal/adapter/enginehttp/chunk_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"io"
 	"net/http"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -19,7 +20,7 @@
 func TestPlainChunksDecodeAsJSON(t *testing.T) {
 	is.New(t).NoErr(flag.Set("rapid.seed", "1"))
 	rapid.Check(t, func(t *rapid.T) {
-		text := rapid.OneOf(rapid.String(), rapid.StringMatching(`[ -~]*`), rapid.Map(rapid.SliceOf(rapid.Byte()), func(b []byte) string { return string(b) })).Draw(t, "text")
+		text := rapid.OneOf(rapid.String(), rapid.StringMatching(`[ -~]*`), rapid.StringMatching(`(a|ö|\\["\\/bfnrtux]|\\u00e9|\\)*`), rapid.Map(rapid.SliceOf(rapid.Byte()), func(b []byte) string { return string(b) })).Draw(t, "text")
 		index := rapid.SampledFrom([]string{"0", "7", "07", "-1", "123456789", "1234567890", "1e2", "", "9999999999999999999999"}).Draw(t, "index")
 		data := []byte(`{"index":` + index + `,"text":"` + text + `","finish_reason":null}`)
 		var wire wireChunk
@@ -31,6 +32,37 @@
 	})
 }
 
+// Guards against prompts that reach the engine changed.
+func TestCompletionsEncodeAsJSON(t *testing.T) {
+	is.New(t).NoErr(flag.Set("rapid.seed", "1"))
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.OneOf(rapid.String(), rapid.StringMatching(`[a-z"\\\n\t\x01<>&]*`), rapid.Map(rapid.SliceOf(rapid.Byte()), func(b []byte) string { return string(b) }))
+		g := port.Generation{
+			Model: text.Draw(t, "model"), Prompt: text.Draw(t, "prompt"), MaxTokens: rapid.IntRange(0, 1<<30).Draw(t, "tokens"),
+			Priority: rapid.Int().Draw(t, "priority"), ResumeFrom: rapid.IntRange(0, 2).Draw(t, "from"), ResumeText: text.Draw(t, "text"),
+		}
+		want := map[string]any{
+			"model": g.Model, "prompt": g.Prompt, "priority": g.Priority, "stream": true,
+		}
+		if g.MaxTokens != 0 {
+			want["max_tokens"] = g.MaxTokens
+		}
+		if g.ResumeFrom > 0 {
+			want["resume"] = map[string]any{"from": g.ResumeFrom, "text": g.ResumeText}
+		}
+		wanted, _ := json.Marshal(want)
+		var got any
+		if err := json.Unmarshal(encodeCompletion(g), &got); err != nil {
+			t.Fatal(err)
+		}
+		var same any
+		_ = json.Unmarshal(wanted, &same)
+		if !reflect.DeepEqual(got, same) {
+			t.Fatalf("encoded %v, want %v", got, same)
+		}
+	})
+}
+
 func read(body string) ([]port.Chunk, error) {
 	s := newStream("e", &http.Response{Body: io.NopCloser(strings.NewReader(body))}, func() {}, 4096)
 	defer s.Close()
--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -4,7 +4,6 @@
 package enginehttp
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -79,12 +78,13 @@
 // exchange sends one request with a JSON body, if in is not nil, and reads the
 // whole answer.
 func (c *Client) exchange(ctx context.Context, method string, u *url.URL, in any) (*http.Response, []byte, error) {
-	var body []byte
+	var body *payload
 	if in != nil {
-		var err error
-		if body, err = json.Marshal(in); err != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
 			return nil, nil, &httpconn.Failure{NothingSent: true, Cause: err}
 		}
+		body = &payload{data: data}
 	}
 	response, err := c.pool.Send(ctx, func(ctx context.Context) (*http.Request, error) {
 		return newRequest(ctx, method, u, nil, body), nil
@@ -105,7 +105,7 @@
 
 // newRequest sets GetBody, which lets net/http repeat a request of which
 // nothing was written. It repeats no other POST without an Idempotency-Key.
-func newRequest(ctx context.Context, method string, u *url.URL, header http.Header, body []byte) *http.Request {
+func newRequest(ctx context.Context, method string, u *url.URL, header http.Header, body *payload) *http.Request {
 	if header == nil {
 		header = make(http.Header, 1)
 	}
@@ -115,9 +115,9 @@
 	}).WithContext(ctx)
 	if body != nil {
 		header["Content-Type"] = []string{"application/json"}
-		r.ContentLength = int64(len(body))
-		r.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
-		r.Body, _ = r.GetBody()
+		r.ContentLength = int64(len(body.data))
+		r.GetBody = body.open
+		r.Body, _ = body.open()
 	}
 	return r
 }
--- a/internal/adapter/enginehttp/generate.go
+++ b/internal/adapter/enginehttp/generate.go
@@ -1,9 +1,7 @@
 package enginehttp
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -14,20 +12,6 @@
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
-type wireCompletion struct {
-	Model     string      `json:"model"`
-	Prompt    string      `json:"prompt"`
-	MaxTokens int         `json:"max_tokens,omitempty"`
-	Stream    bool        `json:"stream"`
-	Priority  int         `json:"priority,omitempty"`
-	Resume    *wireResume `json:"resume,omitempty"`
-}
-
-type wireResume struct {
-	From int    `json:"from"`
-	Text string `json:"text"`
-}
-
 // Generate starts an attempt and returns once the engine has accepted or
 // refused it. The returned stream must be closed.
 func (c *Client) Generate(ctx context.Context, address string, g port.Generation) (port.ChunkStream, error) {
@@ -46,14 +30,12 @@
 	if leftMs < 0 {
 		return nil, &port.NotRunError{Target: address, Reason: port.NotRunUnreachable, Cause: ErrDeadlinePassed}
 	}
-	body, err := encodeCompletion(g)
-	if err != nil {
-		return nil, &port.BadRequestError{Peer: address, Status: http.StatusBadRequest, Message: err.Error()}
-	}
+	body := &payload{data: encodeCompletion(g)}
 	u := c.url(address, "/v1/completions", "")
 	response, err := c.pool.Send(ctx, func(ctx context.Context) (*http.Request, error) {
 		return newRequest(ctx, http.MethodPost, u, completionHeader(g, leftMs), body), nil
 	})
+	body.release()
 	if err != nil {
 		return nil, attemptFailure(address, err)
 	}
@@ -69,23 +51,6 @@
 	return nil, c.refused(address, response, data)
 }
 
-// encodeCompletion leaves HTML characters as they are: escaping them makes
-// large prompts larger and slower to encode.
-func encodeCompletion(g port.Generation) ([]byte, error) {
-	in := wireCompletion{
-		Model: g.Model, Prompt: g.Prompt, MaxTokens: g.MaxTokens, Stream: true, Priority: g.Priority,
-	}
-	if g.ResumeFrom > 0 {
-		in.Resume = &wireResume{From: g.ResumeFrom, Text: g.ResumeText}
-	}
-	var b bytes.Buffer
-	b.Grow(len(g.Prompt) + len(g.Prompt)/16 + 256)
-	encoder := json.NewEncoder(&b)
-	encoder.SetEscapeHTML(false)
-	err := encoder.Encode(in)
-	return b.Bytes(), err
-}
-
 func completionHeader(g port.Generation, leftMs int64) http.Header {
 	h := make(http.Header, 8)
 	set := func(name, value string) {
--- /dev/null
+++ b/internal/adapter/enginehttp/payload.go
@@ -0,0 +1,53 @@
+package enginehttp
+
+import (
+	"io"
+	"sync"
+)
+
+// payload is the body of one request. net/http keeps the request for as long as
+// its answer is read, which for a stream is much longer than the body is
+// needed, so the payload lets go of the data as soon as the answer begins.
+type payload struct {
+	mu   sync.Mutex
+	data []byte
+}
+
+// open returns a reader of the whole body.
+func (p *payload) open() (io.ReadCloser, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return &payloadReader{rest: p.data}, nil
+}
+
+// release lets go of the data. Readers that are open keep theirs until the
+// transport closes them.
+func (p *payload) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.data = nil
+}
+
+// payloadReader reads a payload. The transport may close it during a read.
+type payloadReader struct {
+	mu   sync.Mutex
+	rest []byte
+}
+
+func (r *payloadReader) Read(b []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
+}
+
+func (r *payloadReader) Close() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rest = nil
+	return nil
+}
--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -16,7 +16,7 @@
 
 const (
 	// readerBytes holds several chunks; longer lines are gathered separately.
-	readerBytes = 2 << 10
+	readerBytes = 1 << 10
 	// drainTimeout bounds the wait for the end of an answer after its terminal
 	// mark; only a connection whose answer was read to the end is reused.
 	drainTimeout = time.Second
--- a/internal/adapter/httpconn/pool.go
+++ b/internal/adapter/httpconn/pool.go
@@ -25,8 +25,10 @@
 	maxIdlePerTarget = 1024
 	// maxHeaderBytes bounds the header of an answer.
 	maxHeaderBytes = 64 << 10
-	// bufferBytes is the size of each connection's read and write buffer.
-	bufferBytes = 4 << 10
+	// bufferBytes is the size of each connection's read and write buffer. Chunks
+	// have about 100 bytes, and larger bodies are written past the buffer, so
+	// net/http's 4 KiB would only add to the memory of each open stream.
+	bufferBytes = 1 << 10
 	// maxRetryAfter bounds what a target may ask for.
 	maxRetryAfter = 10 * time.Minute
 )
--- a/internal/bench/relay/relay.go
+++ b/internal/bench/relay/relay.go
@@ -60,6 +60,9 @@
 	PromptBytes   int
 	TokenInterval time.Duration
 	Seed          uint64
+	// ProfileDir receives a CPU profile of each round and a heap profile of each
+	// way. Empty: none, which is right for figures.
+	ProfileDir string
 	// Fronts are compared with calling the engine directly.
 	Fronts map[string]Factory
 }
--- a/internal/bench/relay/round.go
+++ b/internal/bench/relay/round.go
@@ -55,6 +55,11 @@
 		return err
 	}
 	runtime.GC()
+	stopProfile, err := o.startCPUProfile(way, n, round)
+	if err != nil {
+		return err
+	}
+	defer stopProfile()
 	cpuBefore, begin := cpuTime(), time.Now()
 	err = eachCaller(callers, func(c *caller) error {
 		// Spreads the starts over the length of a stream.
@@ -133,7 +138,8 @@
 	if err := eachCaller(callers, func(c *caller) error { return c.firstToken(o.Tokens) }); err != nil {
 		return 0, err
 	}
-	return (inUse() - before) / int64(n), nil
+	perStream := (inUse() - before) / int64(n)
+	return perStream, o.writeHeapProfile(way, n)
 }
 
 // inUse returns the bytes of live heap and of stacks.
