--- a/internal/bench/relay/relay.go
+++ b/internal/bench/relay/relay.go
@@ -80,15 +80,18 @@
 	// CPUPerToken is the CPU time of the whole process per token: callers,
 	// engine, and the front if there is one.
 	CPUPerToken time.Duration `json:"cpu_per_token_ns"`
-	// HeapPerStream is heap and stacks of the whole process per open stream.
-	HeapPerStream int64 `json:"heap_per_stream_bytes"`
+	// HeapPerStream and StackPerStream are the live heap and the stacks of the
+	// whole process per open stream.
+	HeapPerStream  int64 `json:"heap_per_stream_bytes"`
+	StackPerStream int64 `json:"stack_per_stream_bytes"`
 
 	AddedTTFTp50 time.Duration `json:"added_ttft_p50_ns"`
 	AddedTTFTp99 time.Duration `json:"added_ttft_p99_ns"`
 	// AddedTokensPerCore is the tokens that one core relays in a second: the
 	// inverse of the added CPU time per token.
-	AddedTokensPerCore  float64 `json:"added_tokens_per_second_per_core"`
-	AddedBytesPerStream int64   `json:"added_bytes_per_stream"`
+	AddedTokensPerCore float64 `json:"added_tokens_per_second_per_core"`
+	// AddedBytesPerStream is heap and stacks.
+	AddedBytesPerStream int64 `json:"added_bytes_per_stream"`
 }
 
 // Direct names the way without a front.
@@ -164,12 +167,12 @@
 	}
 	var figures []Figures
 	for _, name := range names {
-		bytes, err := o.memory(name, n)
+		heap, stack, err := o.memory(name, n)
 		if err != nil {
 			return nil, eris.Wrapf(err, "memory of %s with %d streams", name, n)
 		}
 		f := samples[name].figures(name, n)
-		f.HeapPerStream = bytes
+		f.HeapPerStream, f.StackPerStream = heap, stack
 		if name != Direct {
 			f.compare(figures[0])
 		}
@@ -184,7 +187,7 @@
 	if added := f.CPUPerToken - direct.CPUPerToken; added > 0 {
 		f.AddedTokensPerCore = float64(time.Second) / float64(added)
 	}
-	f.AddedBytesPerStream = f.HeapPerStream - direct.HeapPerStream
+	f.AddedBytesPerStream = f.HeapPerStream + f.StackPerStream - direct.HeapPerStream - direct.StackPerStream
 }
 
 // bed is an engine and, unless the way is direct, a front before it.
--- a/internal/bench/relay/round.go
+++ b/internal/bench/relay/round.go
@@ -123,33 +123,33 @@
 
 // memory returns heap and stacks per stream with n open streams that have sent
 // their first token and wait for the next.
-func (o Options) memory(way string, n int) (int64, error) {
+func (o Options) memory(way string, n int) (heap, stack int64, err error) {
 	b, err := o.open(way, idleIntervalForMemory)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	defer b.close()
-	before := inUse()
+	heapBefore, stackBefore := inUse()
 	callers, err := o.callers(b, n, 0)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	defer closeAll(callers)
 	if err := eachCaller(callers, func(c *caller) error { return c.firstToken(o.Tokens) }); err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	perStream := (inUse() - before) / int64(n)
-	return perStream, o.writeHeapProfile(way, n)
+	heap, stack = inUse()
+	return (heap - heapBefore) / int64(n), (stack - stackBefore) / int64(n), o.writeHeapProfile(way, n)
 }
 
 // inUse returns the bytes of live heap and of stacks.
-func inUse() int64 {
+func inUse() (heap, stack int64) {
 	// The second collection frees what the first moved to the pools' victims.
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc + m.StackInuse)
+	return int64(m.HeapAlloc), int64(m.StackInuse)
 }
 
 // cpuTime returns the user and system time of the process.
