--- a/cmd/mimosaseam/node.go
+++ b/cmd/mimosaseam/node.go
@@ -57,13 +57,17 @@
 	fleet        *fleet.Fleet
 	orders       *orders.Manager
 	observer     *observe.Observer
-	follower     *follow.Follower
+	followers    []*follow.Follower
 	router       *router.Router
 	callers      *callerhttp.Server
 
 	// evidence holds crash evidence that is not in the log yet.
 	evidence chan string
 
+	// joined is closed once the hot prefixes of a peer or of the log are taken,
+	// or neither can be had.
+	joined chan struct{}
+
 	mu         sync.Mutex
 	draining   bool
 	logContact time.Time
@@ -73,7 +77,7 @@
 // newNode builds the parts without starting any.
 func newNode(ctx context.Context, s settings.Settings, logger *slog.Logger) (*node, error) {
 	n := &node{settings: s, log: logger, started: time.Now(), offsets: map[string]port.Offset{},
-		evidence: make(chan string, newFingerprints)}
+		evidence: make(chan string, newFingerprints), joined: make(chan struct{})}
 	n.holder = s.VM.Name + "/" + strconv.FormatInt(n.started.UnixMilli(), 10)
 	n.metrics = telemetry.NewMetrics("mimosaseam", "mimosaseam_durations")
 	n.fingerprints = retry.NewFingerprints()
@@ -88,6 +92,7 @@
 	n.buildState()
 	n.buildFleet()
 	n.buildServing()
+	n.publishGauges()
 	return n, nil
 }
 
@@ -140,9 +145,9 @@
 		Log: n.platform.log, Engine: n.engine, Weights: n.platform.weights, Clock: port.SystemClock{},
 		Logger: n.log, Holder: n.holder, Desired: n.desired,
 	})
-	n.follower = &follow.Follower{
-		Log: n.platform.log, Stream: port.StreamFleet, Logger: n.log, Handle: n.observeFleetRecord,
-		Contact: n.noteLogContact,
+	n.followers = []*follow.Follower{
+		{Log: n.platform.log, Stream: port.StreamFleet, Logger: n.log, Handle: n.observeFleetRecord, Contact: n.noteLogContact},
+		{Log: n.platform.log, Stream: port.StreamOrders, Logger: n.log, Handle: n.orders.Observe, Tail: orders.Tail},
 	}
 	n.observer = observe.New(observe.Deps{
 		Engine: n.engine, Source: n.config, Placer: n.placer, Targets: n.targets,
@@ -266,7 +271,7 @@
 	n.logContact = time.Now()
 }
 
-// fleetRecord is a record of the fleet stream that is not a lease claim.
+// fleetRecord is a record of the fleet stream.
 type fleetRecord struct {
 	Kind         string   `json:"kind"`
 	Fingerprints []string `json:"fingerprints,omitempty"`
@@ -275,7 +280,6 @@
 const kindFingerprints = "fingerprints"
 
 func (n *node) observeFleetRecord(r port.Record) {
-	n.orders.Observe(r)
 	if time.Since(r.AppendedAt) > membership.FingerprintTTL {
 		return
 	}
