--- a/internal/adapter/servicehttp/client.go
+++ b/internal/adapter/servicehttp/client.go
@@ -28,10 +28,11 @@
 )
 
 // hopHeaders belong to one connection and are not passed on, in either
-// direction. Host and Content-Length are set by net/http.
+// direction. Host and Content-Length are set by net/http, and the body is always
+// sent at once, so there is nothing to expect.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Host", "Content-Length",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Host", "Content-Length", "Expect",
 }
 
 // Options configures a Client. Zero bounds mean the defaults.
--- /dev/null
+++ b/internal/bench/relay/relay_test.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// dropping is a front that loses the chunk with index 1.
+func dropping(address string) Front {
+	front := PassThrough(address)
+	inner := front.Handler
+	front.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { inner.ServeHTTP(dropWriter{w}, r) })
+	return front
+}
+
+type dropWriter struct{ http.ResponseWriter }
+
+func (w dropWriter) Flush() { w.ResponseWriter.(http.Flusher).Flush() }
+
+func (w dropWriter) Write(p []byte) (int, error) {
+	for event := range strings.SplitAfterSeq(string(p), "\n\n") {
+		if strings.HasPrefix(event, "id: 1\n") {
+			continue
+		}
+		if _, err := w.ResponseWriter.Write([]byte(event)); err != nil {
+			return 0, err
+		}
+	}
+	return len(p), nil
+}
+
+func options(fronts map[string]Factory) Options {
+	return Options{
+		Streams: []int{2}, Requests: 2, Rounds: 2, Tokens: 4, PromptBytes: 600,
+		TokenInterval: time.Millisecond, Seed: 1, Fronts: fronts,
+	}
+}
+
+// Guards against fronts that are not compared over the same requests.
+func TestRunMeasuresEachWay(t *testing.T) {
+	is := is.New(t)
+	figures, err := Run(options(map[string]Factory{"router": Router, "pass-through": PassThrough}))
+	is.NoErr(err)
+	is.Equal(len(figures), 3)
+	for i, way := range []string{Direct, "pass-through", "router"} {
+		is.Equal(figures[i].Way, way)
+		is.Equal(figures[i].Requests, 8)
+		is.True(figures[i].TTFTp99 >= figures[i].TTFTp50 && figures[i].TTFTp50 > 0)
+	}
+	var table bytes.Buffer
+	is.NoErr(WriteTable(&table, figures))
+	is.True(strings.Contains(table.String(), ">=50000"))
+}
+
+// Guards against figures of streams that did not arrive complete and in order.
+func TestRunFailsOnIncompleteStreams(t *testing.T) {
+	_, err := Run(options(map[string]Factory{"dropping": dropping}))
+	is.New(t).True(errors.Is(err, ErrIncomplete))
+}
+
+// Guards against quantiles that are off by one sample.
+func TestQuantile(t *testing.T) {
+	is := is.New(t)
+	var values []time.Duration
+	for i := range 100 {
+		values = append(values, time.Duration(i+1))
+	}
+	is.Equal(quantile(values, 0.50), time.Duration(50))
+	is.Equal(quantile(values, 0.99), time.Duration(99))
+	is.Equal(quantile(values[:1], 0.99), time.Duration(1))
+	is.Equal(quantile(nil, 0.5), time.Duration(0))
+}
+
+// Guards against added figures that leave out a part or have the wrong sign.
+func TestCompare(t *testing.T) {
+	is := is.New(t)
+	direct := Figures{TTFTp50: 1, TTFTp99: 2, CPUPerToken: 30 * time.Microsecond, HeapPerStream: 10, StackPerStream: 20}
+	f := Figures{TTFTp50: 5, TTFTp99: 8, CPUPerToken: 50 * time.Microsecond, HeapPerStream: 100, StackPerStream: 200}
+	f.compare(direct)
+	is.Equal(f.AddedTTFTp50, time.Duration(4))
+	is.Equal(f.AddedTTFTp99, time.Duration(6))
+	is.Equal(f.AddedTokensPerCore, 50000.0)
+	is.Equal(f.AddedBytesPerStream, int64(270))
+}
