--- a/internal/app/configsync/configsync_test.go
+++ b/internal/app/configsync/configsync_test.go
@@ -231,7 +231,10 @@
 			_, err := log.Append(ctx, port.StreamConfig, []port.Record{{ID: "junk", Data: []byte(`{"through":1,"entries":[]}`)}})
 			is.NoErr(err)
 			synctest.Wait()
-			is.True(time.Since(nodes[0].snapshots.last) < retention/2)
+			nodes[0].mu.Lock()
+			last := nodes[0].snapshots.last
+			nodes[0].mu.Unlock()
+			is.True(time.Since(last) < retention/2)
 		}
 		is.NoErr(nodes[0].WaitApplied(ctx, nodes[1].Applied()))
 		late := newSync(log, nil, 0.5)
