--- /dev/null
+++ b/internal/faultmatrix/operations_test.go
@@ -0,0 +1,226 @@
+package faultmatrix
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/core/lease"
+	"mimosaseam.example/mimosaseam/internal/harness"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+const (
+	newWeights = "v2"
+	longAnswer = 400
+	stopWait   = 60 * time.Second
+)
+
+// order changes the weights version of the engines' pool; the fault acts on
+// the first engine ordered, or on the router that holds the lease.
+func order(where int) func(*world, func(subject), fault) {
+	return func(w *world, inject func(subject), f fault) {
+		w.seen.weights = append(w.seen.weights, newWeights)
+		b := w.arm(w.engineProxies(), "POST /v1/orders", harness.ToServer, "")
+		_, err := w.sys.Put(w.ctx, map[string]any{"/demo/pools/" + harness.Model: w.sys.EnginePool(newWeights)})
+		w.must(err)
+		hit := w.hit("the order", b)
+		ordered := w.engineAt(hit.Proxy)
+		s := w.onEngine(ordered, hit)
+		if where == onRouter {
+			holder := w.holder()
+			s = w.onRouter(holder, holder.Proxy, harness.Hit{})
+		}
+		inject(s)
+		b.Release()
+		w.await("the engines that can be reached have the new weights", func() bool {
+			for _, e := range w.liveEngines() {
+				if e != ordered && w.weightsOf(e) != newWeights {
+					return false
+				}
+			}
+			return true
+		})
+		w.ask(w.ctx, w.reachableRouter(s), harness.AccountOne, w.prompt(), tokens, true, nil)()
+		w.heal()
+		w.await("all live engines have the new weights", func() bool {
+			for _, e := range w.liveEngines() {
+				if w.weightsOf(e) != newWeights {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+func (w *world) weightsOf(e *harness.Part) string {
+	var state port.EngineState
+	if harness.GetJSON(w.ctx, "http://"+e.Direct+"/v1/state", &state) != nil {
+		return ""
+	}
+	return state.WeightsVersion
+}
+
+// reachableRouter is a live router that the fault does not act on.
+func (w *world) reachableRouter(s subject) *harness.Router {
+	for _, r := range w.liveRouters() {
+		if r.Process != s.process {
+			return r
+		}
+	}
+	w.t.Fatal("no router is left")
+	return nil
+}
+
+// holder is the router that holds the lease for orders.
+func (w *world) holder() *harness.Router {
+	var answer struct {
+		Records []struct {
+			Offset port.Offset `json:"offset"`
+			Data   []byte      `json:"data"`
+		} `json:"records"`
+	}
+	w.must(harness.GetJSON(w.ctx, "http://"+w.sys.Log.Direct+"/v1/streams/fleet/records?from=1&limit=10000", &answer))
+	fold := lease.NewFold()
+	for _, r := range answer.Records {
+		if claim, err := lease.Decode(r.Data); err == nil {
+			fold.Apply(r.Offset, claim)
+		}
+	}
+	current, _ := fold.Current("orders")
+	for _, r := range w.sys.Routers {
+		if strings.HasPrefix(current.Holder, r.Name+"/") {
+			return r
+		}
+	}
+	w.t.Fatal("no router holds the lease")
+	return nil
+}
+
+// plannedStop ends a router that relays a stream.
+func plannedStop(inDrain bool, where int) func(*world, func(subject), fault) {
+	return func(w *world, inject func(subject), f fault) {
+		router := w.liveRouters()[0]
+		poisoned := f.name == "crash on one request"
+		prompt := w.prompt()
+		if poisoned {
+			prompt += poison
+		}
+		b := w.arm(w.engineProxies(), "POST /v1/completions", harness.ToClient, `{"index":30,`)
+		ctx, giveUp := context.WithCancel(w.ctx)
+		defer giveUp()
+		answer := w.ask(ctx, router, harness.AccountOne, prompt, longAnswer, !poisoned && where == onTarget, nil)
+		hit := w.hit("the engine's stream", b)
+		s := w.onEngine(w.engineAt(hit.Proxy), hit)
+		if where == onRouter {
+			s = w.onRouter(router, router.Proxy, harness.Hit{})
+		}
+		router.Terminate()
+		if inDrain {
+			w.await("the router is unready", func() bool {
+				return harness.GetJSON(w.ctx, router.Admin+"/readyz", nil) != nil
+			})
+		}
+		inject(s)
+		b.Release()
+		if s.hangs && f.stops {
+			giveUp()
+		}
+		answer()
+		killed := w.gone[router.Name]
+		w.gone[router.Name] = true
+		w.ask(w.ctx, w.otherRouter(), harness.AccountOne, prompt, tokens, !poisoned, nil)()
+		w.heal()
+		w.await("the stopped router ends", func() bool { return !router.Live() })
+		if !killed && !router.Succeeded() {
+			w.object("the stopped router did not end with success: " + router.Tail())
+		}
+	}
+}
+
+// finish heals everything, sends work through every live router, changes the
+// configuration, lets an engine leave, and collects what ran.
+func (w *world) finish() {
+	w.heal()
+	w.probe()
+	w.settleConfig()
+	w.leave()
+	w.collect()
+}
+
+// probe checks that every live router serves again: completions of both
+// accounts end whole, and a new reservation is answered with its outcome.
+func (w *world) probe() {
+	prompt := w.prompt()
+	for _, r := range w.liveRouters() {
+		for _, account := range []string{harness.AccountOne, harness.AccountTwo} {
+			w.ask(w.ctx, r, account, prompt, 5, true, nil)()
+		}
+		if a := w.reserve(w.ctx, r, newKey()); a.Err != nil || a.Status != 200 {
+			text, _ := json.Marshal(a)
+			w.object("a new reservation through " + r.Name + " after the fault: " + string(text))
+		}
+	}
+}
+
+func (w *world) settleConfig() {
+	_, err := w.putMarker()
+	w.must(err)
+	for _, r := range w.liveRouters() {
+		// A router that never gets there is reported by the check.
+		_ = harness.Poll(w.ctx, patience, func() bool {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			states := w.seen.config[r.Name]
+			return len(states) > 0 && states[len(states)-1].value == w.seen.finalValue
+		})
+		w.seen.live = append(w.seen.live, r.Name)
+	}
+}
+
+// leave marks an engine as leaving and sends work once all routers know.
+func (w *world) leave() {
+	leaving := w.homeEngine()
+	w.must(w.sys.ListVMs(w.ctx, leaving.Name))
+	for _, r := range w.liveRouters() {
+		w.await(r.Name+" knows that "+leaving.Name+" leaves", func() bool {
+			status, err := r.Status(w.ctx)
+			for _, t := range status.Targets {
+				if err == nil && t.Name == leaving.Name {
+					return t.Leaving
+				}
+			}
+			return false
+		})
+	}
+	before := len(w.runsOf(leaving))
+	for _, r := range w.liveRouters() {
+		w.ask(w.ctx, r, harness.AccountOne, w.prompt(), 5, true, nil)()
+	}
+	for _, run := range w.runsOf(leaving)[before:] {
+		w.seen.leavingRuns = append(w.seen.leavingRuns, run.RequestID)
+	}
+}
+
+func (w *world) collect() {
+	for _, e := range w.liveEngines() {
+		w.seen.runs = append(w.seen.runs, w.runsOf(e)...)
+		var answer struct {
+			Orders []port.Order `json:"orders"`
+		}
+		w.must(harness.GetJSON(w.ctx, "http://"+e.Direct+"/control/orders", &answer))
+		for _, o := range answer.Orders {
+			w.seen.orders[e.Name] = append(w.seen.orders[e.Name], uint64(o.Fencing))
+		}
+	}
+	w.seen.effects = w.effects()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, i := range invariants {
+		for _, objection := range i.check(&w.seen) {
+			w.t.Errorf("%s: %s", i.name, objection)
+		}
+	}
+}
--- /dev/null
+++ b/internal/harness/system.go
@@ -0,0 +1,397 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// ReadyWait is a generous limit for anything that a system does by itself.
+	ReadyWait      = 60 * time.Second
+	controlTimeout = 5 * time.Second
+	// Team owns the configuration.
+	Team = "demo"
+	// Model is what all engines serve.
+	Model = "demo-lm"
+	// AccountOne and AccountTwo are the client accounts.
+	AccountOne = "crews"
+	AccountTwo = "planners"
+
+	firstRouterPort = 7000
+	routerPorts     = 3
+)
+
+// APIKey returns the key of an account.
+func APIKey(account string) string { return "demo-key-" + account }
+
+// Part is a stand-in with the proxy through which routers reach it.
+type Part struct {
+	*Process
+	// Direct is the address of the process itself, for control calls.
+	Direct string
+	Proxy  *Proxy
+}
+
+// Kill ends the process and its proxy's connections.
+func (p *Part) Kill() { p.Process.Kill(); p.Proxy.Down() }
+
+// Router is a router, its proxy towards callers and its own proxy to the log.
+type Router struct {
+	*Process
+	Proxy    *Proxy
+	Log      *Proxy
+	Admin    string
+	Peers    string
+	Settings string
+	callers  string
+}
+
+// Kill ends the process and its proxy's connections.
+func (r *Router) Kill() { r.Process.Kill(); r.Proxy.Down() }
+
+// Options say how large a system is.
+type Options struct {
+	Binaries, Dir    string
+	Routers, Engines int
+}
+
+// System is everything that runs.
+type System struct {
+	Options
+	Log, VMs, App *Part
+	Engines       []*Part
+	Routers       []*Router
+	// Operator is the operators' proxy to the log.
+	Operator                    *Proxy
+	operatorSettings            string
+	systemKey, teamKey, rootKey string
+	host                        string
+}
+
+var systems atomic.Int64
+
+// hostOf gives each system a loopback address of its own, so that the fixed
+// ports of its routers are free.
+func hostOf() string {
+	pid := os.Getpid()
+	return "127." + strconv.Itoa(1+pid/250%250) + "." + strconv.Itoa(1+pid%250) + "." + strconv.Itoa(1+int(systems.Add(1))%250)
+}
+
+// Start starts a system and publishes its configuration. It returns the system
+// also with an error; Close must be called either way.
+func Start(ctx context.Context, o Options) (*System, error) {
+	s := &System{Options: o, host: hostOf()}
+	for _, step := range []func(context.Context) error{s.startStandins, s.startRouters, s.listVMs, s.publishFirst} {
+		if err := step(ctx); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+func (s *System) startStandins(ctx context.Context) error {
+	var err error
+	if s.Log, err = s.standin(ctx, "log", "log", "--appends-per-second", "1000"); err != nil {
+		return err
+	}
+	if s.VMs, err = s.standin(ctx, "vms", "vms", "--lag", "0s"); err != nil {
+		return err
+	}
+	if s.App, err = s.standin(ctx, "app-1", "app"); err != nil {
+		return err
+	}
+	for i := range s.Options.Engines {
+		name := "engine-" + strconv.Itoa(i+1)
+		e, err := s.standin(ctx, name, "engine", "--name", name, "--model", Model, "--weights-version", Weights,
+			"--decode-interval", "5ms", "--prefill-rate", "50000", "--check-fencing", "--load-lag", "100ms")
+		if err != nil {
+			return err
+		}
+		s.Engines = append(s.Engines, e)
+	}
+	s.Operator, err = NewProxy(s.Log.Direct)
+	return err
+}
+
+// standin runs one stand-in and reads its address from its first log line.
+func (s *System) standin(ctx context.Context, name string, args ...string) (*Part, error) {
+	p, err := StartProcess(s.Dir, name, filepath.Join(s.Binaries, "standin"), args...)
+	if err != nil {
+		return nil, err
+	}
+	var line struct {
+		Address string `json:"address"`
+	}
+	err = Poll(ctx, ReadyWait, func() bool {
+		text, _ := os.ReadFile(p.LogFile)
+		first, _, whole := strings.Cut(string(text), "\n")
+		return whole && json.Unmarshal([]byte(first), &line) == nil && line.Address != ""
+	})
+	if err != nil {
+		p.Kill()
+		return nil, &StartError{Part: name, Cause: err, Log: p.Tail()}
+	}
+	proxy, err := NewProxy(line.Address)
+	return &Part{Process: p, Direct: line.Address, Proxy: proxy}, err
+}
+
+func (s *System) startRouters(ctx context.Context) error {
+	s.systemKey, s.teamKey = filepath.Join(s.Dir, "system.key"), filepath.Join(s.Dir, "team.key")
+	public, err := s.Command(ctx, "config", "keygen", "--key", s.systemKey)
+	if err != nil {
+		return err
+	}
+	s.rootKey = strings.TrimSpace(public)
+	s.operatorSettings = filepath.Join(s.Dir, "operator.jsonc")
+	if err := s.writeSettings(s.operatorSettings, s.Options.Routers, s.Operator); err != nil {
+		return err
+	}
+	for i := range s.Options.Routers {
+		r := &Router{Settings: filepath.Join(s.Dir, "router-"+strconv.Itoa(i+1)+".jsonc"),
+			callers: s.port(i, 0), Admin: "http://" + s.port(i, 1), Peers: s.port(i, 2)}
+		if r.Log, err = NewProxy(s.Log.Direct); err != nil {
+			return err
+		}
+		if r.Proxy, err = NewProxy(r.callers); err != nil {
+			return err
+		}
+		if err := s.writeSettings(r.Settings, i, r.Log); err != nil {
+			return err
+		}
+		if r.Process, err = s.startRouter(i, r.Settings); err != nil {
+			return err
+		}
+		s.Routers = append(s.Routers, r)
+	}
+	for _, r := range s.Routers {
+		if err := s.AwaitReady(ctx, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) startRouter(i int, settings string) (*Process, error) {
+	return StartProcess(s.Dir, "router-"+strconv.Itoa(i+1), filepath.Join(s.Binaries, "mimosaseam"),
+		"serve", "--settings", settings)
+}
+
+func (s *System) port(router, n int) string {
+	return net.JoinHostPort(s.host, strconv.Itoa(firstRouterPort+router*routerPorts+n))
+}
+
+// AwaitReady waits until the router reports itself ready.
+func (s *System) AwaitReady(ctx context.Context, r *Router) error {
+	err := Poll(ctx, ReadyWait, func() bool {
+		return GetJSON(ctx, r.Admin+"/readyz", &struct{}{}) == nil
+	})
+	if err != nil {
+		return &StartError{Part: r.Name, Cause: err, Log: r.Tail()}
+	}
+	return nil
+}
+
+func (s *System) writeSettings(file string, i int, log *Proxy) error {
+	value := map[string]any{
+		"vm": map[string]string{"name": "router-" + strconv.Itoa(i+1), "region": region(i),
+			"availability_zone": region(i) + "-a"},
+		"callers": map[string]string{"address": s.port(i, 0)},
+		"admin":   map[string]string{"address": s.port(i, 1)},
+		"peers":   map[string]string{"address": s.port(i, 2)},
+		"platform": map[string]any{"log_url": "http://" + log.Address(), "vm_list_url": "http://" + s.VMs.Direct,
+			"vm_list_poll_ms": 200},
+		"system":   map[string]string{"public_key": s.rootKey},
+		"shutdown": map[string]int{"unready_ms": 200},
+	}
+	text, _ := json.Marshal(value)
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return &StartError{Part: "settings", Cause: err}
+	}
+	return nil
+}
+
+func region(i int) string { return []string{"north", "middle", "south"}[i%3] }
+
+// ListVMs sets the platform's VM list, in which the named VMs are leaving.
+func (s *System) ListVMs(ctx context.Context, leaving ...string) error {
+	var vms []map[string]string
+	add := func(i int, name, role, address string) {
+		state := "live"
+		for _, l := range leaving {
+			if l == name {
+				state = "leaving"
+			}
+		}
+		vms = append(vms, map[string]string{"name": name, "role": role, "address": address, "region": region(i),
+			"availability_zone": region(i) + "-a", "state": state})
+	}
+	for i, r := range s.Routers {
+		add(i, r.Name, "router", r.Peers)
+	}
+	for i, e := range s.Engines {
+		add(i, e.Name, "engine", e.Proxy.Address())
+	}
+	add(0, s.App.Name, "service", s.App.Proxy.Address())
+	return Control(ctx, http.MethodPut, "http://"+s.VMs.Direct+"/control/vms", map[string]any{"vms": vms})
+}
+
+func (s *System) listVMs(ctx context.Context) error { return s.ListVMs(ctx) }
+
+// publishFirst writes the team and its configuration.
+func (s *System) publishFirst(ctx context.Context) error {
+	public, err := s.Command(ctx, "config", "keygen", "--key", s.teamKey)
+	if err != nil {
+		return err
+	}
+	team := map[string]any{"/system/teams/" + Team: map[string]string{"public_key": strings.TrimSpace(public)}}
+	if _, err := s.put(ctx, "system", s.systemKey, team); err != nil {
+		return err
+	}
+	_, err = s.Put(ctx, s.bundle(), "--wait", "--router", s.Routers[0].Admin)
+	return err
+}
+
+// Put publishes configuration values of the team by path and returns what the
+// operators' command printed.
+func (s *System) Put(ctx context.Context, values map[string]any, more ...string) (string, error) {
+	return s.put(ctx, Team, s.teamKey, values, more...)
+}
+
+func (s *System) put(ctx context.Context, author, key string, values map[string]any, more ...string) (string, error) {
+	args, err := s.putArgs(author, key, values, more)
+	if err != nil {
+		return "", err
+	}
+	return s.Command(ctx, args...)
+}
+
+// StartPut is Put as a process of its own, which faults can act on.
+func (s *System) StartPut(name string, values map[string]any, more ...string) (*Process, error) {
+	args, err := s.putArgs(Team, s.teamKey, values, more)
+	if err != nil {
+		return nil, err
+	}
+	return StartProcess(s.Dir, name, filepath.Join(s.Binaries, "mimosaseam"), args...)
+}
+
+func (s *System) putArgs(author, key string, values map[string]any, more []string) ([]string, error) {
+	file, err := os.CreateTemp(s.Dir, "bundle-*.jsonc")
+	if err != nil {
+		return nil, &StartError{Part: "configuration", Cause: err}
+	}
+	err = json.NewEncoder(file).Encode(values)
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return nil, &StartError{Part: "configuration", Cause: err}
+	}
+	args := []string{"config", "put", "--settings", s.operatorSettings, "--author", author, "--key", key, "--bundle", file.Name()}
+	return append(args, more...), nil
+}
+
+// EnginePool returns the value of the engines' pool with a weights version.
+func (s *System) EnginePool(weights string) map[string]any {
+	var targets []any
+	for i, e := range s.Engines {
+		targets = append(targets, target(i, e))
+	}
+	return map[string]any{"kind": "engine", "model": Model, "weights_version": weights, "targets": targets, "checks_fencing": true}
+}
+
+func target(i int, p *Part) map[string]any {
+	return map[string]any{"name": p.Name, "address": p.Proxy.Address(), "region": region(i), "availability_zone": region(i) + "-a"}
+}
+
+func (s *System) bundle() map[string]any {
+	type object = map[string]any
+	account := func(name string) object {
+		sum := sha256.Sum256([]byte(APIKey(name)))
+		return object{"key_sha256": []string{hex.EncodeToString(sum[:])}, "routes": []string{Model, "lookup", "reservation"}, "limits": object{}}
+	}
+	return object{
+		"/demo/pools/" + Model:         s.EnginePool(Weights),
+		"/demo/pools/app":              object{"kind": "service", "targets": []any{target(0, s.App)}},
+		"/demo/routes/" + Model:        object{"pool": Model, "model": Model, "retry_budget_percent": 50, "stall_timeout_ms": 1000, "weights": object{"recompute": 1}},
+		"/demo/routes/lookup":          object{"pool": "app", "repeat": "any", "weights": object{}},
+		"/demo/routes/reservation":     object{"pool": "app", "repeat": "never", "timeout_ms": 3000, "weights": object{}},
+		"/demo/accounts/" + AccountOne: account(AccountOne),
+		"/demo/accounts/" + AccountTwo: account(AccountTwo),
+	}
+}
+
+// Command runs an operator's command of the shipped binary.
+func (s *System) Command(ctx context.Context, args ...string) (string, error) {
+	var out, failure bytes.Buffer
+	cmd := exec.CommandContext(ctx, filepath.Join(s.Binaries, "mimosaseam"), args...)
+	cmd.Stdout, cmd.Stderr = &out, &failure
+	if err := cmd.Run(); err != nil {
+		return "", &StartError{Part: "mimosaseam " + strings.Join(args[:2], " "), Cause: err, Log: failure.String()}
+	}
+	return out.String(), nil
+}
+
+// Close ends every process and proxy.
+func (s *System) Close() {
+	for _, r := range s.Routers {
+		r.Process.Kill()
+		r.Proxy.Down()
+		r.Log.Down()
+	}
+	for _, p := range append([]*Part{s.Log, s.VMs, s.App}, s.Engines...) {
+		if p != nil && p.Process != nil {
+			p.Kill()
+		}
+	}
+	if s.Operator != nil {
+		s.Operator.Down()
+	}
+}
+
+// RouterStatus is what the harness reads of a router's status.
+type RouterStatus struct {
+	ConfigOffset uint64 `json:"config_offset"`
+	Targets      []struct {
+		Pool    string `json:"pool"`
+		Name    string `json:"name"`
+		Leaving bool   `json:"leaving"`
+	} `json:"targets"`
+}
+
+// Status reads a router's status.
+func (r *Router) Status(ctx context.Context) (RouterStatus, error) {
+	var s RouterStatus
+	err := GetJSON(ctx, r.Admin+"/v1/status", &s)
+	return s, err
+}
+
+// watchEvery is the time between two readings of a router's status.
+const watchEvery = 50 * time.Millisecond
+
+// Watch reads the router's status again and again until the context ends.
+func (r *Router) Watch(ctx context.Context, see func(RouterStatus)) {
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if s, err := r.Status(ctx); err == nil {
+				see(s)
+			}
+		}
+	}
+}
