--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -74,6 +74,8 @@
 	defer file.Close()
 	p.cmd = exec.Command(binary, args...)
 	p.cmd.Stdout, p.cmd.Stderr = file, file
+	// The kernel ends the process when the harness itself is killed.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		return nil, &StartError{Part: name, Cause: err}
 	}
--- a/internal/harness/proxy.go
+++ b/internal/harness/proxy.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,7 +30,7 @@
 	Direction Direction
 	Pattern   string
 
-	once    sync.Once
+	taken   atomic.Bool
 	hit     chan Hit
 	release chan struct{}
 	freed   sync.Once
@@ -52,7 +53,7 @@
 
 // Release lets the data pass, or takes a Break that was not hit out of use.
 func (b *Break) Release() {
-	b.once.Do(func() {})
+	b.taken.Store(true)
 	b.freed.Do(func() { close(b.release) })
 }
 
@@ -262,13 +263,14 @@
 		if b.Direction != d || !strings.HasPrefix(request, b.Request) || !bytes.Contains(seen, []byte(b.Pattern)) {
 			continue
 		}
-		b.once.Do(func() {
-			b.hit <- Hit{Proxy: l.p, conn: l}
-			select {
-			case <-b.release:
-			case <-l.done:
-			}
-		})
+		if b.taken.Swap(true) {
+			continue
+		}
+		b.hit <- Hit{Proxy: l.p, conn: l}
+		select {
+		case <-b.release:
+		case <-l.done:
+		}
 	}
 }
 
