Follow the orders stream in the fault matrix; take the awaited offset before the append

The matrix read the holder from the stream that leases have left. The retention test awaited an offset computed after the append, which could be one too far.

--- a/internal/app/configsync/configsync_test.go
+++ b/internal/app/configsync/configsync_test.go
@@ -242,8 +242,9 @@
 		<-late.Ready()
 		is.Equal(late.Current(), nodes[0].Current())
 		is.Equal(slots(late), 1)
+		next := late.Applied() + 1
 		put(log, change("1", "a", "/a/pools/p", 0, pool(9))) // a repeat of a remembered id
-		is.NoErr(late.WaitApplied(within(ctx, 5*time.Second), nodes[0].Applied()+1))
+		is.NoErr(late.WaitApplied(within(ctx, 5*time.Second), next))
 		is.Equal(late.History("/a/pools/p")[0].Reason, config.ReasonDuplicate)
 	})
 }
--- a/internal/faultmatrix/operations_test.go
+++ b/internal/faultmatrix/operations_test.go
@@ -82,14 +82,12 @@
 			Data   []byte      `json:"data"`
 		} `json:"records"`
 	}
-	w.must(harness.GetJSON(w.ctx, "http://"+w.sys.Log.Direct+"/v1/streams/fleet/records?from=1&limit=10000", &answer))
-	fold := lease.NewFold()
+	w.must(harness.GetJSON(w.ctx, "http://"+w.sys.Log.Direct+"/v1/streams/orders/records?from=1&limit=10000", &answer))
+	var fold lease.Fold
 	for _, r := range answer.Records {
-		if claim, err := lease.Decode(r.Data); err == nil {
-			fold.Apply(r.Offset, claim)
-		}
+		fold.Apply(port.Record{Offset: r.Offset, Data: r.Data})
 	}
-	current, _ := fold.Current("orders")
+	current, _ := fold.Current()
 	for _, r := range w.sys.Routers {
 		if strings.HasPrefix(current.Holder, r.Name+"/") {
 			return r
