--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -29,6 +29,9 @@
 	eventPrefix = []byte("event:")
 	errorEvent  = []byte("error")
 	doneMark    = []byte("[DONE]")
+
+	lineFeed       = []byte("\n")
+	carriageReturn = []byte("\r")
 )
 
 // stream reads the server-sent events of one attempt.
@@ -70,7 +73,8 @@
 // WeightsVersion returns the weights version that answered.
 func (s *stream) WeightsVersion() string { return s.version }
 
-// Next returns the next chunk.
+// Next returns the next chunk. Its frames stay small up to the read that waits:
+// they are what each idle stream's stack holds.
 func (s *stream) Next() (port.Chunk, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -80,68 +84,57 @@
 	if s.failure != nil {
 		return port.Chunk{}, s.failure
 	}
-	chunk, err := s.next()
+	return s.decode(s.nextData())
+}
+
+// decode takes the data of an event or the failure to read it.
+func (s *stream) decode(data []byte, err error) (port.Chunk, error) {
+	if err == nil && bytes.Equal(data, doneMark) {
+		if s.finished {
+			s.done.Store(true)
+			return port.Chunk{}, io.EOF
+		}
+		err = ErrNoFinishReason
+	}
+	var chunk port.Chunk
 	if err == nil {
-		return chunk, nil
+		chunk, err = parseChunk(data)
 	}
-	if errors.Is(err, io.EOF) && s.done.Load() {
-		return port.Chunk{}, io.EOF
+	if err != nil {
+		return port.Chunk{}, s.fail(err)
 	}
+	s.chunks++
+	s.finished = s.finished || chunk.FinishReason != ""
+	return chunk, nil
+}
+
+func (s *stream) fail(err error) error {
 	if errors.Is(err, io.EOF) {
 		err = ErrNoTerminalMark
 	}
 	s.failure = &port.BrokenStreamError{Target: s.address, Chunks: s.chunks, Cause: err}
-	return port.Chunk{}, s.failure
+	return s.failure
 }
 
-func (s *stream) next() (port.Chunk, error) {
+// nextData returns the next line of data. It is valid until the next call.
+func (s *stream) nextData() ([]byte, error) {
 	for {
-		line, err := s.line()
+		line, err := s.reader.ReadSlice('\n')
+		if err == bufio.ErrBufferFull {
+			line, err = s.longLine(line)
+		}
 		if err != nil {
-			return port.Chunk{}, err
+			return nil, err
 		}
-		if data, ok := bytes.CutPrefix(line, dataPrefix); ok {
-			return s.data(trimSpace(data))
+		if bytes.HasPrefix(line, dataPrefix) {
+			return trim(line[len(dataPrefix):]), nil
 		}
-		if event, ok := bytes.CutPrefix(line, eventPrefix); ok && bytes.Equal(trimSpace(event), errorEvent) {
-			return port.Chunk{}, ErrEngineReported
+		if bytes.HasPrefix(line, eventPrefix) && bytes.Equal(trim(line[len(eventPrefix):]), errorEvent) {
+			return nil, ErrEngineReported
 		}
 	}
 }
 
-func (s *stream) data(data []byte) (port.Chunk, error) {
-	if bytes.Equal(data, doneMark) {
-		if !s.finished {
-			return port.Chunk{}, ErrNoFinishReason
-		}
-		s.done.Store(true)
-		return port.Chunk{}, io.EOF
-	}
-	chunk, err := parseChunk(data)
-	if err != nil {
-		return port.Chunk{}, err
-	}
-	s.chunks++
-	s.finished = s.finished || chunk.FinishReason != ""
-	return chunk, nil
-}
-
-// line returns the next line without its end. It is valid until the next call.
-func (s *stream) line() ([]byte, error) {
-	line, err := s.reader.ReadSlice('\n')
-	if errors.Is(err, bufio.ErrBufferFull) {
-		line, err = s.longLine(line)
-	}
-	if err != nil {
-		return nil, err
-	}
-	line = line[:len(line)-1]
-	if n := len(line); n > 0 && line[n-1] == '\r' {
-		line = line[:n-1]
-	}
-	return line, nil
-}
-
 // longLine gathers a line that does not fit into the reader's buffer.
 func (s *stream) longLine(start []byte) ([]byte, error) {
 	s.long = append(s.long[:0], start...)
@@ -188,9 +181,11 @@
 	stop.Stop()
 }
 
-func trimSpace(b []byte) []byte {
+// trim removes the space after a field's name and the line's end.
+func trim(b []byte) []byte {
 	if len(b) > 0 && b[0] == ' ' {
-		return b[1:]
+		b = b[1:]
 	}
-	return b
+	b = bytes.TrimSuffix(b, lineFeed)
+	return bytes.TrimSuffix(b, carriageReturn)
 }
