--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -13,6 +13,7 @@
 	flaggy.SetName("measure")
 	flaggy.SetDescription("load and experiment tools of mimosaseam")
 	placement, relay := registerPlacement(), registerRelay()
+	detection, capacity := registerDetection(), registerCapacity()
 	flaggy.Parse()
 	var run func(io.Writer) error
 	switch {
@@ -20,6 +21,10 @@
 		run = placement.run
 	case relay.Used:
 		run = relay.run
+	case detection.Used:
+		run = detection.run
+	case capacity.Used:
+		run = capacity.run
 	default:
 		flaggy.ShowHelpAndExit("name a subcommand")
 	}
