--- a/internal/bench/relay/fronts.go
+++ b/internal/bench/relay/fronts.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/adapter/callerhttp"
@@ -21,6 +22,11 @@
 	apiKey = "bench-key"
 	// passBufferBytes holds several chunks.
 	passBufferBytes = 4 << 10
+	// The router sees the engine as 12 targets, as many as the larger of today's
+	// deployments has: the cost of a placement depends on their number. Their
+	// slots hold 2,000 streams.
+	routerTargets     = 12
+	routerTargetSlots = 256
 )
 
 // PassThrough copies bytes between the caller and the engine. It does what no
@@ -75,7 +81,7 @@
 func (s fixedSource) Current() *config.Snapshot { return s.snapshot }
 
 // Router is the router with its caller's server, placement and engine client,
-// with one target and without peers or a log.
+// without peers or a log.
 func Router(address string) Front {
 	source := fixedSource{snapshot(address)}
 	client := enginehttp.New(enginehttp.Options{})
@@ -93,12 +99,15 @@
 func snapshot(address string) *config.Snapshot {
 	const team = "bench"
 	sum := sha256.Sum256([]byte(apiKey))
+	targets := make([]config.PoolTarget, routerTargets)
+	for i := range targets {
+		targets[i] = config.PoolTarget{Name: "engine-" + strconv.Itoa(i), Address: address}
+	}
 	ref := func(name string) config.Ref { return config.Ref{Team: team, Name: name} }
 	return &config.Snapshot{
 		Pools: map[config.Ref]config.Pool{ref("pool"): {
 			Kind: config.PoolEngine, Model: modelName, WeightsVersion: weightsVersion,
-			Targets: []config.PoolTarget{{Name: "engine", Address: address}},
-			Slots:   engineSlots, PrefillTokensPerSecond: 1 << 20, DecodeMsPerToken: 25,
+			Targets: targets, Slots: routerTargetSlots, PrefillTokensPerSecond: 1 << 20, DecodeMsPerToken: 25,
 			CacheBlocks: engineCapacityBlocks, BlockBytes: prompt.DefaultBlockBytes, ColdStartS: 1,
 		}},
 		Routes: map[config.Ref]config.Route{ref("route"): {
