--- a/internal/core/membership/fault_test.go
+++ b/internal/core/membership/fault_test.go
@@ -54,6 +54,7 @@
 		}, 60},
 		{"first start at 60", 60, func(*sim) {}, 120},
 		{"all restarted at 60", 60, func(s *sim) { s.restartFrom(0) }, 120},
+		{"one killed at 60", 60, func(s *sim) { s.nodes[33].down = true }, 90},
 		{"split between regions at 60", 60, func(s *sim) {
 			s.cut = otherRegion
 			s.run(180)
@@ -90,6 +91,40 @@
 	}
 }
 
+// Guards against one dead router, probed again and again, that makes its region
+// look out of contact.
+func TestDeadRouterKeepsItsRegionInContact(t *testing.T) {
+	is := is.New(t)
+	s := newSim(60, 3)
+	s.settle()
+	s.nodes[33].down = true
+	s.run(90)
+	for range 60 {
+		s.round()
+		is.True(s.agreed())
+	}
+}
+
+// Guards against a region that is gone and is kept for ever.
+func TestLostRegionIsForgottenAfterTheList(t *testing.T) {
+	is := is.New(t)
+	s := newSim(12, 3)
+	s.run(60)
+	left := port.VMSnapshot{AsOf: s.now}
+	for i, n := range s.nodes {
+		if n.down = n.self.Region == "region-1"; !n.down {
+			left.VMs = append(left.VMs, s.list[i])
+		}
+	}
+	s.run(120)
+	for _, n := range s.nodes {
+		n.ObserveList(s.now, left)
+		if !n.down {
+			is.Equal(len(n.Routers(s.now)), 7)
+		}
+	}
+}
+
 // Guards against one router that cannot reach any other and then spreads
 // suspicions of all of them.
 func TestIsolatedRouterSuspectsNobody(t *testing.T) {
--- a/internal/core/membership/neighbours.go
+++ b/internal/core/membership/neighbours.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -26,17 +27,14 @@
 
 // Next returns the router to exchange with in this round. It is called once
 // per interval.
-func (v *View) Next() (Target, bool) {
+func (v *View) Next(now time.Time) (Target, bool) {
 	v.round++
 	if v.round%rotateEvery == 0 {
 		v.rotate()
 	}
 	v.refresh()
-	for _, name := range v.neighbours {
-		m := v.members[name]
-		if m.State == port.MemberAlive && m.failures > 0 && m.failures < failuresToSuspect {
-			return Target{Name: name, Address: m.Address}, true
-		}
+	if t, ok := v.doubted(now); ok {
+		return t, true
 	}
 	if v.round%probeLostEvery == 0 || len(v.neighbours) == 0 {
 		if t, ok := v.lostTarget(); ok {
@@ -51,6 +49,39 @@
 	return Target{Name: m.Name, Address: m.Address}, true
 }
 
+// doubted returns a neighbour that failed, to try it again, or another router
+// of its region that tells whether the region answers.
+func (v *View) doubted(now time.Time) (Target, bool) {
+	for _, name := range v.neighbours {
+		m := v.members[name]
+		if m.State != port.MemberAlive || m.failures == 0 {
+			continue
+		}
+		answers := v.regionAnswers(now, m)
+		if m.failures < failuresToSuspect || answers && m.failures <= maxRetries {
+			return Target{Name: name, Address: m.Address}, true
+		}
+		if !answers && v.round%2 == 0 {
+			return v.otherIn(m)
+		}
+	}
+	return Target{}, false
+}
+
+// otherIn picks another router of the same region.
+func (v *View) otherIn(m *member) (Target, bool) {
+	var others []Target
+	for _, name := range v.names {
+		if o := v.members[name]; o != m && o.Region == m.Region && o.State == port.MemberAlive && o.Address != "" {
+			others = append(others, Target{Name: name, Address: o.Address})
+		}
+	}
+	if len(others) == 0 {
+		return Target{}, false
+	}
+	return others[v.rnd.IntN(len(others))], true
+}
+
 // Neighbours returns the routers that this router probes: at most 8, half of
 // them in the own availability zone when both halves can be filled.
 func (v *View) Neighbours() []Target {
@@ -62,12 +93,12 @@
 	return targets
 }
 
-// lostTarget picks a dead router, or a seed at whose address no router is
-// known.
+// lostTarget picks a dead router, one in a region out of contact, or a seed at
+// whose address no router is known.
 func (v *View) lostTarget() (Target, bool) {
 	lost := v.UnknownSeeds()
 	for _, name := range v.names {
-		if m := v.members[name]; m.State == port.MemberDead && m.Address != "" {
+		if m := v.members[name]; m.Address != "" && (m.State == port.MemberDead || v.lostRegions[m.Region]) {
 			lost = append(lost, Target{Name: name, Address: m.Address})
 		}
 	}
@@ -112,7 +143,7 @@
 	for _, name := range v.names {
 		m := v.members[name]
 		switch {
-		case m.Address == "" || m.State > port.MemberSuspect:
+		case m.Address == "" || m.State > port.MemberSuspect || v.lostRegions[m.Region]:
 		case m.Region == v.self.Region && m.AvailabilityZone == v.self.AvailabilityZone:
 			local = append(local, name)
 		default:
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -72,7 +72,9 @@
 	// that the router started.
 	contact, incoming time.Time
 	failures          int
-	quietUntil        time.Time
+	// failedSince is the first failure after the last contact.
+	failedSince time.Time
+	quietUntil  time.Time
 	// introductions counts the full entries of the own router that were sent to
 	// this incarnation.
 	introductions int
@@ -114,7 +116,9 @@
 	lastTick    time.Time
 	lastContact time.Time
 	// lost counts failures since the last contact with anyone.
-	lost int
+	lost        int
+	regions     map[string]*reach
+	lostRegions map[string]bool
 	// version counts changes of the routers.
 	version uint64
 	hash    hashed
@@ -131,6 +135,8 @@
 		news:        newQueue(),
 		marks:       newMarks(),
 		hints:       newFingerprints(),
+		regions:     map[string]*reach{},
+		lostRegions: map[string]bool{},
 		lastTick:    now,
 		lastContact: now,
 	}
@@ -169,14 +175,13 @@
 func (v *View) Leave() { v.self.State = port.MemberLeaving }
 
 // Routers returns the other routers in order of name. While the router itself
-// is cut off, those that seem alive are reported as suspect.
+// or a whole region is cut off, those that seem alive are reported as suspect.
 func (v *View) Routers(now time.Time) []Router {
-	isolated := v.Isolated(now)
 	routers := make([]Router, 0, len(v.names))
 	for _, name := range v.names {
 		m := v.members[name]
 		r := Router{Member: m.Member, Listed: m.listed, LastContact: m.contact}
-		if isolated && r.State == port.MemberAlive {
+		if v.outOfContact(now, m) && r.State == port.MemberAlive {
 			r.State = port.MemberSuspect
 		}
 		routers = append(routers, r)
@@ -191,12 +196,13 @@
 	if pause > pauseAfter {
 		v.extendTimeouts(pause)
 	}
+	v.findLostRegions(now)
 	timeout := v.suspicionTimeout()
 	for _, name := range append([]string(nil), v.names...) {
 		m := v.members[name]
 		age := now.Sub(m.since)
 		switch {
-		case m.State == port.MemberSuspect && age > timeout && !m.contact.After(m.since) && !v.Isolated(now):
+		case m.State == port.MemberSuspect && age > timeout && !m.contact.After(m.since) && !v.outOfContact(now, m):
 			v.set(now, m, port.MemberDead)
 		case m.State == port.MemberLeaving && age > leavingRetention && now.Sub(m.contact) > leavingRetention:
 			v.set(now, m, port.MemberDead)
@@ -208,23 +214,10 @@
 	v.hints.expire(now)
 }
 
-func (v *View) extendTimeouts(pause time.Duration) {
-	v.lastContact = v.lastContact.Add(pause)
-	for _, m := range v.members {
-		m.since = m.since.Add(pause)
-		m.incoming = m.incoming.Add(pause)
-	}
-}
-
 func (v *View) suspicionTimeout() time.Duration {
 	return suspicionFactor * time.Duration(bits.Len(uint(len(v.members)+1))) * ExchangeInterval
 }
 
-// Isolated reports whether the router itself seems cut off from all others.
-func (v *View) Isolated(now time.Time) bool {
-	return v.lost >= failuresToSuspect && now.Sub(v.lastContact) > isolatedAfter
-}
-
 // Answered records that the peer answered an exchange. An answer under
 // another name shows that the expected router is no longer at its address.
 func (v *View) Answered(now time.Time, peer Target, from port.Member) {
@@ -253,7 +246,7 @@
 		return
 	}
 	m.contact, m.failures = now, 0
-	v.lastContact, v.lost = now, 0
+	v.reached(now, m.Region)
 }
 
 // Failed records that an exchange with the peer failed.
@@ -263,8 +256,16 @@
 	if m == nil {
 		return
 	}
-	m.failures++
-	if m.failures < failuresToSuspect || v.Isolated(now) {
+	if m.failures++; m.failures == 1 {
+		m.failedSince = now
+	}
+	v.missed(now, m)
+	v.judge(now, m)
+}
+
+// judge suspects a router after a failure when its region answers.
+func (v *View) judge(now time.Time, m *member) {
+	if m.failures < failuresToSuspect || v.outOfContact(now, m) || !v.regionAnswers(now, m) {
 		return
 	}
 	switch {
@@ -296,7 +297,7 @@
 			v.version++
 		}
 		silent := now.Sub(m.contact) > unlistedRetention && now.Sub(m.learned) > unlistedRetention
-		if !m.listed && silent && (m.Incarnation == 0 || v.Isolated(now)) {
+		if !m.listed && silent && (m.Incarnation == 0 || v.outOfContact(now, m)) {
 			v.forget(name)
 		}
 	}
@@ -339,6 +340,9 @@
 }
 
 func (v *View) forget(name string) {
+	if r := v.regions[v.members[name].Region]; r != nil {
+		delete(r.lost, name)
+	}
 	delete(v.members, name)
 	i := sort.SearchStrings(v.names, name)
 	v.names = append(v.names[:i], v.names[i+1:]...)
