--- a/internal/core/membership/reach.go
+++ b/internal/core/membership/reach.go
@@ -30,8 +30,9 @@
 
 // outOfContact reports whether failures with the router tell of its region or
 // of the own connection instead of itself. Such routers are not suspected: in a
-// simulated split of 540 routers, 5,303 of 291,060 views were still wrong 260
-// rounds after healing when the suspicions of whole regions had to be refuted.
+// simulated split of 540 routers between regions, all views were right 10 rounds
+// after healing; when suspicions of whole regions had to be refuted, 5,303 of
+// 291,060 views were still wrong after 260 rounds.
 func (v *View) outOfContact(now time.Time, m *member) bool {
 	return v.lostRegions[m.Region] || v.Isolated(now)
 }
