--- a/internal/app/atmostonce/keys_test.go
+++ b/internal/app/atmostonce/keys_test.go
@@ -90,8 +90,8 @@
 		_, err = c.send(request("fresh"), "fresh") // moves the log's time on
 		is.NoErr(err)
 		<-time.After(time.Hour)
-		c.mu.Lock()
-		defer c.mu.Unlock()
+		c.Service.mu.Lock()
+		defer c.Service.mu.Unlock()
 		is.True(c.state.Bytes() < 2000) // one entry
 	})
 }
@@ -110,7 +110,10 @@
 		w.log.Expire(port.StreamLedger, 3)
 		resume()
 		<-time.After(time.Minute)
-		is.Equal(a.epoch, 1)
+		a.Service.mu.Lock()
+		epoch := a.epoch
+		a.Service.mu.Unlock()
+		is.Equal(epoch, 1)
 		is.Equal(kind(a.send(request("other"), "second")), "ok")
 	})
 }
--- a/internal/app/configsync/configsync_test.go
+++ b/internal/app/configsync/configsync_test.go
@@ -63,14 +63,17 @@
 
 func slots(s *Sync) int { return s.Current().Pools[config.Ref{Team: "a", Name: "p"}].Slots }
 
-func put(log port.Log, c config.Change) {
+// put appends a change and returns its offset.
+func put(log port.Log, c config.Change) port.Offset {
 	data, err := config.EncodeChange(c)
 	if err != nil {
 		panic(err)
 	}
-	if _, err := log.Append(context.Background(), port.StreamConfig, []port.Record{{ID: c.ID, Data: data}}); err != nil {
+	offset, err := log.Append(context.Background(), port.StreamConfig, []port.Record{{ID: c.ID, Data: data}})
+	if err != nil {
 		panic(err)
 	}
+	return offset
 }
 
 func newSync(log port.Log, peer PeerReader, random float64) *Sync {
@@ -231,7 +234,10 @@
 			_, err := log.Append(ctx, port.StreamConfig, []port.Record{{ID: "junk", Data: []byte(`{"through":1,"entries":[]}`)}})
 			is.NoErr(err)
 			synctest.Wait()
-			is.True(time.Since(nodes[0].snapshots.last) < retention/2)
+			nodes[0].mu.Lock()
+			last := nodes[0].snapshots.last
+			nodes[0].mu.Unlock()
+			is.True(time.Since(last) < retention/2)
 		}
 		is.NoErr(nodes[0].WaitApplied(ctx, nodes[1].Applied()))
 		late := newSync(log, nil, 0.5)
@@ -239,8 +245,8 @@
 		<-late.Ready()
 		is.Equal(late.Current(), nodes[0].Current())
 		is.Equal(slots(late), 1)
-		put(log, change("1", "a", "/a/pools/p", 0, pool(9))) // a repeat of a remembered id
-		is.NoErr(late.WaitApplied(within(ctx, 5*time.Second), nodes[0].Applied()+1))
+		repeat := put(log, change("1", "a", "/a/pools/p", 0, pool(9))) // of a remembered id
+		is.NoErr(late.WaitApplied(within(ctx, 5*time.Second), repeat))
 		is.Equal(late.History("/a/pools/p")[0].Reason, config.ReasonDuplicate)
 	})
 }
