--- a/internal/app/configsync/configsync_test.go
+++ b/internal/app/configsync/configsync_test.go
@@ -63,14 +63,17 @@
 
 func slots(s *Sync) int { return s.Current().Pools[config.Ref{Team: "a", Name: "p"}].Slots }
 
-func put(log port.Log, c config.Change) {
+// put appends a change and returns its offset.
+func put(log port.Log, c config.Change) port.Offset {
 	data, err := config.EncodeChange(c)
 	if err != nil {
 		panic(err)
 	}
-	if _, err := log.Append(context.Background(), port.StreamConfig, []port.Record{{ID: c.ID, Data: data}}); err != nil {
+	offset, err := log.Append(context.Background(), port.StreamConfig, []port.Record{{ID: c.ID, Data: data}})
+	if err != nil {
 		panic(err)
 	}
+	return offset
 }
 
 func newSync(log port.Log, peer PeerReader, random float64) *Sync {
@@ -242,9 +245,8 @@
 		<-late.Ready()
 		is.Equal(late.Current(), nodes[0].Current())
 		is.Equal(slots(late), 1)
-		next := late.Applied() + 1
-		put(log, change("1", "a", "/a/pools/p", 0, pool(9))) // a repeat of a remembered id
-		is.NoErr(late.WaitApplied(within(ctx, 5*time.Second), next))
+		repeat := put(log, change("1", "a", "/a/pools/p", 0, pool(9))) // of a remembered id
+		is.NoErr(late.WaitApplied(within(ctx, 5*time.Second), repeat))
 		is.Equal(late.History("/a/pools/p")[0].Reason, config.ReasonDuplicate)
 	})
 }
