--- a/internal/core/placement/settings.go
+++ b/internal/core/placement/settings.go
@@ -24,7 +24,7 @@
 	// IdleSegmentS is the time without use after which a segment is forgotten,
 	// in s. Default 300.
 	IdleSegmentS int `json:"idle_segment_s"`
-	// RateWindowS is the time constant of request rates in s. Default 30.
+	// RateWindowS is the time constant of request rates in s. Default 60.
 	RateWindowS int `json:"rate_window_s"`
 	// CacheShare is the share of a target's cache that the subtree of one home
 	// prefix may fill. Default 0.002.
@@ -51,7 +51,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		MaxBlocks: 300000, MaxSegments: 50000, MaxHolders: 8, MaxTargets: 20000, MaxPeerTargets: 64,
-		IdleSegmentS: 300, RateWindowS: 30, CacheShare: 0.002, MaxReplication: 0.5, LoadShare: 0.5, MissWeight: 1,
+		IdleSegmentS: 300, RateWindowS: 60, CacheShare: 0.002, MaxReplication: 0.5, LoadShare: 0.5, MissWeight: 1,
 		InterRegionMs: 12, InterZoneMs: 1, IdleSample: 4,
 	}
 }
