--- a/internal/bench/placement/driver.go
+++ b/internal/bench/placement/driver.go
@@ -58,7 +58,6 @@
 	// tailCounted is set once the tokens after the last whole block were counted
 	// as compulsory.
 	tailCounted bool
-	hit         float64
 }
 
 // router is one router with its own Placer.
--- a/internal/bench/placement/upkeep.go
+++ b/internal/bench/placement/upkeep.go
@@ -16,6 +16,9 @@
 	// controlBudget is the number of control bytes per second for each router.
 	// Profiles and cache events are sent while it leaves room.
 	controlBudget = 1800
+	// eventBudget is the budget up to which events are followed. It is lower, as
+	// the size of events is only estimated.
+	eventBudget = 1400
 	// maxCounts bounds the in-flight counts in one exchange.
 	maxCounts = 16
 	// eventWindow is the time after which the number of targets whose cache
@@ -151,7 +154,7 @@
 		x := &r.next
 		perTarget := float64(len(d.routers)) / float64(len(d.engines)*d.w.BlockTokens) * 2 * blockEventBytes
 		x.cost += eventCostStep * (x.missed*perTarget - x.cost)
-		room := controlBudget*eventWindow.Seconds() - (r.bytes - x.total - x.events)
+		room := eventBudget*eventWindow.Seconds() - (r.bytes - x.total - x.events)
 		x.eventTargets = min(len(d.engines), max(0, int(room/(2*x.cost+1))))
 		if !d.hasRoom(r) {
 			x.eventTargets = 0
