--- a/internal/faultmatrix/steps_test.go
+++ b/internal/faultmatrix/steps_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 
 	"mimosaseam.example/mimosaseam/internal/harness"
 )
@@ -202,9 +203,11 @@
 		w.reserve(w.ctx, w.otherRouter(), key)
 		w.heal()
 		w.noteEffects()
+		var repeats sync.WaitGroup
 		for _, r := range w.liveRouters() {
-			w.reserve(w.ctx, r, key)
+			repeats.Go(func() { w.reserve(w.ctx, r, key) })
 		}
+		repeats.Wait()
 	}
 }
 
