--- a/cmd/mimosaseam/backend.go
+++ b/cmd/mimosaseam/backend.go
@@ -30,11 +30,21 @@
 	if draining {
 		return adminhttp.Readiness{Reason: "stopping"}
 	}
+	if !closed(n.config.Ready()) {
+		return adminhttp.Readiness{Reason: "the configuration has not been read from the log or from a peer"}
+	}
+	if !closed(n.joined) {
+		return adminhttp.Readiness{Reason: "waiting for the hot prefixes of a peer"}
+	}
+	return adminhttp.Readiness{Ready: true}
+}
+
+func closed(c <-chan struct{}) bool {
 	select {
-	case <-n.config.Ready():
-		return adminhttp.Readiness{Ready: true}
+	case <-c:
+		return true
 	default:
-		return adminhttp.Readiness{Reason: "the configuration has not been read from the log or from a peer"}
+		return false
 	}
 }
 
@@ -65,11 +75,11 @@
 	var out []adminhttp.Target
 	for ref, pool := range n.config.Current().Pools {
 		for _, t := range pool.Targets {
-			state := n.targets.State(t.Name)
+			state := n.targets.State(t.Address)
 			out = append(out, adminhttp.Target{
 				Pool: ref.String(), Name: t.Name, Address: t.Address, Region: t.Region,
-				Incarnation: string(state.Incarnation), Circuit: string(s.Circuits[t.Name]),
-				Leaving: state.Leaving, InFlight: inFlight[t.Name],
+				Incarnation: string(state.Incarnation), Circuit: string(s.Circuits[t.Address]),
+				Leaving: state.Leaving, InFlight: inFlight[t.Address],
 			})
 		}
 	}
--- a/cmd/mimosaseam/node.go
+++ b/cmd/mimosaseam/node.go
@@ -54,16 +54,21 @@
 	targets      *router.Targets
 	fingerprints *retry.Fingerprints
 	shares       *shares.Shares
+	vms          *listedVMs
 	fleet        *fleet.Fleet
 	orders       *orders.Manager
 	observer     *observe.Observer
-	follower     *follow.Follower
+	followers    []*follow.Follower
 	router       *router.Router
 	callers      *callerhttp.Server
 
 	// evidence holds crash evidence that is not in the log yet.
 	evidence chan string
 
+	// joined is closed once the hot prefixes of a peer or of the log are taken,
+	// or neither can be had.
+	joined chan struct{}
+
 	mu         sync.Mutex
 	draining   bool
 	logContact time.Time
@@ -73,7 +78,7 @@
 // newNode builds the parts without starting any.
 func newNode(ctx context.Context, s settings.Settings, logger *slog.Logger) (*node, error) {
 	n := &node{settings: s, log: logger, started: time.Now(), offsets: map[string]port.Offset{},
-		evidence: make(chan string, newFingerprints)}
+		evidence: make(chan string, newFingerprints), joined: make(chan struct{})}
 	n.holder = s.VM.Name + "/" + strconv.FormatInt(n.started.UnixMilli(), 10)
 	n.metrics = telemetry.NewMetrics("mimosaseam", "mimosaseam_durations")
 	n.fingerprints = retry.NewFingerprints()
@@ -88,13 +93,14 @@
 	n.buildState()
 	n.buildFleet()
 	n.buildServing()
+	n.publishGauges()
 	return n, nil
 }
 
 func (n *node) buildClients() error {
 	s := n.settings
 	var err error
-	if n.platform, err = newPlatform(s); err != nil {
+	if n.platform, err = newPlatform(s, n.traces.Tracer); err != nil {
 		return err
 	}
 	targetTLS, err := tlsconfig.Client(s.Targets.TLS.CAFile)
@@ -112,7 +118,7 @@
 	if server != nil {
 		n.peerCreds, clientCreds = credentials.NewTLS(server), credentials.NewTLS(client)
 	}
-	n.peers = peergrpc.NewClient(clientCreds)
+	n.peers = peergrpc.NewClient(clientCreds, peergrpc.WithTracer(n.traces.Tracer))
 	return nil
 }
 
@@ -140,13 +146,14 @@
 		Log: n.platform.log, Engine: n.engine, Weights: n.platform.weights, Clock: port.SystemClock{},
 		Logger: n.log, Holder: n.holder, Desired: n.desired,
 	})
-	n.follower = &follow.Follower{
-		Log: n.platform.log, Stream: port.StreamFleet, Logger: n.log, Handle: n.observeFleetRecord,
-		Contact: n.noteLogContact,
+	n.followers = []*follow.Follower{
+		{Log: n.platform.log, Stream: port.StreamFleet, Logger: n.log, Handle: n.observeFleetRecord, Contact: n.noteLogContact},
+		{Log: n.platform.log, Stream: port.StreamOrders, Logger: n.log, Handle: n.orders.Observe, Tail: orders.Tail},
 	}
 	n.observer = observe.New(observe.Deps{
 		Engine: n.engine, Source: n.config, Placer: n.placer, Targets: n.targets,
 		Clock: port.SystemClock{}, Logger: n.log,
+		EventBytesPerSecond: s.Resources.EventBytesPerS, Router: s.VM.Name,
 	})
 }
 
@@ -170,12 +177,13 @@
 
 func (n *node) buildFleet() {
 	s := n.settings
+	n.vms = &listedVMs{VMList: n.platform.vmList}
 	n.fleet = fleet.New(fleet.Options{
 		Self: port.Member{
 			Name: s.VM.Name, Address: s.Peers.Address, Region: s.VM.Region,
 			AvailabilityZone: s.VM.AvailabilityZone, Incarnation: uint64(n.started.UnixMilli()),
 		},
-		Seeds: s.Peers.Seeds, Peer: n.peers, VMList: n.platform.vmList, Logger: n.log,
+		Seeds: s.Peers.Seeds, Peer: n.peers, VMList: n.vms, Logger: n.log,
 		ListInterval: time.Duration(s.Platform.VMListPollMs) * time.Millisecond,
 		Sources: fleet.Sources{
 			ConfigOffset:   n.config.Applied,
@@ -228,19 +236,7 @@
 
 // refreshLeaving passes the targets that must get no new work to the router.
 func (n *node) refreshLeaving() {
-	marks := map[string]bool{}
-	for _, m := range n.fleet.LeavingTargets() {
-		marks[m.Target] = true
-	}
-	leaving := map[string]bool{}
-	for _, pool := range n.config.Current().Pools {
-		for _, t := range pool.Targets {
-			if marks[t.Name] || marks[t.Address] {
-				leaving[t.Name] = true
-			}
-		}
-	}
-	n.targets.SetLeaving(leaving)
+	n.targets.SetLeaving(leavingAddresses(n.fleet.LeavingTargets(), n.vms.addressOf, n.config.Current()))
 }
 
 // desired lists what each engine should serve.
@@ -266,7 +262,7 @@
 	n.logContact = time.Now()
 }
 
-// fleetRecord is a record of the fleet stream that is not a lease claim.
+// fleetRecord is a record of the fleet stream.
 type fleetRecord struct {
 	Kind         string   `json:"kind"`
 	Fingerprints []string `json:"fingerprints,omitempty"`
@@ -275,7 +271,6 @@
 const kindFingerprints = "fingerprints"
 
 func (n *node) observeFleetRecord(r port.Record) {
-	n.orders.Observe(r)
 	if time.Since(r.AppendedAt) > membership.FingerprintTTL {
 		return
 	}
--- a/internal/adapter/httpconn/pool.go
+++ b/internal/adapter/httpconn/pool.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"time"
 
+	"go.opentelemetry.io/otel/propagation"
+
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -25,8 +27,10 @@
 	maxIdlePerTarget = 1024
 	// maxHeaderBytes bounds the header of an answer.
 	maxHeaderBytes = 64 << 10
-	// bufferBytes is the size of each connection's read and write buffer.
-	bufferBytes = 4 << 10
+	// bufferBytes is the size of each connection's read and write buffer. Chunks
+	// have about 100 bytes, and larger bodies are written past the buffer, so
+	// net/http's 4 KiB would only add to the memory of each open stream.
+	bufferBytes = 1 << 10
 	// maxRetryAfter bounds what a target may ask for.
 	maxRetryAfter = 10 * time.Minute
 )
@@ -127,8 +131,8 @@
 
 func (e *Failure) Unwrap() error { return e.Cause }
 
-// Send sends the request that build returns and waits for the header of the
-// answer. It builds and sends the request again, on a new connection, when a
+// Send sends the request that build returns, with the trace context of ctx in
+// the W3C headers, and waits for the header of the answer. It builds and sends the request again, on a new connection, when a
 // pooled connection turned out to be closed before anything was written.
 func (p *Pool) Send(ctx context.Context, build func(context.Context) (*http.Request, error)) (*http.Response, error) {
 	transport := p.pooled
@@ -141,6 +145,7 @@
 		if err != nil {
 			return nil, &Failure{NothingSent: true, Cause: err}
 		}
+		propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(request.Header))
 		response, err := transport.RoundTrip(request)
 		if err == nil {
 			return response, nil
@@ -185,3 +190,6 @@
 	}
 	return min(max(wait, 0), maxRetryAfter)
 }
+
+// RoundTrip implements http.RoundTripper without classifying failures.
+func (p *Pool) RoundTrip(r *http.Request) (*http.Response, error) { return p.pooled.RoundTrip(r) }
--- a/internal/app/configsync/configsync_test.go
+++ b/internal/app/configsync/configsync_test.go
@@ -89,9 +89,11 @@
 func bubble(t *testing.T, test func(ctx context.Context, is *is.I)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
+		defer func() { // also when the test fails
+			cancel()
+			synctest.Wait()
+		}()
 		test(ctx, is.New(t))
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -169,6 +171,21 @@
 	}
 }
 
+// Guards against a slow log that is taken for one that is down.
+func TestSlowLog(t *testing.T) {
+	bubble(t, func(ctx context.Context, is *is.I) {
+		log := portfake.NewLog(portfake.LogOptions{})
+		put(log, addTeam("a"))
+		log.SetFaults(portfake.Faults{DelayMS: 4000})
+		node := newSync(log, nil, 0.5)
+		run(ctx, node)
+		is.NoErr(node.WaitApplied(within(ctx, time.Minute), 1))
+		v, err := node.Publish(within(ctx, time.Minute), change("x", "a", "/a/pools/p", 0, pool(3)))
+		is.NoErr(err)
+		is.True(v.Accepted)
+	})
+}
+
 // Guards against a router that cannot start, or falls behind, while the log is
 // down although a peer has the configuration.
 func TestPeerDelivers(t *testing.T) {
@@ -214,7 +231,10 @@
 			_, err := log.Append(ctx, port.StreamConfig, []port.Record{{ID: "junk", Data: []byte(`{"through":1,"entries":[]}`)}})
 			is.NoErr(err)
 			synctest.Wait()
-			is.True(time.Since(nodes[0].snapshots.last) < retention/2)
+			nodes[0].mu.Lock()
+			last := nodes[0].snapshots.last
+			nodes[0].mu.Unlock()
+			is.True(time.Since(last) < retention/2)
 		}
 		is.NoErr(nodes[0].WaitApplied(ctx, nodes[1].Applied()))
 		late := newSync(log, nil, 0.5)
@@ -245,10 +265,11 @@
 			nodes[i].behind = true
 		}
 		put(log, addTeam("a"))
+		var snapshots []port.Record
 		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			node := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "node")]
 			before := node.Current()
-			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			switch rapid.IntRange(0, 6).Draw(t, "action") {
 			case 0, 1: // an operator edits what this node shows, which may be stale
 				value := rapid.SampledFrom([]string{pool(step + 1), ""}).Draw(t, "value")
 				put(log, change(fmt.Sprint("c", step), "a", "/a/pools/p", before.Revisions["/a/pools/p"], value))
@@ -262,6 +283,15 @@
 			case 5: // records expire up to what some node has folded in
 				is.NoErr(node.writeSnapshot(ctx))
 				log.Expire(port.StreamConfig, node.Applied()+1)
+			case 6: // a peer hands out any snapshot, which may be old
+				for _, rec := range snapshots {
+					if rapid.Bool().Draw(t, "old snapshot") {
+						node.adopt(rec, 0)
+					}
+				}
+			}
+			if data, err := node.state.EncodeSnapshot(); err == nil {
+				snapshots = append(snapshots, port.Record{Data: data})
 			}
 			for path, revision := range before.Revisions {
 				if now, ok := node.Current().Revisions[path]; ok {
--- a/internal/core/limits/share.go
+++ b/internal/core/limits/share.go
@@ -90,13 +90,52 @@
 // target's slots; the target itself then refuses the excess as not run.
 func (d *divider) target(name string, slots int) int {
 	count, _, inContact := d.routers()
+	if count == 1 || !inContact {
+		return targetQuota(count, inContact, slots, 0)
+	}
+	return targetQuota(count, inContact, slots, d.source.PeerInFlight(name))
+}
+
+func targetQuota(count int, inContact bool, slots, peers int) int {
 	if count == 1 {
 		return slots
 	}
 	quota := slots / count
 	if inContact {
 		most := int(maxShift * float64(slots) / float64(count))
-		quota = max(quota, min(slots-d.source.PeerInFlight(name), most))
+		quota = max(quota, min(slots-peers, most))
 	}
 	return max(quota, 1)
 }
+
+// peerLoads is implemented by sources that can list the targets on which peers
+// have requests in flight. The map is not changed afterwards.
+type peerLoads interface{ PeerLoads() map[string]int }
+
+// capacity sums up the quotas of the usable targets. Where the source lists the
+// loaded targets, it looks only at those and at the targets left out.
+func (d *divider) capacity(a Ask) int {
+	count, _, inContact := d.routers()
+	idle := targetQuota(count, inContact, a.Slots, 0)
+	sum := idle * len(a.Targets)
+	for _, t := range a.Without {
+		sum -= d.target(t, a.Slots)
+	}
+	if count == 1 || !inContact {
+		return sum
+	}
+	correct := func(peers int) { sum -= idle - targetQuota(count, inContact, a.Slots, peers) }
+	source, lists := d.source.(peerLoads)
+	if !lists || a.Members == nil {
+		for _, t := range a.Targets {
+			correct(d.source.PeerInFlight(t))
+		}
+		return sum
+	}
+	for t, peers := range source.PeerLoads() {
+		if _, member := a.Members[t]; member {
+			correct(peers)
+		}
+	}
+	return sum
+}
