--- a/internal/faultmatrix/operations_test.go
+++ b/internal/faultmatrix/operations_test.go
@@ -21,7 +21,7 @@
 func order(where int) func(*world, func(subject), fault) {
 	return func(w *world, inject func(subject), f fault) {
 		w.seen.weights = append(w.seen.weights, newWeights)
-		b := w.arm(w.engineProxies(), "POST /v1/orders", harness.ToServer, "")
+		b := w.arm(w.engineProxies(), "POST /v1/orders", harness.ToServer, "", "")
 		_, err := w.sys.Put(w.ctx, map[string]any{"/demo/pools/" + harness.Model: w.sys.EnginePool(newWeights)})
 		w.must(err)
 		hit := w.hit("the order", b)
@@ -81,14 +81,12 @@
 			Data   []byte      `json:"data"`
 		} `json:"records"`
 	}
-	w.must(harness.GetJSON(w.ctx, "http://"+w.sys.Log.Direct+"/v1/streams/fleet/records?from=1&limit=10000", &answer))
-	fold := lease.NewFold()
+	w.must(harness.GetJSON(w.ctx, "http://"+w.sys.Log.Direct+"/v1/streams/"+port.StreamOrders+"/records?from=1&limit=10000", &answer))
+	var fold lease.Fold
 	for _, r := range answer.Records {
-		if claim, err := lease.Decode(r.Data); err == nil {
-			fold.Apply(r.Offset, claim)
-		}
+		fold.Apply(port.Record{Offset: r.Offset, Data: r.Data})
 	}
-	current, _ := fold.Current("orders")
+	current, _ := fold.Current()
 	for _, r := range w.sys.Routers {
 		if strings.HasPrefix(current.Holder, r.Name+"/") {
 			return r
@@ -107,7 +105,7 @@
 		if poisoned {
 			prompt += poison
 		}
-		b := w.arm(w.engineProxies(), "POST /v1/completions", harness.ToClient, `{"index":30,`)
+		b := w.arm(w.engineProxies(), "POST /v1/completions", midWay.direction, midWay.pattern, question(prompt))
 		ctx, giveUp := context.WithCancel(w.ctx)
 		defer giveUp()
 		answer := w.ask(ctx, router, harness.AccountOne, prompt, longAnswer, !poisoned && where == onTarget, nil)
@@ -158,6 +156,9 @@
 			w.ask(w.ctx, r, account, prompt, 5, true, nil)()
 		}
 		w.newReservation(r)
+		if a := harness.Call(w.ctx, r.Proxy.Address(), harness.APIKey(harness.AccountOne), http.MethodGet, "/svc/lookup/routes/17", "", ""); a.Status != http.StatusOK {
+			w.object("a lookup through " + r.Name + " after the fault: " + a.Body)
+		}
 	}
 }
 
--- a/internal/faultmatrix/steps_test.go
+++ b/internal/faultmatrix/steps_test.go
@@ -57,8 +57,8 @@
 	{"operator race", ", router", "the race acts on the log, as in the step without the router"},
 }
 
-func (w *world) arm(proxies []*harness.Proxy, request string, d harness.Direction, pattern string) *harness.Break {
-	b := harness.NewBreak(request, d, pattern)
+func (w *world) arm(proxies []*harness.Proxy, request string, d harness.Direction, pattern, marker string) *harness.Break {
+	b := harness.NewBreak(request, d, pattern, marker)
 	for _, p := range proxies {
 		p.Set(b)
 	}
@@ -119,6 +119,8 @@
 		ctx, giveUp := context.WithCancel(w.ctx)
 		defer giveUp()
 		mustBeWhole := !poisoned && where == onTarget
+		bystander := w.bystander()
+		defer bystander()
 		if at == nil {
 			s := subjectOf(harness.Hit{})
 			inject(s)
@@ -126,7 +128,7 @@
 			w.finishCompletion(s, f, giveUp, answer, prompt, poisoned)
 			return
 		}
-		b := w.arm(w.engineProxies(), "POST /v1/completions", at.direction, at.pattern)
+		b := w.arm(w.engineProxies(), "POST /v1/completions", at.direction, at.pattern, question(prompt))
 		answer := w.ask(ctx, router, harness.AccountOne, prompt, tokens, mustBeWhole, nil)
 		s := subjectOf(w.hit("the engine's stream", b))
 		inject(s)
@@ -135,6 +137,19 @@
 	}
 }
 
+// bystander starts a stream of the other account through another router; it
+// must arrive whole whatever happens to the request of the step.
+func (w *world) bystander() func() harness.Answer {
+	begun := make(chan struct{})
+	answer := w.ask(w.ctx, w.otherRouter(), harness.AccountTwo, w.prompt(), bystanderTokens, true, func(n int) {
+		if n == 1 {
+			close(begun)
+		}
+	})
+	<-begun
+	return answer
+}
+
 func (w *world) finishCompletion(s subject, f fault, giveUp func(), answer func() harness.Answer, prompt string, poisoned bool) {
 	if s.hangs && f.stops {
 		giveUp()
@@ -174,7 +189,7 @@
 func reservation(link func(*world, *harness.Router) *harness.Proxy, request string, d harness.Direction, where int) func(*world, func(subject), fault) {
 	return func(w *world, inject func(subject), f fault) {
 		router := w.liveRouters()[0]
-		b := w.arm([]*harness.Proxy{link(w, router)}, request, d, "")
+		b := w.arm([]*harness.Proxy{link(w, router)}, request, d, "", "")
 		ctx, giveUp := context.WithCancel(w.ctx)
 		defer giveUp()
 		key, first := newKey(), make(chan harness.Answer, 1)
@@ -217,7 +232,7 @@
 	return func(w *world, inject func(subject), f fault) {
 		router := w.liveRouters()[0]
 		held := link(w, router)
-		b := w.arm([]*harness.Proxy{held}, request, d, pattern)
+		b := w.arm([]*harness.Proxy{held}, request, d, pattern, "")
 		name, value := w.marker()
 		put, err := w.sys.StartPut("put-"+name, value)
 		w.must(err)
--- a/internal/faultmatrix/world_test.go
+++ b/internal/faultmatrix/world_test.go
@@ -29,6 +29,8 @@
 	// patience bounds every wait; nothing takes nearly as long in a sound system.
 	patience = 60 * time.Second
 	tokens   = 60
+	// bystanderTokens make a stream that outlasts the injection of a fault.
+	bystanderTokens = 150
 )
 
 var (
@@ -258,6 +260,9 @@
 	return preface + "Question " + strconv.Itoa(w.values) + ": may a cable cross here?"
 }
 
+// question is the part of a prompt that no other prompt has.
+func question(prompt string) string { return strings.TrimPrefix(prompt, preface) }
+
 func newKey() string { return uuid.Must(uuid.NewV7()).String() }
 
 // reserve sends a reservation and notes the answer.
--- a/internal/harness/proxy.go
+++ b/internal/harness/proxy.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"net"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +28,8 @@
 	// Direction and Pattern say which data is held; no pattern matches any data.
 	Direction Direction
 	Pattern   string
+	// Marker is contained in the request, whatever the direction of the data.
+	Marker string
 
 	taken   atomic.Bool
 	hit     chan Hit
@@ -43,8 +44,8 @@
 }
 
 // NewBreak returns a Break to be set on proxies.
-func NewBreak(request string, direction Direction, pattern string) *Break {
-	return &Break{Request: request, Direction: direction, Pattern: pattern,
+func NewBreak(request string, direction Direction, pattern, marker string) *Break {
+	return &Break{Request: request, Direction: direction, Pattern: pattern, Marker: marker,
 		hit: make(chan Hit, 1), release: make(chan struct{})}
 }
 
@@ -75,7 +76,7 @@
 type link struct {
 	p        *Proxy
 	ends     [2]net.Conn // the ends that data in each direction is written to
-	request  string
+	request  []byte      // the last request, as far as it was read
 	tail     [2][]byte
 	silent   bool
 	loses    bool
@@ -244,12 +245,14 @@
 	if d != ToServer {
 		return
 	}
-	line, _, _ := strings.Cut(string(data[:min(len(data), 200)]), "\r\n")
+	l.p.mu.Lock()
+	defer l.p.mu.Unlock()
 	for _, method := range []string{"GET ", "POST ", "PUT ", "DELETE "} {
-		if strings.HasPrefix(line, method) {
-			l.p.set(func() { l.request = line })
+		if bytes.HasPrefix(data, []byte(method)) {
+			l.request = nil
 		}
 	}
+	l.request = append(l.request, data...)
 }
 
 // hold waits while a Break holds the data.
@@ -260,7 +263,8 @@
 	breaks, request := l.p.breaks, l.request
 	l.p.mu.Unlock()
 	for _, b := range breaks {
-		if b.Direction != d || !strings.HasPrefix(request, b.Request) || !bytes.Contains(seen, []byte(b.Pattern)) {
+		if b.Direction != d || !bytes.HasPrefix(request, []byte(b.Request)) ||
+			!bytes.Contains(seen, []byte(b.Pattern)) || !bytes.Contains(request, []byte(b.Marker)) {
 			continue
 		}
 		if b.taken.Swap(true) {
