Placement: a request that leaves a segment moves its home at once

Cause: a branch counted only after a request through it had started, so in the first seconds six routers sent two requests each per first-level prefix to one target.

--- a/internal/core/placement/home.go
+++ b/internal/core/placement/home.go
@@ -25,6 +25,10 @@
 	for i, st := range v.path {
 		s := st.segment
 		v.homeStep = i
+		if p.newBranch(st, v.chain.len()) {
+			v.home, v.homeStep = v.chain.key(s.depth+st.matched), len(v.path)
+			return
+		}
 		if !s.split || st.matched < s.length || s.end() >= v.chain.len() {
 			v.spread = max(1, min(s.spread, v.targets))
 			v.child = v.home
@@ -38,6 +42,18 @@
 	v.homeStep = len(v.path)
 }
 
+// newBranch says whether the request leaves the segment at a place where a split
+// would follow. It saves the first request after a branch from the old home.
+func (p *Policy) newBranch(st step, blocks int) bool {
+	s := st.segment
+	end := s.depth + st.matched
+	if st.matched == s.length || end >= blocks || s.children > 1 {
+		return false
+	}
+	perChild := float64(s.subtree-st.matched+blocks-end) / 2
+	return float64(end) <= p.cfg.MaxReplication*perChild
+}
+
 // adapt decides for each segment of a path whether it is split, and how far
 // the home segment is spread.
 func (p *Policy) adapt(v *view) {
