Keep the prefix knowledge of a client account's models apart by scope

The placement policy remembers the shape of a pool for each scope, and one policy serves all pools, so two models of one account would have shared it. The router count now reaches the policy, which otherwise never shrinks it.

--- a/cmd/mimosaseam/node.go
+++ b/cmd/mimosaseam/node.go
@@ -223,7 +223,10 @@
 	}
 }
 
-func (n *node) takeRouters(routers []membership.Router) { n.shares.SetRouters(routers) }
+func (n *node) takeRouters(routers []membership.Router) {
+	n.shares.SetRouters(routers)
+	n.placer.ObserveRouters(n.shares.Routers().Count)
+}
 
 func (n *node) takeConfigOffset(peer string, offset port.Offset) {
 	n.mu.Lock()
--- a/internal/app/router/completion_test.go
+++ b/internal/app/router/completion_test.go
@@ -306,7 +306,7 @@
 		g := b.engine.sent[0].g
 		is.Equal(g.Deadline, own)
 		is.Equal(g.ExpectWeights, "v0")
-		is.Equal(g.Scope, port.Scope{ClientAccount: "kabelgang/planner", WeightsVersion: "v0"})
+		is.Equal(g.Scope, port.Scope{ClientAccount: "kabelgang/planner", Model: "ledger", WeightsVersion: "v0"})
 
 		e, err := b.Explain(t.Context(), CompletionRequest{Account: testAccount, Model: "ledger", Prompt: "p"})
 		is.NoErr(err)
--- a/internal/app/router/plan.go
+++ b/internal/app/router/plan.go
@@ -69,7 +69,10 @@
 // setScope derives what placement needs from the weights that the pool serves
 // now.
 func (r *Router) setScope(p *plan, req CompletionRequest) {
-	scope := port.Scope{ClientAccount: req.Account.String(), WeightsVersion: r.servedWeights(p), Adapter: p.pool.Adapter}
+	scope := port.Scope{
+		ClientAccount: req.Account.String(), Model: p.pool.Model,
+		WeightsVersion: r.servedWeights(p), Adapter: p.pool.Adapter,
+	}
 	blockBytes := p.pool.BlockBytes
 	if blockBytes <= 0 {
 		blockBytes = prompt.DefaultBlockBytes
--- a/internal/app/router/service.go
+++ b/internal/app/router/service.go
@@ -99,7 +99,7 @@
 	}
 	p.setDeadline(r.Clock.Now(), req.Deadline)
 	p.place = placement.Request{
-		Scope:       port.Scope{ClientAccount: req.Account.String()},
+		Scope:       port.Scope{ClientAccount: req.Account.String(), Model: p.poolRef.Name},
 		PromptBytes: len(req.Body),
 		Weights:     placement.Weights{CrossRegionMsPerMiB: p.route.Weights.CrossRegionMsPerMiB},
 	}
--- a/internal/faultmatrix/checks_test.go
+++ b/internal/faultmatrix/checks_test.go
@@ -165,7 +165,7 @@
 	}
 	for i, r := range o.runs {
 		request, known := sent[r.RequestID]
-		if known && !strings.HasPrefix(r.Scope, harness.Team+"/"+request.account+"/"+r.WeightsVersion) {
+		if known && !strings.HasPrefix(r.Scope, harness.Team+"/"+request.account+"/"+harness.Model+"/"+r.WeightsVersion) {
 			bad = append(bad, r.RequestID+": ran under scope "+r.Scope+" with weights "+r.WeightsVersion)
 		}
 		explained := 0
--- a/internal/faultmatrix/forged_test.go
+++ b/internal/faultmatrix/forged_test.go
@@ -19,7 +19,7 @@
 		change(&a)
 		return []seenStream{{id: "r", account: harness.AccountOne, prompt: prompt, tokens: tokens, mustBeWhole: true, answer: a}}
 	}
-	scope := harness.Team + "/" + harness.AccountOne + "/" + harness.Weights + "/"
+	scope := harness.Team + "/" + harness.AccountOne + "/" + harness.Model + "/" + harness.Weights + "/"
 	run := func(scope string, cached int) engineRun {
 		return engineRun{"engine-1", engine.Run{RequestID: "r", Scope: scope, WeightsVersion: harness.Weights, CachedTokens: cached}}
 	}
@@ -43,9 +43,9 @@
 		{"not_run, but it ran", invariants[4].name, observation{calls: []seenCall{{key: "k", effects: 1,
 			answer: harness.Answer{Status: 503, Outcome: "not_run"}}}}},
 		{"blocks of another account", invariants[5].name, observation{streams: with(func(*harness.Answer) {}),
-			runs: []engineRun{run("demo/planners/v1/", 0), run(scope, 2)}}},
+			runs: []engineRun{run("demo/planners/demo-lm/v1/", 0), run(scope, 2)}}},
 		{"scope of another account", invariants[5].name, observation{streams: with(func(*harness.Answer) {}),
-			runs: []engineRun{run("demo/planners/v1/", 0)}}},
+			runs: []engineRun{run("demo/planners/demo-lm/v1/", 0)}}},
 		{"value comes back", invariants[6].name, observation{config: map[string][]seenConfig{"router-1": {{1, "a"}, {2, "b"}, {3, "a"}}}}},
 		{"offset falls", invariants[6].name, observation{config: map[string][]seenConfig{"router-1": {{2, "a"}, {1, "a"}}}}},
 		{"not in force in the end", invariants[6].name, observation{live: []string{"router-1"}, finalValue: "b",
--- a/internal/port/engine.go
+++ b/internal/port/engine.go
@@ -11,16 +11,22 @@
 type Incarnation string
 
 // Scope isolates cached blocks: blocks are shared only by requests of the same
-// client account, weights version and adapter.
+// client account, model, weights version and adapter.
 type Scope struct {
-	ClientAccount  string
+	ClientAccount string
+	// Model keeps two pools of one client account apart. Empty: one pool only.
+	Model          string
 	WeightsVersion string
 	Adapter        string
 }
 
 // String renders the scope as the opaque value sent to engines.
 func (s Scope) String() string {
-	return s.ClientAccount + "/" + s.WeightsVersion + "/" + s.Adapter
+	account := s.ClientAccount
+	if s.Model != "" {
+		account += "/" + s.Model
+	}
+	return account + "/" + s.WeightsVersion + "/" + s.Adapter
 }
 
 // Generation is one attempt to run a completion on a model engine.
