Resend a call with an unknown outcome only to a target that deduplicates keys

Cause: a pool that checks fencing tokens counted as resendable, but a token does not tell whether the lost attempt ran, so a second attempt could run again; the token was not even sent. Service calls now carry X-Fencing-Token. The new test fails with the old rule.

--- a/internal/adapter/servicehttp/client.go
+++ b/internal/adapter/servicehttp/client.go
@@ -120,6 +120,10 @@
 	set("X-Request-Id", call.RequestID)
 	set("X-Attempt-Id", call.AttemptID)
 	set("Idempotency-Key", call.IdempotencyKey)
+	set("X-Fencing-Token", "")
+	if call.FencingToken > 0 {
+		set("X-Fencing-Token", strconv.FormatUint(uint64(call.FencingToken), 10))
+	}
 	set("X-Deadline-Ms", "")
 	if leftMs > 0 {
 		set("X-Deadline-Ms", strconv.FormatInt(leftMs, 10))
--- a/internal/app/router/service.go
+++ b/internal/app/router/service.go
@@ -115,9 +115,11 @@
 		Key: atmostonce.Key{ClientAccount: c.req.Account.String(), Value: c.req.IdempotencyKey,
 			CreatedAt: c.req.KeyCreated},
 		BodyHash: bodyHash(c.req), Route: c.p.routeRef.String(), First: c.req.First,
-		Retention:  time.Duration(c.p.route.KeyRetentionS) * time.Second,
-		Deadline:   c.p.deadline,
-		Resendable: c.p.pool.DeduplicatesKeys || c.p.pool.ChecksFencing,
+		Retention: time.Duration(c.p.route.KeyRetentionS) * time.Second,
+		Deadline:  c.p.deadline,
+		// A target that only refuses stale fencing tokens may have run the attempt
+		// before it was lost, so it does not make a call resendable.
+		Resendable: c.p.pool.DeduplicatesKeys,
 	}, c.dispatch)
 	return ServiceReply{Status: out.Status, Header: out.Header, Body: out.Body}, err
 }
@@ -250,9 +252,11 @@
 }
 
 func (c *call) exchange(ctx context.Context, t target, id string) (ServiceReply, error) {
+	token, _ := atmostonce.FencingToken(ctx)
 	reply, err := c.r.Service.Call(ctx, t.Address, port.Call{
 		RequestID: c.req.RequestID, AttemptID: id, Method: c.req.Method, Path: c.req.Path,
-		Header: c.req.Header, Body: c.req.Body, IdempotencyKey: c.req.IdempotencyKey, Deadline: c.p.deadline,
+		Header: c.req.Header, Body: c.req.Body, IdempotencyKey: c.req.IdempotencyKey, FencingToken: token,
+		Deadline: c.p.deadline,
 	})
 	if err != nil {
 		return ServiceReply{}, err
--- a/internal/app/router/service_fake_test.go
+++ b/internal/app/router/service_fake_test.go
@@ -32,9 +32,10 @@
 }
 
 // fakeRunner dispatches once and reports as the real runner does.
-type fakeRunner struct{}
+type fakeRunner struct{ asked []atmostonce.Request }
 
-func (*fakeRunner) Run(ctx context.Context, _ atmostonce.Request, dispatch atmostonce.Dispatch) (atmostonce.Outcome, error) {
+func (f *fakeRunner) Run(ctx context.Context, r atmostonce.Request, dispatch atmostonce.Dispatch) (atmostonce.Outcome, error) {
+	f.asked = append(f.asked, r)
 	out, err := dispatch(ctx, "attempt")
 	switch err.(type) {
 	case nil:
--- a/internal/app/router/service_test.go
+++ b/internal/app/router/service_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"mimosaseam.example/mimosaseam/internal/app/atmostonce"
+	"mimosaseam.example/mimosaseam/internal/core/config"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -82,6 +83,30 @@
 
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
 
+// Guards against a second attempt at a target that refuses stale fencing tokens
+// but may have run the first one.
+func TestOnlyDeduplicatingTargetsMakeCallsResendable(t *testing.T) {
+	for name, c := range map[string]struct {
+		checksFencing, deduplicates, want bool
+	}{"neither": {}, "checks fencing": {checksFencing: true}, "deduplicates": {deduplicates: true, want: true}} {
+		t.Run(name, func(t *testing.T) {
+			desk := config.Ref{Team: "kabelgang", Name: "desk"}
+			inBubble(t, func(s *config.Snapshot) {
+				pool := s.Pools[desk]
+				pool.ChecksFencing, pool.DeduplicatesKeys = c.checksFencing, c.deduplicates
+				s.Pools[desk] = pool
+			}, func(t *testing.T, is *is.I, b *bench) {
+				runner := &fakeRunner{}
+				b.Runner = runner
+				_, err := b.ServiceCall(t.Context(), ServiceRequest{Account: testAccount, Route: "reserve",
+					Method: http.MethodPost, Path: "/duct", IdempotencyKey: "k", KeyCreated: time.Now()})
+				is.NoErr(err)
+				is.Equal(runner.asked[0].Resendable, c.want)
+			})
+		})
+	}
+}
+
 // Guards against a reservation that is not sent although nothing ran, or sent
 // without a key; and against one that is given up when its caller leaves.
 func TestReservationNeedsKeyAndOutlivesCaller(t *testing.T) {
--- a/internal/port/engine.go
+++ b/internal/port/engine.go
@@ -194,7 +194,10 @@
 	Header         http.Header
 	Body           []byte
 	IdempotencyKey string
-	Deadline       time.Time
+	// FencingToken is the offset of the intent under which a call that may not
+	// be repeated is sent; 0 for other calls.
+	FencingToken Offset
+	Deadline     time.Time
 }
 
 // Reply is the answer of a plain service. The receiver closes Body.
