--- a/internal/app/follow/follow.go
+++ b/internal/app/follow/follow.go
@@ -14,7 +14,7 @@
 
 const (
 	readLimit   = 500
-	readWait    = 5 * time.Second
+	readWait    = 20 * time.Second
 	minBackoff  = 100 * time.Millisecond
 	maxBackoff  = 5 * time.Second
 	readTimeout = readWait + 5*time.Second
--- a/internal/app/observe/observe.go
+++ b/internal/app/observe/observe.go
@@ -15,10 +15,13 @@
 )
 
 const (
-	// loadReadsPerSecond keeps load reports of about 220 bytes to half of the
-	// control budget of 2 KB/s.
+	// loadReadsPerSecond lets a small site notice a restarted engine soon.
 	loadReadsPerSecond = 4
-	readTimeout        = 2 * time.Second
+	// fewTargets is the number of targets beyond which one load report a second
+	// is read: at the planned size the control traffic of a router has a bound
+	// of 2 KB/s, and a report takes about 470 bytes with its headers.
+	fewTargets  = 64
+	readTimeout = 2 * time.Second
 )
 
 // Targets takes what a target reports of itself.
@@ -43,7 +46,8 @@
 // Observer reads one engine at a time, in turn.
 type Observer struct {
 	Deps
-	turn int
+	turn  int
+	steps int
 	// targets are the engines of the snapshot.
 	snapshot *config.Snapshot
 	targets  []engineTarget
@@ -81,7 +85,9 @@
 	if len(targets) == 0 {
 		return
 	}
-	o.readLoad(ctx, targets)
+	if o.steps++; len(targets) <= fewTargets || o.steps%loadReadsPerSecond == 0 {
+		o.readLoad(ctx, targets)
+	}
 	o.readEvents(ctx, targets)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,7 +120,7 @@
 	// IndexBytes bounds the prefix index, in bytes. Default 67108864.
 	IndexBytes int `json:"index_bytes"`
 	// EventBytesPerS bounds the reading of cache events of engines, in bytes per
-	// second; 0 reads none. With the 900 of load reports and the exchanges with
+	// second; 0 reads none. With the 470 of load reports and the exchanges with
 	// peers it stays below the 2 KB/s of a router. Default 500.
 	EventBytesPerS int `json:"event_bytes_per_s"`
 	// Seed of random choices; 0 takes one from the system. Default 0.
