--- a/internal/faultmatrix/world_test.go
+++ b/internal/faultmatrix/world_test.go
@@ -74,7 +74,6 @@
 	// apart lets the bystander of a crashing request use another router.
 	apart bool
 	asked int
-	home  string
 	last  uint64 // revision of the marker
 }
 
