--- a/cmd/demo/system.go
+++ b/cmd/demo/system.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -13,8 +12,9 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
+
+	"mimosaseam.example/mimosaseam/internal/harness"
 )
 
 const (
@@ -23,55 +23,20 @@
 	model       = "demo-lm"
 	weights     = "v1"
 	readyWait   = 15 * time.Second
-	pollEvery   = 50 * time.Millisecond
 	stopWait    = 15 * time.Second
 )
 
-// StartError means that a part of the system did not start.
-type StartError struct {
-	Part  string
-	Cause error
-	Log   string
-}
-
-func (e *StartError) Error() string {
-	text := "start " + e.Part
-	if e.Cause != nil {
-		text += ": " + e.Cause.Error()
-	}
-	if e.Log != "" {
-		text += "\n" + e.Log
-	}
-	return text
-}
-
-func (e *StartError) Unwrap() error { return e.Cause }
-
 // process is one running part.
 type process struct {
+	*harness.Process
 	name    string
 	address string
-	cmd     *exec.Cmd
-	logFile string
-	ended   chan struct{}
 }
 
-func (p *process) kill() {
-	_ = p.cmd.Process.Kill()
-	<-p.ended
-}
+func (p *process) kill() { p.Kill() }
 
 // stop asks the process to end and reports whether it ended by itself.
-func (p *process) stop(wait time.Duration) bool {
-	_ = p.cmd.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-p.ended:
-		return p.cmd.ProcessState.Success()
-	case <-time.After(wait):
-		p.kill()
-		return false
-	}
-}
+func (p *process) stop(wait time.Duration) bool { return p.Stop(wait) }
 
 // system is everything that runs.
 type system struct {
@@ -88,7 +53,7 @@
 func startSystem(ctx context.Context, binaries string) (*system, error) {
 	dir, err := os.MkdirTemp("", "mimosaseam-demo-")
 	if err != nil {
-		return nil, &StartError{Part: "directory", Cause: err}
+		return nil, &harness.StartError{Part: "directory", Cause: err}
 	}
 	s := &system{binaries: binaries, dir: dir}
 	steps := []func(context.Context) error{s.startStandins, s.startRouters, s.setVMs, s.publish}
@@ -135,34 +100,24 @@
 	var line struct {
 		Address string `json:"address"`
 	}
-	err = poll(ctx, readyWait, func() bool {
-		text, _ := os.ReadFile(p.logFile)
+	err = harness.Poll(ctx, readyWait, func() bool {
+		text, _ := os.ReadFile(p.LogFile)
 		first, _, whole := strings.Cut(string(text), "\n")
 		return whole && json.Unmarshal([]byte(first), &line) == nil && line.Address != ""
 	})
 	p.address = line.Address
 	if err != nil {
-		return nil, &StartError{Part: name, Cause: err, Log: tail(p.logFile)}
+		return nil, &harness.StartError{Part: name, Cause: err, Log: p.Tail()}
 	}
 	return p, nil
 }
 
 func (s *system) start(name, binary string, args ...string) (*process, error) {
-	p := &process{name: name, logFile: filepath.Join(s.dir, name+".log"), ended: make(chan struct{})}
-	file, err := os.Create(p.logFile)
+	p, err := harness.StartProcess(s.dir, name, filepath.Join(s.binaries, binary), args...)
 	if err != nil {
-		return nil, &StartError{Part: name, Cause: err}
-	}
-	defer file.Close()
-	p.cmd = exec.Command(filepath.Join(s.binaries, binary), args...)
-	p.cmd.Stdout, p.cmd.Stderr = file, file
-	// The kernel ends the process when the demonstration itself is killed.
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := p.cmd.Start(); err != nil {
-		return nil, &StartError{Part: name, Cause: err}
+		return nil, err
 	}
-	go func() { _ = p.cmd.Wait(); close(p.ended) }()
-	return p, nil
+	return &process{Process: p, name: name}, nil
 }
 
 // startRouters writes the settings and starts the routers.
@@ -180,7 +135,7 @@
 		own := ports[3*i : 3*i+3]
 		file := filepath.Join(s.dir, "router-"+strconv.Itoa(i+1)+".jsonc")
 		if err := os.WriteFile(file, routerSettings(i, own, s, strings.TrimSpace(public)), 0o600); err != nil {
-			return &StartError{Part: "settings", Cause: err}
+			return &harness.StartError{Part: "settings", Cause: err}
 		}
 		s.settings = append(s.settings, file)
 		s.admin = append(s.admin, "http://"+own[1])
@@ -207,7 +162,7 @@
 }
 
 func (s *system) awaitReady(ctx context.Context, i int) error {
-	err := poll(ctx, readyWait, func() bool {
+	err := harness.Poll(ctx, readyWait, func() bool {
 		answer, err := http.Get(s.admin[i] + "/readyz")
 		if err != nil {
 			return false
@@ -216,7 +171,7 @@
 		return answer.StatusCode == http.StatusOK
 	})
 	if err != nil {
-		return &StartError{Part: s.routers[i].name, Cause: err, Log: tail(s.routers[i].logFile)}
+		return &harness.StartError{Part: s.routers[i].name, Cause: err, Log: s.routers[i].Tail()}
 	}
 	return nil
 }
@@ -262,7 +217,7 @@
 			err = json.Unmarshal(text, &own)
 		}
 		if err != nil {
-			return &StartError{Part: "VM list", Cause: err}
+			return &harness.StartError{Part: "VM list", Cause: err}
 		}
 		list.VMs = append(list.VMs, vm{"router-" + strconv.Itoa(i+1), "router", own.Peers.Address, region(i), region(i) + "-a", "live"})
 	}
@@ -272,16 +227,16 @@
 	body, _ := json.Marshal(list)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+s.vms.address+"/control/vms", bytes.NewReader(body))
 	if err != nil {
-		return &StartError{Part: "VM list", Cause: err}
+		return &harness.StartError{Part: "VM list", Cause: err}
 	}
 	answer, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return &StartError{Part: "VM list", Cause: err}
+		return &harness.StartError{Part: "VM list", Cause: err}
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode >= http.StatusMultipleChoices {
 		text, _ := io.ReadAll(answer.Body)
-		return &StartError{Part: "VM list", Log: string(text)}
+		return &harness.StartError{Part: "VM list", Log: string(text)}
 	}
 	return nil
 }
@@ -292,7 +247,7 @@
 	cmd := exec.CommandContext(ctx, filepath.Join(s.binaries, "mimosaseam"), args...)
 	cmd.Stdout, cmd.Stderr = &out, &failure
 	if err := cmd.Run(); err != nil {
-		return "", &StartError{Part: "mimosaseam " + strings.Join(args[:2], " "), Cause: err, Log: failure.String()}
+		return "", &harness.StartError{Part: "mimosaseam " + strings.Join(args[:2], " "), Cause: err, Log: failure.String()}
 	}
 	return out.String(), nil
 }
@@ -313,43 +268,10 @@
 	for range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
-			return nil, &StartError{Part: "port", Cause: err}
+			return nil, &harness.StartError{Part: "port", Cause: err}
 		}
 		defer l.Close()
 		addresses = append(addresses, l.Addr().String())
 	}
 	return addresses, nil
 }
-
-// TimeoutError means that something did not happen in time.
-type TimeoutError struct{ After time.Duration }
-
-func (e *TimeoutError) Error() string { return "not ready after " + e.After.String() }
-
-func poll(ctx context.Context, limit time.Duration, done func() bool) error {
-	deadline := time.Now().Add(limit)
-	for !done() {
-		if time.Now().After(deadline) || ctx.Err() != nil {
-			return &TimeoutError{After: limit}
-		}
-		time.Sleep(pollEvery)
-	}
-	return nil
-}
-
-// tail returns the last lines of a log file.
-func tail(file string) string {
-	const lines = 8
-	f, err := os.Open(file)
-	if err != nil {
-		return ""
-	}
-	defer f.Close()
-	var last []string
-	scanner := bufio.NewScanner(f)
-	for scanner.Scan() {
-		last = append(last, scanner.Text())
-		last = last[max(0, len(last)-lines):]
-	}
-	return strings.Join(last, "\n")
-}
--- a/internal/harness/system.go
+++ b/internal/harness/system.go
@@ -232,18 +232,6 @@
 
 func region(i int) string { return []string{"north", "middle", "south"}[i%3] }
 
-// ListVMs sets the platform's VM list to all routers and targets.
-func (s *System) ListVMs(ctx context.Context) error {
-	var vms []map[string]string
-	for i, r := range s.Routers {
-		vms = append(vms, vm(i, r.Name, "router", r.Peers, "live"))
-	}
-	for i, e := range s.Engines {
-		vms = append(vms, vm(i, e.Name, "engine", e.Proxy.Address(), "live"))
-	}
-	return s.setVMs(ctx, append(vms, vm(0, s.App.Name, "service", s.App.Proxy.Address(), "live")))
-}
-
 // ListLeaving sets the VM list to one leaving engine.
 func (s *System) ListLeaving(ctx context.Context, e *Part) error {
 	return s.setVMs(ctx, []map[string]string{vm(0, e.Name, "engine", e.Proxy.Address(), "leaving")})
