--- a/internal/harness/system.go
+++ b/internal/harness/system.go
@@ -232,18 +232,6 @@
 
 func region(i int) string { return []string{"north", "middle", "south"}[i%3] }
 
-// ListVMs sets the platform's VM list to all routers and targets.
-func (s *System) ListVMs(ctx context.Context) error {
-	var vms []map[string]string
-	for i, r := range s.Routers {
-		vms = append(vms, vm(i, r.Name, "router", r.Peers, "live"))
-	}
-	for i, e := range s.Engines {
-		vms = append(vms, vm(i, e.Name, "engine", e.Proxy.Address(), "live"))
-	}
-	return s.setVMs(ctx, append(vms, vm(0, s.App.Name, "service", s.App.Proxy.Address(), "live")))
-}
-
 // ListLeaving sets the VM list to one leaving engine.
 func (s *System) ListLeaving(ctx context.Context, e *Part) error {
 	return s.setVMs(ctx, []map[string]string{vm(0, e.Name, "engine", e.Proxy.Address(), "leaving")})
@@ -368,39 +356,3 @@
 		s.Operator.Down()
 	}
 }
-
-// RouterStatus is what the harness reads of a router's status.
-type RouterStatus struct {
-	ConfigOffset uint64 `json:"config_offset"`
-	Targets      []struct {
-		Pool    string `json:"pool"`
-		Name    string `json:"name"`
-		Leaving bool   `json:"leaving"`
-	} `json:"targets"`
-}
-
-// Status reads a router's status.
-func (r *Router) Status(ctx context.Context) (RouterStatus, error) {
-	var s RouterStatus
-	err := GetJSON(ctx, r.Admin+"/v1/status", &s)
-	return s, err
-}
-
-// watchEvery is the time between two readings of a router's status.
-const watchEvery = 50 * time.Millisecond
-
-// Watch reads the router's status again and again until the context ends.
-func (r *Router) Watch(ctx context.Context, see func(RouterStatus)) {
-	ticker := time.NewTicker(watchEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if s, err := r.Status(ctx); err == nil {
-				see(s)
-			}
-		}
-	}
-}
