--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -196,6 +196,6 @@
 func (x *exchange) done(kind string, attrs ...slog.Attr) {
 	attrs = append(attrs, slog.String("request_id", x.id), slog.String("account", x.account.String()),
 		slog.String("method", x.r.Method), slog.Int("status", x.status), slog.String("result", kind),
-		slog.Duration("duration", x.s.Clock.Now().Sub(x.started)))
+		slog.Float64("duration_ms", float64(x.s.Clock.Now().Sub(x.started))/float64(time.Millisecond)))
 	x.s.Logger.LogAttrs(x.r.Context(), slog.LevelInfo, "request", attrs...)
 }
