--- a/cmd/mimosaseam/node.go
+++ b/cmd/mimosaseam/node.go
@@ -34,6 +34,14 @@
 	"mimosaseam.example/mimosaseam/internal/settings"
 )
 
+const (
+	// indexBytesPerBlock is the memory of the prefix index for each block; a full
+	// index of 300,000 blocks measured 18.1 MiB.
+	indexBytesPerBlock = 64
+	// blocksPerSegment is the mean length of a segment that the index allows for.
+	blocksPerSegment = 6
+)
+
 // node holds the parts of one router process.
 type node struct {
 	settings settings.Settings
@@ -140,6 +148,8 @@
 	placerSettings := placement.DefaultSettings()
 	placerSettings.Seed, placerSettings.Region = seed, s.VM.Region
 	placerSettings.AvailabilityZone = s.VM.AvailabilityZone
+	placerSettings.MaxBlocks = s.Resources.IndexBytes / indexBytesPerBlock
+	placerSettings.MaxSegments = placerSettings.MaxBlocks / blocksPerSegment
 	n.placer = placement.New(placerSettings)
 	n.targets = router.NewTargets(port.SystemClock{}, n.placer)
 	n.orders = orders.New(orders.Deps{
--- a/internal/app/router/attempt.go
+++ b/internal/app/router/attempt.go
@@ -213,12 +213,14 @@
 	r.circuits.SetBusy(target, r.Clock.Now().Add(after))
 }
 
-var errEarlyEnd = eris.New("the stream ended before its terminal mark")
+// ErrEarlyEnd means that an engine ended a stream without a failure and without
+// its terminal mark.
+var ErrEarlyEnd = eris.New("the stream ended before its terminal mark")
 
 // ended turns the end of a stream without a terminal mark into a failure.
 func ended(err error) error {
 	if errors.Is(err, io.EOF) {
-		err = errEarlyEnd
+		err = ErrEarlyEnd
 	}
 	return err
 }
--- a/internal/app/router/crash_test.go
+++ b/internal/app/router/crash_test.go
@@ -81,7 +81,7 @@
 }
 
 // Guards against a request that crashes one target after the other, repeats
-// included, and against honest requests that are refused for having run beside
+// included, and against harmless requests that are refused for having run beside
 // it.
 func TestCrashingRequestIsRefusedAndNeighboursSurvive(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/core/retry/fingerprint.go
+++ b/internal/core/retry/fingerprint.go
@@ -57,7 +57,7 @@
 // suspect, unless a single earlier suspect was among them: then that one is
 // quarantined and the others are not suspected. A suspect runs once at a time, on a
 // target without other suspects, so the second crash quarantines it. A suspect that
-// gets past the place of the crash is cleared, so that honest requests are not
+// gets past the place of the crash is cleared, so that harmless requests are not
 // kept apart for long; if it is the only one to crash a third target, it is
 // quarantined after all. It is safe for concurrent use.
 type Fingerprints struct {
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -130,7 +130,7 @@
 	}
 }
 
-// TestBystanderOnAnotherRouter guards against refusing a sound request because
+// TestBystanderOnAnotherRouter guards against refusing a harmless request because
 // a request of another router crashed the targets that it ran on.
 func TestBystanderOnAnotherRouter(t *testing.T) {
 	crash := faults[len(faults)-1]
--- a/internal/faultmatrix/operations_test.go
+++ b/internal/faultmatrix/operations_test.go
@@ -174,7 +174,7 @@
 func (w *world) newReservation(r *harness.Router) {
 	key := newKey()
 	var a harness.Answer
-	if harness.Poll(w.ctx, patience, func() bool {
+	if harness.Poll(w.ctx, waitTimeout, func() bool {
 		a = w.reserve(w.ctx, r, key)
 		return a.Err == nil && a.Status == http.StatusOK
 	}) != nil {
@@ -189,7 +189,7 @@
 	var live []string
 	for _, r := range w.liveRouters() {
 		// A router that never gets there is reported by the check.
-		_ = harness.Poll(w.ctx, patience, func() bool {
+		_ = harness.Poll(w.ctx, waitTimeout, func() bool {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			states := w.seen.config[r.Name]
--- a/internal/faultmatrix/world_test.go
+++ b/internal/faultmatrix/world_test.go
@@ -26,9 +26,9 @@
 	engines = 4
 	// atOnce bounds the systems that run at the same time.
 	atOnce = 4
-	// patience bounds every wait; nothing takes nearly as long in a sound system.
-	patience = 60 * time.Second
-	tokens   = 60
+	// waitTimeout bounds every wait; a healthy system takes a fraction of it.
+	waitTimeout = 60 * time.Second
+	tokens      = 60
 	// bystanderTokens make a stream that outlasts the injection of a fault.
 	bystanderTokens = 150
 )
@@ -113,7 +113,7 @@
 // await polls a condition.
 func (w *world) await(what string, done func() bool) {
 	w.t.Helper()
-	if harness.Poll(w.ctx, patience, done) != nil {
+	if harness.Poll(w.ctx, waitTimeout, done) != nil {
 		w.t.Fatalf("did not happen: %s", what)
 	}
 }
@@ -242,7 +242,7 @@
 	w.mu.Unlock()
 	answer := make(chan harness.Answer, 1)
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, patience)
+		ctx, cancel := context.WithTimeout(ctx, waitTimeout)
 		defer cancel()
 		answer <- harness.Stream(ctx, harness.Completion{Address: r.Proxy.Address(), Key: harness.APIKey(account), ID: id,
 			Model: harness.Model, Prompt: prompt, Tokens: n, OnChunk: onChunk})
@@ -270,7 +270,7 @@
 
 // reserve sends a reservation and notes the answer.
 func (w *world) reserve(ctx context.Context, r *harness.Router, key string) harness.Answer {
-	ctx, cancel := context.WithTimeout(ctx, patience)
+	ctx, cancel := context.WithTimeout(ctx, waitTimeout)
 	defer cancel()
 	a := harness.Call(ctx, r.Proxy.Address(), harness.APIKey(harness.AccountOne), http.MethodPost,
 		"/svc/reservation/ducts/9", key, `{"duct":9}`)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -47,7 +47,6 @@
 func (s *Settings) checkPlatform(d *strictjson.Document) {
 	checkURL(d, "/platform/log_url", s.Platform.LogURL, true)
 	checkURL(d, "/platform/vm_list_url", s.Platform.VMListURL, true)
-	checkURL(d, "/platform/kv_store_url", s.Platform.KVStoreURL, false)
 	checkURL(d, "/platform/weight_store_url", s.Platform.WeightStoreURL, false)
 	checkRange(d, "/platform/retention_s", s.Platform.RetentionS, 60, 366*24*3600)
 	checkRange(d, "/platform/appends_per_second", s.Platform.AppendsPerSecond, 1, 1000)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,8 +82,6 @@
 	LogURL string `json:"log_url"`
 	// VMListURL is the VM list, as http://host:port. Required.
 	VMListURL string `json:"vm_list_url"`
-	// KVStoreURL is the KV cache store. Default none.
-	KVStoreURL string `json:"kv_store_url"`
 	// WeightStoreURL is the weight store. Default none.
 	WeightStoreURL string `json:"weight_store_url"`
 	// RetentionS is how long the log keeps records, in s. Default 604800.
@@ -117,7 +115,7 @@
 
 // Resources bound what the process holds.
 type Resources struct {
-	// IndexBytes bounds the prefix index, in bytes. Default 67108864.
+	// IndexBytes bounds the prefix index, in bytes. Default 19200000, 300,000 blocks.
 	IndexBytes int `json:"index_bytes"`
 	// EventBytesPerS bounds the reading of cache events of engines, in bytes per
 	// second; 0 reads none. With the 470 of load reports and the exchanges with
@@ -164,7 +162,7 @@
 		},
 		Platform:  Platform{RetentionS: 7 * 24 * 3600, AppendsPerSecond: 20, VMListPollMs: 1000},
 		Telemetry: Telemetry{LogLevel: "info", LogFormat: "json", TraceRatio: 1},
-		Resources: Resources{IndexBytes: 64 << 20, EventBytesPerS: 500},
+		Resources: Resources{IndexBytes: 19_200_000, EventBytesPerS: 500},
 		Shutdown:  Shutdown{DrainTimeoutS: 120, UnreadyMs: 1000},
 	}
 }
