--- a/cmd/mimosaseam/adminclient.go
+++ b/cmd/mimosaseam/adminclient.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"mimosaseam.example/mimosaseam/internal/adapter/adminhttp"
+	"mimosaseam.example/mimosaseam/internal/adapter/tlsconfig"
 	"mimosaseam.example/mimosaseam/internal/port"
 	"mimosaseam.example/mimosaseam/internal/settings"
 )
@@ -49,7 +50,42 @@
 	return e.URL + " answered " + strconv.Itoa(e.Status) + ": " + e.Body
 }
 
-func askAdmin(method, url string, body, into any) error {
+// admin is where and how to reach a router's admin address.
+type admin struct{ router, settings, ca string }
+
+// addFlags adds the flags that name the router.
+func (a *admin) addFlags(c command) {
+	c.String(&a.router, "r", "router", "Admin URL of the router, as http://10.0.0.1:8081.")
+	c.String(&a.settings, "s", "settings", "Settings file that gives the admin address instead.")
+	c.addCA(&a.ca)
+}
+
+func (c command) addCA(file *string) {
+	c.String(file, "", "ca", "PEM file with the roots that the router's certificate is checked against.")
+}
+
+func (a admin) ask(method, path string, body, into any) error {
+	url, err := routerURL(a.router, a.settings)
+	if err != nil {
+		return err
+	}
+	return askAdmin(a.ca, method, url+path, body, into)
+}
+
+func adminHTTPClient(caFile string) (*http.Client, error) {
+	clientTLS, err := tlsconfig.Client(caFile)
+	if err != nil {
+		return nil, err
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: clientTLS}}, nil
+}
+
+func askAdmin(caFile, method, url string, body, into any) error {
+	client, err := adminHTTPClient(caFile)
+	if err != nil {
+		return err
+	}
+	defer client.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(context.Background(), adminTimeout)
 	defer cancel()
 	var reader io.Reader
@@ -64,7 +100,7 @@
 	if err != nil {
 		return &UsageError{Message: err.Error()}
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return &port.UnavailableError{Peer: "router", Cause: err}
 	}
@@ -80,12 +116,12 @@
 }
 
 // waitInForce asks a router until it reports the offset in force on all routers.
-func waitInForce(out io.Writer, router string, offset port.Offset, timeout time.Duration) error {
+func waitInForce(out io.Writer, caFile, router string, offset port.Offset, timeout time.Duration) error {
 	url := router + "/v1/config/applied?offset=" + strconv.FormatUint(uint64(offset), 10)
 	deadline := time.Now().Add(timeout)
 	for {
 		var applied adminhttp.Applied
-		err := askAdmin(http.MethodGet, url, nil, &applied)
+		err := askAdmin(caFile, http.MethodGet, url, nil, &applied)
 		if err == nil && len(applied.Lagging) == 0 {
 			fmt.Fprintf(out, "in force on %d routers\n", len(applied.InForce))
 			return nil
@@ -101,16 +137,12 @@
 }
 
 func statusCommand() command {
-	var router, file string
+	var router admin
 	asJSON := false
 	c := newCommand("status", "Print a router's state: peers, targets, configuration, budgets, quarantines.",
 		func(out io.Writer) error {
-			url, err := routerURL(router, file)
-			if err != nil {
-				return err
-			}
 			var s adminhttp.Status
-			if err := askAdmin(http.MethodGet, url+"/v1/status", nil, &s); err != nil {
+			if err := router.ask(http.MethodGet, "/v1/status", nil, &s); err != nil {
 				return err
 			}
 			if asJSON {
@@ -118,8 +150,7 @@
 			}
 			return printStatus(out, s)
 		})
-	c.String(&router, "r", "router", "Admin URL of the router, as http://10.0.0.1:8081.")
-	c.String(&file, "s", "settings", "Settings file that gives the admin address instead.")
+	router.addFlags(c)
 	c.Bool(&asJSON, "j", "json", "Print JSON.")
 	return c
 }
@@ -167,13 +198,10 @@
 }
 
 func explainCommand() command {
-	var router, file, promptFile string
+	var router admin
+	var promptFile string
 	var r adminhttp.ExplainRequest
 	c := newCommand("explain", "Print where a request would go and why, without running it.", func(out io.Writer) error {
-		url, err := routerURL(router, file)
-		if err != nil {
-			return err
-		}
 		if r.ClientAccount == "" || r.Model == "" || promptFile == "" {
 			return &UsageError{Message: "explain needs --account TEAM/NAME, --model and --prompt FILE"}
 		}
@@ -183,13 +211,12 @@
 		}
 		r.Prompt = string(text)
 		var answer json.RawMessage
-		if err := askAdmin(http.MethodPost, url+"/v1/explain", r, &answer); err != nil {
+		if err := router.ask(http.MethodPost, "/v1/explain", r, &answer); err != nil {
 			return err
 		}
 		return printJSON(out, answer)
 	})
-	c.String(&router, "r", "router", "Admin URL of the router.")
-	c.String(&file, "s", "settings", "Settings file that gives the admin address instead.")
+	router.addFlags(c)
 	c.String(&r.ClientAccount, "a", "account", "Client account, as TEAM/NAME.")
 	c.String(&r.Model, "m", "model", "Model name.")
 	c.String(&promptFile, "p", "prompt", "File with the prompt.")
--- a/cmd/mimosaseam/configcmd.go
+++ b/cmd/mimosaseam/configcmd.go
@@ -114,7 +114,7 @@
 	settings, author, key, path, file, bundle string
 	remove, wait                              bool
 	base                                      int64
-	router                                    string
+	router, ca                                string
 	timeout                                   time.Duration
 }
 
@@ -137,6 +137,7 @@
 	c.Int64(&o.base, "r", "base-revision", "Revision that the change builds on; by default the current one.")
 	c.Bool(&o.wait, "w", "wait", "Wait until the change is in force on all routers; name those that lag.")
 	c.String(&o.router, "", "router", "Admin URL asked with --wait; by default that of the settings.")
+	c.addCA(&o.ca)
 	c.Duration(&o.timeout, "t", "timeout", "How long to wait with --wait.")
 	return c
 }
@@ -167,7 +168,7 @@
 		if !o.wait {
 			return nil
 		}
-		return waitInForce(out, adminURL(o.router, s), max(last, sync.Applied()), o.timeout)
+		return waitInForce(out, o.ca, adminURL(o.router, s), max(last, sync.Applied()), o.timeout)
 	})
 }
 
