--- a/internal/app/follow/follow.go
+++ b/internal/app/follow/follow.go
@@ -39,11 +39,13 @@
 // kind of record in the stream is either renewed or repeated by its writer.
 func (f *Follower) Run(ctx context.Context) error {
 	next, backoff := port.Offset(0), minBackoff
+	// The first read does not wait, so that contact with the log is known at once.
+	readFor := time.Duration(0)
 	for ctx.Err() == nil {
 		if next == 0 {
 			next = f.start(ctx)
 		}
-		batch, err := f.read(ctx, max(next, 1))
+		batch, err := f.read(ctx, max(next, 1), readFor)
 		var expired *port.ExpiredError
 		switch {
 		case errors.As(err, &expired):
@@ -57,7 +59,7 @@
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
-		backoff = minBackoff
+		backoff, readFor = minBackoff, readWait
 		for _, r := range batch.Records {
 			f.Handle(r)
 		}
@@ -69,10 +71,10 @@
 	return ctx.Err()
 }
 
-func (f *Follower) read(ctx context.Context, from port.Offset) (port.Batch, error) {
+func (f *Follower) read(ctx context.Context, from port.Offset, wait time.Duration) (port.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	return f.Log.Read(ctx, f.Stream, from, readLimit, readWait)
+	return f.Log.Read(ctx, f.Stream, from, readLimit, wait)
 }
 
 // start returns the offset to begin at, or 0 when the log cannot tell now.
