--- a/internal/app/orders/orders_test.go
+++ b/internal/app/orders/orders_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,20 +17,35 @@
 	"mimosaseam.example/mimosaseam/internal/port/portfake"
 )
 
-// fakeEngine serves one target and records the fencing tokens of its orders.
+// fakeEngine serves all targets and records the fencing tokens of its orders.
 type fakeEngine struct {
 	port.Engine
+	checks bool
+	// loads is how long a load takes.
+	loads time.Duration
+
 	mu      sync.Mutex
-	checks  bool
 	highest port.Offset
-	tokens  []port.Offset
-	at      []time.Time
-	states  map[string]port.EngineState
-	// loads is how long a load takes.
-	loads              time.Duration
+	record
+}
+
+// record is what a fakeEngine has seen.
+type record struct {
+	tokens             []port.Offset
+	at                 []time.Time
+	states             map[string]port.EngineState
 	reads, mostLoading int
 }
 
+// seen returns a copy for a test whose managers still run.
+func (e *fakeEngine) seen() record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.record
+	r.states = maps.Clone(e.states)
+	return r
+}
+
 func (e *fakeEngine) State(_ context.Context, address string) (port.EngineState, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -120,8 +137,9 @@
 
 func newRig(targets int, checks bool) *rig {
 	return &rig{
-		log:     portfake.NewLog(portfake.LogOptions{}),
-		engine:  &fakeEngine{checks: checks, loads: 10 * time.Second, states: map[string]port.EngineState{}},
+		log: portfake.NewLog(portfake.LogOptions{}),
+		engine: &fakeEngine{checks: checks, loads: 10 * time.Second,
+			record: record{states: map[string]port.EngineState{}}},
 		version: "v1", targets: targets, checks: checks,
 	}
 }
@@ -139,8 +157,8 @@
 				defer func() { stopTwo() }()
 				advance(40 * time.Second)
 				is.True(one.Holding() != two.Holding()) // exactly one holds the lease
-				is.Equal(len(r.engine.tokens), 2)
-				is.True(!r.engine.at[1].Before(r.engine.at[0].Add(r.engine.loads))) // one target of a pool at a time
+				is.Equal(len(r.engine.seen().tokens), 2)
+				is.True(!r.engine.seen().at[1].Before(r.engine.seen().at[0].Add(r.engine.loads))) // one target of a pool at a time
 
 				if two.Holding() {
 					one, two, stopOne, stopTwo = two, one, stopTwo, stopOne
@@ -150,11 +168,11 @@
 				r.set("v2")
 				advance(60 * time.Second)
 				is.True(two.Holding())
-				is.Equal(r.engine.states["a"].WeightsVersion, "v2")
-				is.Equal(r.engine.states["b"].WeightsVersion, "v2")
-				is.True(r.engine.tokens[2] > r.engine.tokens[1]) // fencing tokens grow
+				is.Equal(r.engine.seen().states["a"].WeightsVersion, "v2")
+				is.Equal(r.engine.seen().states["b"].WeightsVersion, "v2")
+				is.True(r.engine.seen().tokens[2] > r.engine.seen().tokens[1]) // fencing tokens grow
 				if !checks {
-					is.True(r.engine.at[2].Sub(killed) >= orderTimeout) // the old holder's last order is waited out
+					is.True(r.engine.seen().at[2].Sub(killed) >= orderTimeout) // the old holder's last order is waited out
 				}
 			})
 		})
@@ -176,10 +194,10 @@
 		is.True(!one.Holding())
 		r.set("v2")
 		advance(30 * time.Second)
-		is.Equal(len(r.engine.tokens), 1) // nothing ordered without the lease
+		is.Equal(len(r.engine.seen().tokens), 1) // nothing ordered without the lease
 		r.log.SetFaults(portfake.Faults{})
 		advance(60 * time.Second)
-		is.Equal(r.engine.states["a"].WeightsVersion, "v2")
+		is.Equal(r.engine.seen().states["a"].WeightsVersion, "v2")
 	})
 }
 
@@ -195,7 +213,7 @@
 		defer stopTwo()
 		advance(60 * time.Second)
 		is.True(one.Holding() != two.Holding())
-		is.Equal(r.engine.states["a"].WeightsVersion, "v1")
+		is.Equal(r.engine.seen().states["a"].WeightsVersion, "v1")
 	})
 }
 
@@ -207,7 +225,7 @@
 		_, stop := r.start("one", &limitedWeights{left: 2})
 		defer stop()
 		advance(60 * time.Second)
-		is.Equal(len(r.engine.tokens), 2)
+		is.Equal(len(r.engine.seen().tokens), 2)
 	})
 }
 
@@ -221,16 +239,16 @@
 		_, stop := r.start("one", paused)
 		defer stop()
 		advance(60 * time.Second)
-		is.True(paused.calls > 0)
-		is.Equal(len(r.engine.tokens), 0) // each pause outlives the lease that the decision was made under
+		is.True(paused.calls.Load() > 0)
+		is.Equal(len(r.engine.seen().tokens), 0) // each pause outlives the lease that the decision was made under
 	})
 }
 
 // pausingWeights stands for a process that is frozen for longer than its lease.
-type pausingWeights struct{ calls int }
+type pausingWeights struct{ calls atomic.Int32 }
 
 func (p *pausingWeights) Fetch(context.Context, string) error {
-	p.calls++
+	p.calls.Add(1)
 	<-time.After(2 * leaseTTL)
 	return nil
 }
@@ -244,12 +262,12 @@
 		_, stop := r.start("one", nil)
 		defer stop()
 		advance(40 * time.Second)
-		is.True(r.engine.reads <= readsPerTick*40)
-		is.True(r.engine.mostLoading >= 1)
-		is.True(r.engine.mostLoading <= 2) // a twentieth of 40 targets
+		is.True(r.engine.seen().reads <= readsPerTick*40)
+		is.True(r.engine.seen().mostLoading >= 1)
+		is.True(r.engine.seen().mostLoading <= 2) // a twentieth of 40 targets
 		advance(400 * time.Second)
 		for _, d := range r.desired() {
-			is.Equal(r.engine.states[d.Address].WeightsVersion, "v1")
+			is.Equal(r.engine.seen().states[d.Address].WeightsVersion, "v1")
 		}
 	})
 }
