--- a/internal/adapter/telemetry/telemetry_test.go
+++ b/internal/adapter/telemetry/telemetry_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"expvar"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -12,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	collectortrace "go.opentelemetry.io/proto/otlp/collector/trace/v1"
+	"google.golang.org/grpc"
 
 	"mimosaseam.example/mimosaseam/internal/settings"
 )
@@ -48,6 +51,42 @@
 	is.True(strings.Contains(string(text), `"Name":"accept"`))
 }
 
+// collector is an OTLP collector that keeps the names of the spans it gets.
+type collector struct {
+	collectortrace.UnimplementedTraceServiceServer
+	names chan string
+}
+
+func (c *collector) Export(_ context.Context, r *collectortrace.ExportTraceServiceRequest) (*collectortrace.ExportTraceServiceResponse, error) {
+	for _, resource := range r.GetResourceSpans() {
+		for _, scope := range resource.GetScopeSpans() {
+			for _, span := range scope.GetSpans() {
+				c.names <- span.GetName()
+			}
+		}
+	}
+	return &collectortrace.ExportTraceServiceResponse{}, nil
+}
+
+// Guards against spans that never reach the OTLP collector.
+func TestOTLPCollectorTakesSpans(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	c := &collector{names: make(chan string, 1)}
+	server := grpc.NewServer()
+	collectortrace.RegisterTraceServiceServer(server, c)
+	go func() { _ = server.Serve(listener) }()
+	defer server.Stop()
+	traces, err := StartTraces(context.Background(),
+		settings.Telemetry{OTLPAddress: listener.Addr().String(), TraceRatio: 1}, testVM)
+	is.NoErr(err)
+	_, span := traces.Tracer.Start(context.Background(), "place")
+	span.End()
+	is.NoErr(traces.Close(context.Background()))
+	is.Equal(<-c.names, "place")
+}
+
 // Guards against durations counted in the wrong bucket.
 func TestMetricsPublishBuckets(t *testing.T) {
 	is := is.New(t)
