--- a/internal/core/ledger/fold.go
+++ b/internal/core/ledger/fold.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
@@ -62,10 +61,10 @@
 	Closed   []string    `json:"closed,omitempty"`
 	ClosedAt port.Offset `json:"closed_at,omitempty"`
 
-	ResultStatus  int         `json:"result_status,omitempty"`
-	ResultHeaders http.Header `json:"result_headers,omitempty"`
-	ResultBody    []byte      `json:"result_body,omitempty"`
-	Expires       time.Time   `json:"expires"`
+	ResultStatus  int                 `json:"result_status,omitempty"`
+	ResultHeaders map[string][]string `json:"result_headers,omitempty"`
+	ResultBody    []byte              `json:"result_body,omitempty"`
+	Expires       time.Time           `json:"expires"`
 
 	// changed is the offset of the last record that changed the entry, stored
 	// is when the log took the oldest record needed to rebuild it.
--- a/internal/core/ledger/record.go
+++ b/internal/core/ledger/record.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -43,13 +42,13 @@
 
 // Outcome is the answer to an attempt.
 type Outcome struct {
-	Key      Key         `json:"key"`
-	Attempt  string      `json:"attempt"`
-	BodyHash string      `json:"body_hash"`
-	Status   int         `json:"status"`
-	Headers  http.Header `json:"headers,omitempty"`
-	Body     []byte      `json:"body,omitempty"`
-	Expires  time.Time   `json:"expires"`
+	Key      Key                 `json:"key"`
+	Attempt  string              `json:"attempt"`
+	BodyHash string              `json:"body_hash"`
+	Status   int                 `json:"status"`
+	Headers  map[string][]string `json:"headers,omitempty"`
+	Body     []byte              `json:"body,omitempty"`
+	Expires  time.Time           `json:"expires"`
 }
 
 // NotRun says that an attempt did not run and never will.
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -1,5 +1,6 @@
 // Package port defines the interfaces between the core and the outside, and
-// the typed messages and failures that cross them. It imports no transport.
+// the typed messages and failures that cross them. Of net/http it takes the type
+// of headers only.
 package port
 
 import (
