Share the wait under a context and the choice of an exchange's largest entries

Six packages had a wait of their own and fleet chose accounts and targets by the same loop twice. No behaviour changes.

--- a/cmd/mimosaseam/serve.go
+++ b/cmd/mimosaseam/serve.go
@@ -18,6 +18,7 @@
 	"mimosaseam.example/mimosaseam/internal/adapter/adminhttp"
 	"mimosaseam.example/mimosaseam/internal/adapter/peergrpc"
 	"mimosaseam.example/mimosaseam/internal/adapter/telemetry"
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/settings"
 )
 
@@ -186,18 +187,9 @@
 		}
 	}
 	step("leave", leaveTimeout, n.fleet.Leave)
-	pause(ctx, time.Duration(n.settings.Shutdown.UnreadyMs)*time.Millisecond)
+	_ = ctxtime.Sleep(ctx, time.Duration(n.settings.Shutdown.UnreadyMs)*time.Millisecond)
 	n.router.BeginDrain()
 	step("drain", time.Duration(n.settings.Shutdown.DrainTimeoutS)*time.Second, n.router.WaitDrained)
 	step("flush", flushTimeout, n.ledger.Flush)
 	step("handoff", leaveTimeout, n.fleet.Handoff)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/app/atmostonce/appender.go
+++ b/internal/app/atmostonce/appender.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/time/rate"
 
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -75,7 +76,7 @@
 		if a.limiter.Wait(ctx) != nil {
 			return
 		}
-		sleep(ctx, a.pause())
+		_ = ctxtime.Sleep(ctx, a.pause())
 		select {
 		case slots <- struct{}{}:
 		case <-ctx.Done():
--- a/internal/app/atmostonce/follow.go
+++ b/internal/app/atmostonce/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/ledger"
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -42,7 +43,7 @@
 		}
 		s.setHealthy(false)
 		s.o.Logger.Warn("ledger cannot be read", "error", err)
-		sleep(ctx, time.Duration((0.5+s.o.Rand()/2)*float64(backoff)))
+		_ = ctxtime.Sleep(ctx, time.Duration((0.5+s.o.Rand()/2)*float64(backoff)))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
@@ -143,14 +144,14 @@
 	part := minCarryAge + s.o.Rand()*(maxCarryAge-minCarryAge)
 	interval := min(carryInterval, s.o.Retention/100)
 	for ctx.Err() == nil {
-		sleep(ctx, time.Duration((0.75+s.o.Rand()/2)*float64(interval)))
+		_ = ctxtime.Sleep(ctx, time.Duration((0.75+s.o.Rand()/2)*float64(interval)))
 		for ctx.Err() == nil {
 			due := s.due(part)
 			if len(due) == 0 || !s.writeCarries(ctx, due) || len(due) < carryBatch {
 				break
 			}
 			// The batch is due until it is read back.
-			sleep(ctx, minReadGrace)
+			_ = ctxtime.Sleep(ctx, minReadGrace)
 		}
 	}
 }
--- a/internal/app/atmostonce/service.go
+++ b/internal/app/atmostonce/service.go
@@ -141,13 +141,3 @@
 // Flush waits until all records that were answered for are in the log. A
 // planned stop calls it after the last request and before it ends Follow.
 func (s *Service) Flush(ctx context.Context) error { return s.appender.flush(ctx) }
-
-// sleep waits for the duration or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/app/configsync/configsync.go
+++ b/internal/app/configsync/configsync.go
@@ -164,13 +164,3 @@
 		close(s.ready)
 	}
 }
-
-// sleep waits for the duration or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/app/configsync/follow.go
+++ b/internal/app/configsync/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -26,7 +27,7 @@
 		}
 		s.o.Logger.Warn("configuration stream cannot be read", "error", err)
 		s.pull(ctx)
-		sleep(ctx, time.Duration((0.5+s.o.Rand()/2)*float64(backoff)))
+		_ = ctxtime.Sleep(ctx, time.Duration((0.5+s.o.Rand()/2)*float64(backoff)))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
--- a/internal/app/configsync/publish.go
+++ b/internal/app/configsync/publish.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -114,7 +115,7 @@
 	if err == nil {
 		// A delayed append may still arrive; a short pause makes it likely that
 		// the repeat is not needed.
-		sleep(ctx, time.Duration(s.o.Rand()*float64(minBackoff)))
+		_ = ctxtime.Sleep(ctx, time.Duration(s.o.Rand()*float64(minBackoff)))
 	}
 	select {
 	case v := <-p.verdict:
--- a/internal/app/configsync/snapshots.go
+++ b/internal/app/configsync/snapshots.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -78,7 +79,7 @@
 		if errors.As(err, &limited) {
 			pause = max(pause, limited.RetryAfter)
 		}
-		sleep(ctx, time.Duration((0.5+s.o.Rand())*float64(pause)))
+		_ = ctxtime.Sleep(ctx, time.Duration((0.5+s.o.Rand())*float64(pause)))
 	}
 }
 
--- a/internal/app/fleet/loop.go
+++ b/internal/app/fleet/loop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/membership"
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -34,7 +35,7 @@
 
 func (f *Fleet) exchangeLoop(ctx context.Context) {
 	// A random phase spreads the exchanges of routers that start together.
-	if !sleep(ctx, f.random(membership.ExchangeInterval)) {
+	if ctxtime.Sleep(ctx, f.random(membership.ExchangeInterval)) != nil {
 		return
 	}
 	ticker := time.NewTicker(membership.ExchangeInterval)
@@ -162,7 +163,7 @@
 			return
 		}
 		for f.flush(ctx, slots) {
-			if !sleep(ctx, urgentGap) {
+			if ctxtime.Sleep(ctx, urgentGap) != nil {
 				return
 			}
 		}
@@ -231,7 +232,7 @@
 		if f.poll(ctx) == nil {
 			wait = f.pollInterval()
 		}
-		if !sleep(ctx, wait/2+f.random(wait)) {
+		if ctxtime.Sleep(ctx, wait/2+f.random(wait)) != nil {
 			return
 		}
 	}
@@ -290,15 +291,3 @@
 	defer f.mu.Unlock()
 	return time.Duration(f.o.Rand.Int64N(int64(d)))
 }
-
-// sleep waits and reports whether ctx still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/app/fleet/message.go
+++ b/internal/app/fleet/message.go
@@ -1,7 +1,8 @@
 package fleet
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"mimosaseam.example/mimosaseam/internal/port"
 )
@@ -65,52 +66,42 @@
 	return len(m.Name) + len(m.Address) + len(m.Region) + len(m.AvailabilityZone)
 }
 
-// topDemand takes the largest demands into at most share bytes and returns
-// what remains of left.
-func topDemand(demand map[string]float64, left, share int) ([]port.AccountDemand, int) {
-	all := make([]port.AccountDemand, 0, len(demand))
-	for account, d := range demand {
-		if d > 0 {
-			all = append(all, port.AccountDemand{ClientAccount: account, Demand: d})
+// largest takes the names with the largest positive values, in order, into at
+// most share bytes, each with an overhead on the wire, and returns what remains
+// of left.
+func largest[N int | float64](values map[string]N, overhead, left, share int) (names []string, rest int) {
+	for name, v := range values {
+		if v > 0 {
+			names = append(names, name)
 		}
 	}
-	sort.Slice(all, func(i, j int) bool {
-		if all[i].Demand != all[j].Demand {
-			return all[i].Demand > all[j].Demand
-		}
-		return all[i].ClientAccount < all[j].ClientAccount
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(values[b], values[a]), cmp.Compare(a, b))
 	})
-	for i, d := range all {
-		size := demandOverheadBytes + len(d.ClientAccount)
+	for i, name := range names {
+		size := overhead + len(name)
 		if size > share {
-			return all[:i], left
+			return names[:i], left
 		}
 		share, left = share-size, left-size
 	}
-	return all, left
+	return names, left
 }
 
-// topInFlight takes the busiest targets into at most share bytes and returns
-// what remains of left.
-func topInFlight(counts map[string]int, left, share int) ([]port.TargetCount, int) {
-	all := make([]port.TargetCount, 0, len(counts))
-	for target, n := range counts {
-		if n > 0 {
-			all = append(all, port.TargetCount{Target: target, Count: n})
-		}
+func topDemand(demand map[string]float64, left, share int) ([]port.AccountDemand, int) {
+	names, left := largest(demand, demandOverheadBytes, left, share)
+	out := make([]port.AccountDemand, len(names))
+	for i, name := range names {
+		out[i] = port.AccountDemand{ClientAccount: name, Demand: demand[name]}
 	}
-	sort.Slice(all, func(i, j int) bool {
-		if all[i].Count != all[j].Count {
-			return all[i].Count > all[j].Count
-		}
-		return all[i].Target < all[j].Target
-	})
-	for i, c := range all {
-		size := countOverheadBytes + len(c.Target)
-		if size > share {
-			return all[:i], left
-		}
-		share, left = share-size, left-size
+	return out, left
+}
+
+func topInFlight(counts map[string]int, left, share int) ([]port.TargetCount, int) {
+	names, left := largest(counts, countOverheadBytes, left, share)
+	out := make([]port.TargetCount, len(names))
+	for i, name := range names {
+		out[i] = port.TargetCount{Target: name, Count: counts[name]}
 	}
-	return all, left
+	return out, left
 }
--- a/internal/app/follow/follow.go
+++ b/internal/app/follow/follow.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -55,7 +56,7 @@
 			continue
 		case err != nil:
 			f.Logger.Debug("log read failed", "stream", f.Stream, "error", err)
-			wait(ctx, time.Duration(rand.Int64N(int64(backoff))))
+			_ = ctxtime.Sleep(ctx, time.Duration(rand.Int64N(int64(backoff))))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
@@ -137,12 +138,3 @@
 		low += step
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/app/follow/follow_test.go
+++ b/internal/app/follow/follow_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
 	"mimosaseam.example/mimosaseam/internal/port/portfake"
 )
@@ -56,7 +57,7 @@
 		synctest.Wait()
 		is.Equal(len(got), 0)
 		log.SetFaults(portfake.Faults{})
-		wait(ctx, maxBackoff)
+		_ = ctxtime.Sleep(ctx, maxBackoff)
 		synctest.Wait()
 		_, err := log.Append(ctx, "s", []port.Record{{ID: "new"}})
 		is.NoErr(err)
--- a/internal/app/router/completion.go
+++ b/internal/app/router/completion.go
@@ -14,6 +14,7 @@
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/core/stream"
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -119,6 +120,9 @@
 	return c.end(ctx, err)
 }
 
+// withDeadline is not inlined, because its frame would stay on the stack of the
+// open stream and keep the stack at 16 KiB.
+//
 //go:noinline
 func (c *completion) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, c.p.deadline.Sub(c.r.Clock.Now()))
@@ -348,7 +352,7 @@
 	}
 	c.failuresInRow++
 	c.r.Metrics.Add(MetricExtraAttempts, 1)
-	return sleep(ctx, retry.Backoff(c.failuresInRow, c.r.Random.Float64()))
+	return ctxtime.Sleep(ctx, retry.Backoff(c.failuresInRow, c.r.Random.Float64()))
 }
 
 // firstTokenTimeout is how long the first token may take before the attempt is
--- a/internal/app/router/completion_test.go
+++ b/internal/app/router/completion_test.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -234,7 +235,7 @@
 		ahead := 0
 		sink := &textSink{}
 		sink.chunk = func(ctx context.Context, _ port.Chunk) error {
-			_ = sleep(ctx, 5*time.Second) // longer than the stall timeout
+			_ = ctxtime.Sleep(ctx, 5*time.Second) // longer than the stall timeout
 			synctest.Wait()
 			ahead = max(ahead, stream.read-sink.next)
 			return nil
--- a/internal/app/router/fake_test.go
+++ b/internal/app/router/fake_test.go
@@ -12,6 +12,7 @@
 
 	"mimosaseam.example/mimosaseam/internal/core/config"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -91,7 +92,7 @@
 }
 
 func (s *fakeStream) Next() (port.Chunk, error) {
-	if s.every > 0 && sleep(s.ctx, s.every) != nil {
+	if s.every > 0 && ctxtime.Sleep(s.ctx, s.every) != nil {
 		return port.Chunk{}, s.ctx.Err()
 	}
 	if s.read < len(s.chunks) {
--- a/internal/app/router/loop.go
+++ b/internal/app/router/loop.go
@@ -16,52 +16,52 @@
 	return c.react(ctx, what)
 }
 
-// happening says what wait has received.
-type happening int
+// wakeup says what wait has received.
+type wakeup int
 
 const (
-	happenedEvent happening = iota
-	happenedProbe
-	happenedStall
-	happenedHedge
-	happenedQuarantine
-	happenedDone
+	wokenEvent wakeup = iota
+	wokenProbe
+	wokenStall
+	wokenHedge
+	wokenQuarantine
+	wokenDone
 )
 
 // wait blocks until the next thing happens. It has nothing else in its frame.
-func (c *completion) wait(ctx context.Context, hedge <-chan time.Time) happening {
+func (c *completion) wait(ctx context.Context, hedge <-chan time.Time) wakeup {
 	select {
 	case c.event = <-c.events:
-		return happenedEvent
+		return wokenEvent
 	case c.probe = <-c.probes:
-		return happenedProbe
+		return wokenProbe
 	case <-c.stall.C:
-		return happenedStall
+		return wokenStall
 	case <-hedge:
-		return happenedHedge
+		return wokenHedge
 	case <-c.quarantines:
-		return happenedQuarantine
+		return wokenQuarantine
 	case <-ctx.Done():
-		return happenedDone
+		return wokenDone
 	}
 }
 
-func (c *completion) react(ctx context.Context, what happening) (done bool, err error) {
+func (c *completion) react(ctx context.Context, what wakeup) (done bool, err error) {
 	switch what {
-	case happenedEvent:
+	case wokenEvent:
 		return c.handle(ctx, &c.event)
-	case happenedProbe:
+	case wokenProbe:
 		return false, c.probed(ctx, c.probe)
-	case happenedStall:
+	case wokenStall:
 		c.probeStalled(ctx)
-	case happenedHedge:
+	case wokenHedge:
 		c.hedge(ctx)
-	case happenedQuarantine:
+	case wokenQuarantine:
 		c.quarantines = c.r.Fingerprints.Quarantines()
 		if c.r.Fingerprints.Quarantined(c.r.Clock.Now(), c.fingerprint) {
 			return false, ErrQuarantined
 		}
-	case happenedDone:
+	case wokenDone:
 		return false, ctx.Err()
 	}
 	return false, nil
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -10,6 +10,7 @@
 
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 )
 
 // Reasons for which a pool member is no candidate.
@@ -203,7 +204,7 @@
 		if now.Sub(start) >= wait && !queued {
 			return claim{}, &NoTargetError{Pool: p.poolRef.String(), Excluded: ranked.reasons()}
 		}
-		if err := sleep(ctx, placePoll); err != nil {
+		if err := ctxtime.Sleep(ctx, placePoll); err != nil {
 			return claim{}, err
 		}
 	}
@@ -239,17 +240,3 @@
 		}()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/app/router/service.go
+++ b/internal/app/router/service.go
@@ -17,6 +17,7 @@
 	"mimosaseam.example/mimosaseam/internal/core/config"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -181,7 +182,7 @@
 		}
 		c.extra++
 		c.r.Metrics.Add(MetricExtraAttempts, 1)
-		if sleep(ctx, retry.Backoff(c.extra, c.r.Random.Float64())) != nil {
+		if ctxtime.Sleep(ctx, retry.Backoff(c.extra, c.r.Random.Float64())) != nil {
 			return ServiceReply{}, err
 		}
 	}
