--- a/cmd/mimosaseam/main.go
+++ b/cmd/mimosaseam/main.go
@@ -48,7 +48,7 @@
 	parser.Description = "Router for language-model traffic with long shared prompts."
 	parser.Version = version
 	commands := []command{
-		serveCommand(), checkCommand(), statusCommand(), explainCommand(), versionCommand(),
+		serveCommand(), gatewayCommand(), checkCommand(), statusCommand(), explainCommand(), versionCommand(),
 	}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.Subcommand, 1)
--- a/cmd/mimosaseam/node.go
+++ b/cmd/mimosaseam/node.go
@@ -51,7 +51,7 @@
 	started  time.Time
 	holder   string
 
-	platform     platform
+	platform     platformClients
 	engine       *enginehttp.Client
 	service      *servicehttp.Client
 	peers        *peergrpc.Client
--- a/cmd/mimosaseam/platform.go
+++ b/cmd/mimosaseam/platform.go
@@ -17,8 +17,8 @@
 	"mimosaseam.example/mimosaseam/internal/settings"
 )
 
-// platform holds the clients of the platform's services.
-type platform struct {
+// platformClients are the clients of the platform's services.
+type platformClients struct {
 	log     port.Log
 	vmList  port.VMList
 	weights port.WeightStore
@@ -29,10 +29,10 @@
 	platformIdleConns   = 16
 )
 
-func newPlatform(s settings.Settings, tracer trace.Tracer) (platform, error) {
+func newPlatform(s settings.Settings, tracer trace.Tracer) (platformClients, error) {
 	clientTLS, err := tlsconfig.Client(s.Platform.TLS.CAFile)
 	if err != nil {
-		return platform{}, err
+		return platformClients{}, err
 	}
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: platformDialTimeout}).DialContext,
@@ -42,7 +42,7 @@
 	options := func(url string) platformhttp.Options {
 		return platformhttp.Options{BaseURL: url, Client: client, Tracer: tracer}
 	}
-	p := platform{
+	p := platformClients{
 		log:    platformhttp.NewLog(options(s.Platform.LogURL)),
 		vmList: platformhttp.NewVMList(options(s.Platform.VMListURL)),
 	}
--- /dev/null
+++ b/internal/app/gateway/attempt.go
@@ -0,0 +1,262 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/core/fate"
+	"mimosaseam.example/mimosaseam/internal/core/retry"
+	"mimosaseam.example/mimosaseam/internal/core/site"
+	"mimosaseam.example/mimosaseam/internal/core/stream"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+const (
+	// wholeAnswerBytes is the size up to which an answer is read whole before it
+	// is passed on, so that one that breaks off can be repeated.
+	wholeAnswerBytes = 256 << 10
+	copyBytes        = 16 << 10
+	// probeTimeout bounds the question whether a silent target still lives.
+	probeTimeout = 400 * time.Millisecond
+)
+
+func (x *exchange) attemptID() string { return x.r.ID + "/" + strconv.Itoa(x.sends) }
+
+// attempt sends the request to the target and relays the answer. An error comes
+// with the evidence of what may have happened.
+func (x *exchange) attempt(ctx context.Context, t Target) (evidence fate.Evidence, err error) {
+	g, start, id := x.g, x.g.Clock.Now(), x.attemptID()
+	x.sends++
+	x.lastTarget, x.tried[t.ID] = t.ID, true
+	g.Directory.begin(t.ID)
+	g.circuits.Started(start, t.ID)
+	if x.engine != nil {
+		g.Placer.Started(start, x.place, t.Address)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := x.watchSilence(ctx, cancel, t)
+	defer func() {
+		stop()
+		x.ended(ctx, t, id, start, evidence, err)
+	}()
+	answer, err := g.Forwarder.Forward(ctx, t.Address, x.forward(t))
+	if err != nil {
+		return x.unanswered(ctx, t, err)
+	}
+	defer answer.Body.Close()
+	g.Directory.learn(t.ID, x.r.Model, answer)
+	if answer.Closing {
+		g.Log.Debug("target closes connections", "target", t.ID)
+	}
+	if answer.Status >= http.StatusInternalServerError && x.mayTryElsewhere() {
+		return fate.Failed, &port.BadRequestError{Peer: t.ID, Status: answer.Status}
+	}
+	if x.route.Kind == site.Streaming && answer.Status == http.StatusOK {
+		return x.relayEvents(ctx, t, answer)
+	}
+	return x.relayWhole(ctx, t, answer)
+}
+
+// mayTryElsewhere reports whether a failure that the target answered with should
+// be kept from the client, because another target is tried.
+func (x *exchange) mayTryElsewhere() bool {
+	h := x.history
+	h.Add(fate.Failed)
+	return !x.committed && fate.MayRepeat(x.route, h, fate.Failed) && x.g.Directory.otherThan(x.service, x.tried)
+}
+
+func (x *exchange) forward(t Target) port.Forward {
+	f := port.Forward{RequestID: x.r.ID, Method: x.r.Method, URI: x.r.URI, Host: x.r.Host, Header: x.r.Header, Body: x.r.Body,
+		Deadline: x.deadline, ExpectTarget: t.ID, CacheScope: x.scope, Urgency: site.Urgency(x.route, x.account)}
+	if x.account != nil {
+		f.ClientAccount = x.account.Name
+	}
+	if last, resumed := x.order.Last(); resumed && x.committed {
+		f.ResumeAfter = strconv.FormatUint(last, 10)
+	}
+	return f
+}
+
+// unanswered classifies an attempt without the head of an answer.
+func (x *exchange) unanswered(ctx context.Context, t Target, err error) (fate.Evidence, error) {
+	var refused *port.NotRunError
+	if errors.As(err, &refused) {
+		now := x.g.Clock.Now()
+		switch refused.Reason {
+		case port.NotRunUnreachable:
+			if !clientGone(ctx) {
+				x.g.circuits.Failure(now, t.ID, retry.Down)
+			}
+		case port.NotRunIncarnationChanged:
+			x.g.Directory.Remove(t.ID)
+		default:
+			x.retryAfter = max(x.retryAfter, refused.RetryAfter)
+			x.g.circuits.SetBusy(t.ID, now.Add(busyFor))
+		}
+		return fate.NotRun, err
+	}
+	return fate.Unknown, x.silent(ctx, err)
+}
+
+// silent names the silence of a target as the cause where that ended the attempt.
+func (x *exchange) silent(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), ErrSilent) {
+		return errors.Join(ErrSilent, err)
+	}
+	return err
+}
+
+// ended takes the attempt off all counts.
+func (x *exchange) ended(ctx context.Context, t Target, id string, start time.Time, evidence fate.Evidence, err error) {
+	g, now := x.g, x.g.Clock.Now()
+	cached := -1
+	took := time.Duration(0)
+	if err == nil {
+		cached, took = x.score.CachedTokens, now.Sub(start)
+		g.circuits.Success(t.ID)
+		g.Fingerprints.Clear(x.fingerprint, true)
+	} else if evidence == fate.Unknown && !clientGone(ctx) && ctxAlive(ctx) {
+		x.suspectCrash(now, t)
+	}
+	if err != nil {
+		g.circuits.Ended(t.ID)
+	}
+	g.Fingerprints.Ended(t.Address, id)
+	g.Directory.end(t.ID, took)
+	if x.engine != nil {
+		g.Placer.Finished(now, x.place, t.Address, t.Incarnation(), cached)
+	}
+}
+
+// ctxAlive reports whether an attempt ended for another reason than its time.
+func ctxAlive(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return cause == nil || errors.Is(cause, ErrSilent)
+}
+
+// suspectCrash asks a target that lost an answer whether it still lives. One
+// that does not has crashed in the middle of the requests that it ran.
+func (x *exchange) suspectCrash(now time.Time, t Target) {
+	g := x.g
+	if x.engine != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		if _, err := g.Control.Status(ctx, t.Address, t.ID); err == nil {
+			g.circuits.Failure(now, t.ID, retry.Failed)
+			return
+		}
+		if g.Fingerprints.Crashed(now, t.Address, string(t.Incarnation())) {
+			g.Log.Info("target crashed", "target", t.ID, "request", x.r.ID)
+		}
+		g.circuits.Failure(now, t.ID, retry.Down)
+		return
+	}
+	g.circuits.Failure(now, t.ID, retry.Failed)
+}
+
+// relayWhole passes an answer on once all of it was read.
+func (x *exchange) relayWhole(ctx context.Context, t Target, a port.Answer) (fate.Evidence, error) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, wholeAnswerBytes))
+	if err != nil {
+		return fate.Unknown, x.silent(ctx, err)
+	}
+	whole := len(body) < wholeAnswerBytes
+	length := a.Length
+	if whole {
+		length = int64(len(body))
+	}
+	x.firstEvent = x.g.Clock.Now().Sub(x.r.Received)
+	x.commit(a, length)
+	if len(body) > 0 {
+		if err := x.sink.Write(body); err != nil {
+			return fate.Unknown, &Failure{Kind: KindGone, Cause: err}
+		}
+	}
+	if whole {
+		return 0, nil
+	}
+	return x.copyRest(t, a)
+}
+
+// copyRest relays the rest of a large answer as it comes.
+func (x *exchange) copyRest(t Target, a port.Answer) (fate.Evidence, error) {
+	buffer := make([]byte, copyBytes)
+	for {
+		n, err := a.Body.Read(buffer)
+		x.g.Directory.heard(t.ID)
+		if n > 0 {
+			if err := x.sink.Write(buffer[:n]); err != nil {
+				return fate.Unknown, &Failure{Kind: KindGone, Cause: err}
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return 0, nil
+		}
+		if err != nil {
+			return fate.Unknown, err
+		}
+	}
+}
+
+func (x *exchange) commit(a port.Answer, length int64) {
+	if x.committed {
+		return
+	}
+	x.committed = true
+	x.sink.Head(a.Status, a.Header, length)
+}
+
+// relayEvents passes on the whole events of a stream as they come. The head goes
+// first with the first event, so that until then another target can take over.
+func (x *exchange) relayEvents(ctx context.Context, t Target, a port.Answer) (fate.Evidence, error) {
+	events := stream.NewEvents(a.Body, x.g.WatchedField)
+	var batch []byte
+	for {
+		e, err := events.Next()
+		x.g.Directory.heard(t.ID)
+		if errors.Is(err, io.EOF) {
+			x.commit(a, a.Length)
+			return 0, nil
+		}
+		if err != nil {
+			return fate.Unknown, x.silent(ctx, err)
+		}
+		fresh, err := x.order.Accept(e, x.history.Delivered && x.route.Resumable)
+		if err != nil {
+			return fate.Unknown, err
+		}
+		if fresh {
+			batch = append(batch, e.Bytes...)
+			x.noteFirst(t)
+		}
+		if len(batch) == 0 || events.Buffered() && len(batch) < copyBytes {
+			continue
+		}
+		length := a.Length
+		if x.route.Resumable {
+			length = -1 // another target may continue with events of another size
+		}
+		x.commit(a, length)
+		x.history.Delivered = true
+		if err := x.sink.Write(batch); err != nil {
+			return fate.Unknown, &Failure{Kind: KindGone, Cause: err}
+		}
+		batch = batch[:0]
+	}
+}
+
+func (x *exchange) noteFirst(t Target) {
+	now := x.g.Clock.Now()
+	if x.firstEvent == 0 {
+		x.firstEvent = now.Sub(x.r.Received)
+		x.g.Metrics.Observe(MetricFirstEvent, x.firstEvent)
+	}
+	if x.engine != nil && x.history.Delivered == false {
+		x.g.Placer.FirstToken(now, x.place, t.Address, x.firstEvent)
+	}
+}
--- /dev/null
+++ b/internal/app/gateway/choose.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/core/balance"
+	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
+)
+
+const (
+	// holdShare is the part of a route's objective for which a request waits for a
+	// target: after it another router or a later time serves the client better.
+	holdShare = 0.5
+	// minHold covers the busy time of a target where routes have short objectives.
+	minHold  = 50 * time.Millisecond
+	holdPoll = 10 * time.Millisecond
+
+	// prefillTokensPerSecond and decodeMsPerToken stand in for figures that
+	// engines do not tell. Only their ratio to the link matters for placement.
+	prefillTokensPerSecond = 30_000
+	decodeMsPerToken       = 10
+
+	sameZoneMs  = 0.3
+	sameRegion  = 2.0
+	otherRegion = 24.0 // there and back, ms
+)
+
+// choose picks the target of the next attempt, waiting a moment when none is usable.
+func (x *exchange) choose(ctx context.Context) (Target, error) {
+	hold := max(minHold, time.Duration(holdShare*float64(x.route.Objective)))
+	start := x.g.Clock.Now()
+	for {
+		if t, ok := x.best(x.g.Clock.Now()); ok {
+			x.g.Metrics.Observe(MetricPlacement, x.g.Clock.Now().Sub(start))
+			return t, nil
+		}
+		if x.g.Clock.Now().Sub(start) >= hold {
+			return Target{}, errors.Join(ErrNoTarget, x.lastCause)
+		}
+		if err := ctxtime.Sleep(ctx, holdPoll); err != nil {
+			return Target{}, errors.Join(context.Cause(ctx), x.lastCause)
+		}
+	}
+}
+
+// best returns the preferred usable target.
+func (x *exchange) best(now time.Time) (Target, bool) {
+	usable := x.usable(now)
+	if len(usable) == 0 {
+		return Target{}, false
+	}
+	order := x.rankPlain
+	if x.engine != nil {
+		order = x.rankEngines
+	}
+	for _, i := range order(now, usable) {
+		t := usable[i]
+		if x.g.Fingerprints.Start(now, x.fingerprint, t.Address, x.attemptID()) {
+			return t, true
+		}
+	}
+	return Target{}, false
+}
+
+// usable lists the targets that may be tried now. Those that were tried before
+// are left out while others remain.
+func (x *exchange) usable(now time.Time) []Target {
+	unusable := x.g.circuits.Unusable(now)
+	var fresh, tried []Target
+	for _, t := range x.g.Directory.Service(x.service) {
+		if _, out := unusable[t.ID]; out {
+			if x.g.circuits.ClaimProbe(now, t.ID) {
+				// The next real request is the probe: connecting fails at once on a
+				// target that is gone, and leaves the request not run.
+				x.g.circuits.Probed(now, t.ID, true)
+			}
+			continue
+		}
+		if now.Before(t.OrderedUntil) {
+			continue
+		}
+		if x.tried[t.ID] {
+			tried = append(tried, t)
+		} else {
+			fresh = append(fresh, t)
+		}
+	}
+	if len(fresh) == 0 {
+		return tried
+	}
+	return fresh
+}
+
+func (x *exchange) rankEngines(now time.Time, targets []Target) []int {
+	candidates := make([]placement.Target, len(targets))
+	byAddress := make(map[string]int, len(targets))
+	for i, t := range targets {
+		byAddress[t.Address] = i
+		candidates[i] = placement.Target{Name: t.Address, Address: t.Address, Region: x.g.settings().Regions[t.AvailabilityZone],
+			AvailabilityZone: t.AvailabilityZone, Incarnation: t.Incarnation(), Slots: max(t.Slots, x.engine.Slots),
+			CacheBlocks:            x.engine.CacheTokens / placement.PartBlockTokens,
+			PrefillTokensPerSecond: prefillTokensPerSecond, DecodeMsPerToken: decodeMsPerToken}
+	}
+	scores := x.g.Placer.Rank(now, x.place, candidates)
+	order := make([]int, 0, len(scores))
+	for _, s := range scores {
+		order = append(order, byAddress[s.Target])
+	}
+	if len(scores) > 0 {
+		x.score = scores[0]
+	}
+	return order
+}
+
+func (x *exchange) rankPlain(now time.Time, targets []Target) []int {
+	candidates := make([]balance.Candidate, len(targets))
+	byAddress := make(map[string]int, len(targets))
+	for i, t := range targets {
+		byAddress[t.Address] = i
+		c := balance.Candidate{Address: t.Address, Slots: t.Slots, InFlight: t.InFlight, ServiceMs: t.ServiceMs,
+			LinkMs: x.g.linkMs(t.AvailabilityZone)}
+		if now.Sub(t.Load.MeasuredAt) < loadFreshFor {
+			c.Reported, c.Explained = t.Load.Running+t.Load.Waiting, t.ExplainedLoad
+		}
+		candidates[i] = c
+	}
+	balance.Rank(candidates)
+	order := make([]int, len(candidates))
+	for i, c := range candidates {
+		order[i] = byAddress[c.Address]
+	}
+	return order
+}
+
+func (g *Gateway) linkMs(zone string) float64 {
+	own := g.settings().AvailabilityZone
+	switch {
+	case zone == own:
+		return sameZoneMs
+	case g.settings().Regions[zone] == g.settings().Regions[own]:
+		return sameRegion
+	}
+	return otherRegion
+}
--- /dev/null
+++ b/internal/app/gateway/exchange.go
@@ -0,0 +1,203 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/core/fate"
+	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/retry"
+	"mimosaseam.example/mimosaseam/internal/core/site"
+	"mimosaseam.example/mimosaseam/internal/core/stream"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// exchange is one request under way.
+type exchange struct {
+	g           *Gateway
+	r           *Request
+	sink        Sink
+	route       *site.Route
+	account     *site.ClientAccount
+	service     string
+	engine      *site.Engine
+	scope       string
+	place       placement.Request
+	fingerprint retry.Fingerprint
+	deadline    time.Time
+
+	history fate.History
+	order   stream.Order
+	// committed is set once the head of an answer was passed on.
+	committed  bool
+	tried      map[string]bool
+	sends      int
+	lastTarget string
+	lastCause  error
+	firstEvent time.Duration
+	score      placement.Score
+	retryAfter time.Duration
+}
+
+// defaultTimeout stands in for a route and a client that name none.
+const defaultTimeout = 30 * time.Second
+
+// plan finds what the configuration says of the request. All of it is taken
+// from one configuration.
+func (g *Gateway) plan(r *Request, sink Sink) (*exchange, error) {
+	c := g.config.Load()
+	if c == nil {
+		return nil, &Failure{Kind: KindRefused, RetryAfter: comeBackSoon, Cause: ErrNoConfiguration}
+	}
+	age := g.ConfigurationAge()
+	route := c.Route(r.Host, r.Path)
+	if route == nil {
+		return nil, g.unlessStale(age, KindNoRoute)
+	}
+	x := &exchange{g: g, r: r, sink: sink, route: route, tried: map[string]bool{}, service: route.Service(spread())}
+	if c.NeedsKey(route) {
+		// A key may have been taken away since the configuration was last known to
+		// be the newest.
+		if g.settings().KeyBound > 0 && age > g.settings().KeyBound {
+			return x, &Failure{Kind: KindRefused, RetryAfter: comeBackLater, Cause: ErrUnverified}
+		}
+		if x.account = c.Account(r.Key); x.account == nil {
+			return x, g.unlessStale(age, KindNoAccount)
+		}
+	}
+	if c.Limits.MaxBodyBytes > 0 && int64(len(r.Body)) > c.Limits.MaxBodyBytes {
+		return x, &Failure{Kind: KindTooLarge}
+	}
+	if s := c.Services[x.service]; s != nil {
+		x.engine = s.Engine
+	}
+	x.setDeadline()
+	x.setPlace()
+	if g.Fingerprints.Quarantined(g.Clock.Now(), x.fingerprint) {
+		return x, &Failure{Kind: KindCrashes}
+	}
+	return x, nil
+}
+
+// unlessStale refuses for good only on a configuration that was just verified:
+// an older one may lack what is new.
+func (g *Gateway) unlessStale(age time.Duration, kind Kind) *Failure {
+	if age > g.settings().StaleBound {
+		return &Failure{Kind: KindRefused, RetryAfter: comeBackSoon, Cause: ErrUnverified}
+	}
+	return &Failure{Kind: kind}
+}
+
+func (x *exchange) setDeadline() {
+	timeout := x.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if x.r.Patience > 0 {
+		timeout = min(timeout, x.r.Patience)
+	}
+	x.deadline = x.r.Received.Add(timeout)
+}
+
+// setPlace derives what placement and crash detection need.
+func (x *exchange) setPlace() {
+	account := ""
+	if x.account != nil {
+		account = x.account.Name
+		if x.account.Isolated {
+			x.scope = account
+		}
+	}
+	x.fingerprint = retry.FingerprintOf(account, x.r.Path, string(x.r.Body))
+	if x.engine == nil {
+		return
+	}
+	scope := port.Scope{ClientAccount: x.scope, Model: x.r.Model}
+	x.place = placement.Request{Scope: scope, Blocks: placement.PartBlocks(scope, x.r.Prompt),
+		BlockTokens: placement.PartBlockTokens, PromptTokens: x.r.PromptTokens,
+		OutputTokens: x.r.MaxOutputTokens, PromptBytes: len(x.r.Body)}
+}
+
+// serve drives attempts until the request is answered or given up.
+func (x *exchange) serve(ctx context.Context) error {
+	ctx, cancel := context.WithDeadlineCause(ctx, time.Now().Add(x.deadline.Sub(x.g.Clock.Now())), ErrRouteTimeout)
+	defer cancel()
+	x.g.window(x.service).Request(x.g.Clock.Now())
+	for {
+		t, err := x.choose(ctx)
+		if err != nil {
+			return x.giveUp(ctx, fate.NotRun, err)
+		}
+		evidence, err := x.attempt(ctx, t)
+		if err == nil {
+			return nil
+		}
+		x.history.Add(evidence)
+		x.lastCause = err
+		if x.done(ctx) || !fate.MayRepeat(x.route, x.history, evidence) {
+			return x.giveUp(ctx, evidence, err)
+		}
+		if !x.g.mayRepeat(x.service) {
+			x.g.Metrics.Add(MetricNoBudget, 1)
+			return x.giveUp(ctx, evidence, errors.Join(ErrNoBudget, err))
+		}
+		x.g.Metrics.Add(MetricRepeats, 1)
+		x.g.Log.LogAttrs(ctx, slog.LevelInfo, "repeated", slog.String("request", x.r.ID), slog.String("target", t.ID),
+			slog.Int("runs", x.history.Runs), slog.Int("refusals", x.history.Refusals), slog.String("why", err.Error()))
+	}
+}
+
+func (x *exchange) done(ctx context.Context) bool { return ctx.Err() != nil }
+
+// Waits that a refused client is advised to keep.
+const (
+	// comeBackSoon covers the start of a router or the busy moment of a target.
+	comeBackSoon = 300 * time.Millisecond
+	// comeBackLater covers the readiness checks after which the entry sends
+	// clients to routers that can reach the log.
+	comeBackLater = 2 * time.Second
+)
+
+// giveUp decides the final answer.
+func (x *exchange) giveUp(ctx context.Context, last fate.Evidence, cause error) error {
+	f := &Failure{Cause: cause, RetryAfter: max(x.retryAfter, comeBackSoon)}
+	var own *Failure
+	switch {
+	case clientGone(ctx):
+		f.Kind = KindGone
+	case errors.As(cause, &own):
+		return own
+	case fate.Final(x.history, last) == fate.Abort || x.committed:
+		f.Kind = KindAborted
+	case fate.Final(x.history, last) == fate.Refuse:
+		f.Kind = KindRefused
+	case ctx.Err() != nil:
+		f.Kind = KindTimeout
+	default:
+		f.Kind = KindUnknown
+	}
+	return f
+}
+
+// attrs are the inputs of the request's decisions for its log line.
+func (x *exchange) attrs() []slog.Attr {
+	out := []slog.Attr{slog.String("route", x.route.Name), slog.String("service", x.service),
+		slog.String("target", x.lastTarget), slog.Int("sends", x.sends), slog.Int("runs", x.history.Runs),
+		slog.Int("refusals", x.history.Refusals)}
+	if x.account != nil {
+		out = append(out, slog.String("account", x.account.Name))
+	}
+	if x.firstEvent > 0 {
+		out = append(out, slog.Float64("first_event_ms", ms(x.firstEvent)))
+	}
+	if x.engine != nil {
+		last, _ := x.order.Last()
+		out = append(out, slog.Int("prompt_tokens", x.r.PromptTokens), slog.Int("cached_tokens", x.score.CachedTokens),
+			slog.Float64("expected_ms", x.score.QueueMs+x.score.PrefillMs+x.score.LinkMs), slog.String("reason", x.score.Reason),
+			slog.String("last_event", strconv.FormatUint(last, 10)))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/app/gateway/failure.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind says how a request ended without a target's answer.
+type Kind int
+
+// The kinds of failures.
+const (
+	// KindRefused: the request has not run and will not run.
+	KindRefused Kind = iota
+	// KindUnknown: the request may have run.
+	KindUnknown
+	// KindTimeout: the time was over while the request may have run.
+	KindTimeout
+	// KindAborted: a part of the answer was delivered.
+	KindAborted
+	// KindGone: the client left.
+	KindGone
+	// KindNoRoute, KindNoAccount, KindTooLarge and KindInvalid are the client's.
+	KindNoRoute
+	KindNoAccount
+	KindTooLarge
+	KindInvalid
+	// KindCrashes: the request crashes the targets that run it.
+	KindCrashes
+)
+
+var kindNames = [...]string{"refused", "unknown", "timeout", "aborted", "client gone", "no route", "no account", "too large", "invalid", "crashes targets"}
+
+// String returns the kind's name in logs.
+func (k Kind) String() string { return kindNames[k] }
+
+func (k Kind) metric() string {
+	switch k {
+	case KindUnknown, KindTimeout:
+		return MetricFailed
+	case KindAborted:
+		return MetricAborted
+	case KindGone:
+		return MetricGone
+	}
+	return MetricRefused
+}
+
+// Failure is a request that no target's answer ended.
+type Failure struct {
+	Kind Kind
+	// RetryAfter is when the client should come back; 0: no advice.
+	RetryAfter time.Duration
+	Cause      error
+}
+
+func (f *Failure) Error() string {
+	if f.Cause == nil {
+		return f.Kind.String()
+	}
+	return f.Kind.String() + ": " + f.Cause.Error()
+}
+
+func (f *Failure) Unwrap() error { return f.Cause }
+
+func failureOf(err error) *Failure {
+	var f *Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	return &Failure{Kind: KindUnknown, Cause: err}
+}
+
+// Causes of failures.
+var (
+	ErrNoConfiguration = eris.New("no configuration is in force yet")
+	ErrUnverified      = eris.New("the configuration was not verified for too long")
+	ErrNoTarget        = eris.New("no target can take the request now")
+	ErrNoBudget        = eris.New("repeated sends to the service are at their bound")
+	ErrSilent          = eris.New("the target fell silent")
+	ErrRouteTimeout    = eris.New("the route's timeout or the client's deadline has passed")
+	ErrMixedEnd        = eris.New("the stream ended within an event")
+)
+
+// clientGone reports whether the client ended the request.
+func clientGone(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.Canceled)
+}
--- /dev/null
+++ b/internal/app/gateway/gateway.go
@@ -0,0 +1,260 @@
+// Package gateway is the use case of a request that is passed on unchanged: find
+// its route, place it, forward it, relay the answer, and repeat or resume it
+// elsewhere when a target fails.
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/retry"
+	"mimosaseam.example/mimosaseam/internal/core/site"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// Metrics counts events and observes durations under stable names.
+type Metrics interface {
+	Add(name string, delta int64)
+	Observe(name string, d time.Duration)
+}
+
+// Names of metrics.
+const (
+	MetricRequests   = "requests"
+	MetricAnswered   = "answered"
+	MetricRefused    = "refused"
+	MetricFailed     = "failed"
+	MetricAborted    = "aborted"
+	MetricGone       = "client_gone"
+	MetricRepeats    = "repeats"
+	MetricNoBudget   = "repeats_over_budget"
+	MetricFirstEvent = "first_event"
+	MetricAnswer     = "answer"
+	MetricPlacement  = "placement"
+)
+
+// Request is one attempt of a client, read whole.
+type Request struct {
+	ID     string
+	Method string
+	// URI is the path and query, Path the path alone.
+	URI    string
+	Path   string
+	Host   string
+	Header http.Header
+	Body   []byte
+	Key    string
+	// Patience is how long the client waits; 0: it does not tell.
+	Patience        time.Duration
+	Model           string
+	Prompt          []port.Segment
+	PromptTokens    int
+	MaxOutputTokens int
+	Received        time.Time
+}
+
+// Sink takes the answer to one request.
+type Sink interface {
+	// Head begins the answer. Length is the size of the body, -1: unknown.
+	Head(status int, h http.Header, length int64)
+	// Write sends a part of the body at once. An error means that the client is gone.
+	Write(p []byte) error
+}
+
+// Settings are the bounds that the deployment sets.
+type Settings struct {
+	AvailabilityZone string
+	// Regions maps availability zones to their regions.
+	Regions map[string]string
+	// KeyBound is the age of the last verification of the configuration from
+	// which on no key is served. 0: keys are served at any age.
+	KeyBound time.Duration
+	// StaleBound is the age from which on a route or key that is not known may be
+	// new.
+	StaleBound time.Duration
+	// RepeatRatio and RepeatAllowance bound repeated sends to a service in
+	// RepeatWindow, over all routers.
+	RepeatRatio     float64
+	RepeatAllowance float64
+	RepeatWindow    time.Duration
+}
+
+// Deps are the dependencies of a Gateway.
+type Deps struct {
+	Settings  Settings
+	Forwarder port.Forwarder
+	Control   port.WeightsControl
+	Placer    placement.Placer
+	Directory *Directory
+	// Clock is steady while the process runs; BootClock also counts the time for
+	// which the machine was suspended.
+	Clock     port.Clock
+	BootClock port.Clock
+	Log       *slog.Logger
+	Metrics   Metrics
+	// Routers returns the number of routers that share the bounds.
+	Routers func() int
+	// Fingerprints is exchanged with the other routers by the caller.
+	Fingerprints *retry.Fingerprints
+	// WatchedField is the field of events that tells a change of weights.
+	WatchedField string
+}
+
+// Gateway passes requests on. It is safe for concurrent use.
+type Gateway struct {
+	Deps
+	bounds   atomic.Pointer[Settings]
+	config   atomic.Pointer[site.Configuration]
+	circuits *retry.Circuits
+
+	mu        sync.Mutex
+	freshness site.Freshness
+	windows   map[string]*retry.Window
+
+	open     atomic.Int64
+	draining atomic.Bool
+}
+
+// New returns a gateway without a configuration.
+func New(d Deps) *Gateway {
+	g := &Gateway{Deps: d, circuits: retry.NewCircuits(), windows: map[string]*retry.Window{}}
+	g.SetSettings(d.Settings)
+	return g
+}
+
+// SetSettings puts other bounds in force.
+func (g *Gateway) SetSettings(s Settings) { g.bounds.Store(&s) }
+
+func (g *Gateway) settings() *Settings { return g.bounds.Load() }
+
+// SetConfiguration puts a configuration in force as a whole. Versions never go back.
+func (g *Gateway) SetConfiguration(c *site.Configuration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if old := g.config.Load(); old != nil && old.Version >= c.Version {
+		return
+	}
+	g.config.Store(c)
+	g.Log.Info("configuration in force", "version", c.Version)
+}
+
+// Configuration returns the configuration in force, nil before the first.
+func (g *Gateway) Configuration() *site.Configuration { return g.config.Load() }
+
+// Verify records that the configuration in force was the newest at a moment of
+// the boot clock.
+func (g *Gateway) Verify(at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.freshness.Verify(at)
+}
+
+// ConfigurationAge is the time since the configuration was last verified.
+func (g *Gateway) ConfigurationAge() time.Duration {
+	now := g.BootClock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.freshness.Age(now)
+}
+
+// Ready reports whether requests can be served, and the reason when they cannot.
+func (g *Gateway) Ready() (bool, string) {
+	c := g.config.Load()
+	switch {
+	case g.draining.Load():
+		return false, "stopping"
+	case c == nil:
+		return false, "no configuration"
+	case len(g.Directory.All()) == 0:
+		return false, "no targets"
+	case g.settings().KeyBound > 0 && g.ConfigurationAge() > g.settings().KeyBound:
+		return false, "the configuration is not verified"
+	}
+	return true, ""
+}
+
+// BeginDrain makes the router report that it is not ready. Requests that still
+// come are served.
+func (g *Gateway) BeginDrain() { g.draining.Store(true) }
+
+// Draining reports whether a stop has begun.
+func (g *Gateway) Draining() bool { return g.draining.Load() }
+
+// Open returns the number of requests under way.
+func (g *Gateway) Open() int { return int(g.open.Load()) }
+
+func (g *Gateway) window(service string) *retry.Window {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := g.windows[service]
+	if w == nil {
+		w = retry.NewWindow(g.settings().RepeatWindow)
+		g.windows[service] = w
+	}
+	return w
+}
+
+// repeatShare is the part of the bounds that is used; the rest covers sends
+// that are counted in another window than here.
+const repeatShare = 0.8
+
+// mayRepeat reports whether one more send to the service is within the bound of
+// all routers, and counts it.
+func (g *Gateway) mayRepeat(service string) bool {
+	allowance := repeatShare * g.settings().RepeatAllowance / float64(max(1, g.Routers()))
+	return g.window(service).Repeat(g.Clock.Now(), repeatShare*g.settings().RepeatRatio, allowance)
+}
+
+// Serve passes a request on and relays the answer to the sink. It fails with a
+// *Failure.
+func (g *Gateway) Serve(ctx context.Context, r *Request, sink Sink) error {
+	g.open.Add(1)
+	defer g.open.Add(-1)
+	g.Metrics.Add(MetricRequests, 1)
+	x, err := g.plan(r, sink)
+	if err == nil {
+		err = x.serve(ctx)
+	}
+	g.finish(ctx, x, r, err)
+	return err
+}
+
+// finish logs the outcome with what decided it.
+func (g *Gateway) finish(ctx context.Context, x *exchange, r *Request, err error) {
+	took := g.Clock.Now().Sub(r.Received)
+	attrs := []slog.Attr{slog.String("request", r.ID), slog.Float64("ms", ms(took)),
+		slog.Float64("config_age_ms", ms(g.ConfigurationAge()))}
+	if c := g.config.Load(); c != nil {
+		attrs = append(attrs, slog.Int64("config", c.Version))
+	}
+	if x != nil {
+		attrs = append(attrs, x.attrs()...)
+	}
+	switch {
+	case err == nil:
+		g.Metrics.Add(MetricAnswered, 1)
+		g.Metrics.Observe(MetricAnswer, took)
+		g.Log.LogAttrs(ctx, slog.LevelInfo, "answered", attrs...)
+	default:
+		f := failureOf(err)
+		g.Metrics.Add(f.Kind.metric(), 1)
+		attrs = append(attrs, slog.String("outcome", f.Kind.String()), slog.String("why", f.Error()))
+		g.Log.LogAttrs(ctx, slog.LevelInfo, "not answered", attrs...)
+	}
+}
+
+func ms(d time.Duration) float64 {
+	if d > 1000*time.Hour {
+		return -1 // never verified
+	}
+	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
+}
+
+// spread returns a random number for the choice between services.
+func spread() uint64 { return rand.Uint64() }
--- /dev/null
+++ b/internal/app/weights/weights.go
@@ -0,0 +1,373 @@
+// Package weights brings model engines to the versions that the operator names.
+// Only the holder of a lease gives orders; the lease is claimed when there is an
+// order to give and costs nothing otherwise.
+package weights
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"mimosaseam.example/mimosaseam/internal/core/lease"
+	"mimosaseam.example/mimosaseam/internal/core/rollout"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+const (
+	// tick is the time between two looks while a version is being rolled out.
+	tick = 100 * time.Millisecond
+	// idleTick is the time between two looks otherwise, for targets that join
+	// with older weights.
+	idleTick = 500 * time.Millisecond
+	// claimSpread divides the first claims of the routers, so that mostly one
+	// claims and the others read its claim.
+	claimSpread = 400 * time.Millisecond
+	// holderHeadStart lets the router that held the lease last go on with it.
+	holderHeadStart = 300 * time.Millisecond
+	// leaseDivisor makes a claim shorter than the time within which two holders
+	// must not take turns.
+	leaseDivisor = 2
+	// resendAfter is when an order that was neither answered nor accepted is sent
+	// again.
+	resendAfter = 400 * time.Millisecond
+	// orderLost is when an order whose effect is not seen is given up.
+	orderLost = 6 * time.Second
+	readLimit = 64
+	// serveAgain is how long an ordered target is expected to start no request.
+	serveAgain = 900 * time.Millisecond
+)
+
+// Target is a model engine with the weights that it serves.
+type Target struct {
+	ID          string
+	Address     string
+	Incarnation port.Incarnation
+	Model       string
+	Version     int
+	InFlight    int
+}
+
+// Deps are the dependencies of a Manager.
+type Deps struct {
+	Log     port.Log
+	Control port.WeightsControl
+	// Clock goes on while the machine is suspended.
+	Clock  port.Clock
+	Logger *slog.Logger
+	// Holder identifies this life of the router.
+	Holder string
+	// TurnTime is the time within which two holders must not take turns.
+	TurnTime time.Duration
+	// Targets returns the engines that stay.
+	Targets func() []Target
+	// OnOrdered is told that a target will start no request until the time.
+	OnOrdered func(id string, until time.Duration)
+	// OnWeights is told the versions that a target reported.
+	OnWeights func(id string, weights map[string]int)
+}
+
+// pending is an order whose effect has not been seen yet.
+type pending struct {
+	incarnation port.Incarnation
+	version     int
+	accepted    int // orders accepted before this one
+	sent        time.Time
+	first       time.Time
+}
+
+// Manager rolls versions out.
+type Manager struct {
+	Deps
+	changed chan struct{}
+
+	mu     sync.Mutex
+	wanted map[string]int
+	named  time.Time // when the newest version was learned
+
+	// The rest is used by Run only.
+	fold      lease.Fold
+	next      port.Offset
+	observed  time.Time // when the claim in force was read
+	heldUntil time.Time
+	token     port.Offset
+	pending   map[string]*pending
+}
+
+// New returns a manager.
+func New(d Deps) *Manager {
+	return &Manager{Deps: d, changed: make(chan struct{}, 1), wanted: map[string]int{}, next: 1,
+		pending: map[string]*pending{}}
+}
+
+// Want names the version that the targets of a model should serve.
+func (m *Manager) Want(model string, version int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.wanted[model] >= version {
+		return
+	}
+	m.wanted[model] = version
+	m.named = m.Clock.Now()
+	m.Logger.Info("weights named", "model", model, "version", version)
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Manager) state() (map[string]int, time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.wanted), m.named
+}
+
+// Run rolls out until the context ends.
+func (m *Manager) Run(ctx context.Context) error {
+	for {
+		wait := idleTick
+		if m.step(ctx) {
+			wait = tick
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-m.changed:
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// step does what is due and reports whether a roll-out is under way.
+func (m *Manager) step(ctx context.Context) bool {
+	wanted, named := m.state()
+	targets := m.survey()
+	if !rollout.Behind(targets, wanted) {
+		clear(m.pending)
+		return false
+	}
+	if !m.mayClaimOrHold(ctx, named) {
+		return true
+	}
+	m.readBack(ctx)
+	for _, t := range rollout.Next(m.survey(), wanted) {
+		m.order(ctx, t.ID, t.Model, wanted[t.Model])
+	}
+	return true
+}
+
+// survey lists the engines with the orders under way.
+func (m *Manager) survey() []rollout.Target {
+	var out []rollout.Target
+	for _, t := range m.Targets() {
+		p := m.pending[t.ID]
+		if p != nil && (p.incarnation != t.Incarnation || t.Version >= p.version) {
+			delete(m.pending, t.ID)
+			p = nil
+		}
+		out = append(out, rollout.Target{ID: t.ID, Model: t.Model, Version: t.Version, InFlight: t.InFlight, Ordered: p != nil})
+	}
+	return out
+}
+
+// ttl is the duration of a claim.
+func (m *Manager) ttl() time.Duration { return m.TurnTime / leaseDivisor }
+
+// mayClaimOrHold reports whether this router holds the lease, after claiming it
+// when it is free.
+func (m *Manager) mayClaimOrHold(ctx context.Context, named time.Time) bool {
+	now := m.Clock.Now()
+	if now.Before(m.heldUntil) {
+		if m.heldUntil.Sub(now) < m.ttl()/2 {
+			m.claim(ctx)
+		}
+		return m.Clock.Now().Before(m.heldUntil)
+	}
+	if now.Before(named.Add(m.turn())) || !m.free(now) {
+		return false
+	}
+	if err := m.read(ctx); err != nil {
+		m.Logger.Warn("lease not read", "error", err)
+		return false
+	}
+	if !m.free(m.Clock.Now()) {
+		return false
+	}
+	m.claim(ctx)
+	return m.Clock.Now().Before(m.heldUntil)
+}
+
+// turn is how long this router leaves the first claim to others.
+func (m *Manager) turn() time.Duration {
+	if current, known := m.fold.Current(); known && current.Holder == m.Holder {
+		return 0
+	}
+	spread := time.Duration(xxhash.Sum64String(m.Holder) % uint64(claimSpread))
+	if _, known := m.fold.Current(); !known {
+		return spread
+	}
+	return holderHeadStart + spread
+}
+
+// free reports whether the claim in force has run out and its holder can have
+// given no order for the time within which holders must not take turns.
+func (m *Manager) free(now time.Time) bool {
+	current, known := m.fold.Current()
+	if !known || current.Holder == m.Holder {
+		return true
+	}
+	return !now.Before(lease.FreeAt(m.observed, current.TTL()).Add(m.TurnTime))
+}
+
+// read folds in the claims that were appended since.
+func (m *Manager) read(ctx context.Context) error {
+	for {
+		batch, err := m.Log.Read(ctx, port.StreamOrders, m.next, readLimit, 0)
+		var expired *port.ExpiredError
+		if errors.As(err, &expired) && expired.Oldest > m.next {
+			m.next = expired.Oldest
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		for _, r := range batch.Records {
+			if m.fold.Apply(r) {
+				m.observed = m.Clock.Now()
+				current, _ := m.fold.Current()
+				m.Logger.Info("lease", "holder", current.Holder, "fencing", current.Offset)
+			}
+		}
+		m.next = batch.Next
+		if len(batch.Records) < readLimit {
+			return nil
+		}
+	}
+}
+
+// claim appends a claim. It wins when it directly follows what was read. A claim
+// whose answer is lost is read back at the next step.
+func (m *Manager) claim(ctx context.Context) {
+	data, err := lease.Encode(lease.Claim{Holder: m.Holder, After: m.next - 1, TTLMs: m.ttl().Milliseconds()})
+	if err != nil {
+		m.Logger.Error("lease claim not encoded", "error", err)
+		return
+	}
+	begun := m.Clock.Now()
+	record := port.Record{ID: uuid.NewString(), Data: data}
+	offset, err := m.Log.Append(ctx, port.StreamOrders, []port.Record{record})
+	if err != nil {
+		m.Logger.Warn("lease not claimed", "error", err)
+		if err := m.read(ctx); err != nil {
+			m.Logger.Warn("lease not read", "error", err)
+		}
+		return
+	}
+	if offset != m.next {
+		m.heldUntil = time.Time{}
+		m.Logger.Info("lease lost to another claim", "offset", offset, "expected", m.next)
+		if err := m.read(ctx); err != nil {
+			m.Logger.Warn("lease not read", "error", err)
+		}
+		return
+	}
+	record.Offset = offset
+	m.fold.Apply(record)
+	m.next, m.token, m.observed = offset+1, offset, m.Clock.Now()
+	m.heldUntil = lease.HeldUntil(begun, m.ttl())
+	m.Logger.Info("lease claimed", "fencing", offset, "held_ms", m.heldUntil.Sub(m.Clock.Now()).Milliseconds())
+}
+
+// readBack asks ordered targets what became of the orders.
+func (m *Manager) readBack(ctx context.Context) {
+	for _, t := range m.Targets() {
+		p := m.pending[t.ID]
+		if p == nil || m.Clock.Now().Sub(p.sent) < tick {
+			continue
+		}
+		if m.Clock.Now().Sub(p.first) > orderLost {
+			delete(m.pending, t.ID)
+			continue
+		}
+		status, err := m.Control.Status(ctx, t.Address, t.ID)
+		if err != nil {
+			m.Logger.Info("order not read back", "target", t.ID, "error", err)
+			continue
+		}
+		m.OnWeights(t.ID, status.Weights)
+		switch {
+		case status.Weights[t.Model] >= p.version:
+			m.Logger.Info("weights in force", "target", t.ID, "version", p.version, "ms", m.Clock.Now().Sub(p.first).Milliseconds())
+			delete(m.pending, t.ID)
+		case status.Ordered || status.Accepted > p.accepted:
+			m.OnOrdered(t.ID, 2*tick)
+		case m.Clock.Now().Sub(p.sent) > resendAfter:
+			m.send(ctx, t, p)
+		}
+	}
+}
+
+// order reads a target's state and sends it the order.
+func (m *Manager) order(ctx context.Context, id, model string, version int) {
+	for _, t := range m.Targets() {
+		if t.ID != id || t.Model != model {
+			continue
+		}
+		status, err := m.Control.Status(ctx, t.Address, t.ID)
+		if err != nil {
+			m.Logger.Info("target not asked before an order", "target", id, "error", err)
+			return
+		}
+		if status.Weights[model] >= version {
+			m.OnWeights(id, status.Weights)
+			return
+		}
+		if status.Ordered {
+			return
+		}
+		p := &pending{incarnation: t.Incarnation, version: version, accepted: status.Accepted, first: m.Clock.Now()}
+		if m.send(ctx, t, p) {
+			m.pending[id] = p
+		}
+		return
+	}
+}
+
+// send gives an order while the lease is held and reports whether it may have
+// been taken.
+func (m *Manager) send(ctx context.Context, t Target, p *pending) bool {
+	// Checked directly before sending: a router that was suspended past its lease
+	// must not order.
+	p.sent = m.Clock.Now()
+	if !p.sent.Before(m.heldUntil) {
+		return false
+	}
+	err := m.Control.Order(ctx, t.Address, port.WeightsOrder{Target: t.ID, Model: t.Model, Version: p.version,
+		Holder: m.Holder, Fencing: m.token, ExpectAccepted: p.accepted})
+	m.Logger.Info("order", "target", t.ID, "version", p.version, "fencing", m.token, "expect", p.accepted, "error", text(err))
+	var stale *port.StaleFencingError
+	var unknown *port.UnknownOutcomeError
+	switch {
+	case err == nil, errors.As(err, &unknown):
+		m.OnOrdered(t.ID, serveAgain)
+		return true
+	case errors.As(err, &stale):
+		m.heldUntil = time.Time{}
+	}
+	return false
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/core/balance/balance.go
@@ -0,0 +1,51 @@
+// Package balance picks the target of a plain request by load: it answers the
+// load of many short requests on few slots.
+package balance
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Candidate is a target as the router knows it when it decides.
+type Candidate struct {
+	Address string
+	Slots   int
+	// InFlight counts the router's own requests on the target.
+	InFlight int
+	// Reported is the target's own count of running and waiting requests, of
+	// which Explained were the router's own at the time; 0 when it is too old.
+	Reported  int
+	Explained int
+	// LinkMs is the time there and back.
+	LinkMs float64
+	// ServiceMs is the usual time of one request on the target, 0: unknown.
+	ServiceMs float64
+}
+
+// defaultServiceMs stands in until a target's first answer.
+const defaultServiceMs = 20
+
+// ExpectedMs is the expected time to the answer: the link, the wait for a slot,
+// and the request itself. Slots that are taken slow a target before it is full,
+// so that ties go to the emptier one.
+func (c Candidate) ExpectedMs() float64 {
+	service := c.ServiceMs
+	if service <= 0 {
+		service = defaultServiceMs
+	}
+	ahead := float64(c.InFlight + max(0, c.Reported-c.Explained))
+	slots := float64(max(c.Slots, 1))
+	ms := c.LinkMs + service*(1+ahead/slots/2)
+	if ahead >= slots {
+		ms += (ahead - slots + 1) / slots * service
+	}
+	return ms
+}
+
+// Rank orders the candidates, the best first.
+func Rank(candidates []Candidate) {
+	slices.SortStableFunc(candidates, func(a, b Candidate) int {
+		return cmp.Compare(a.ExpectedMs(), b.ExpectedMs())
+	})
+}
--- /dev/null
+++ b/internal/core/fate/fate.go
@@ -0,0 +1,82 @@
+// Package fate decides what becomes of a request after an attempt failed: it
+// goes to another target, is refused as not run, or fails. It answers the load
+// of failing and leaving targets.
+package fate
+
+import "mimosaseam.example/mimosaseam/internal/core/site"
+
+// Evidence is what an attempt showed.
+type Evidence int
+
+// The kinds of evidence, from the least to the most that may have happened.
+const (
+	// NotRun: the target stated that the request did not run, or never got it.
+	NotRun Evidence = iota
+	// Unknown: the request may have run and its answer is lost.
+	Unknown
+	// Failed: the request ran and was answered with a failure.
+	Failed
+)
+
+// History is what happened to a request so far.
+type History struct {
+	// Runs counts the attempts that may have run, Refusals those that did not.
+	Runs     int
+	Refusals int
+	// Delivered says that a part of the answer has reached the client.
+	Delivered bool
+}
+
+// Add counts a failed attempt.
+func (h *History) Add(e Evidence) {
+	if e == NotRun {
+		h.Refusals++
+		return
+	}
+	h.Runs++
+}
+
+// maxRefusals bounds the targets asked in vain for one request: more refusals
+// mean that the service is full, and the client should come back later.
+const maxRefusals = 3
+
+// MayRepeat reports whether the request may be sent again after the evidence.
+// A request that may have run is repeated only where the route allows it, on at
+// most as many targets as the route says.
+func MayRepeat(r *site.Route, h History, last Evidence) bool {
+	if h.Refusals > maxRefusals {
+		return false
+	}
+	if last != NotRun && !r.Repeatable() {
+		return false
+	}
+	return h.Runs < r.MaxAttempts
+}
+
+// Verdict is the final answer to a request that is given up.
+type Verdict int
+
+// The verdicts.
+const (
+	// Refuse promises that the request has not run and will not run.
+	Refuse Verdict = iota
+	// Fail promises nothing.
+	Fail
+	// PassOn hands the target's own failure to the client.
+	PassOn
+	// Abort ends an answer visibly of which a part was delivered.
+	Abort
+)
+
+// Final decides the answer of a request that is not sent again.
+func Final(h History, last Evidence) Verdict {
+	switch {
+	case h.Delivered:
+		return Abort
+	case last == Failed:
+		return PassOn
+	case h.Runs > 0:
+		return Fail
+	}
+	return Refuse
+}
--- /dev/null
+++ b/internal/port/site.go
@@ -0,0 +1,157 @@
+package port
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Segment is one named part of a prompt with its size. Equal IDs name equal
+// parts; a prompt is a chain of segments.
+type Segment struct {
+	ID     string
+	Tokens int
+}
+
+// TargetEntry is what a target says of itself in the list of targets.
+type TargetEntry struct {
+	// ID names the target. A target may start again under the same ID; Born
+	// tells its lives apart.
+	ID               string
+	Service          string
+	Address          string
+	AvailabilityZone string
+	Slots            int
+	// Leaving targets take no new work.
+	Leaving bool
+	// ColdFor is how much longer the target is slow after its start.
+	ColdFor time.Duration
+	// Weights maps the names of the loaded models to the versions of their weights.
+	Weights map[string]int
+	// Born is the start of this life.
+	Born time.Time
+}
+
+// Incarnation returns the life of the target that the entry speaks of.
+func (e TargetEntry) Incarnation() Incarnation {
+	return Incarnation(e.ID + "@" + e.Born.UTC().Format(time.RFC3339Nano))
+}
+
+// Forward is one attempt to pass a client's request on to a target unchanged.
+type Forward struct {
+	RequestID string
+	Method    string
+	// URI is the path and query as the client sent them.
+	URI  string
+	Host string
+	// Header holds the end-to-end fields that the client sent.
+	Header http.Header
+	Body   []byte
+	// ClientAccount is empty where the route admits anonymous requests.
+	ClientAccount string
+	Deadline      time.Time
+	// ExpectTarget makes any other target refuse the attempt as not run.
+	ExpectTarget string
+	// CacheScope isolates the cached prompt parts; empty: shared by all.
+	CacheScope string
+	// Urgency is the rank of the request on the target, 0 is served first.
+	Urgency int
+	// ResumeAfter is the id of the last event that the client has; empty
+	// leaves what the client itself sent.
+	ResumeAfter string
+}
+
+// Answer is the head of a target's answer; the receiver reads and closes Body.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	// Length of the body in bytes, -1 when it is not known.
+	Length int64
+	// Load is the target's account of its load; nil when it tells none.
+	Load *LoadReport
+	// Weights is the version of the weights that serves the request, 0 when the
+	// target tells none.
+	Weights int
+	// Closing says that the target closes the connection, as one that leaves does.
+	Closing bool
+}
+
+// Forwarder passes requests on to targets by their address (host:port).
+type Forwarder interface {
+	// Forward runs one attempt. A NotRunError means that the request did not run
+	// and will not; an UnknownOutcomeError that it may have run.
+	Forward(ctx context.Context, address string, f Forward) (Answer, error)
+}
+
+// WeightsOrder asks a target to serve another version of a model's weights.
+type WeightsOrder struct {
+	// Target is the ID of the target that the order is for.
+	Target  string
+	Model   string
+	Version int
+	Holder  string
+	Fencing Offset
+	// ExpectAccepted is the number of orders that the target must have accepted
+	// before this one.
+	ExpectAccepted int
+}
+
+// TargetStatus is what a target reports when it is asked.
+type TargetStatus struct {
+	// Accepted is the number of orders that the target has accepted.
+	Accepted int
+	// Ordered says that an order is being carried out.
+	Ordered bool
+	Weights map[string]int
+	Running int
+	Waiting int
+}
+
+// WeightsControl gives orders to targets.
+type WeightsControl interface {
+	// Order fails with a StaleFencingError when a newer token was seen, with a
+	// ConflictError when another order came first, and with an
+	// UnknownOutcomeError when the answer was lost.
+	Order(ctx context.Context, address string, o WeightsOrder) error
+	Status(ctx context.Context, address, target string) (TargetStatus, error)
+}
+
+// ConflictError means that the target carries out another order, or has
+// accepted another number of orders than expected.
+type ConflictError struct{ Target string }
+
+func (e *ConflictError) Error() string { return "target " + e.Target + " has another order" }
+
+// KeyedRecord is one record of a stream that keeps the newest record of each key.
+type KeyedRecord struct {
+	Key string
+	// Value is nil when the key was removed.
+	Value []byte
+}
+
+// KeyedBatch is the result of one read of such a stream.
+type KeyedBatch struct {
+	Records []KeyedRecord
+	Next    Offset
+}
+
+// KeyedLog reads streams of the platform's log that keep the newest record of
+// each key.
+type KeyedLog interface {
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context, stream string) (KeyedBatch, error)
+	// Changes returns the records from the offset on and waits up to wait for the
+	// first. It fails with an ExpiredError when they are no longer kept.
+	Changes(ctx context.Context, stream string, from Offset, wait time.Duration) (KeyedBatch, error)
+}
+
+// Names of the keyed streams.
+const (
+	// StreamOperator holds the operator's configuration and the weights versions
+	// that targets should serve.
+	StreamOperator = "operator"
+	// StreamTargets holds the entries of the targets.
+	StreamTargets = "targets"
+)
--- /dev/null
+++ b/internal/settings/gateway.go
@@ -0,0 +1,122 @@
+package settings
+
+import (
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"mimosaseam.example/mimosaseam/internal/strictjson"
+)
+
+// Gateway is the settings file of a router that passes requests on unchanged, on
+// a platform that writes the file.
+type Gateway struct {
+	VM VM `json:"vm"`
+	// Incarnations are told apart by the start of the process, not by settings.
+
+	// Callers is where clients connect, Ready where the entry asks for readiness.
+	Callers ListenAddress `json:"callers"`
+	Ready   ListenAddress `json:"ready"`
+	// Peers is where other routers connect; empty: no exchange.
+	Peers ListenAddress `json:"peers"`
+	// Regions maps availability zones to regions.
+	Regions map[string]string `json:"regions"`
+	Log     PlatformLog       `json:"log"`
+	Limits  ProcessLimits     `json:"limits"`
+	Bounds  Bounds            `json:"bounds"`
+	// LogLevel is debug, info, warn or error. Default info.
+	LogLevel string `json:"log_level"`
+}
+
+// ListenAddress is an address to listen on.
+type ListenAddress struct {
+	Address string `json:"address"` // host:port
+}
+
+// PlatformLog is the platform's append-only log.
+type PlatformLog struct {
+	Address string `json:"address"` // host:port
+}
+
+// ProcessLimits bound what the process uses.
+type ProcessLimits struct {
+	// MemoryMB is the memory of the process in MB. Default 128.
+	MemoryMB int `json:"memory_mb"`
+}
+
+// Bounds are what the deployment promises to its users.
+type Bounds struct {
+	// KeyRevokedMs is how long a key that was taken away may be served, in ms.
+	// Default 5000.
+	KeyRevokedMs int `json:"key_revoked_ms"`
+	// KeyRevokedStrict stops serving keys on a router that cannot tell whether
+	// they were taken away.
+	KeyRevokedStrict bool `json:"key_revoked_strict"`
+	// ConfigurationMs is the time until a configuration is in force, in ms.
+	// Default 2500.
+	ConfigurationMs int `json:"configuration_ms"`
+	// RepeatRatio and RepeatAllowance bound repeated sends to a service over
+	// RepeatWindowS seconds. Defaults 0.2, 50, 10.
+	RepeatRatio     float64 `json:"repeat_ratio"`
+	RepeatAllowance float64 `json:"repeat_allowance"`
+	RepeatWindowS   int     `json:"repeat_window_s"`
+	// HolderTurnMs is the time within which two routers must not take turns in
+	// giving orders, in ms. Default 3000.
+	HolderTurnMs int `json:"holder_turn_ms"`
+	// StopS is the time between the signal to stop and the end by force, in s.
+	// Default 8.
+	StopS int `json:"stop_s"`
+}
+
+// DefaultGateway returns the settings that hold where the file says nothing.
+func DefaultGateway() Gateway {
+	return Gateway{
+		Limits: ProcessLimits{MemoryMB: 128},
+		Bounds: Bounds{KeyRevokedMs: 5000, ConfigurationMs: 2500, RepeatRatio: 0.2, RepeatAllowance: 50, RepeatWindowS: 10,
+			HolderTurnMs: 3000, StopS: 8},
+		LogLevel: "info",
+	}
+}
+
+// LoadGateway reads and checks a settings file. Problems with its content are a
+// *strictjson.Error.
+func LoadGateway(path string) (Gateway, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Gateway{}, eris.Wrap(err, "read settings")
+	}
+	return ParseGateway(path, text)
+}
+
+// ParseGateway decodes and checks the text of a settings file.
+func ParseGateway(file string, text []byte) (Gateway, error) {
+	s := DefaultGateway()
+	d := strictjson.Decode(file, text, &s)
+	checkName(d, "/vm/name", s.VM.Name)
+	checkName(d, "/vm/availability_zone", s.VM.AvailabilityZone)
+	checkAddress(d, "/callers/address", s.Callers.Address)
+	checkAddress(d, "/ready/address", s.Ready.Address)
+	checkAddress(d, "/log/address", s.Log.Address)
+	if s.Peers.Address != "" {
+		checkAddress(d, "/peers/address", s.Peers.Address)
+	}
+	checkRange(d, "/limits/memory_mb", s.Limits.MemoryMB, 32, 1<<20)
+	b := s.Bounds
+	checkRange(d, "/bounds/key_revoked_ms", b.KeyRevokedMs, 100, 3_600_000)
+	checkRange(d, "/bounds/configuration_ms", b.ConfigurationMs, 100, 3_600_000)
+	checkRange(d, "/bounds/repeat_window_s", b.RepeatWindowS, 1, 3600)
+	checkRange(d, "/bounds/holder_turn_ms", b.HolderTurnMs, 100, 600_000)
+	checkRange(d, "/bounds/stop_s", b.StopS, 1, 3600)
+	if b.RepeatRatio < 0 || b.RepeatRatio > 1 {
+		d.Add("/bounds/repeat_ratio", strconv.FormatFloat(b.RepeatRatio, 'g', -1, 64), "a number from 0 to 1")
+	}
+	if err := d.Err(); err != nil {
+		return Gateway{}, err
+	}
+	return s, nil
+}
+
+// Milliseconds turns a number of a settings file into a duration.
+func Milliseconds(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
