--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -72,7 +72,7 @@
 
 func (x *exchange) forward(t Target) port.Forward {
 	f := port.Forward{RequestID: x.r.ID, Method: x.r.Method, URI: x.r.URI, Host: x.r.Host, Header: x.r.Header, Body: x.r.Body,
-		Deadline: x.deadline, ExpectTarget: t.ID, CacheScope: x.scope, Urgency: site.Urgency(x.route, x.account)}
+		Deadline: x.deadline, ExpectTarget: t.ID, CacheScope: x.cacheScope(t), Urgency: site.Urgency(x.route, x.account)}
 	if x.account != nil {
 		f.ClientAccount = x.account.Name
 	}
@@ -82,6 +82,15 @@
 	return f
 }
 
+// cacheScope keeps prompt parts apart that were read under other weights or for
+// an isolated account.
+func (x *exchange) cacheScope(t Target) string {
+	if x.engine == nil {
+		return ""
+	}
+	return "v" + strconv.Itoa(t.Weights[x.r.Model]) + "/" + x.scope
+}
+
 // unanswered classifies an attempt without the head of an answer.
 func (x *exchange) unanswered(ctx context.Context, t Target, err error) (fate.Evidence, error) {
 	var refused *port.NotRunError
--- a/internal/app/weights/weights.go
+++ b/internal/app/weights/weights.go
@@ -16,12 +16,15 @@
 
 	"mimosaseam.example/mimosaseam/internal/core/lease"
 	"mimosaseam.example/mimosaseam/internal/core/rollout"
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
 const (
 	// tick is the time between two looks while a version is being rolled out.
 	tick = 100 * time.Millisecond
+	// readBack is the time between two questions to an ordered target.
+	readBack = 100 * time.Millisecond
 	// idleTick is the time between two looks otherwise, for targets that join
 	// with older weights.
 	idleTick = 500 * time.Millisecond
@@ -38,7 +41,7 @@
 	resendAfter = 400 * time.Millisecond
 	// orderLost is when an order whose effect is not seen is given up.
 	orderLost = 6 * time.Second
-	readLimit = 64
+	readLimit = 64 // records of one read of claims
 	// serveAgain is how long an ordered target is expected to start no request.
 	serveAgain = 900 * time.Millisecond
 )
@@ -77,8 +80,9 @@
 	incarnation port.Incarnation
 	version     int
 	accepted    int // orders accepted before this one
+	sends       int
 	sent        time.Time
-	first       time.Time
+	begun       time.Time
 }
 
 // Manager rolls versions out.
@@ -86,17 +90,17 @@
 	Deps
 	changed chan struct{}
 
-	mu     sync.Mutex
-	wanted map[string]int
-	named  time.Time // when the newest version was learned
-
-	// The rest is used by Run only.
-	fold      lease.Fold
-	next      port.Offset
-	observed  time.Time // when the claim in force was read
+	mu        sync.Mutex
+	wanted    map[string]int
+	named     time.Time // when the newest version was learned
 	heldUntil time.Time
 	token     port.Offset
 	pending   map[string]*pending
+
+	// The rest is used by Run only.
+	fold     lease.Fold
+	next     port.Offset
+	observed time.Time // when the claim in force was read
 }
 
 // New returns a manager.
@@ -115,10 +119,7 @@
 	m.wanted[model] = version
 	m.named = m.Clock.Now()
 	m.Logger.Info("weights named", "model", model, "version", version)
-	select {
-	case m.changed <- struct{}{}:
-	default:
-	}
+	m.wake()
 }
 
 func (m *Manager) state() (map[string]int, time.Time) {
@@ -146,36 +147,91 @@
 	}
 }
 
-// step does what is due and reports whether a roll-out is under way.
+// step starts the orders that are due and reports whether a roll-out is under way.
 func (m *Manager) step(ctx context.Context) bool {
 	wanted, named := m.state()
 	targets := m.survey()
 	if !rollout.Behind(targets, wanted) {
-		clear(m.pending)
 		return false
 	}
-	if !m.mayClaimOrHold(ctx, named) {
+	due := rollout.Next(targets, wanted)
+	if len(due) == 0 || !m.mayClaimOrHold(ctx, named) {
 		return true
 	}
-	m.readBack(ctx)
-	for _, t := range rollout.Next(m.survey(), wanted) {
-		m.order(ctx, t.ID, t.Model, wanted[t.Model])
+	for _, next := range due {
+		for _, t := range m.Targets() {
+			if t.ID == next.ID && t.Model == next.Model {
+				m.start(ctx, t, wanted[t.Model])
+			}
+		}
 	}
 	return true
 }
 
 // survey lists the engines with the orders under way.
 func (m *Manager) survey() []rollout.Target {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var out []rollout.Target
 	for _, t := range m.Targets() {
 		p := m.pending[t.ID]
-		if p != nil && (p.incarnation != t.Incarnation || t.Version >= p.version) {
+		out = append(out, rollout.Target{ID: t.ID, Model: t.Model, Version: t.Version, InFlight: t.InFlight,
+			Ordered: p != nil && p.incarnation == t.Incarnation})
+	}
+	return out
+}
+
+// start orders a target in the background.
+func (m *Manager) start(ctx context.Context, t Target, version int) {
+	p := &pending{incarnation: t.Incarnation, version: version, begun: m.Clock.Now()}
+	m.mu.Lock()
+	m.pending[t.ID] = p
+	m.mu.Unlock()
+	go func() {
+		m.drive(ctx, t, p)
+		m.mu.Lock()
+		if m.pending[t.ID] == p {
 			delete(m.pending, t.ID)
-			p = nil
 		}
-		out = append(out, rollout.Target{ID: t.ID, Model: t.Model, Version: t.Version, InFlight: t.InFlight, Ordered: p != nil})
+		m.mu.Unlock()
+		m.wake()
+	}()
+}
+
+func (m *Manager) wake() {
+	select {
+	case m.changed <- struct{}{}:
+	default: // a wake-up waits already
 	}
-	return out
+}
+
+// drive orders a target and reads back until it serves the version, or the order
+// is given up.
+func (m *Manager) drive(ctx context.Context, t Target, p *pending) {
+	for m.Clock.Now().Sub(p.begun) < orderLost {
+		status, err := m.Control.Status(ctx, t.Address, t.ID)
+		if err != nil {
+			m.Logger.Info("target not asked about an order", "target", t.ID, "error", err.Error())
+			return
+		}
+		m.OnWeights(t.ID, status.Weights)
+		switch {
+		case status.Weights[t.Model] >= p.version:
+			m.Logger.Info("weights in force", "target", t.ID, "version", p.version, "ms", m.Clock.Now().Sub(p.begun).Milliseconds())
+			return
+		case status.Ordered || p.sends > 0 && status.Accepted > p.accepted:
+			m.OnOrdered(t.ID, 2*readBack)
+		case p.sends == 0 || m.Clock.Now().Sub(p.sent) > resendAfter:
+			p.accepted = status.Accepted
+			if !m.send(ctx, t, p) {
+				return
+			}
+		}
+		if err := ctxtime.Sleep(ctx, readBack); err != nil {
+			return
+		}
+	}
+	m.Logger.Warn("order given up", "target", t.ID, "version", p.version)
 }
 
 // ttl is the duration of a claim.
@@ -185,11 +241,11 @@
 // when it is free.
 func (m *Manager) mayClaimOrHold(ctx context.Context, named time.Time) bool {
 	now := m.Clock.Now()
-	if now.Before(m.heldUntil) {
-		if m.heldUntil.Sub(now) < m.ttl()/2 {
+	if left := m.heldFor(now); left > 0 {
+		if left < m.ttl()/2 {
 			m.claim(ctx)
 		}
-		return m.Clock.Now().Before(m.heldUntil)
+		return m.heldFor(m.Clock.Now()) > 0
 	}
 	if now.Before(named.Add(m.turn())) || !m.free(now) {
 		return false
@@ -202,7 +258,14 @@
 		return false
 	}
 	m.claim(ctx)
-	return m.Clock.Now().Before(m.heldUntil)
+	return m.heldFor(m.Clock.Now()) > 0
+}
+
+// heldFor returns for how long the lease is still held.
+func (m *Manager) heldFor(now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.heldUntil.Sub(now)
 }
 
 // turn is how long this router leaves the first claim to others.
@@ -272,7 +335,7 @@
 		return
 	}
 	if offset != m.next {
-		m.heldUntil = time.Time{}
+		m.setHeld(0, time.Time{})
 		m.Logger.Info("lease lost to another claim", "offset", offset, "expected", m.next)
 		if err := m.read(ctx); err != nil {
 			m.Logger.Warn("lease not read", "error", err)
@@ -281,64 +344,9 @@
 	}
 	record.Offset = offset
 	m.fold.Apply(record)
-	m.next, m.token, m.observed = offset+1, offset, m.Clock.Now()
-	m.heldUntil = lease.HeldUntil(begun, m.ttl())
-	m.Logger.Info("lease claimed", "fencing", offset, "held_ms", m.heldUntil.Sub(m.Clock.Now()).Milliseconds())
-}
-
-// readBack asks ordered targets what became of the orders.
-func (m *Manager) readBack(ctx context.Context) {
-	for _, t := range m.Targets() {
-		p := m.pending[t.ID]
-		if p == nil || m.Clock.Now().Sub(p.sent) < tick {
-			continue
-		}
-		if m.Clock.Now().Sub(p.first) > orderLost {
-			delete(m.pending, t.ID)
-			continue
-		}
-		status, err := m.Control.Status(ctx, t.Address, t.ID)
-		if err != nil {
-			m.Logger.Info("order not read back", "target", t.ID, "error", err)
-			continue
-		}
-		m.OnWeights(t.ID, status.Weights)
-		switch {
-		case status.Weights[t.Model] >= p.version:
-			m.Logger.Info("weights in force", "target", t.ID, "version", p.version, "ms", m.Clock.Now().Sub(p.first).Milliseconds())
-			delete(m.pending, t.ID)
-		case status.Ordered || status.Accepted > p.accepted:
-			m.OnOrdered(t.ID, 2*tick)
-		case m.Clock.Now().Sub(p.sent) > resendAfter:
-			m.send(ctx, t, p)
-		}
-	}
-}
-
-// order reads a target's state and sends it the order.
-func (m *Manager) order(ctx context.Context, id, model string, version int) {
-	for _, t := range m.Targets() {
-		if t.ID != id || t.Model != model {
-			continue
-		}
-		status, err := m.Control.Status(ctx, t.Address, t.ID)
-		if err != nil {
-			m.Logger.Info("target not asked before an order", "target", id, "error", err)
-			return
-		}
-		if status.Weights[model] >= version {
-			m.OnWeights(id, status.Weights)
-			return
-		}
-		if status.Ordered {
-			return
-		}
-		p := &pending{incarnation: t.Incarnation, version: version, accepted: status.Accepted, first: m.Clock.Now()}
-		if m.send(ctx, t, p) {
-			m.pending[id] = p
-		}
-		return
-	}
+	m.next, m.observed = offset+1, m.Clock.Now()
+	m.setHeld(offset, lease.HeldUntil(begun, m.ttl()))
+	m.Logger.Info("lease claimed", "fencing", offset, "held_ms", m.heldFor(m.Clock.Now()).Milliseconds())
 }
 
 // send gives an order while the lease is held and reports whether it may have
@@ -347,12 +355,15 @@
 	// Checked directly before sending: a router that was suspended past its lease
 	// must not order.
 	p.sent = m.Clock.Now()
-	if !p.sent.Before(m.heldUntil) {
+	token, held := m.lease(p.sent)
+	if !held {
+		m.Logger.Info("order not sent", "target", t.ID, "why", "the lease has run out")
 		return false
 	}
+	p.sends++
 	err := m.Control.Order(ctx, t.Address, port.WeightsOrder{Target: t.ID, Model: t.Model, Version: p.version,
-		Holder: m.Holder, Fencing: m.token, ExpectAccepted: p.accepted})
-	m.Logger.Info("order", "target", t.ID, "version", p.version, "fencing", m.token, "expect", p.accepted, "error", text(err))
+		Mode: port.SwitchKeepRuns, Holder: m.Holder, Fencing: token, ExpectAccepted: p.accepted})
+	m.Logger.Info("order", "target", t.ID, "version", p.version, "fencing", token, "expect", p.accepted, "error", text(err))
 	var stale *port.StaleFencingError
 	var unknown *port.UnknownOutcomeError
 	switch {
@@ -360,11 +371,24 @@
 		m.OnOrdered(t.ID, serveAgain)
 		return true
 	case errors.As(err, &stale):
-		m.heldUntil = time.Time{}
+		m.setHeld(0, time.Time{})
 	}
 	return false
 }
 
+// lease returns the fencing token while the lease is held.
+func (m *Manager) lease(now time.Time) (port.Offset, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.token, now.Before(m.heldUntil)
+}
+
+func (m *Manager) setHeld(token port.Offset, until time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.token, m.heldUntil = token, until
+}
+
 func text(err error) string {
 	if err == nil {
 		return ""
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -19,9 +19,14 @@
 	Ordered bool
 }
 
-// loadingShare is the part of a model's targets that may load at once, as a
-// divisor. The others must carry the load meanwhile.
-const loadingShare = 3
+const (
+	// loadingShare is the part of a model's targets that may load at once, as a
+	// divisor. The others carry the load meanwhile.
+	loadingShare = 5
+	// minLoading may load at once in any case: the store of weights serves two at
+	// full speed.
+	minLoading = 2
+)
 
 // Next returns the targets to order now, the idlest first: the runs that a
 // target finishes before it loads delay it least there.
@@ -44,7 +49,7 @@
 		slices.SortFunc(due, func(a, b Target) int {
 			return cmp.Or(cmp.Compare(a.InFlight, b.InFlight), cmp.Compare(a.ID, b.ID))
 		})
-		free := max(1, (total+loadingShare-1)/loadingShare) - loading
+		free := max(minLoading, (total+loadingShare-1)/loadingShare) - loading
 		out = append(out, due[:max(0, min(free, len(due)))]...)
 	}
 	return out
--- a/internal/port/site.go
+++ b/internal/port/site.go
@@ -85,8 +85,22 @@
 	Forward(ctx context.Context, address string, f Forward) (Answer, error)
 }
 
+// SwitchMode says what becomes of the runs of a target that loads new weights.
+type SwitchMode int
+
+// The modes.
+const (
+	// SwitchFinishRuns loads once all runs have ended.
+	SwitchFinishRuns SwitchMode = iota
+	// SwitchBreakRuns ends all runs.
+	SwitchBreakRuns
+	// SwitchKeepRuns lets runs go on under the new weights.
+	SwitchKeepRuns
+)
+
 // WeightsOrder asks a target to serve another version of a model's weights.
 type WeightsOrder struct {
+	Mode SwitchMode
 	// Target is the ID of the target that the order is for.
 	Target  string
 	Model   string
