Begin no request on weights older than the bound

Ruled out: a lost order; the target was ordered within 0.6 s of its return. Conclusion: targets with older weights are passed over once half of them serve the newest, and are never used past three quarters of the bound; the target checks the version as well.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -144,6 +144,7 @@
 		Settings: gatewaySettings(s), Forwarder: targets, Control: targets, Placer: placer, Directory: n.dir,
 		Clock: clock, BootClock: boot, Log: n.log, Metrics: telemetry.NewMetrics("gateway", "gateway_ms"),
 		Routers:      func() int { return assumedRouters },
+		Wanted:       func(model string) (int, time.Time) { return n.weights.Wanted(model) },
 		Fingerprints: retry.NewFingerprints(), WatchedField: platform.WatchedField,
 	})
 	n.weights = weights.New(weights.Deps{Log: storeLog, Control: targets, Clock: boot, Logger: n.log,
@@ -168,8 +169,9 @@
 
 func gatewaySettings(s settings.Gateway) gateway.Settings {
 	g := gateway.Settings{AvailabilityZone: s.VM.AvailabilityZone, Regions: s.Regions,
-		StaleBound:  settings.Milliseconds(s.Bounds.ConfigurationMs),
-		RepeatRatio: s.Bounds.RepeatRatio, RepeatAllowance: s.Bounds.RepeatAllowance,
+		StaleBound:   settings.Milliseconds(s.Bounds.ConfigurationMs),
+		WeightsBound: settings.Milliseconds(s.Bounds.WeightsMs),
+		RepeatRatio:  s.Bounds.RepeatRatio, RepeatAllowance: s.Bounds.RepeatAllowance,
 		RepeatWindow: time.Duration(s.Bounds.RepeatWindowS) * time.Second}
 	if s.Bounds.KeyRevokedStrict {
 		g.KeyBound = settings.Milliseconds(s.Bounds.KeyRevokedMs) - keyMargin
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -72,7 +72,8 @@
 
 func (x *exchange) forward(t Target) port.Forward {
 	f := port.Forward{RequestID: x.r.ID, Method: x.r.Method, URI: x.r.URI, Host: x.r.Host, Header: x.r.Header, Body: x.r.Body,
-		Deadline: x.deadline, ExpectTarget: t.ID, CacheScope: x.cacheScope(t), Urgency: site.Urgency(x.route, x.account)}
+		Deadline: x.deadline, ExpectTarget: t.ID, CacheScope: x.cacheScope(t),
+		ExpectWeights: x.expectWeights, Urgency: site.Urgency(x.route, x.account)}
 	if x.account != nil {
 		f.ClientAccount = x.account.Name
 	}
@@ -103,6 +104,8 @@
 			}
 		case port.NotRunIncarnationChanged:
 			x.g.Directory.Remove(t.ID)
+		case port.NotRunWeightsChanged:
+			x.g.circuits.SetBusy(t.ID, now.Add(busyFor))
 		default:
 			x.retryAfter = max(x.retryAfter, refused.RetryAfter)
 			x.g.circuits.SetBusy(t.ID, now.Add(busyFor))
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -7,6 +7,7 @@
 
 	"mimosaseam.example/mimosaseam/internal/core/balance"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/rollout"
 	"mimosaseam.example/mimosaseam/internal/ctxtime"
 )
 
@@ -70,7 +71,7 @@
 func (x *exchange) usable(now time.Time) []Target {
 	unusable := x.g.circuits.Unusable(now)
 	var fresh, tried []Target
-	for _, t := range x.g.Directory.Service(x.service) {
+	for _, t := range x.suitable(x.g.Directory.Service(x.service)) {
 		if _, out := unusable[t.ID]; out {
 			if x.g.circuits.ClaimProbe(now, t.ID) {
 				// The next real request is the probe: connecting fails at once on a
@@ -94,6 +95,35 @@
 	return fresh
 }
 
+// suitable leaves out engines whose weights are too old by now.
+func (x *exchange) suitable(targets []Target) []Target {
+	x.expectWeights = 0
+	if x.engine == nil || x.g.Wanted == nil {
+		return targets
+	}
+	newest, named := x.g.Wanted(x.r.Model)
+	if newest == 0 {
+		return targets
+	}
+	need := rollout.NeedAt(x.g.BootClock.Now().Sub(named), x.g.settings().WeightsBound)
+	if need == rollout.AnyWeights {
+		return targets
+	}
+	versions := make([]int, len(targets))
+	for i, t := range targets {
+		versions[i] = t.Weights[x.r.Model]
+	}
+	var out []Target
+	for _, i := range rollout.Suitable(versions, newest, need) {
+		out = append(out, targets[i])
+	}
+	if need == rollout.OnlyNewest {
+		// The target checks as well: what is believed of it may be old.
+		x.expectWeights = newest
+	}
+	return out
+}
+
 func (x *exchange) rankEngines(now time.Time, targets []Target) []int {
 	candidates := make([]placement.Target, len(targets))
 	byAddress := make(map[string]int, len(targets))
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -40,6 +40,8 @@
 	firstEvent time.Duration
 	score      placement.Score
 	retryAfter time.Duration
+	// expectWeights is the version that the target must serve, 0: any.
+	expectWeights int
 }
 
 // defaultTimeout stands in for a route and a client that name none.
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -78,6 +78,9 @@
 	// StaleBound is the age from which on a route or key that is not known may be
 	// new.
 	StaleBound time.Duration
+	// WeightsBound is the time after which no request may begin on weights older
+	// than those named last; 0: none.
+	WeightsBound time.Duration
 	// RepeatRatio and RepeatAllowance bound repeated sends to a service in
 	// RepeatWindow, over all routers.
 	RepeatRatio     float64
@@ -100,6 +103,9 @@
 	Metrics   Metrics
 	// Routers returns the number of routers that share the bounds.
 	Routers func() int
+	// Wanted returns the version named last for a model and when this router
+	// learned of it by BootClock. Nil: none is ever named.
+	Wanted func(model string) (version int, named time.Time)
 	// Fingerprints is exchanged with the other routers by the caller.
 	Fingerprints *retry.Fingerprints
 	// WatchedField is the field of events that tells a change of weights.
--- a/internal/app/weights/weights.go
+++ b/internal/app/weights/weights.go
@@ -93,6 +93,7 @@
 	mu        sync.Mutex
 	wanted    map[string]int
 	named     time.Time // when the newest version was learned
+	namedAt   map[string]time.Time
 	heldUntil time.Time
 	token     port.Offset
 	pending   map[string]*pending
@@ -105,7 +106,8 @@
 
 // New returns a manager.
 func New(d Deps) *Manager {
-	return &Manager{Deps: d, changed: make(chan struct{}, 1), wanted: map[string]int{}, next: 1,
+	return &Manager{Deps: d, changed: make(chan struct{}, 1), wanted: map[string]int{},
+		namedAt: map[string]time.Time{}, next: 1,
 		pending: map[string]*pending{}}
 }
 
@@ -118,10 +120,19 @@
 	}
 	m.wanted[model] = version
 	m.named = m.Clock.Now()
+	m.namedAt[model] = m.named
 	m.Logger.Info("weights named", "model", model, "version", version)
 	m.wake()
 }
 
+// Wanted returns the version named for a model and when this router learned of
+// it by the boot clock.
+func (m *Manager) Wanted(model string) (version int, named time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.wanted[model], m.namedAt[model]
+}
+
 func (m *Manager) state() (map[string]int, time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Target is a model engine as the holder of the lease knows it.
@@ -64,3 +65,56 @@
 	}
 	return false
 }
+
+// Need says how much a request needs the weights that were named last.
+type Need int
+
+// The degrees of need.
+const (
+	// AnyWeights: the newest were named just now.
+	AnyWeights Need = iota
+	// PreferNewest: answers on older weights are worth less.
+	PreferNewest
+	// OnlyNewest: no request may begin on older weights any more.
+	OnlyNewest
+)
+
+const (
+	// preferAfterShare and onlyAfterShare are the parts of the time within which
+	// all targets must serve new weights.
+	preferAfterShare = 0.19
+	onlyAfterShare   = 0.75
+)
+
+// NeedAt returns the need when weights were named some time ago. within is the
+// time after which no request may begin on older ones.
+func NeedAt(sinceNamed, within time.Duration) Need {
+	switch {
+	case within <= 0 || sinceNamed < time.Duration(preferAfterShare*float64(within)):
+		return AnyWeights
+	case sinceNamed < time.Duration(onlyAfterShare*float64(within)):
+		return PreferNewest
+	}
+	return OnlyNewest
+}
+
+// preferredShare is the part of the targets that must serve the newest weights
+// before all requests go to them; fewer would not carry the load.
+const preferredShare = 0.5
+
+// Suitable returns the positions of the targets that may take a request, by the
+// versions that they serve.
+func Suitable(versions []int, newest int, need Need) []int {
+	var all, current []int
+	for i, v := range versions {
+		all = append(all, i)
+		if v >= newest {
+			current = append(current, i)
+		}
+	}
+	switch {
+	case need == OnlyNewest, need == PreferNewest && float64(len(current)) >= preferredShare*float64(len(all)):
+		return current
+	}
+	return all
+}
--- a/internal/port/site.go
+++ b/internal/port/site.go
@@ -53,6 +53,9 @@
 	Deadline      time.Time
 	// ExpectTarget makes any other target refuse the attempt as not run.
 	ExpectTarget string
+	// ExpectWeights makes a target with other weights refuse the attempt as not
+	// run; 0: any.
+	ExpectWeights int
 	// CacheScope isolates the cached prompt parts; empty: shared by all.
 	CacheScope string
 	// Urgency is the rank of the request on the target, 0 is served first.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -65,6 +65,9 @@
 	// HolderTurnMs is the time within which two routers must not take turns in
 	// giving orders, in ms. Default 3000.
 	HolderTurnMs int `json:"holder_turn_ms"`
+	// WeightsMs is the time after which no request may begin on weights older than
+	// those named last, in ms. Default 8000.
+	WeightsMs int `json:"weights_ms"`
 	// StopS is the time between the signal to stop and the end by force, in s.
 	// Default 8.
 	StopS int `json:"stop_s"`
@@ -75,7 +78,7 @@
 	return Gateway{
 		Limits: ProcessLimits{MemoryMB: 128},
 		Bounds: Bounds{KeyRevokedMs: 5000, ConfigurationMs: 2500, RepeatRatio: 0.2, RepeatAllowance: 50, RepeatWindowS: 10,
-			HolderTurnMs: 3000, StopS: 8},
+			HolderTurnMs: 3000, WeightsMs: 8000, StopS: 8},
 		LogLevel: "info",
 	}
 }
@@ -108,6 +111,7 @@
 	checkRange(d, "/bounds/configuration_ms", b.ConfigurationMs, 100, 3_600_000)
 	checkRange(d, "/bounds/repeat_window_s", b.RepeatWindowS, 1, 3600)
 	checkRange(d, "/bounds/holder_turn_ms", b.HolderTurnMs, 100, 600_000)
+	checkRange(d, "/bounds/weights_ms", b.WeightsMs, 100, 3_600_000)
 	checkRange(d, "/bounds/stop_s", b.StopS, 1, 3600)
 	if b.RepeatRatio < 0 || b.RepeatRatio > 1 {
 		d.Add("/bounds/repeat_ratio", strconv.FormatFloat(b.RepeatRatio, 'g', -1, 64), "a number from 0 to 1")
