Deliver the events that were accepted before a stream broke

Cause: events read in one batch with the break were counted as accepted and then dropped, so the stream continued behind them on the next target with a gap. Ruled out: the target's own numbering; the resumed run began where it was asked to.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -231,44 +231,65 @@
 	for {
 		e, err := events.Next()
 		x.g.Directory.heard(t.ID)
-		if errors.Is(err, io.EOF) {
-			x.commit(a, a.Length)
-			return 0, nil
-		}
 		if err != nil {
+			// Events that were accepted must reach the client, because the stream
+			// continues behind them.
+			if failed := x.deliver(a, batch); failed != nil {
+				return fate.Unknown, failed
+			}
+			if errors.Is(err, io.EOF) {
+				x.commit(a, x.lengthFor(a))
+				return 0, nil
+			}
 			return fate.Unknown, x.silent(ctx, err)
 		}
 		fresh, err := x.order.Accept(e, x.history.Delivered && x.route.Resumable)
 		if err != nil {
-			return fate.Unknown, err
+			return fate.Unknown, errors.Join(err, x.deliver(a, batch))
 		}
 		if fresh {
 			batch = append(batch, e.Bytes...)
 			x.noteFirst(t)
 		}
-		if len(batch) == 0 || events.Buffered() && len(batch) < copyBytes {
+		if events.Buffered() && len(batch) < copyBytes {
 			continue
 		}
-		length := a.Length
-		if x.route.Resumable {
-			length = -1 // another target may continue with events of another size
-		}
-		x.commit(a, length)
-		x.history.Delivered = true
-		if err := x.sink.Write(batch); err != nil {
-			return fate.Unknown, &Failure{Kind: KindGone, Cause: err}
+		if err := x.deliver(a, batch); err != nil {
+			return fate.Unknown, err
 		}
 		batch = batch[:0]
 	}
 }
 
+// deliver passes whole events on.
+func (x *exchange) deliver(a port.Answer, events []byte) error {
+	if len(events) == 0 {
+		return nil
+	}
+	x.commit(a, x.lengthFor(a))
+	x.history.Delivered = true
+	if err := x.sink.Write(events); err != nil {
+		return &Failure{Kind: KindGone, Cause: err}
+	}
+	return nil
+}
+
+// lengthFor is the size that a stream is announced with: another target may
+// continue a resumable one with events of another size.
+func (x *exchange) lengthFor(a port.Answer) int64 {
+	if x.route.Resumable {
+		return -1
+	}
+	return a.Length
+}
+
 func (x *exchange) noteFirst(t Target) {
 	now := x.g.Clock.Now()
 	if x.firstEvent == 0 {
 		x.firstEvent = now.Sub(x.r.Received)
 		x.g.Metrics.Observe(MetricFirstEvent, x.firstEvent)
 	}
-	if x.engine != nil && x.history.Delivered == false {
+	if x.engine != nil && !x.history.Delivered {
 		x.g.Placer.FirstToken(now, x.place, t.Address, x.firstEvent)
 	}
 }
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -184,6 +184,15 @@
 	return f
 }
 
+// session names the longest part of the prompt that other requests share: the
+// last but one, because the last is the request's own.
+func (x *exchange) session() string {
+	if n := len(x.r.Prompt); n > 1 {
+		return x.r.Prompt[n-2].ID
+	}
+	return ""
+}
+
 // attrs are the inputs of the request's decisions for its log line.
 func (x *exchange) attrs() []slog.Attr {
 	out := []slog.Attr{slog.String("route", x.route.Name), slog.String("service", x.service),
@@ -197,7 +206,7 @@
 	}
 	if x.engine != nil {
 		last, _ := x.order.Last()
-		out = append(out, slog.Int("prompt_tokens", x.r.PromptTokens), slog.Int("cached_tokens", x.score.CachedTokens),
+		out = append(out, slog.String("session", x.session()), slog.Int("prompt_tokens", x.r.PromptTokens), slog.Int("cached_tokens", x.score.CachedTokens),
 			slog.Float64("expected_ms", x.score.QueueMs+x.score.PrefillMs+x.score.LinkMs), slog.String("reason", x.score.Reason),
 			slog.String("last_event", strconv.FormatUint(last, 10)))
 	}
--- /dev/null
+++ b/internal/app/gateway/fake_test.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/retry"
+	"mimosaseam.example/mimosaseam/internal/core/site"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// reply is what a fake target does with one attempt.
+type reply struct {
+	err    error
+	status int
+	body   string
+	// broken ends the body with an error.
+	broken bool
+	// silent never answers.
+	silent bool
+}
+
+// fakeTargets answers attempts in the order in which they come.
+type fakeTargets struct {
+	mu       sync.Mutex
+	replies  []reply
+	attempts []port.Forward
+	status   error
+}
+
+func (f *fakeTargets) Forward(ctx context.Context, address string, a port.Forward) (port.Answer, error) {
+	f.mu.Lock()
+	f.attempts = append(f.attempts, a)
+	r := reply{status: http.StatusOK, body: "ok"}
+	if len(f.replies) > 0 {
+		r, f.replies = f.replies[0], f.replies[1:]
+	}
+	f.mu.Unlock()
+	if r.silent {
+		<-ctx.Done()
+		return port.Answer{}, &port.UnknownOutcomeError{Peer: address, Cause: ctx.Err()}
+	}
+	if r.err != nil {
+		return port.Answer{}, r.err
+	}
+	var body io.Reader = strings.NewReader(r.body)
+	if r.broken {
+		body = io.MultiReader(body, brokenReader{})
+	}
+	return port.Answer{Status: r.status, Header: http.Header{}, Body: io.NopCloser(body), Length: -1}, nil
+}
+
+func (f *fakeTargets) Order(context.Context, string, port.WeightsOrder) error { return nil }
+
+func (f *fakeTargets) Status(context.Context, string, string) (port.TargetStatus, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return port.TargetStatus{}, f.status
+}
+
+func (f *fakeTargets) sent() []port.Forward {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]port.Forward(nil), f.attempts...)
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// recorder is a client's side of one answer.
+type recorder struct {
+	status int
+	body   bytes.Buffer
+}
+
+func (r *recorder) Head(status int, _ http.Header, _ int64) { r.status = status }
+
+func (r *recorder) Write(p []byte) error {
+	_, err := r.body.Write(p)
+	return err
+}
+
+type noMetrics struct{}
+
+func (noMetrics) Add(string, int64)             {}
+func (noMetrics) Observe(string, time.Duration) {}
+
+const testModel = "m"
+
+// testRoutes has one route of each kind.
+func testConfiguration(version int64) *site.Configuration {
+	engine := &site.Engine{Slots: 8, CacheTokens: 100_000, Models: []string{testModel}}
+	route := func(name string, kind site.Kind, service string, attempts int, resumable bool) site.Route {
+		return site.Route{Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: kind, Resumable: resumable, MaxAttempts: attempts,
+			Services: []site.Share{{Service: service, Weight: 1}}, Timeout: 5 * time.Second, Objective: 200 * time.Millisecond}
+	}
+	return site.New(site.Definition{Version: version,
+		Routes: []site.Route{route("book", site.NonIdempotent, "desk", 1, false), route("look", site.Idempotent, "desk", 2, false),
+			route("check", site.Streaming, "llm", 2, true), route("brief", site.Streaming, "llm", 1, false)},
+		Services: []site.Service{{Name: "desk"}, {Name: "llm", Engine: engine}},
+		Accounts: []site.AccountDefinition{{ClientAccount: site.ClientAccount{Name: "a"}, Keys: []string{"key"}}}})
+}
+
+type world struct {
+	*Gateway
+	targets *fakeTargets
+}
+
+// newWorld returns a gateway with three targets of each service.
+func newWorld(t *testing.T, replies ...reply) *world {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	clock, placer := port.SystemClock{}, placement.New(placement.Settings{})
+	targets := &fakeTargets{replies: replies}
+	dir := NewDirectory(log, clock, placer)
+	g := New(Deps{Forwarder: targets, Control: targets, Placer: placer, Directory: dir, Clock: clock, BootClock: clock, Log: log,
+		Metrics: noMetrics{}, Routers: func() int { return 1 }, Fingerprints: retry.NewFingerprints(),
+		Settings: Settings{KeyBound: 5 * time.Second, StaleBound: 2 * time.Second, RepeatRatio: 0.2, RepeatAllowance: 50,
+			RepeatWindow: 10 * time.Second, WeightsBound: 8 * time.Second}})
+	for _, id := range []string{"d1", "d2", "d3"} {
+		dir.Put(port.TargetEntry{ID: id, Service: "desk", Address: "desk-" + id, Slots: 6})
+	}
+	for _, id := range []string{"e1", "e2", "e3"} {
+		dir.Put(port.TargetEntry{ID: id, Service: "llm", Address: "llm-" + id, Slots: 8, Weights: map[string]int{testModel: 1}})
+	}
+	g.SetConfiguration(testConfiguration(1))
+	g.Verify(clock.Now())
+	return &world{Gateway: g, targets: targets}
+}
+
+// send runs one request of the route.
+func (w *world) send(ctx context.Context, route string) (*recorder, error) {
+	r := &Request{ID: "r1", Method: http.MethodPost, URI: "/" + route + "/x", Path: "/" + route + "/x", Host: "h", Header: http.Header{},
+		Key: "key", Received: time.Now()}
+	if route == "check" || route == "brief" {
+		r.Model, r.PromptTokens, r.MaxOutputTokens = testModel, 900, 10
+		r.Prompt = []port.Segment{{ID: "a", Tokens: 600}, {ID: "b", Tokens: 300}}
+	}
+	out := &recorder{}
+	return out, w.Serve(ctx, r, out)
+}
