Follow cache events, and fetch shared parts that another engine or the store holds

Placement learned of caches from its own traffic only, and a part that was evicted or dropped with old weights was always read again.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -21,6 +21,7 @@
 
 	"mimosaseam.example/mimosaseam/internal/adapter/httpconn"
 	"mimosaseam.example/mimosaseam/internal/adapter/telemetry"
+	"mimosaseam.example/mimosaseam/internal/app/cachewatch"
 	"mimosaseam.example/mimosaseam/internal/app/gateway"
 	"mimosaseam.example/mimosaseam/internal/app/sitesync"
 	"mimosaseam.example/mimosaseam/internal/app/weights"
@@ -91,6 +92,7 @@
 	dir      *gateway.Directory
 	weights  *weights.Manager
 	streams  []*sitesync.Stream
+	caches   *cachewatch.Watch
 	callers  *http.Server
 	ready    *http.Server
 }
@@ -114,7 +116,7 @@
 		}
 		addHTTP(&group, listener, l.server)
 	}
-	loops := []func(context.Context) error{n.weights.Run, n.watchSettings, n.prune}
+	loops := []func(context.Context) error{n.weights.Run, n.caches.Run, n.watchSettings, n.prune}
 	for _, s := range n.streams {
 		loops = append(loops, s.Run)
 	}
@@ -142,11 +144,12 @@
 	n.dir = gateway.NewDirectory(n.log, clock, placer)
 	n.gateway = gateway.New(gateway.Deps{
 		Settings: gatewaySettings(s), Forwarder: targets, Control: targets, Placer: placer, Directory: n.dir,
-		Clock: clock, BootClock: boot, Log: n.log, Metrics: telemetry.NewMetrics("gateway", "gateway_ms"),
+		Holdings: placement.NewHoldings(), Clock: clock, BootClock: boot, Log: n.log, Metrics: telemetry.NewMetrics("gateway", "gateway_ms"),
 		Routers:      func() int { return assumedRouters },
 		Wanted:       func(model string) (int, time.Time) { return n.weights.Wanted(model) },
 		Fingerprints: retry.NewFingerprints(), WatchedField: platform.WatchedField,
 	})
+	n.caches = &cachewatch.Watch{Caches: targets, Holdings: n.gateway.Holdings, Clock: clock, Logger: n.log, List: n.cacheAddresses}
 	n.weights = weights.New(weights.Deps{Log: storeLog, Control: targets, Clock: boot, Logger: n.log,
 		Holder:   s.VM.Name + "@" + strconv.FormatInt(time.Now().UnixMilli(), 36),
 		TurnTime: settings.Milliseconds(s.Bounds.HolderTurnMs), Targets: n.engines,
@@ -246,6 +249,26 @@
 	return out
 }
 
+// cacheAddresses lists the engines and stores whose cache events are followed.
+func (n *entryNode) cacheAddresses() []string {
+	c := n.gateway.Configuration()
+	if c == nil {
+		return nil
+	}
+	var out []string
+	for _, t := range n.dir.All() {
+		if s := c.Services[t.Service]; s != nil && s.Engine != nil {
+			out = append(out, t.Address)
+		}
+	}
+	for _, s := range c.Services {
+		if s.Store != nil {
+			out = append(out, s.Store.Address)
+		}
+	}
+	return out
+}
+
 func (n *entryNode) idleLimit() time.Duration {
 	if c := n.gateway.Configuration(); c != nil && c.Limits.IdleTimeout > 0 {
 		return c.Limits.IdleTimeout
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -35,7 +35,10 @@
 	g.Directory.begin(t.ID)
 	g.circuits.Started(start, t.ID)
 	if x.engine != nil {
+		x.score = x.scoreOf(t)
+		x.moveParts(start, t)
 		g.Placer.Started(start, x.place, t.Address)
+		g.Holdings.Expect(start, t.Address, x.cacheScope(t), x.r.Prompt)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -73,7 +76,7 @@
 func (x *exchange) forward(t Target) port.Forward {
 	f := port.Forward{RequestID: x.r.ID, Method: x.r.Method, URI: x.r.URI, Host: x.r.Host, Header: x.r.Header, Body: x.r.Body,
 		Deadline: x.deadline, ExpectTarget: t.ID, CacheScope: x.cacheScope(t),
-		ExpectWeights: x.expectWeights, Urgency: site.Urgency(x.route, x.account)}
+		ExpectWeights: x.expectWeights, FetchFrom: x.fetchFrom, SaveTo: x.saveTo, Urgency: site.Urgency(x.route, x.account)}
 	if x.account != nil {
 		f.ClientAccount = x.account.Name
 	}
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -127,24 +127,40 @@
 func (x *exchange) rankEngines(now time.Time, targets []Target) []int {
 	candidates := make([]placement.Target, len(targets))
 	byAddress := make(map[string]int, len(targets))
+	request := x.place
+	request.Exact = make(map[string]int, len(targets))
 	for i, t := range targets {
 		byAddress[t.Address] = i
-		candidates[i] = placement.Target{Name: t.Address, Address: t.Address, Region: x.g.settings().Regions[t.AvailabilityZone],
-			AvailabilityZone: t.AvailabilityZone, Incarnation: t.Incarnation(), Slots: max(t.Slots, x.engine.Slots),
-			CacheBlocks:            x.engine.CacheTokens / placement.PartBlockTokens,
-			PrefillTokensPerSecond: prefillTokensPerSecond, DecodeMsPerToken: decodeMsPerToken}
-	}
-	scores := x.g.Placer.Rank(now, x.place, candidates)
-	order := make([]int, 0, len(scores))
-	for _, s := range scores {
-		order = append(order, byAddress[s.Target])
+		candidates[i] = x.placementTarget(t)
+		if tokens, known := x.g.Holdings.Cached(now, t.Address, x.cacheScope(t), x.r.Prompt); known {
+			request.Exact[t.Address] = tokens
+		}
 	}
-	if len(scores) > 0 {
-		x.score = scores[0]
+	x.scores = x.g.Placer.Rank(now, request, candidates)
+	order := make([]int, 0, len(x.scores))
+	for _, s := range x.scores {
+		order = append(order, byAddress[s.Target])
 	}
 	return order
 }
 
+func (x *exchange) placementTarget(t Target) placement.Target {
+	return placement.Target{Name: t.Address, Address: t.Address, Region: x.g.settings().Regions[t.AvailabilityZone],
+		AvailabilityZone: t.AvailabilityZone, Incarnation: t.Incarnation(), Slots: max(t.Slots, x.engine.Slots),
+		CacheBlocks:            x.engine.CacheTokens / placement.PartBlockTokens,
+		PrefillTokensPerSecond: prefillTokensPerSecond, DecodeMsPerToken: decodeMsPerToken}
+}
+
+// scoreOf returns the score of the target in the last ranking.
+func (x *exchange) scoreOf(t Target) placement.Score {
+	for _, s := range x.scores {
+		if s.Target == t.Address {
+			return s
+		}
+	}
+	return placement.Score{}
+}
+
 func (x *exchange) rankPlain(now time.Time, targets []Target) []int {
 	candidates := make([]balance.Candidate, len(targets))
 	byAddress := make(map[string]int, len(targets))
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -18,6 +18,7 @@
 // exchange is one request under way.
 type exchange struct {
 	g           *Gateway
+	config      *site.Configuration
 	r           *Request
 	sink        Sink
 	route       *site.Route
@@ -39,7 +40,10 @@
 	lastCause  error
 	firstEvent time.Duration
 	score      placement.Score
-	retryAfter time.Duration
+	scores     []placement.Score
+	// fetchFrom and saveTo are where the last attempt moved cached parts.
+	fetchFrom, saveTo string
+	retryAfter        time.Duration
 	// expectWeights is the version that the target must serve, 0: any.
 	expectWeights int
 }
@@ -59,7 +63,7 @@
 	if route == nil {
 		return nil, g.unlessStale(age, KindNoRoute)
 	}
-	x := &exchange{g: g, r: r, sink: sink, route: route, tried: map[string]bool{}, service: route.Service(spread())}
+	x := &exchange{g: g, config: c, r: r, sink: sink, route: route, tried: map[string]bool{}, service: route.Service(spread())}
 	if c.NeedsKey(route) {
 		// A key may have been taken away since the configuration was last known to
 		// be the newest.
@@ -208,7 +212,7 @@
 		last, _ := x.order.Last()
 		out = append(out, slog.String("session", x.session()), slog.Int("prompt_tokens", x.r.PromptTokens), slog.Int("cached_tokens", x.score.CachedTokens),
 			slog.Float64("expected_ms", x.score.QueueMs+x.score.PrefillMs+x.score.LinkMs), slog.String("reason", x.score.Reason),
-			slog.String("last_event", strconv.FormatUint(last, 10)))
+			slog.String("fetch_from", x.fetchFrom), slog.String("save_to", x.saveTo), slog.String("last_event", strconv.FormatUint(last, 10)))
 	}
 	return out
 }
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -95,6 +95,8 @@
 	Control   port.WeightsControl
 	Placer    placement.Placer
 	Directory *Directory
+	// Holdings knows what targets and stores hold.
+	Holdings *placement.Holdings
 	// Clock is steady while the process runs; BootClock also counts the time for
 	// which the machine was suspended.
 	Clock     port.Clock
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -21,6 +21,9 @@
 	t := p.target(target.Name)
 	t.adopt(v.now, target.Incarnation)
 	cached := p.expectedCached(v, t, c.order)
+	if exact, known := v.req.Exact[target.Name]; known {
+		cached = float64(exact)
+	}
 	missed := max(0, float64(v.req.PromptTokens)-cached)
 	perMs := max(target.PrefillTokensPerSecond, 1) / 1000
 	s := Score{Target: target.Name, CachedTokens: int(cached), Reason: c.reason}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -39,6 +39,9 @@
 	OutputTokens int
 	PromptBytes  int
 	Weights      Weights
+	// Exact maps the names of targets to the tokens of the prompt that they are
+	// known to hold. Targets that it lacks are estimated. Nil: none is known.
+	Exact map[string]int
 }
 
 // Score is the expected cost of one target, in ms, with its parts.
--- a/internal/core/site/site.go
+++ b/internal/core/site/site.go
@@ -67,6 +67,14 @@
 	MaxConnections int
 	// Engine is set for services that run models.
 	Engine *Engine
+	// Store is set for a store of cached prompt parts, which no route names.
+	Store *Store
+}
+
+// Store keeps cached prompt parts for all engines.
+type Store struct {
+	Address          string
+	AvailabilityZone string
 }
 
 // Engine describes the model engines of a service.
@@ -74,7 +82,13 @@
 	Slots int
 	// CacheTokens is the memory of one engine in tokens.
 	CacheTokens int
-	Models      []string
+	// TokenBytes is the size of one cached token, LinkMbps the rate at which cached
+	// parts leave and reach an engine; 0: parts cannot be fetched.
+	TokenBytes float64
+	LinkMbps   float64
+	// EventReaders bounds the readers of cache events that one engine serves.
+	EventReaders int
+	Models       []string
 }
 
 // ClientAccount is a customer with its keys.
--- a/internal/port/site.go
+++ b/internal/port/site.go
@@ -60,6 +60,11 @@
 	CacheScope string
 	// Urgency is the rank of the request on the target, 0 is served first.
 	Urgency int
+	// FetchFrom is the address of a target or store from which the target first
+	// fetches cached parts that it lacks; empty: none.
+	FetchFrom string
+	// SaveTo is the address of the store that the parts are sent to; empty: none.
+	SaveTo string
 	// ResumeAfter is the id of the last event that the client has; empty
 	// leaves what the client itself sent.
 	ResumeAfter string
@@ -172,3 +177,29 @@
 	// StreamTargets holds the entries of the targets.
 	StreamTargets = "targets"
 )
+
+// PartEvent says how much of a prompt part a target or store holds from now on.
+type PartEvent struct {
+	// Scope is the CacheScope under which the part was read.
+	Scope string
+	Part  string
+	// Tokens held now, 0: none.
+	Tokens int
+}
+
+// PartEvents is one read of what changed in a cache.
+type PartEvents struct {
+	// Epoch changes at a restart.
+	Epoch uint64
+	// Next is where the next read goes on.
+	Next uint64
+	// Lost says that events before these are missing.
+	Lost   bool
+	Events []PartEvent
+}
+
+// PartCaches tells what targets and stores hold.
+type PartCaches interface {
+	// PartEvents waits up to wait for events from the number on.
+	PartEvents(ctx context.Context, address string, since uint64, wait time.Duration) (PartEvents, error)
+}
