--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -41,6 +41,8 @@
 	firstEvent time.Duration
 	score      placement.Score
 	scores     []placement.Score
+	// elsewhere is the most that another cache holds of the prompt.
+	elsewhere int
 	// fetchFrom and saveTo are where the last attempt moved cached parts.
 	fetchFrom, saveTo string
 	retryAfter        time.Duration
@@ -210,7 +212,7 @@
 	}
 	if x.engine != nil {
 		last, _ := x.order.Last()
-		out = append(out, slog.String("session", x.session()), slog.Int("prompt_tokens", x.r.PromptTokens), slog.Int("cached_tokens", x.score.CachedTokens),
+		out = append(out, slog.String("session", x.session()), slog.Int("prompt_tokens", x.r.PromptTokens), slog.Int("cached_tokens", x.score.CachedTokens), slog.Int("elsewhere_tokens", x.elsewhere),
 			slog.Float64("expected_ms", x.score.QueueMs+x.score.PrefillMs+x.score.LinkMs), slog.String("reason", x.score.Reason),
 			slog.String("fetch_from", x.fetchFrom), slog.String("save_to", x.saveTo), slog.String("last_event", strconv.FormatUint(last, 10)))
 	}
--- a/internal/app/gateway/parts.go
+++ b/internal/app/gateway/parts.go
@@ -30,8 +30,11 @@
 	scope := x.cacheScope(t)
 	transfer := placement.FetchCosts{TokenBytes: x.engine.TokenBytes, LinkMbps: x.engine.LinkMbps,
 		PrefillTokensPerSecond: prefillTokensPerSecond, Objective: x.route.Objective}
-	source, ok := placement.BestFetch(transfer, x.placementTarget(t), x.score, x.r.PromptTokens, x.sources(now, t, scope, shared))
-	if ok {
+	sources := x.sources(now, t, scope, shared)
+	for _, s := range sources {
+		x.elsewhere = max(x.elsewhere, s.CachedTokens)
+	}
+	if source, ok := placement.BestFetch(transfer, x.placementTarget(t), x.score, x.r.PromptTokens, sources); ok {
 		x.fetchFrom = source.Address
 	}
 	x.saveTo = x.storeFor(now, scope, shared)
