Let routers find each other, share load and vouch for the configuration

Ruled out: a longer bound; keys that were taken away must not be served. Now a router that reads the log vouches, with the age of its own knowledge, for one that cannot.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"google.golang.org/grpc"
 	"io"
 	"log/slog"
+	"mimosaseam.example/mimosaseam/internal/app/fleet"
+	"mimosaseam.example/mimosaseam/internal/app/registry"
 	"net"
 	"net/http"
 	"os"
@@ -12,6 +15,7 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -92,9 +96,15 @@
 	dir      *gateway.Directory
 	weights  *weights.Manager
 	streams  []*sitesync.Stream
-	caches   *cachewatch.Watch
-	callers  *http.Server
-	ready    *http.Server
+	operator *sitesync.Stream
+	fleet    *fleet.Fleet
+	registry *registry.Registry
+	peers    *grpc.Server
+	// routers is the number of live routers, this one included.
+	routers atomic.Int64
+	caches  *cachewatch.Watch
+	callers *http.Server
+	ready   *http.Server
 }
 
 func serveGateway(file string, s settings.Gateway) error {
@@ -116,7 +126,12 @@
 		}
 		addHTTP(&group, listener, l.server)
 	}
-	loops := []func(context.Context) error{n.weights.Run, n.caches.Run, n.watchSettings, n.prune}
+	peers, err := net.Listen("tcp", s.Peers.Address)
+	if err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	group.Add(func() error { return n.peers.Serve(peers) }, func(error) { n.peers.Stop() })
+	loops := []func(context.Context) error{n.weights.Run, n.caches.Run, n.watchSettings, n.prune, n.registry.Run, n.fleet.Run}
 	for _, s := range n.streams {
 		loops = append(loops, s.Run)
 	}
@@ -124,7 +139,7 @@
 		group.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 	}
 	n.addStop(ctx, cancel, &group)
-	err := group.Run()
+	err = group.Run()
 	n.log.Info("stopped", "reason", err.Error())
 	if errors.Is(err, ErrStopped) {
 		return nil
@@ -138,6 +153,7 @@
 	n.log = slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: n.level})).With("vm", s.VM.Name)
 	clock, boot := port.SystemClock{}, bootclock.Clock{}
 	placer := placement.New(placement.Settings{Region: s.VM.Region, AvailabilityZone: s.VM.AvailabilityZone})
+	fingerprints := retry.NewFingerprints()
 	pool := httpconn.New(httpconn.Options{Transport: targetTransport()})
 	targets := platform.NewTargets(pool, clock)
 	storeLog := platform.NewLog(s.Log.Address, pool)
@@ -145,9 +161,9 @@
 	n.gateway = gateway.New(gateway.Deps{
 		Settings: gatewaySettings(s), Forwarder: targets, Control: targets, Placer: placer, Directory: n.dir,
 		Holdings: placement.NewHoldings(), Clock: clock, BootClock: boot, Log: n.log, Metrics: telemetry.NewMetrics("gateway", "gateway_ms"),
-		Routers:      func() int { return assumedRouters },
+		Routers:      func() int { return int(max(n.routers.Load(), 1)) },
 		Wanted:       func(model string) (int, time.Time) { return n.weights.Wanted(model) },
-		Fingerprints: retry.NewFingerprints(), WatchedField: platform.WatchedField,
+		Fingerprints: fingerprints, WatchedField: platform.WatchedField,
 	})
 	n.caches = &cachewatch.Watch{Caches: targets, Holdings: n.gateway.Holdings, Clock: clock, Logger: n.log, List: n.cacheAddresses}
 	n.weights = weights.New(weights.Deps{Log: storeLog, Control: targets, Clock: boot, Logger: n.log,
@@ -155,11 +171,11 @@
 		TurnTime: settings.Milliseconds(s.Bounds.HolderTurnMs), Targets: n.engines,
 		OnOrdered: func(id string, d time.Duration) { n.dir.SetOrdered(id, clock.Now().Add(d)) },
 		OnWeights: n.dir.SetWeights})
-	common := sitesync.Stream{Log: storeLog, Logger: n.log, Clock: boot}
-	operator, entries := common, common
-	operator.Apply, operator.Verified = n.applyOperator, n.gateway.Verify
-	entries.Apply, entries.Reset = n.applyTarget, n.dir.Retain
-	n.streams = []*sitesync.Stream{sitesync.Operator(operator), sitesync.Targets(entries)}
+	n.operator = sitesync.Operator(&sitesync.Stream{Log: storeLog, Logger: n.log, Clock: boot,
+		Apply: n.applyOperator, Verified: n.gateway.Verify, Peers: n.pullFromPeers})
+	n.streams = []*sitesync.Stream{n.operator, sitesync.Targets(&sitesync.Stream{Log: storeLog, Logger: n.log, Clock: boot,
+		Apply: n.applyTarget, Reset: n.dir.Retain})}
+	n.joinPeers(storeLog, placer, fingerprints)
 	idle := &idleConns{limit: n.idleLimit, timers: map[net.Conn]*time.Timer{}}
 	n.callers = &http.Server{Handler: &platform.Ingress{Gateway: n.gateway, Clock: clock}, ReadHeaderTimeout: headerTimeout,
 		ConnState: idle.changed, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
@@ -167,9 +183,6 @@
 	return n
 }
 
-// assumedRouters shares the bounds on repeats until the routers know each other.
-const assumedRouters = 8
-
 func gatewaySettings(s settings.Gateway) gateway.Settings {
 	g := gateway.Settings{AvailabilityZone: s.VM.AvailabilityZone, Regions: s.Regions,
 		StaleBound:   settings.Milliseconds(s.Bounds.ConfigurationMs),
@@ -349,7 +362,13 @@
 	n.gateway.BeginDrain()
 	end := time.Now().Add(time.Duration(n.settings.Bounds.StopS)*time.Second - endMargin)
 	n.log.Info("stopping", "signal", received.String(), "open", n.gateway.Open())
-	_ = ctxtime.Sleep(ctx, leaveWait)
+	n.registry.Remove(ctx)
+	if err := n.fleet.Leave(ctx); err != nil {
+		n.log.Info("peers not told of the stop", "error", err.Error())
+	}
+	if err := ctxtime.Sleep(ctx, leaveWait); err != nil {
+		n.log.Warn("stop cut short", "error", err.Error())
+	}
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	if err := n.callers.Shutdown(ctx); err != nil {
--- /dev/null
+++ b/cmd/mimosaseam/gatewaypeers.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/adapter/peergrpc"
+	"mimosaseam.example/mimosaseam/internal/app/fleet"
+	"mimosaseam.example/mimosaseam/internal/app/registry"
+	"mimosaseam.example/mimosaseam/internal/core/membership"
+	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/retry"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+const (
+	// routersInterval is the mean time between two reads of the routers' entries.
+	routersInterval = 5 * time.Second
+	// pullLimit bounds the records taken from a peer: one configuration and one
+	// version for each model.
+	pullLimit = 1000
+)
+
+// joinPeers wires the exchange between routers: who is there, what they have in
+// flight, which requests crash targets, and what the operator wrote last.
+func (n *entryNode) joinPeers(log registry.Log, placer *placement.Policy, fingerprints *retry.Fingerprints) {
+	s := n.settings
+	n.registry = registry.New(log, port.VM{Name: s.VM.Name, Address: s.Peers.Address, Region: s.VM.Region,
+		AvailabilityZone: s.VM.AvailabilityZone}, n.log)
+	n.fleet = fleet.New(fleet.Options{
+		Self: port.Member{Name: s.VM.Name, Address: s.Peers.Address, Region: s.VM.Region,
+			AvailabilityZone: s.VM.AvailabilityZone, Incarnation: uint64(time.Now().UnixMilli())},
+		Peer: peergrpc.NewClient(nil), VMList: n.registry, Logger: n.log, ListInterval: routersInterval,
+		Sources: fleet.Sources{InFlight: placer.InFlight, Records: n.operator.Records},
+		Callbacks: fleet.Callbacks{
+			OnPeerInFlight: func(peer string, counts map[string]int) { placer.ObservePeer(time.Now(), peer, counts) },
+			OnFingerprints: func(values []string) { fingerprints.Receive(time.Now(), values) },
+			OnRouters:      func(others []membership.Router) { n.takeRouters(placer, others) },
+		},
+	})
+	fingerprints.SetReport(n.fleet.ReportFingerprint)
+	n.peers = peergrpc.NewServer(n.fleet, nil)
+}
+
+// takeRouters counts the routers that may be serving, and so share the bounds.
+func (n *entryNode) takeRouters(placer *placement.Policy, others []membership.Router) {
+	count := 1
+	for _, r := range others {
+		if r.State != port.MemberDead || r.OutOfContact() {
+			count++
+		}
+	}
+	if n.routers.Swap(int64(count)) != int64(count) {
+		n.log.Info("routers", "count", count)
+	}
+	placer.ObserveRouters(count)
+}
+
+// pullFromPeers asks other routers for the operator's records.
+func (n *entryNode) pullFromPeers(ctx context.Context, stream string, from port.Offset) []port.Batch {
+	return n.fleet.PullAll(ctx, stream, from, pullLimit)
+}
--- a/internal/app/fleet/lifecycle.go
+++ b/internal/app/fleet/lifecycle.go
@@ -73,6 +73,27 @@
 	return port.Batch{}, failure
 }
 
+// PullAll asks several routers at once and returns all answers.
+func (f *Fleet) PullAll(ctx context.Context, stream string, from port.Offset, limit int) []port.Batch {
+	var mu sync.Mutex
+	var asked sync.WaitGroup
+	var out []port.Batch
+	for _, to := range f.askable(stream, from) {
+		asked.Go(func() {
+			b, err := f.o.Peer.PullRecords(ctx, to.Address, stream, from, limit)
+			if err != nil {
+				f.o.Logger.Debug("router not asked for records", "peer", to.Name, "stream", stream, "error", err.Error())
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, b)
+		})
+	}
+	asked.Wait()
+	return out
+}
+
 // askable returns at most maxAsked routers: those with a report of the config
 // offset first, the highest first, then other neighbours, then seeds.
 func (f *Fleet) askable(stream string, from port.Offset) []membership.Target {
--- /dev/null
+++ b/internal/app/registry/registry.go
@@ -0,0 +1,90 @@
+// Package registry lets routers find each other: each writes an entry of its own
+// to the platform's log and reads those of the others.
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+const (
+	// retryBase is the mean pause after an entry could not be written.
+	retryBase = 500 * time.Millisecond
+	// removeTimeout bounds the removal of the entry at a planned stop.
+	removeTimeout = time.Second
+)
+
+// Log is the part of the platform's log that the registry needs.
+type Log interface {
+	port.KeyedLog
+	port.KeyedWriter
+}
+
+// Registry implements port.VMList for routers.
+type Registry struct {
+	log    Log
+	self   port.VM
+	logger *slog.Logger
+}
+
+// New returns a registry for the router.
+func New(log Log, self port.VM, logger *slog.Logger) *Registry {
+	self.Role, self.State = port.RoleRouter, port.VMLive
+	return &Registry{log: log, self: self, logger: logger}
+}
+
+// Run writes the router's entry and returns when the context ends. Writing it
+// twice does no harm, so an unknown outcome is a failure like others.
+func (r *Registry) Run(ctx context.Context) error {
+	text, err := json.Marshal(r.self)
+	if err != nil {
+		return eris.Wrap(err, "encode router entry")
+	}
+	for {
+		err := r.log.Put(ctx, port.StreamRouters, r.self.Name, text)
+		if err == nil {
+			break
+		}
+		r.logger.Info("router entry not written", "error", err.Error())
+		if err := ctxtime.Sleep(ctx, time.Duration((0.5+rand.Float64())*float64(retryBase))); err != nil {
+			return err
+		}
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Remove removes the router's entry.
+func (r *Registry) Remove(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, removeTimeout)
+	defer cancel()
+	if err := r.log.Put(ctx, port.StreamRouters, r.self.Name, nil); err != nil {
+		r.logger.Info("router entry not removed", "error", err.Error())
+	}
+}
+
+// List implements port.VMList. Entries that cannot be read are left out.
+func (r *Registry) List(ctx context.Context) (port.VMSnapshot, error) {
+	batch, err := r.log.Newest(ctx, port.StreamRouters)
+	if err != nil {
+		return port.VMSnapshot{}, err
+	}
+	var out port.VMSnapshot
+	for _, record := range batch.Records {
+		var vm port.VM
+		if err := json.Unmarshal(record.Value, &vm); err != nil || vm.Address == "" {
+			r.logger.Info("router entry not read", "key", record.Key)
+			continue
+		}
+		out.VMs = append(out.VMs, vm)
+	}
+	return out, nil
+}
--- a/internal/app/sitesync/sitesync.go
+++ b/internal/app/sitesync/sitesync.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/ctxtime"
@@ -23,6 +24,8 @@
 	targetsInterval = 800 * time.Millisecond
 	// retryBase is the mean pause after a failed read.
 	retryBase = 150 * time.Millisecond
+	// peerTimeout bounds the question to other routers.
+	peerTimeout = 500 * time.Millisecond
 )
 
 // Stream follows one keyed stream.
@@ -42,21 +45,28 @@
 	// Verified is told a moment at which nothing newer was there.
 	Verified func(at time.Time)
 
+	// Peers asks other routers for the records from the offset on; nil: none are asked.
+	Peers func(ctx context.Context, stream string, from port.Offset) []port.Batch
+
+	mu     sync.Mutex
 	next   port.Offset
 	loaded bool
 	lost   bool
+	// newest and verified are what other routers may ask for.
+	newest   map[string][]byte
+	verified time.Time
 }
 
 // Operator returns a follower of the operator's stream.
-func Operator(s Stream) *Stream {
+func Operator(s *Stream) *Stream {
 	s.Name, s.Wait = port.StreamOperator, operatorWait
-	return &s
+	return s
 }
 
 // Targets returns a follower of the targets' entries.
-func Targets(s Stream) *Stream {
+func Targets(s *Stream) *Stream {
 	s.Name, s.Interval = port.StreamTargets, targetsInterval
-	return &s
+	return s
 }
 
 // Run follows the stream until the context ends.
@@ -68,6 +78,7 @@
 				return ctx.Err()
 			}
 			s.setLost(true, err)
+			s.askPeers(ctx)
 			pause = time.Duration((0.5 + rand.Float64()) * float64(retryBase))
 		} else {
 			s.setLost(false, nil)
@@ -133,8 +144,78 @@
 	for _, r := range batch.Records {
 		s.Apply(r)
 	}
-	s.next = batch.Next
+	s.keep(batch, at)
 	if s.Verified != nil {
 		s.Verified(at)
 	}
 }
+
+// keep remembers the newest records for other routers.
+func (s *Stream) keep(batch port.KeyedBatch, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next = batch.Next
+	if s.Peers == nil {
+		return
+	}
+	if s.newest == nil {
+		s.newest = map[string][]byte{}
+	}
+	for _, r := range batch.Records {
+		s.newest[r.Key] = r.Value
+	}
+	if at.After(s.verified) {
+		s.verified = at
+	}
+}
+
+// askPeers takes what other routers know of the stream while the log cannot be
+// read here. A router that asked the log vouches for the time of its answer:
+// its age is counted from before it was asked, so nothing counts as newer than it is.
+func (s *Stream) askPeers(ctx context.Context) {
+	if s.Peers == nil {
+		return
+	}
+	at := s.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var best *port.Batch
+	for _, b := range s.Peers(ctx, s.Name, s.offset()) {
+		if b.Next >= s.offset() && (best == nil || b.Age < best.Age) {
+			best = &b
+		}
+	}
+	if best == nil {
+		return
+	}
+	batch := port.KeyedBatch{Next: best.Next}
+	for _, r := range best.Records {
+		batch.Records = append(batch.Records, port.KeyedRecord{Key: r.ID, Value: r.Data})
+	}
+	s.Logger.Info("records from a peer", "stream", s.Name, "records", len(batch.Records), "next", best.Next, "age_ms", best.Age.Milliseconds())
+	s.apply(batch, at.Add(-best.Age))
+}
+
+func (s *Stream) offset() port.Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.next
+}
+
+// Records answers another router that cannot read the log: all that is newest,
+// unless it knows that already.
+func (s *Stream) Records(_ context.Context, stream string, from port.Offset, _ int) (port.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if stream != s.Name || s.verified.IsZero() {
+		return port.Batch{}, &port.NotFoundError{Peer: "router", Name: stream}
+	}
+	b := port.Batch{Next: s.next, Age: s.Clock.Now().Sub(s.verified)}
+	if from >= s.next {
+		return b, nil
+	}
+	for key, value := range s.newest {
+		b.Records = append(b.Records, port.Record{Offset: s.next - 1, ID: key, Data: value})
+	}
+	return b, nil
+}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -39,6 +39,9 @@
 	Records []Record
 	Next    Offset
 	Oldest  Offset
+	// Age is the time since no newer record was there, as a peer tells it; 0 in
+	// answers of the log itself.
+	Age time.Duration
 }
 
 // Log is the platform's append-only log.
--- a/internal/port/site.go
+++ b/internal/port/site.go
@@ -169,8 +169,16 @@
 	Changes(ctx context.Context, stream string, from Offset, wait time.Duration) (KeyedBatch, error)
 }
 
+// KeyedWriter writes streams that keep the newest record of each key.
+type KeyedWriter interface {
+	// Put writes the value of a key; nil removes the key.
+	Put(ctx context.Context, stream, key string, value []byte) error
+}
+
 // Names of the keyed streams.
 const (
+	// StreamRouters holds an entry of each router.
+	StreamRouters = "routers"
 	// StreamOperator holds the operator's configuration and the weights versions
 	// that targets should serve.
 	StreamOperator = "operator"
