Leave the in-flight counts of peers out of the placement of passed-on requests

A count of a peer is up to 8 s old, most requests end within 1 s, so homes looked busy that were idle.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -175,7 +175,7 @@
 		Apply: n.applyOperator, Verified: n.gateway.Verify, Peers: n.pullFromPeers})
 	n.streams = []*sitesync.Stream{n.operator, sitesync.Targets(&sitesync.Stream{Log: storeLog, Logger: n.log, Clock: boot,
 		Apply: n.applyTarget, Reset: n.dir.Retain})}
-	n.joinPeers(storeLog, placer, fingerprints)
+	n.joinPeers(storeLog, fingerprints)
 	idle := &idleConns{limit: n.idleLimit, timers: map[net.Conn]*time.Timer{}}
 	n.callers = &http.Server{Handler: &platform.Ingress{Gateway: n.gateway, Clock: clock}, ReadHeaderTimeout: headerTimeout,
 		ConnState: idle.changed, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
--- a/cmd/mimosaseam/gatewaypeers.go
+++ b/cmd/mimosaseam/gatewaypeers.go
@@ -8,7 +8,6 @@
 	"mimosaseam.example/mimosaseam/internal/app/fleet"
 	"mimosaseam.example/mimosaseam/internal/app/registry"
 	"mimosaseam.example/mimosaseam/internal/core/membership"
-	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
@@ -21,9 +20,8 @@
 	pullLimit = 1000
 )
 
-// joinPeers wires the exchange between routers: who is there, what they have in
-// flight, which requests crash targets, and what the operator wrote last.
-func (n *entryNode) joinPeers(log registry.Log, placer *placement.Policy, fingerprints *retry.Fingerprints) {
+// joinPeers wires the exchange between routers: who is there, which requests crash targets, and what the operator wrote last.
+func (n *entryNode) joinPeers(log registry.Log, fingerprints *retry.Fingerprints) {
 	s := n.settings
 	n.registry = registry.New(log, port.VM{Name: s.VM.Name, Address: s.Peers.Address, Region: s.VM.Region,
 		AvailabilityZone: s.VM.AvailabilityZone}, n.log)
@@ -31,11 +29,12 @@
 		Self: port.Member{Name: s.VM.Name, Address: s.Peers.Address, Region: s.VM.Region,
 			AvailabilityZone: s.VM.AvailabilityZone, Incarnation: uint64(time.Now().UnixMilli())},
 		Peer: peergrpc.NewClient(nil), VMList: n.registry, Logger: n.log, ListInterval: routersInterval,
-		Sources: fleet.Sources{InFlight: placer.InFlight, Records: n.operator.Records},
+		Sources: fleet.Sources{Records: n.operator.Records},
+		// In-flight counts of peers are seconds old, and most requests end within one
+		// second: targets tell their load with each answer instead.
 		Callbacks: fleet.Callbacks{
-			OnPeerInFlight: func(peer string, counts map[string]int) { placer.ObservePeer(time.Now(), peer, counts) },
 			OnFingerprints: func(values []string) { fingerprints.Receive(time.Now(), values) },
-			OnRouters:      func(others []membership.Router) { n.takeRouters(placer, others) },
+			OnRouters:      func(others []membership.Router) { n.takeRouters(others) },
 		},
 	})
 	fingerprints.SetReport(n.fleet.ReportFingerprint)
@@ -43,7 +42,7 @@
 }
 
 // takeRouters counts the routers that may be serving, and so share the bounds.
-func (n *entryNode) takeRouters(placer *placement.Policy, others []membership.Router) {
+func (n *entryNode) takeRouters(others []membership.Router) {
 	count := 1
 	for _, r := range others {
 		if r.State != port.MemberDead || r.OutOfContact() {
@@ -53,7 +52,6 @@
 	if n.routers.Swap(int64(count)) != int64(count) {
 		n.log.Info("routers", "count", count)
 	}
-	placer.ObserveRouters(count)
 }
 
 // pullFromPeers asks other routers for the operator's records.
