--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -231,6 +231,7 @@
 func (x *exchange) relayEvents(ctx context.Context, t Target, a port.Answer) (fate.Evidence, error) {
 	events := stream.NewEvents(a.Body, x.g.WatchedField)
 	var batch []byte
+	resumed := x.history.Delivered
 	for {
 		e, err := events.Next()
 		x.g.Directory.heard(t.ID)
@@ -246,7 +247,8 @@
 			}
 			return fate.Unknown, x.silent(ctx, err)
 		}
-		fresh, err := x.order.Accept(e, x.history.Delivered && x.route.Resumable)
+		fresh, err := x.order.Accept(e, resumed)
+		resumed = resumed && !fresh && err == nil
 		if err != nil {
 			return fate.Unknown, errors.Join(err, x.deliver(a, batch))
 		}
--- /dev/null
+++ b/internal/app/gateway/gateway_test.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+var (
+	notRun  = reply{err: &port.NotRunError{Target: "t", Reason: port.NotRunOverloaded}}
+	noReach = reply{err: &port.NotRunError{Target: "t", Reason: port.NotRunUnreachable}}
+	unknown = reply{err: &port.UnknownOutcomeError{Peer: "t"}}
+	failing = reply{status: http.StatusInternalServerError, body: "failed"}
+	fine    = reply{status: http.StatusOK, body: event1}
+	cut     = reply{status: http.StatusOK, body: "half", broken: true}
+	silent  = reply{silent: true}
+)
+
+// Guards against a second run of what may run once, a promise of "not run" for
+// what may have run, and a failure that another target would have spared.
+func TestFateOfARequest(t *testing.T) {
+	cases := map[string]struct {
+		route   string
+		replies []reply
+		sends   int
+		// status is the target's status that the client gets, 0: none.
+		status int
+		kind   Kind
+	}{
+		"booking answered":                   {"book", []reply{fine}, 1, 200, 0},
+		"booking refused, then answered":     {"book", []reply{notRun, fine}, 2, 200, 0},
+		"booking unreachable, then answered": {"book", []reply{noReach, noReach, fine}, 3, 200, 0},
+		"booking refused everywhere":         {"book", []reply{notRun, notRun, notRun, notRun, fine}, 3, 0, KindRefused},
+		"booking of unknown outcome":         {"book", []reply{unknown, fine}, 1, 0, KindUnknown},
+		"booking refused, then unknown":      {"book", []reply{notRun, unknown, fine}, 2, 0, KindUnknown},
+		"booking cut in the answer":          {"book", []reply{cut, fine}, 1, 0, KindUnknown},
+		"booking failed by the target":       {"book", []reply{failing, fine}, 1, 500, 0},
+		"booking without an answer":          {"book", []reply{silent, fine}, 1, 0, KindTimeout},
+		"lookup of unknown outcome":          {"look", []reply{unknown, fine}, 2, 200, 0},
+		"lookup failed once":                 {"look", []reply{failing, fine}, 2, 200, 0},
+		"lookup failed twice":                {"look", []reply{failing, failing, fine}, 2, 500, 0},
+		"lookup cut in the answer":           {"look", []reply{cut, fine}, 2, 200, 0},
+		"lookup without an answer":           {"look", []reply{silent, fine}, 2, 200, 0},
+		"lookup unknown twice":               {"look", []reply{unknown, unknown, fine}, 2, 0, KindUnknown},
+		"brief of unknown outcome":           {"brief", []reply{unknown, fine}, 1, 0, KindUnknown},
+		"brief refused, then answered":       {"brief", []reply{notRun, fine}, 2, 200, 0},
+		"check of unknown outcome":           {"check", []reply{unknown, fine}, 2, 200, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, c.replies...)
+				out, err := w.send(t.Context(), c.route)
+				is.Equal(out.status, c.status)
+				is.Equal(len(w.targets.sent()), c.sends)
+				if c.status == 0 {
+					is.Equal(failureOf(err).Kind, c.kind)
+					return
+				}
+				is.NoErr(err)
+			})
+		})
+	}
+}
+
+// Guards against a key that is served although it may have been taken away, a
+// route or key refused for good on old knowledge, and knowledge that is served
+// after the bound.
+func TestKeysAndRoutesOnOldKnowledge(t *testing.T) {
+	cases := map[string]struct {
+		age        time.Duration
+		route, key string
+		kind       Kind
+		answered   bool
+	}{
+		"fresh":                    {0, "book", "key", 0, true},
+		"old but within the bound": {4 * time.Second, "book", "key", 0, true},
+		"beyond the bound":         {5*time.Second + 1, "book", "key", KindRefused, false},
+		"unknown key":              {0, "book", "other", KindNoAccount, false},
+		"key that may be new":      {3 * time.Second, "book", "other", KindRefused, false},
+		"unknown route":            {0, "none", "key", KindNoRoute, false},
+		"route that may be new":    {3 * time.Second, "none", "key", KindRefused, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				time.Sleep(c.age)
+				r := &Request{ID: "r", Method: http.MethodPost, URI: "/" + c.route + "/", Path: "/" + c.route + "/", Host: "h",
+					Header: http.Header{}, Key: c.key, Received: time.Now()}
+				err := w.Serve(t.Context(), r, &recorder{})
+				is.Equal(err == nil, c.answered)
+				if err != nil {
+					is.Equal(failureOf(err).Kind, c.kind)
+				}
+				ready, _ := w.Ready()
+				is.Equal(ready, c.age <= 5*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a configuration that goes back.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.SetConfiguration(testConfiguration(9))
+	w.SetConfiguration(testConfiguration(4))
+	is.Equal(w.Configuration().Version, int64(9))
+}
+
+// Guards against a final answer that is held back when no target is left.
+func TestRequestWithoutTargetsIsRefusedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		for _, id := range []string{"d1", "d2", "d3"} {
+			w.Directory.Remove(id)
+		}
+		time.Sleep(graceAfterRemoval)
+		begun := time.Now()
+		_, err := w.send(t.Context(), "book")
+		is.Equal(failureOf(err).Kind, KindRefused)
+		is.True(time.Since(begun) <= 100*time.Millisecond+holdPoll) // half of the route's objective
+		is.Equal(len(w.targets.sent()), 0)
+	})
+}
+
+// Guards against work for a client that has left.
+func TestClientThatLeavesEndsTheAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, silent, fine)
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(300*time.Millisecond, cancel)
+		_, err := w.send(ctx, "look")
+		is.Equal(failureOf(err).Kind, KindGone)
+		is.Equal(len(w.targets.sent()), 1)
+	})
+}
+
+// Guards against requests on weights older than the bound, and a target that is
+// not asked to check its version.
+func TestOldWeightsAreNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, fine)
+		named := time.Now()
+		w.Wanted = func(string) (int, time.Time) { return 2, named }
+		time.Sleep(7 * time.Second)
+		w.Verify(time.Now())
+		_, err := w.send(t.Context(), "check")
+		is.Equal(failureOf(err).Kind, KindRefused)
+		w.Directory.SetWeights("e2", map[string]int{testModel: 2})
+		_, err = w.send(t.Context(), "check")
+		is.NoErr(err)
+		sent := w.targets.sent()
+		is.Equal(len(sent), 1)
+		is.Equal(sent[0].ExpectTarget, "e2")
+		is.Equal(sent[0].ExpectWeights, 2)
+		is.Equal(sent[0].CacheScope, "v2/")
+	})
+}
+
+// Guards against repeats beyond the service's bound when all targets fail at once.
+func TestRepeatsStayWithinTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var replies []reply
+		for range 400 {
+			replies = append(replies, unknown)
+		}
+		w := newWorld(t, replies...)
+		for range 100 {
+			_, _ = w.send(t.Context(), "look") // fails by design of the fake
+		}
+		repeats := len(w.targets.sent()) - 100
+		is.True(repeats <= 50+20)
+	})
+}
--- /dev/null
+++ b/internal/app/weights/weights_test.go
@@ -0,0 +1,247 @@
+package weights
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+	"mimosaseam.example/mimosaseam/internal/port/portfake"
+)
+
+const (
+	model    = "m"
+	turnTime = 3 * time.Second
+	loadTime = 400 * time.Millisecond
+)
+
+// order is one that an engine has accepted.
+type order struct {
+	holder  string
+	fencing port.Offset
+	version int
+	at      time.Time
+}
+
+// engine is a fake target that checks fencing tokens and expectations.
+type engine struct {
+	target   Target
+	accepted int
+	fencing  port.Offset
+	busy     time.Time
+	next     int
+	orders   []order
+	// unanswered orders are accepted this much later, 0: at once and answered.
+	unanswered time.Duration
+}
+
+// fleet is a set of engines and the managers that order them.
+type fleet struct {
+	mu      sync.Mutex
+	engines map[string]*engine
+	log     *portfake.Log
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{engines: map[string]*engine{}, log: portfake.NewLog(portfake.LogOptions{})}
+	for i := range n {
+		id := string(rune('a' + i))
+		f.engines[id] = &engine{target: Target{ID: id, Address: id, Incarnation: "1", Model: model, Version: 1}}
+	}
+	return f
+}
+
+func (f *fleet) settle(e *engine) {
+	if e.next > 0 && !time.Now().Before(e.busy) {
+		e.target.Version, e.next = e.next, 0
+	}
+}
+
+func (f *fleet) Status(_ context.Context, address, _ string) (port.TargetStatus, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[address]
+	f.settle(e)
+	return port.TargetStatus{Accepted: e.accepted, Ordered: e.next > 0, Weights: map[string]int{model: e.target.Version}}, nil
+}
+
+func (f *fleet) Order(_ context.Context, address string, o port.WeightsOrder) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[address]
+	if e.unanswered > 0 {
+		time.AfterFunc(e.unanswered, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			_ = f.accept(e, o) // nobody hears the answer
+		})
+		return &port.UnknownOutcomeError{Peer: address}
+	}
+	return f.accept(e, o)
+}
+
+func (f *fleet) accept(e *engine, o port.WeightsOrder) error {
+	f.settle(e)
+	switch {
+	case o.Fencing < e.fencing:
+		return &port.StaleFencingError{Target: e.target.ID, Fencing: o.Fencing}
+	case e.next > 0 || o.ExpectAccepted != e.accepted:
+		return &port.ConflictError{Target: e.target.ID}
+	}
+	e.fencing, e.next, e.busy = o.Fencing, o.Version, time.Now().Add(loadTime)
+	e.accepted++
+	e.orders = append(e.orders, order{holder: o.Holder, fencing: o.Fencing, version: o.Version, at: time.Now()})
+	return nil
+}
+
+func (f *fleet) targets() []Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Target
+	for _, e := range f.engines {
+		f.settle(e)
+		out = append(out, e.target)
+	}
+	return out
+}
+
+func (f *fleet) manager(holder string) *Manager {
+	return New(Deps{Log: f.log, Control: f, Clock: port.SystemClock{}, Logger: slog.New(slog.DiscardHandler), Holder: holder,
+		TurnTime: turnTime, Targets: f.targets, OnOrdered: func(string, time.Duration) {}, OnWeights: func(string, map[string]int) {}})
+}
+
+// behind counts the engines below the version.
+func (f *fleet) behind(version int) (n int) {
+	for _, t := range f.targets() {
+		if t.Version < version {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against engines that stay behind, orders given twice, tokens shared by
+// two holders, and more loads at once than the others can carry.
+func TestRollOutByManyRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(9)
+		ctx, cancel := context.WithCancel(t.Context())
+		for i := range 7 {
+			m := f.manager(string(rune('A' + i)))
+			m.Want(model, 2)
+			go func() { _ = m.Run(ctx) }()
+		}
+		time.Sleep(6 * time.Second)
+		is.Equal(f.behind(2), 0)
+		holders := map[port.Offset]string{}
+		for _, e := range f.engines {
+			is.Equal(len(e.orders), 1)
+			for _, o := range e.orders {
+				is.True(holders[o.fencing] == "" || holders[o.fencing] == o.holder)
+				holders[o.fencing] = o.holder
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against two holders that take turns: after the first dies, the next waits
+// until the first can have given no order for the turn time.
+func TestNextHolderWaitsForTheTurnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(9)
+		first, cancelFirst := context.WithCancel(t.Context())
+		a, b := f.manager("A"), f.manager("B")
+		a.Want(model, 2)
+		go func() { _ = a.Run(first) }()
+		time.Sleep(600 * time.Millisecond)
+		cancelFirst() // in the middle of the roll-out
+		rest, cancel := context.WithCancel(t.Context())
+		b.Want(model, 2)
+		go func() { _ = b.Run(rest) }()
+		time.Sleep(12 * time.Second)
+		is.Equal(f.behind(2), 0)
+		var lastA, firstB time.Time
+		for _, e := range f.engines {
+			for _, o := range e.orders {
+				if o.holder == "A" && o.at.After(lastA) {
+					lastA = o.at
+				}
+				if o.holder == "B" && (firstB.IsZero() || o.at.Before(firstB)) {
+					firstB = o.at
+				}
+			}
+		}
+		is.True(!lastA.IsZero() && !firstB.IsZero())
+		is.True(firstB.Sub(lastA) >= turnTime)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against an order that is sent by a router whose lease ran out while it
+// was suspended.
+func TestSuspendedHolderGivesNoOrder(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	m := f.manager("A")
+	m.setHeld(1, time.Now().Add(-time.Millisecond))
+	sent := m.send(t.Context(), f.engines["a"].target, &pending{version: 2})
+	is.True(!sent)
+	is.Equal(len(f.engines["a"].orders), 0)
+}
+
+// Guards against an order that takes effect after a newer one because its answer
+// was lost, and an engine that stays behind for it.
+func TestUnansweredOrderTakesEffectOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2)
+		f.engines["a"].unanswered = 2 * time.Second
+		ctx, cancel := context.WithCancel(t.Context())
+		m := f.manager("A")
+		m.Want(model, 2)
+		go func() { _ = m.Run(ctx) }()
+		time.Sleep(time.Second)
+		m.Want(model, 3)
+		time.Sleep(3 * time.Second)
+		f.mu.Lock()
+		f.engines["a"].unanswered = 0
+		f.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		is.Equal(f.behind(3), 0)
+		for _, e := range f.engines {
+			for i := 1; i < len(e.orders); i++ {
+				is.True(e.orders[i].version > e.orders[i-1].version)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against appends to the log while there is nothing to order.
+func TestNoLeaseWithoutAnOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(3)
+		ctx, cancel := context.WithCancel(t.Context())
+		m := f.manager("A")
+		m.Want(model, 1)
+		go func() { _ = m.Run(ctx) }()
+		time.Sleep(time.Minute)
+		batch, err := f.log.Read(t.Context(), port.StreamOrders, 1, 10, 0)
+		is.NoErr(err)
+		is.Equal(len(batch.Records), 0)
+		cancel()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/internal/core/fate/fate_test.go
@@ -0,0 +1,47 @@
+package fate
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mimosaseam.example/mimosaseam/internal/core/site"
+)
+
+// Guards against a second run of a request that may run once, a run beyond the
+// attempts of the route, and a promise of "not run" for one that may have run.
+func TestFateOfAFailedAttempt(t *testing.T) {
+	once := &site.Route{Kind: site.NonIdempotent, MaxAttempts: 3}
+	twice := &site.Route{Kind: site.Idempotent, MaxAttempts: 2}
+	plain := &site.Route{Kind: site.Streaming, MaxAttempts: 2}
+	resumable := &site.Route{Kind: site.Streaming, Resumable: true, MaxAttempts: 2}
+	cases := map[string]struct {
+		route     *site.Route
+		before    History
+		last      Evidence
+		repeat    bool
+		otherwise Verdict
+	}{
+		"once, not run":                 {once, History{}, NotRun, true, Refuse},
+		"once, unknown":                 {once, History{}, Unknown, false, Fail},
+		"once, answered with a failure": {once, History{}, Failed, false, PassOn},
+		"once, refused too often":       {once, History{Refusals: 3}, NotRun, false, Refuse},
+		"twice, unknown":                {twice, History{}, Unknown, true, Fail},
+		"twice, failure":                {twice, History{}, Failed, true, PassOn},
+		"twice, second failure":         {twice, History{Runs: 1}, Failed, false, PassOn},
+		"twice, refused after a run":    {twice, History{Runs: 1}, NotRun, true, Fail},
+		"plain stream, broken":          {plain, History{}, Unknown, false, Fail},
+		"plain stream, broken midway":   {plain, History{Delivered: true}, Unknown, false, Abort},
+		"resumable stream, broken":      {resumable, History{Delivered: true}, Unknown, true, Abort},
+		"resumable stream, twice":       {resumable, History{Runs: 1, Delivered: true}, Unknown, false, Abort},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := c.before
+			h.Add(c.last)
+			is.Equal(MayRepeat(c.route, h, c.last), c.repeat)
+			is.Equal(Final(h, c.last), c.otherwise)
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/placement/holdings_test.go
@@ -0,0 +1,127 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+var prompt = []port.Segment{{ID: "a", Tokens: 1000}, {ID: "b", Tokens: 500}, {ID: "own", Tokens: 200}}
+
+func stored(epoch, next uint64, events ...port.PartEvent) port.PartEvents {
+	return port.PartEvents{Epoch: epoch, Next: next, Events: events}
+}
+
+// Guards against parts that count as held after they were evicted, after a
+// restart, across a gap, under another scope, or without those before them.
+func TestHoldings(t *testing.T) {
+	now := time.Unix(100, 0)
+	a, b := port.PartEvent{Scope: "s", Part: "a", Tokens: 1000}, port.PartEvent{Scope: "s", Part: "b", Tokens: 500}
+	partA := port.PartEvent{Scope: "s", Part: "a", Tokens: 128}
+	gone := port.PartEvent{Scope: "s", Part: "a"}
+	cases := map[string]struct {
+		reads []port.PartEvents
+		scope string
+		want  int
+	}{
+		"nothing":                {[]port.PartEvents{stored(1, 1)}, "s", 0},
+		"both":                   {[]port.PartEvents{stored(1, 1, a, b)}, "s", 1500},
+		"second without first":   {[]port.PartEvents{stored(1, 1, b)}, "s", 0},
+		"first in part":          {[]port.PartEvents{stored(1, 1, a, b), stored(1, 2, partA)}, "s", 128},
+		"first evicted":          {[]port.PartEvents{stored(1, 1, a, b), stored(1, 2, gone)}, "s", 0},
+		"another scope":          {[]port.PartEvents{stored(1, 1, a, b)}, "other", 0},
+		"restarted":              {[]port.PartEvents{stored(1, 1, a, b), stored(2, 1)}, "s", 0},
+		"events were lost":       {[]port.PartEvents{stored(1, 1, a), {Epoch: 1, Next: 9, Lost: true, Events: []port.PartEvent{b}}}, "s", 0},
+		"first again after loss": {[]port.PartEvents{{Epoch: 1, Next: 9, Lost: true}, stored(1, 10, a)}, "s", 1000},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := NewHoldings()
+			for _, r := range c.reads {
+				h.Observe(now, "x", r)
+			}
+			tokens, known := h.Cached(now, "x", c.scope, prompt)
+			is.True(known)
+			is.Equal(tokens, c.want)
+			is.Equal(h.Next("x"), c.reads[len(c.reads)-1].Next)
+		})
+	}
+}
+
+// Guards against what was sent counting for longer than the target's own events
+// need, and against a cache that cannot be read counting as known.
+func TestExpectedHoldingsEnd(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	h := NewHoldings()
+	h.Observe(now, "x", stored(1, 1))
+	h.Expect(now, "x", "s", prompt[:2])
+	is.True(h.Holds(now, "x", "s", prompt[:2]))
+	is.True(!h.Holds(now, "x", "s", prompt))
+	is.True(!h.Holds(now.Add(expectedFor), "x", "s", prompt[:2]))
+	_, known := h.Cached(now.Add(holdingsFreshFor+1), "x", "s", prompt)
+	is.True(!known)
+	h.Forget("x")
+	_, known = h.Cached(now, "x", "s", prompt)
+	is.True(!known)
+}
+
+// Guards against a fetch that is slower than reading where that makes the first
+// token late, one for a small gain, and one from a target that holds less.
+func TestBestFetch(t *testing.T) {
+	costs := FetchCosts{TokenBytes: 327_680, LinkMbps: 260_000, PrefillTokensPerSecond: 30_000, Objective: 800 * time.Millisecond}
+	to := Target{Address: "to", Region: "r1", AvailabilityZone: "z1"}
+	near := Source{Address: "near", Region: "r1", AvailabilityZone: "z1", CachedTokens: 6000}
+	zone := Source{Address: "zone", Region: "r1", AvailabilityZone: "z2", CachedTokens: 6000}
+	far := Source{Address: "far", Region: "r2", AvailabilityZone: "z3", CachedTokens: 6000}
+	farShort := far
+	farShort.CachedTokens = 2500
+	self := near
+	self.Address = "to"
+	cases := map[string]struct {
+		cached  int
+		queueMs float64
+		sources []Source
+		want    string
+	}{
+		"same zone":                    {0, 0, []Source{far, zone, near}, "near"},
+		"another zone":                 {0, 0, []Source{far, zone}, "zone"},
+		"another region, too long":     {0, 0, []Source{far}, ""},
+		"another region, short":        {0, 0, []Source{farShort}, "far"},
+		"short but the target is busy": {0, 600, []Source{farShort}, ""},
+		"held already":                 {6000, 0, []Source{near}, ""},
+		"small gain":                   {5900, 0, []Source{near}, ""},
+		"itself":                       {0, 0, []Source{self}, ""},
+		"nobody":                       {0, 0, nil, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			best, ok := BestFetch(costs, to, Score{CachedTokens: c.cached, QueueMs: c.queueMs}, 6600, c.sources)
+			is.New(t).Equal(best.Address, c.want)
+			is.New(t).Equal(ok, c.want != "")
+		})
+	}
+	_, ok := BestFetch(FetchCosts{}, to, Score{}, 6600, []Source{near})
+	is.New(t).True(!ok)
+}
+
+// Guards against prompts that share blocks without sharing the parts before, and
+// against equal beginnings with different blocks.
+func TestPartBlocks(t *testing.T) {
+	is := is.New(t)
+	scope := port.Scope{Model: "m"}
+	x := PartBlocks(scope, []port.Segment{{ID: "a", Tokens: 640}, {ID: "b", Tokens: 640}})
+	y := PartBlocks(scope, []port.Segment{{ID: "a", Tokens: 640}, {ID: "c", Tokens: 640}})
+	z := PartBlocks(scope, []port.Segment{{ID: "c", Tokens: 640}, {ID: "b", Tokens: 640}})
+	is.Equal(len(x), 20)
+	is.Equal(x[:10], y[:10])
+	for i := 10; i < 20; i++ {
+		is.True(x[i] != y[i])
+		is.True(x[i] != z[i])
+	}
+	is.True(PartBlocks(port.Scope{ClientAccount: "w", Model: "m"}, []port.Segment{{ID: "a", Tokens: 640}})[0] != x[0])
+}
--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -38,9 +38,13 @@
 	defer w.mu.Unlock()
 	current := w.advance(now)
 	var sum slot
-	for _, s := range w.slots {
-		sum.requests += s.requests
+	oldest := (w.newest + 1) % windowSlots
+	for i, s := range w.slots {
 		sum.repeats += s.repeats
+		// A part of the oldest slot has left the window.
+		if int64(i) != oldest {
+			sum.requests += s.requests
+		}
 	}
 	if float64(sum.repeats+1) > ratio*float64(sum.requests)+allowance {
 		return false
--- /dev/null
+++ b/internal/core/site/site_test.go
@@ -0,0 +1,91 @@
+package site
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func testConfiguration() *Configuration {
+	return New(Definition{Version: 3,
+		Routes: []Route{
+			{Name: "short", Host: "a", PathPrefix: "/x/"}, {Name: "long", Host: "a", PathPrefix: "/x/y/"},
+			{Name: "open", Host: "b", PathPrefix: "/", Anonymous: true},
+		},
+		Accounts: []AccountDefinition{{ClientAccount: ClientAccount{Name: "one"}, Keys: []string{"k1", "k2"}}}})
+}
+
+// Guards against a request that takes the route of a shorter prefix, of another
+// host or of half a path element.
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	cases := []struct{ host, path, want string }{
+		{"a", "/x/y/z", "long"}, {"a", "/x/yy", "short"}, {"a", "/x/", "short"}, {"a", "/xx/", ""}, {"a", "/x", ""},
+		{"b", "/x/y/", "open"}, {"c", "/x/", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.host+c.path, func(t *testing.T) {
+			got := ""
+			if r := testConfiguration().Route(c.host, c.path); r != nil {
+				got = r.Name
+			}
+			is.New(t).Equal(got, c.want)
+		})
+	}
+}
+
+// Guards against a key that is served without an account, and an anonymous route
+// that asks for one.
+func TestKeys(t *testing.T) {
+	is := is.New(t)
+	c := testConfiguration()
+	is.Equal(c.Account("k2").Name, "one")
+	is.True(c.Account("") == nil)
+	is.True(c.Account("k3") == nil)
+	is.True(c.NeedsKey(c.Route("a", "/x/")))
+	is.True(!c.NeedsKey(c.Route("b", "/")))
+	is.True(!New(Definition{}).NeedsKey(&Route{}))
+}
+
+// Guards against a service that gets requests beside its weight.
+func TestServicesShareByWeight(t *testing.T) {
+	is := is.New(t)
+	r := Route{Services: []Share{{"a", 90}, {"b", 10}, {"c", 0}}}
+	count := map[string]int{}
+	for i := range uint64(1000) {
+		count[r.Service(i)]++
+	}
+	is.Equal(count, map[string]int{"a": 900, "b": 100})
+	is.Equal((&Route{Services: []Share{{"only", 0}}}).Service(7), "only")
+	is.Equal((&Route{}).Service(7), "")
+}
+
+// Guards against a rank outside 0 to 9, and a route that outranks its account.
+func TestUrgency(t *testing.T) {
+	is := is.New(t)
+	rank := func(n int) *ClientAccount { return &ClientAccount{Priority: &n} }
+	is.Equal(Urgency(&Route{Priority: 1}, nil), 1)
+	is.Equal(Urgency(&Route{Priority: 1}, &ClientAccount{}), 1)
+	is.True(Urgency(&Route{Priority: 2}, rank(0)) < Urgency(&Route{Priority: 0}, rank(1)))
+	is.Equal(Urgency(&Route{Priority: 50}, rank(50)), 9)
+}
+
+// Guards against knowledge that grows younger with a late answer.
+func TestFreshnessNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	var f Freshness
+	is.True(f.Age(now) > time.Hour)
+	f.Verify(now)
+	f.Verify(now.Add(-time.Second))
+	is.Equal(f.Age(now.Add(time.Second)), time.Second)
+}
+
+// Guards against a repeat of what may run once at most.
+func TestRepeatable(t *testing.T) {
+	is := is.New(t)
+	is.True((&Route{Kind: Idempotent}).Repeatable())
+	is.True((&Route{Kind: Streaming, Resumable: true}).Repeatable())
+	is.True(!(&Route{Kind: Streaming}).Repeatable())
+	is.True(!(&Route{Kind: NonIdempotent, Resumable: true}).Repeatable())
+}
--- a/internal/core/stream/events.go
+++ b/internal/core/stream/events.go
@@ -92,23 +92,29 @@
 type Order struct {
 	last    uint64
 	started bool
+	// sparse is set once ids have increased by more than one within a run: then a
+	// gap between two runs cannot be told.
+	sparse bool
 }
 
 // Last returns the id of the last event accepted, if there is one.
 func (o *Order) Last() (uint64, bool) { return o.last, o.started }
 
 // Accept reports whether the event is new. An event that was accepted before is
-// dropped; one that leaves a gap fails with an *OrderError when exact is set,
-// that is when the stream continues one of which the last event is known.
-func (o *Order) Accept(e Event, exact bool) (bool, error) {
+// dropped. resumed says that the event is the first of another run that continues
+// the response: it fails with an *OrderError when it leaves a gap.
+func (o *Order) Accept(e Event, resumed bool) (bool, error) {
 	if !e.HasID {
 		return true, nil
 	}
 	if o.started && e.ID <= o.last {
 		return false, nil
 	}
-	if exact && o.started && e.ID != o.last+1 {
-		return false, &OrderError{Last: o.last, Got: e.ID}
+	if o.started && e.ID != o.last+1 {
+		if resumed && !o.sparse {
+			return false, &OrderError{Last: o.last, Got: e.ID}
+		}
+		o.sparse = true
 	}
 	o.last, o.started = e.ID, true
 	return true, nil
