--- a/cmd/mimosaseam/check.go
+++ b/cmd/mimosaseam/check.go
@@ -16,15 +16,25 @@
 )
 
 func checkCommand() command {
-	var settingsFile, bundleFile string
+	var settingsFile, gatewayFile, bundleFile string
 	c := newCommand("check", "Check a settings file, and a configuration bundle, without starting anything.",
 		func(out io.Writer) error {
+			if settingsFile == "" && bundleFile == "" && gatewayFile == "" {
+				return &UsageError{Message: "check needs --settings FILE, --gateway FILE or --bundle FILE"}
+			}
+			if gatewayFile != "" {
+				if _, err := settings.LoadGateway(gatewayFile); err != nil {
+					return err
+				}
+				fmt.Fprintln(out, gatewayFile+": valid")
+			}
 			if settingsFile == "" && bundleFile == "" {
-				return &UsageError{Message: "check needs --settings FILE or --bundle FILE"}
+				return nil
 			}
 			return check(out, settingsFile, bundleFile)
 		})
 	c.String(&settingsFile, "s", "settings", "Settings file, JSON with comments.")
+	c.String(&gatewayFile, "g", "gateway", "Settings file of the command gateway, JSON with comments.")
 	c.String(&bundleFile, "b", "bundle", "Configuration bundle: an object of values by path.")
 	return c
 }
--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"google.golang.org/grpc"
 	"io"
 	"log/slog"
@@ -105,13 +106,14 @@
 	caches  *cachewatch.Watch
 	callers *http.Server
 	ready   *http.Server
+	metrics *http.Server
 }
 
 func serveGateway(file string, s settings.Gateway) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB) * (1 << 20)))
 	out := telemetry.NewBoundedWriter(os.Stdout)
 	defer out.Close()
-	n := newEntryNode(file, s, out)
+	n := newEntryNode(file, s, out, telemetry.NewMetrics("gateway", "gateway_ms"))
 	n.log.Info("starting", "version", version, "callers", s.Callers.Address, "ready", s.Ready.Address, "log", s.Log.Address)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -119,7 +121,10 @@
 	for _, l := range []struct {
 		address string
 		server  *http.Server
-	}{{s.Callers.Address, n.callers}, {s.Ready.Address, n.ready}} {
+	}{{s.Callers.Address, n.callers}, {s.Ready.Address, n.ready}, {s.Metrics.Address, n.metrics}} {
+		if l.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return eris.Wrap(err, "listen")
@@ -147,7 +152,7 @@
 	return err
 }
 
-func newEntryNode(file string, s settings.Gateway, out io.Writer) *entryNode {
+func newEntryNode(file string, s settings.Gateway, out io.Writer, metrics gateway.Metrics) *entryNode {
 	n := &entryNode{file: file, settings: s, level: new(slog.LevelVar)}
 	n.setLevel(s.LogLevel)
 	n.log = slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: n.level})).With("vm", s.VM.Name)
@@ -160,7 +165,7 @@
 	n.dir = gateway.NewDirectory(n.log, clock, placer)
 	n.gateway = gateway.New(gateway.Deps{
 		Settings: gatewaySettings(s), Forwarder: targets, Control: targets, Placer: placer, Directory: n.dir,
-		Holdings: placement.NewHoldings(), Clock: clock, BootClock: boot, Log: n.log, Metrics: telemetry.NewMetrics("gateway", "gateway_ms"),
+		Holdings: placement.NewHoldings(), Clock: clock, BootClock: boot, Log: n.log, Metrics: metrics,
 		Routers:      func() int { return int(max(n.routers.Load(), 1)) },
 		Wanted:       func(model string) (int, time.Time) { return n.weights.Wanted(model) },
 		Fingerprints: fingerprints, WatchedField: platform.WatchedField,
@@ -180,9 +185,17 @@
 	n.callers = &http.Server{Handler: &platform.Ingress{Gateway: n.gateway, Clock: clock}, ReadHeaderTimeout: headerTimeout,
 		ConnState: idle.changed, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
 	n.ready = &http.Server{Handler: platform.ReadyHandler(n.gateway.Ready), ReadHeaderTimeout: headerTimeout}
+	n.metrics = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout}
 	return n
 }
 
+// metricsHandler serves counters and latency histograms.
+func metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	return mux
+}
+
 func gatewaySettings(s settings.Gateway) gateway.Settings {
 	g := gateway.Settings{AvailabilityZone: s.VM.AvailabilityZone, Regions: s.Regions,
 		StaleBound:   settings.Milliseconds(s.Bounds.ConfigurationMs),
--- /dev/null
+++ b/cmd/mimosaseam/gateway_test.go
@@ -0,0 +1,220 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosaseam.example/mimosaseam/internal/settings"
+	"mimosaseam.example/mimosaseam/platform/platformtest"
+)
+
+// waitFor bounds the wait for a state; it is no measure of speed.
+const waitFor = 20 * time.Second
+
+type noMetrics struct{}
+
+func (noMetrics) Add(string, int64)             {}
+func (noMetrics) Observe(string, time.Duration) {}
+
+// site is a router on loopback with the stand-ins of the log and of its targets.
+type site struct {
+	t       *testing.T
+	log     *platformtest.Log
+	engine  *platformtest.Target
+	service *platformtest.Target
+	node    *entryNode
+	front   string
+}
+
+// newSite starts a router whose keys are served for keyMs after the last
+// verification.
+func newSite(t *testing.T, keyMs int) *site {
+	t.Helper()
+	s := &site{t: t, log: platformtest.NewLog(), engine: platformtest.NewTarget("e1", "m"), service: platformtest.NewTarget("d1", "")}
+	logServer := httptest.NewServer(s.log)
+	t.Cleanup(logServer.Close)
+	for _, target := range []*platformtest.Target{s.engine, s.service} {
+		server := httptest.NewServer(target)
+		t.Cleanup(server.Close)
+		target.Address = strings.TrimPrefix(server.URL, "http://")
+	}
+	file := filepath.Join(t.TempDir(), "settings.jsonc")
+	text := fmt.Sprintf(`{"vm": {"name": "r1", "region": "r", "availability_zone": "z"}, "callers": {"address": "127.0.0.1:1"},
+		"ready": {"address": "127.0.0.1:1"}, "peers": {"address": "127.0.0.1:1"}, "regions": {"z": "r"},
+		"log": {"address": %q}, "bounds": {"key_revoked_ms": %d, "key_revoked_strict": true}}`,
+		strings.TrimPrefix(logServer.URL, "http://"), keyMs)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	loaded, err := settings.LoadGateway(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.configure(1, `["k1"]`)
+	s.log.PutKeyed("keyed.servers", "e1", s.engine.Entry("llm", "z", "ready", 1))
+	s.log.PutKeyed("keyed.servers", "d1", s.service.Entry("desk", "z", "ready", 1))
+	s.log.PutKeyed("keyed.servers", "junk", []byte("\xff{"))
+	s.start(file, loaded)
+	return s
+}
+
+func (s *site) start(file string, loaded settings.Gateway) {
+	s.node = newEntryNode(file, loaded, io.Discard, noMetrics{})
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	for _, loop := range append([]func(context.Context) error{s.node.weights.Run, s.node.caches.Run}, s.node.streams[0].Run, s.node.streams[1].Run) {
+		loops.Go(func() { _ = loop(ctx) }) // ends with the context
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.front = "http://" + listener.Addr().String()
+	go func() { _ = s.node.callers.Serve(listener) }() // ends with Close
+	s.t.Cleanup(func() {
+		cancel()
+		_ = s.node.callers.Close()
+		loops.Wait()
+	})
+}
+
+func (s *site) configure(version int, keys string) {
+	s.log.PutKeyed("keyed.op", "config", fmt.Appendf(nil, `{"Version":%d,"Routes":[
+		{"Name":"check","Host":"h","PathPrefix":"/check/","Kind":"streaming","TimeoutMs":5000,"TargetLatencyMs":500,"Service":"llm","MaxAttempts":2,"Resumable":true},
+		{"Name":"book","Host":"h","PathPrefix":"/book/","Kind":"non_idempotent","TimeoutMs":2000,"TargetLatencyMs":200,"Service":"desk","MaxAttempts":1}],
+		"Services":[{"Name":"llm","Engine":{"Slots":4,"KvCapacity":1000,"Models":[{"Name":"m"}]}},{"Name":"desk"}],
+		"Limits":{"MaxBodyBytes":1000,"IdleTimeoutMs":5000},"Tenants":[{"Name":"acc","ApiKeys":%s}]}`, version, keys))
+}
+
+// send sends one request and returns the status and the body.
+func (s *site) send(path, key, body string, headers ...string) (*http.Response, string) {
+	s.t.Helper()
+	r, err := http.NewRequest(http.MethodPost, s.front+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("X-Request-Id", "id-1")
+	r.Header.Set("X-Key", key)
+	r.Header.Set("X-Deadline-Ms", "1500")
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return response, string(text)
+}
+
+func (s *site) await(what string, is func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(waitFor); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if is() {
+			return
+		}
+	}
+	s.t.Fatal("not reached: " + what)
+}
+
+func (s *site) ready() bool {
+	ok, _ := s.node.gateway.Ready()
+	return ok && len(s.node.dir.All()) == 2
+}
+
+// Guards against a wired router that serves other than the pages say: status codes,
+// headers that are the system's to set, keys that are taken away.
+func TestGatewayEndToEnd(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 60_000)
+	s.await("ready", s.ready)
+	answer, text := s.send("/book/1?x=y", "k1", "order", "X-Tenant", "somebody", "X-Cache-Salt", "theirs", "X-Hold", "h", "Keep-Alive", "1")
+	is.Equal(answer.StatusCode, http.StatusOK)
+	is.Equal(text, "ran POST /book/1?x=y order")
+	is.Equal(answer.Header.Get("X-Response-Stamp"), "stamp-d1")
+	ran := s.service.Runs()[0].Header
+	is.Equal(ran.Get("X-Tenant"), "acc")
+	for _, name := range []string{"X-Key", "X-Cache-Salt", "X-Hold", "Keep-Alive"} {
+		is.Equal(ran.Get(name), "")
+	}
+	for _, c := range []struct {
+		path, key, body string
+		want            int
+	}{{"/none/", "k1", "", 404}, {"/book/", "k2", "", 401}, {"/book/", "k1", strings.Repeat("x", 1001), 413}} {
+		answer, _ = s.send(c.path, c.key, c.body)
+		is.Equal(answer.StatusCode, c.want)
+	}
+	s.service.Queue(platformtest.Refuse, platformtest.Refuse, platformtest.Refuse, platformtest.Refuse, platformtest.Refuse)
+	answer, _ = s.send("/book/", "k1", "")
+	is.Equal(answer.StatusCode, http.StatusServiceUnavailable)
+	is.True(answer.Header.Get("Retry-After") != "")
+	s.service.Queue(platformtest.LoseAnswer)
+	answer, _ = s.send("/book/", "k1", "")
+	is.Equal(answer.StatusCode, http.StatusBadGateway)
+	is.Equal(len(s.service.Runs()), 2)
+	s.service.Queue()
+	s.configure(2, `["k3"]`)
+	s.await("the new keys", func() bool { a, _ := s.send("/book/", "k3", ""); return a.StatusCode == http.StatusOK })
+	answer, _ = s.send("/book/", "k1", "")
+	is.Equal(answer.StatusCode, http.StatusUnauthorized)
+}
+
+// Guards against a key that is served by a router that has lost the log, and one
+// that is refused after the log is back.
+func TestGatewayWithoutItsLog(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2500)
+	s.await("ready", s.ready)
+	s.log.SetFaults(platformtest.LogFaults{Down: true})
+	s.await("refusals", func() bool {
+		a, _ := s.send("/book/", "k1", "")
+		return a.StatusCode == http.StatusServiceUnavailable
+	})
+	ok, _ := s.node.gateway.Ready()
+	is.True(!ok)
+	s.log.SetFaults(platformtest.LogFaults{})
+	s.await("service", func() bool { a, _ := s.send("/book/", "k1", ""); return a.StatusCode == http.StatusOK })
+}
+
+// Guards against named weights that do not reach the engines, and against targets
+// that get requests after they began to leave.
+func TestGatewayFollowsWeightsAndTargets(t *testing.T) {
+	s := newSite(t, 60_000)
+	s.await("ready", s.ready)
+	s.log.PutKeyed("keyed.op", "version/m", []byte(`{"Model":"m","Version":2}`))
+	s.await("new weights", func() bool { return s.engine.Version() == 2 })
+	s.log.PutKeyed("keyed.servers", "d1", s.service.Entry("desk", "z", "draining", 1))
+	s.await("no target", func() bool {
+		a, _ := s.send("/book/", "k1", "")
+		return a.StatusCode == http.StatusServiceUnavailable
+	})
+	s.log.PutKeyed("keyed.servers", "d1", s.service.Entry("desk", "z", "ready", 2))
+	s.await("the next life", func() bool { a, _ := s.send("/book/", "k1", ""); return a.StatusCode == http.StatusOK })
+}
+
+// Guards against settings that are accepted although they cannot work.
+func TestGatewaySettingsAreChecked(t *testing.T) {
+	is := is.New(t)
+	_, err := settings.ParseGateway("f", []byte(`{"vm": {"name": "r1"}, "callers": {"address": "x"}, "bounds": {"repeat_ratio": 2}, "other": 1}`))
+	is.True(err != nil)
+	for _, path := range []string{"/vm/availability_zone", "/callers/address", "/ready/address", "/log/address", "/bounds/repeat_ratio", "/other"} {
+		is.True(strings.Contains(err.Error(), path))
+	}
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -14,13 +14,13 @@
 // a platform that writes the file.
 type Gateway struct {
 	VM VM `json:"vm"`
-	// Incarnations are told apart by the start of the process, not by settings.
-
 	// Callers is where clients connect, Ready where the entry asks for readiness.
 	Callers ListenAddress `json:"callers"`
 	Ready   ListenAddress `json:"ready"`
-	// Peers is where other routers connect; empty: no exchange.
+	// Peers is where other routers connect.
 	Peers ListenAddress `json:"peers"`
+	// Metrics serves counters and latency histograms; empty: nowhere.
+	Metrics ListenAddress `json:"metrics"`
 	// Regions maps availability zones to regions.
 	Regions map[string]string `json:"regions"`
 	Log     PlatformLog       `json:"log"`
@@ -102,8 +102,9 @@
 	checkAddress(d, "/callers/address", s.Callers.Address)
 	checkAddress(d, "/ready/address", s.Ready.Address)
 	checkAddress(d, "/log/address", s.Log.Address)
-	if s.Peers.Address != "" {
-		checkAddress(d, "/peers/address", s.Peers.Address)
+	checkAddress(d, "/peers/address", s.Peers.Address)
+	if s.Metrics.Address != "" {
+		checkAddress(d, "/metrics/address", s.Metrics.Address)
 	}
 	checkRange(d, "/limits/memory_mb", s.Limits.MemoryMB, 32, 1<<20)
 	b := s.Bounds
