Let targets that do not answer hold up no roll-out, and follow a dead holder after its lease

Two causes in one trace. Routers first read the claims of a killed holder 0.9 s after its last one and then waited 4.65 s, since they wait for the time in which two holders must not take turns even where targets refuse old tokens. And targets whose orders went unanswered kept both places for up to 6 s. Ruled out: lost claims (all were read), refused orders (409 and 412 did not occur). Now the turn time is waited for only where targets do not check tokens, an unanswered order gives its place free, the target goes last, and twice as many load when a roll-out is late.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -173,6 +173,7 @@
 	n.caches = &cachewatch.Watch{Caches: targets, Holdings: n.gateway.Holdings, Clock: clock, Logger: n.log, List: n.cacheAddresses}
 	n.weights = weights.New(weights.Deps{Log: storeLog, Control: targets, Clock: boot, Logger: n.log,
 		Holder:   s.VM.Name + "@" + strconv.FormatInt(time.Now().UnixMilli(), 36),
+		Fenced:   s.Bounds.TargetsCheckFencing,
 		TurnTime: settings.Milliseconds(s.Bounds.HolderTurnMs), Targets: n.engines,
 		OnOrdered: func(id string, d time.Duration) { n.dir.SetOrdered(id, clock.Now().Add(d)) },
 		OnWeights: n.dir.SetWeights})
--- a/internal/app/weights/weights.go
+++ b/internal/app/weights/weights.go
@@ -36,11 +36,14 @@
 	// leaseDivisor makes a claim shorter than the time within which two holders
 	// must not take turns.
 	leaseDivisor = 2
-	// resendAfter is when an order that was neither answered nor accepted is sent
-	// again.
-	resendAfter = 400 * time.Millisecond
 	// orderLost is when an order whose effect is not seen is given up.
 	orderLost = 6 * time.Second
+	// reportLag is how old a target's report may be: reports are as of some hundred
+	// ms ago.
+	reportLag = 1500 * time.Millisecond
+	// lateAfter is the duration of a roll-out from which on more targets load at once:
+	// answers on old weights are worth less than the time that the others lose.
+	lateAfter = 2500 * time.Millisecond
 	readLimit = 64 // records of one read of claims
 	// serveAgain is how long an ordered target is expected to start no request.
 	serveAgain = 900 * time.Millisecond
@@ -67,6 +70,10 @@
 	Holder string
 	// TurnTime is the time within which two holders must not take turns.
 	TurnTime time.Duration
+	// Fenced says that targets refuse orders with old fencing tokens. Then a holder
+	// that lost its lease cannot do harm, and the next need not wait for the turn
+	// time.
+	Fenced bool
 	// Targets returns the engines that stay.
 	Targets func() []Target
 	// OnOrdered is told that a target will start no request until the time.
@@ -80,8 +87,9 @@
 	incarnation port.Incarnation
 	version     int
 	accepted    int // orders accepted before this one
-	sends       int
-	sent        time.Time
+	sent        bool
+	sentAt      time.Time
+	answered    bool
 	begun       time.Time
 }
 
@@ -97,6 +105,8 @@
 	heldUntil time.Time
 	token     port.Offset
 	pending   map[string]*pending
+	// failures counts the orders in a row that a target did not carry out.
+	failures map[string]int
 
 	// The rest is used by Run only.
 	fold     lease.Fold
@@ -108,7 +118,7 @@
 func New(d Deps) *Manager {
 	return &Manager{Deps: d, changed: make(chan struct{}, 1), wanted: map[string]int{},
 		namedAt: map[string]time.Time{}, next: 1,
-		pending: map[string]*pending{}}
+		pending: map[string]*pending{}, failures: map[string]int{}}
 }
 
 // Want names the version that the targets of a model should serve.
@@ -165,7 +175,7 @@
 	if !rollout.Behind(targets, wanted) {
 		return false
 	}
-	due := rollout.Next(targets, wanted)
+	due := rollout.Next(targets, wanted, m.Clock.Now().Sub(named) > lateAfter)
 	if len(due) == 0 || !m.mayClaimOrHold(ctx, named) {
 		return true
 	}
@@ -187,7 +197,7 @@
 	for _, t := range m.Targets() {
 		p := m.pending[t.ID]
 		out = append(out, rollout.Target{ID: t.ID, Model: t.Model, Version: t.Version, InFlight: t.InFlight,
-			Ordered: p != nil && p.incarnation == t.Incarnation})
+			Ordered: p != nil && p.incarnation == t.Incarnation, Failures: m.failures[t.ID]})
 	}
 	return out
 }
@@ -223,18 +233,28 @@
 		status, err := m.Control.Status(ctx, t.Address, t.ID)
 		if err != nil {
 			m.Logger.Info("target not asked about an order", "target", t.ID, "error", err.Error())
+			m.fail(t)
 			return
 		}
 		m.OnWeights(t.ID, status.Weights)
 		switch {
 		case status.Weights[t.Model] >= p.version:
 			m.Logger.Info("weights in force", "target", t.ID, "version", p.version, "ms", m.Clock.Now().Sub(p.begun).Milliseconds())
+			m.forgive(t)
 			return
-		case status.Ordered || p.sends > 0 && status.Accepted > p.accepted:
+		case status.Ordered || p.sent && status.Accepted > p.accepted:
 			m.OnOrdered(t.ID, 2*readBack)
-		case p.sends == 0 || m.Clock.Now().Sub(p.sent) > resendAfter:
+		case p.answered && m.Clock.Now().Sub(p.sentAt) < reportLag:
+			// The target said that it carries the order out; its report is older.
+		case p.sent:
+			// The order got lost, or is carried out later: then it is refused, because
+			// the target will have accepted another number of orders.
+			m.fail(t)
+			return
+		default:
 			p.accepted = status.Accepted
 			if !m.send(ctx, t, p) {
+				m.fail(t)
 				return
 			}
 		}
@@ -243,6 +263,21 @@
 		}
 	}
 	m.Logger.Warn("order given up", "target", t.ID, "version", p.version)
+	m.fail(t)
+}
+
+// fail puts a target behind the others that are due: its place is free for one
+// that answers.
+func (m *Manager) fail(t Target) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failures[t.ID]++
+}
+
+func (m *Manager) forgive(t Target) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.failures, t.ID)
 }
 
 // ttl is the duration of a claim.
@@ -291,14 +326,19 @@
 	return holderHeadStart + spread
 }
 
-// free reports whether the claim in force has run out and its holder can have
-// given no order for the time within which holders must not take turns.
+// free reports whether the claim in force has run out and, where targets do not
+// check fencing tokens, its holder can have given no order for the time within
+// which holders must not take turns.
 func (m *Manager) free(now time.Time) bool {
 	current, known := m.fold.Current()
 	if !known || current.Holder == m.Holder {
 		return true
 	}
-	return !now.Before(lease.FreeAt(m.observed, current.TTL()).Add(m.TurnTime))
+	free := lease.FreeAt(m.observed, current.TTL())
+	if !m.Fenced {
+		free = free.Add(m.TurnTime)
+	}
+	return !now.Before(free)
 }
 
 // read folds in the claims that were appended since.
@@ -365,13 +405,12 @@
 func (m *Manager) send(ctx context.Context, t Target, p *pending) bool {
 	// Checked directly before sending: a router that was suspended past its lease
 	// must not order.
-	p.sent = m.Clock.Now()
-	token, held := m.lease(p.sent)
+	token, held := m.lease(m.Clock.Now())
 	if !held {
 		m.Logger.Info("order not sent", "target", t.ID, "why", "the lease has run out")
 		return false
 	}
-	p.sends++
+	p.sent, p.sentAt = true, m.Clock.Now()
 	err := m.Control.Order(ctx, t.Address, port.WeightsOrder{Target: t.ID, Model: t.Model, Version: p.version,
 		Mode: port.SwitchKeepRuns, Holder: m.Holder, Fencing: token, ExpectAccepted: p.accepted})
 	m.Logger.Info("order", "target", t.ID, "version", p.version, "fencing", token, "expect", p.accepted, "error", text(err))
@@ -379,6 +418,7 @@
 	var unknown *port.UnknownOutcomeError
 	switch {
 	case err == nil, errors.As(err, &unknown):
+		p.answered = err == nil
 		m.OnOrdered(t.ID, serveAgain)
 		return true
 	case errors.As(err, &stale):
--- a/internal/app/weights/weights_test.go
+++ b/internal/app/weights/weights_test.go
@@ -18,6 +18,8 @@
 	model    = "m"
 	turnTime = 3 * time.Second
 	loadTime = 400 * time.Millisecond
+	// statusLag is how old reports are.
+	statusLag = 250 * time.Millisecond
 )
 
 // order is one that an engine has accepted.
@@ -35,7 +37,9 @@
 	fencing  port.Offset
 	busy     time.Time
 	next     int
-	orders   []order
+	// acceptedAt is when the last order was accepted.
+	acceptedAt time.Time
+	orders     []order
 	// unanswered orders are accepted this much later, 0: at once and answered.
 	unanswered time.Duration
 }
@@ -67,6 +71,9 @@
 	defer f.mu.Unlock()
 	e := f.engines[address]
 	f.settle(e)
+	if time.Since(e.acceptedAt) < statusLag { // reports are late
+		return port.TargetStatus{Accepted: e.accepted - 1, Weights: map[string]int{model: e.target.Version}}, nil
+	}
 	return port.TargetStatus{Accepted: e.accepted, Ordered: e.next > 0, Weights: map[string]int{model: e.target.Version}}, nil
 }
 
@@ -95,6 +102,7 @@
 	}
 	e.fencing, e.next, e.busy = o.Fencing, o.Version, time.Now().Add(loadTime)
 	e.accepted++
+	e.acceptedAt = time.Now()
 	e.orders = append(e.orders, order{holder: o.Holder, fencing: o.Fencing, version: o.Version, at: time.Now()})
 	return nil
 }
@@ -125,6 +133,19 @@
 	return n
 }
 
+// loading counts the engines that load now.
+func (f *fleet) loading() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.engines {
+		f.settle(e)
+		if e.next > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against engines that stay behind, orders given twice, tokens shared by
 // two holders, and more loads at once than the others can carry.
 func TestRollOutByManyRouters(t *testing.T) {
@@ -137,7 +158,10 @@
 			m.Want(model, 2)
 			go func() { _ = m.Run(ctx) }()
 		}
-		time.Sleep(6 * time.Second)
+		for range 600 {
+			time.Sleep(10 * time.Millisecond)
+			is.True(f.loading() <= 4) // two, and twice as many when it is late
+		}
 		is.Equal(f.behind(2), 0)
 		holders := map[port.Offset]string{}
 		for _, e := range f.engines {
@@ -187,6 +211,39 @@
 	})
 }
 
+// Guards against a roll-out that waits for targets which do not answer, and for a
+// dead holder longer than its lease where targets refuse old tokens.
+func TestRollOutInTrouble(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(9)
+		for _, id := range []string{"a", "b", "c"} {
+			f.engines[id].unanswered = time.Hour
+		}
+		first, cancelFirst := context.WithCancel(t.Context())
+		a, b := f.manager("A"), f.manager("B")
+		a.Fenced, b.Fenced = true, true
+		a.Want(model, 2)
+		go func() { _ = a.Run(first) }()
+		time.Sleep(600 * time.Millisecond)
+		cancelFirst()
+		rest, cancel := context.WithCancel(t.Context())
+		b.Want(model, 2)
+		go func() { _ = b.Run(rest) }()
+		time.Sleep(6 * time.Second)
+		is.Equal(f.behind(2), 3)
+		f.mu.Lock()
+		for _, e := range f.engines {
+			e.unanswered = 0
+		}
+		f.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		is.Equal(f.behind(2), 0)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against an order that is sent by a router whose lease ran out while it
 // was suspended.
 func TestSuspendedHolderGivesNoOrder(t *testing.T) {
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -18,6 +18,8 @@
 	InFlight int
 	// Ordered says that an order for Version or a newer one is under way.
 	Ordered bool
+	// Failures counts the orders in a row that were not carried out.
+	Failures int
 }
 
 const (
@@ -27,11 +29,18 @@
 	// minLoading may load at once in any case: the store of weights serves two at
 	// full speed.
 	minLoading = 2
+	// lateFactor multiplies both when the roll-out is late.
+	lateFactor = 2
 )
 
 // Next returns the targets to order now, the idlest first: the runs that a
-// target finishes before it loads delay it least there.
-func Next(targets []Target, wanted map[string]int) []Target {
+// target finishes before it loads delay it least there. Targets that did not carry
+// out an order go last, so that they hold up nobody.
+func Next(targets []Target, wanted map[string]int, late bool) []Target {
+	factor := 1
+	if late {
+		factor = lateFactor
+	}
 	var out []Target
 	for model, version := range wanted {
 		total, loading := 0, 0
@@ -48,9 +57,9 @@
 			}
 		}
 		slices.SortFunc(due, func(a, b Target) int {
-			return cmp.Or(cmp.Compare(a.InFlight, b.InFlight), cmp.Compare(a.ID, b.ID))
+			return cmp.Or(cmp.Compare(a.Failures, b.Failures), cmp.Compare(a.InFlight, b.InFlight), cmp.Compare(a.ID, b.ID))
 		})
-		free := max(minLoading, (total+loadingShare-1)/loadingShare) - loading
+		free := factor*max(minLoading, (total+loadingShare-1)/loadingShare) - loading
 		out = append(out, due[:max(0, min(free, len(due)))]...)
 	}
 	return out
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -26,16 +26,20 @@
 		}
 		return out
 	}
-	is.Equal(ids(Next(engines(1, 1, 1, 1), wanted)), "dc")
-	is.Equal(ids(Next(engines(2, 2, 2, 1), wanted)), "d")
-	is.Equal(ids(Next(engines(2, 3, 2), wanted)), "")
+	is.Equal(ids(Next(engines(1, 1, 1, 1), wanted, false)), "dc")
+	is.Equal(ids(Next(engines(2, 2, 2, 1), wanted, false)), "d")
+	is.Equal(ids(Next(engines(2, 3, 2), wanted, false)), "")
 	ordered := engines(1, 1, 1, 1)
 	ordered[3].Ordered = true
-	is.Equal(ids(Next(ordered, wanted)), "c")
+	is.Equal(ids(Next(ordered, wanted, false)), "c")
 	ordered[2].Ordered = true
-	is.Equal(ids(Next(ordered, wanted)), "")
-	is.Equal(len(Next(engines(make([]int, 20)...), wanted)), 4)
-	is.Equal(ids(Next(engines(1), map[string]int{"other": 2})), "")
+	is.Equal(ids(Next(ordered, wanted, false)), "")
+	is.Equal(len(Next(engines(make([]int, 20)...), wanted, false)), 4)
+	is.Equal(ids(Next(engines(1, 1, 1, 1, 1), wanted, true)), "edcb")
+	failed := engines(1, 1, 1, 1)
+	failed[3].Failures = 1
+	is.Equal(ids(Next(failed, wanted, false)), "cb")
+	is.Equal(ids(Next(engines(1), map[string]int{"other": 2}, false)), "")
 }
 
 // Guards against a request that begins on weights older than the bound, and
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -65,6 +65,8 @@
 	// HolderTurnMs is the time within which two routers must not take turns in
 	// giving orders, in ms. Default 3000.
 	HolderTurnMs int `json:"holder_turn_ms"`
+	// TargetsCheckFencing says that targets refuse orders with old fencing tokens.
+	TargetsCheckFencing bool `json:"targets_check_fencing"`
 	// WeightsMs is the time after which no request may begin on weights older than
 	// those named last, in ms. Default 8000.
 	WeightsMs int `json:"weights_ms"`
