--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -40,6 +41,7 @@
 		g.Placer.Started(start, x.place, t.Address)
 		g.Holdings.Expect(start, t.Address, x.cacheScope(t), x.r.Prompt)
 	}
+	x.logSend(ctx, t)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := x.watchSilence(ctx, cancel, t)
@@ -65,6 +67,23 @@
 	return x.relayWhole(ctx, t, answer)
 }
 
+// logSend tells where the request goes and why, so that one can be followed that
+// has no end because its router died.
+func (x *exchange) logSend(ctx context.Context, t Target) {
+	attrs := []slog.Attr{slog.String("request", x.r.ID), slog.String("target", t.ID), slog.Int("send", x.sends),
+		slog.Int("in_flight", t.InFlight), slog.Float64("left_ms", ms(x.deadline.Sub(x.g.Clock.Now())))}
+	if x.engine != nil {
+		attrs = append(attrs, slog.String("session", x.session()), slog.Int("prompt_tokens", x.r.PromptTokens),
+			slog.Int("cached_tokens", x.score.CachedTokens), slog.Int("elsewhere_tokens", x.elsewhere),
+			slog.Float64("queue_ms", x.score.QueueMs), slog.Float64("prefill_ms", x.score.PrefillMs),
+			slog.String("reason", x.score.Reason), slog.Int("weights", t.Weights[x.r.Model]))
+		if x.fetchFrom != "" || x.saveTo != "" {
+			attrs = append(attrs, slog.String("fetch_from", x.fetchFrom), slog.String("save_to", x.saveTo))
+		}
+	}
+	x.g.Log.LogAttrs(ctx, slog.LevelInfo, "sent", attrs...)
+}
+
 // mayTryElsewhere reports whether a failure that the target answered with should
 // be kept from the client, because another target is tried.
 func (x *exchange) mayTryElsewhere() bool {
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"strconv"
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/fate"
@@ -212,9 +211,7 @@
 	}
 	if x.engine != nil {
 		last, _ := x.order.Last()
-		out = append(out, slog.String("session", x.session()), slog.Int("prompt_tokens", x.r.PromptTokens), slog.Int("cached_tokens", x.score.CachedTokens), slog.Int("elsewhere_tokens", x.elsewhere),
-			slog.Float64("expected_ms", x.score.QueueMs+x.score.PrefillMs+x.score.LinkMs), slog.String("reason", x.score.Reason),
-			slog.String("fetch_from", x.fetchFrom), slog.String("save_to", x.saveTo), slog.String("last_event", strconv.FormatUint(last, 10)))
+		out = append(out, slog.Uint64("last_event", last))
 	}
 	return out
 }
