--- a/cmd/mimosaseam/gateway_test.go
+++ b/cmd/mimosaseam/gateway_test.go
@@ -62,10 +62,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.configure(1, `["k1"]`)
-	s.log.PutKeyed("keyed.servers", "e1", s.engine.Entry("llm", "z", "ready", 1))
-	s.log.PutKeyed("keyed.servers", "d1", s.service.Entry("desk", "z", "ready", 1))
-	s.log.PutKeyed("keyed.servers", "junk", []byte("\xff{"))
+	s.log.Configure(1, `["k1"]`)
+	s.log.PutTarget(s.engine, "llm", false, 1)
+	s.log.PutTarget(s.service, "desk", false, 1)
+	s.log.PutJunk()
 	s.start(file, loaded)
 	return s
 }
@@ -90,38 +90,14 @@
 	})
 }
 
-func (s *site) configure(version int, keys string) {
-	s.log.PutKeyed("keyed.op", "config", fmt.Appendf(nil, `{"Version":%d,"Routes":[
-		{"Name":"check","Host":"h","PathPrefix":"/check/","Kind":"streaming","TimeoutMs":5000,"TargetLatencyMs":500,"Service":"llm","MaxAttempts":2,"Resumable":true},
-		{"Name":"book","Host":"h","PathPrefix":"/book/","Kind":"non_idempotent","TimeoutMs":2000,"TargetLatencyMs":200,"Service":"desk","MaxAttempts":1}],
-		"Services":[{"Name":"llm","Engine":{"Slots":4,"KvCapacity":1000,"Models":[{"Name":"m"}]}},{"Name":"desk"}],
-		"Limits":{"MaxBodyBytes":1000,"IdleTimeoutMs":5000},"Tenants":[{"Name":"acc","ApiKeys":%s}]}`, version, keys))
-}
-
-// send sends one request and returns the status and the body.
-func (s *site) send(path, key, body string, headers ...string) (*http.Response, string) {
+// send sends one request and returns the answer and its body.
+func (s *site) send(path, key, body string) (*http.Response, string) {
 	s.t.Helper()
-	r, err := http.NewRequest(http.MethodPost, s.front+path, strings.NewReader(body))
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	r.Host = "h"
-	r.Header.Set("X-Request-Id", "id-1")
-	r.Header.Set("X-Key", key)
-	r.Header.Set("X-Deadline-Ms", "1500")
-	for i := 0; i < len(headers); i += 2 {
-		r.Header.Set(headers[i], headers[i+1])
-	}
-	response, err := http.DefaultClient.Do(r)
+	response, text, err := platformtest.Send(s.front, path, key, body)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	return response, string(text)
+	return response, text
 }
 
 func (s *site) await(what string, is func() bool) {
@@ -145,19 +121,17 @@
 	is := is.New(t)
 	s := newSite(t, 60_000)
 	s.await("ready", s.ready)
-	answer, text := s.send("/book/1?x=y", "k1", "order", "X-Tenant", "somebody", "X-Cache-Salt", "theirs", "X-Hold", "h", "Keep-Alive", "1")
+	answer, text := s.send("/book/1?x=y", "k1", "order")
 	is.Equal(answer.StatusCode, http.StatusOK)
 	is.Equal(text, "ran POST /book/1?x=y order")
-	is.Equal(answer.Header.Get("X-Response-Stamp"), "stamp-d1")
-	ran := s.service.Runs()[0].Header
-	is.Equal(ran.Get("X-Tenant"), "acc")
-	for _, name := range []string{"X-Key", "X-Cache-Salt", "X-Hold", "Keep-Alive"} {
-		is.Equal(ran.Get(name), "")
-	}
+	is.Equal(platformtest.Stamp(answer), "stamp-d1")
+	account, leaked := platformtest.Leaked(s.service.Runs()[0])
+	is.Equal(account, platformtest.Account)
+	is.Equal(len(leaked), 0)
 	for _, c := range []struct {
 		path, key, body string
 		want            int
-	}{{"/none/", "k1", "", 404}, {"/book/", "k2", "", 401}, {"/book/", "k1", strings.Repeat("x", 1001), 413}} {
+	}{{"/none/", "k1", "", 404}, {"/book/", "k2", "", 401}, {"/book/", "k1", strings.Repeat("x", platformtest.MaxBody+1), 413}} {
 		answer, _ = s.send(c.path, c.key, c.body)
 		is.Equal(answer.StatusCode, c.want)
 	}
@@ -170,7 +144,7 @@
 	is.Equal(answer.StatusCode, http.StatusBadGateway)
 	is.Equal(len(s.service.Runs()), 2)
 	s.service.Queue()
-	s.configure(2, `["k3"]`)
+	s.log.Configure(2, `["k3"]`)
 	s.await("the new keys", func() bool { a, _ := s.send("/book/", "k3", ""); return a.StatusCode == http.StatusOK })
 	answer, _ = s.send("/book/", "k1", "")
 	is.Equal(answer.StatusCode, http.StatusUnauthorized)
@@ -198,14 +172,14 @@
 func TestGatewayFollowsWeightsAndTargets(t *testing.T) {
 	s := newSite(t, 60_000)
 	s.await("ready", s.ready)
-	s.log.PutKeyed("keyed.op", "version/m", []byte(`{"Model":"m","Version":2}`))
+	s.log.NameWeights(2)
 	s.await("new weights", func() bool { return s.engine.Version() == 2 })
-	s.log.PutKeyed("keyed.servers", "d1", s.service.Entry("desk", "z", "draining", 1))
+	s.log.PutTarget(s.service, "desk", true, 1)
 	s.await("no target", func() bool {
 		a, _ := s.send("/book/", "k1", "")
 		return a.StatusCode == http.StatusServiceUnavailable
 	})
-	s.log.PutKeyed("keyed.servers", "d1", s.service.Entry("desk", "z", "ready", 2))
+	s.log.PutTarget(s.service, "desk", false, 2)
 	s.await("the next life", func() bool { a, _ := s.send("/book/", "k1", ""); return a.StatusCode == http.StatusOK })
 }
 
