--- /dev/null
+++ b/internal/app/cachewatch/cachewatch_test.go
@@ -0,0 +1,80 @@
+package cachewatch
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// caches is a fake of one cache that may be down.
+type caches struct {
+	mu     sync.Mutex
+	events []port.PartEvent
+	down   bool
+	reads  int
+}
+
+func (c *caches) PartEvents(ctx context.Context, _ string, since uint64, wait time.Duration) (port.PartEvents, error) {
+	c.mu.Lock()
+	c.reads++
+	down := c.down
+	out := port.PartEvents{Epoch: 1, Next: uint64(len(c.events)), Events: append([]port.PartEvent(nil), c.events[since:]...)}
+	c.mu.Unlock()
+	if down {
+		return port.PartEvents{}, &port.UnknownOutcomeError{Peer: "cache"}
+	}
+	if len(out.Events) == 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+	return out, nil
+}
+
+// Guards against knowledge of a cache that outlives it, and reads without pause.
+func TestCachesAreFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := &caches{events: []port.PartEvent{{Scope: "s", Part: "a", Tokens: 100}}}
+		holdings := placement.NewHoldings()
+		var mu sync.Mutex
+		listed := []string{"x"}
+		w := &Watch{Caches: c, Holdings: holdings, Clock: port.SystemClock{}, Logger: slog.New(slog.DiscardHandler),
+			List: func() []string { mu.Lock(); defer mu.Unlock(); return listed }}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = w.Run(ctx) }()
+		prompt := []port.Segment{{ID: "a", Tokens: 100}}
+		time.Sleep(2 * time.Second)
+		is.True(holdings.Holds(time.Now(), "x", "s", prompt))
+		c.mu.Lock()
+		c.down = true
+		reads := c.reads
+		c.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		_, known := holdings.Cached(time.Now(), "x", "s", prompt)
+		is.True(!known)
+		c.mu.Lock()
+		c.down = false
+		is.True(c.reads-reads <= 25) // at most two a second while it fails
+		c.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		is.True(holdings.Holds(time.Now(), "x", "s", prompt))
+		mu.Lock()
+		listed = nil
+		mu.Unlock()
+		time.Sleep(time.Second)
+		_, known = holdings.Cached(time.Now(), "x", "s", prompt)
+		is.True(!known)
+		cancel()
+		synctest.Wait()
+	})
+}
