Bound the readers of cache events that each target serves

Cause: every router read the events of every engine, but an engine serves a number of readers that the configuration names (12, on larger sites 8) and answers 429 to the others: with 83 routers most reads would be refused and cost as much as probes. Routers that know each other choose the same readers for a target by rendezvous hashing.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -101,8 +101,8 @@
 	fleet    *fleet.Fleet
 	registry *registry.Registry
 	peers    *grpc.Server
-	// routers is the number of live routers, this one included.
-	routers atomic.Int64
+	// routers holds the names of the routers that may be serving, this one included.
+	routers atomic.Pointer[[]string]
 	caches  *cachewatch.Watch
 	callers *http.Server
 	ready   *http.Server
@@ -166,7 +166,7 @@
 	n.gateway = gateway.New(gateway.Deps{
 		Settings: gatewaySettings(s), Forwarder: targets, Control: targets, Placer: placer, Directory: n.dir,
 		Holdings: placement.NewHoldings(), Clock: clock, BootClock: boot, Log: n.log, Metrics: metrics,
-		Routers:      func() int { return int(max(n.routers.Load(), 1)) },
+		Routers:      func() int { return len(n.routerNames()) },
 		Wanted:       func(model string) (int, time.Time) { return n.weights.Wanted(model) },
 		Fingerprints: fingerprints, WatchedField: platform.WatchedField,
 	})
@@ -276,26 +276,39 @@
 	return out
 }
 
-// cacheAddresses lists the engines and stores whose cache events are followed.
+// cacheAddresses lists the engines and stores whose cache events this router reads.
 func (n *entryNode) cacheAddresses() []string {
 	c := n.gateway.Configuration()
 	if c == nil {
 		return nil
 	}
+	routers := n.routerNames()
 	var out []string
+	add := func(address string, readers int) {
+		if placement.Follows(n.settings.VM.Name, routers, address, readers) {
+			out = append(out, address)
+		}
+	}
 	for _, t := range n.dir.All() {
 		if s := c.Services[t.Service]; s != nil && s.Engine != nil {
-			out = append(out, t.Address)
+			add(t.Address, s.Engine.EventReaders)
 		}
 	}
 	for _, s := range c.Services {
 		if s.Store != nil {
-			out = append(out, s.Store.Address)
+			add(s.Store.Address, s.Store.EventReaders)
 		}
 	}
 	return out
 }
 
+func (n *entryNode) routerNames() []string {
+	if names := n.routers.Load(); names != nil {
+		return *names
+	}
+	return []string{n.settings.VM.Name}
+}
+
 func (n *entryNode) idleLimit() time.Duration {
 	if c := n.gateway.Configuration(); c != nil && c.Limits.IdleTimeout > 0 {
 		return c.Limits.IdleTimeout
--- a/cmd/mimosaseam/gatewaypeers.go
+++ b/cmd/mimosaseam/gatewaypeers.go
@@ -41,17 +41,18 @@
 	n.peers = peergrpc.NewServer(n.fleet, nil)
 }
 
-// takeRouters counts the routers that may be serving, and so share the bounds.
+// takeRouters notes the routers that may be serving, and so share the bounds.
 func (n *entryNode) takeRouters(others []membership.Router) {
-	count := 1
+	names := []string{n.settings.VM.Name}
 	for _, r := range others {
 		if r.State != port.MemberDead || r.OutOfContact() {
-			count++
+			names = append(names, r.Name)
 		}
 	}
-	if n.routers.Swap(int64(count)) != int64(count) {
-		n.log.Info("routers", "count", count)
+	if len(names) != len(n.routerNames()) {
+		n.log.Info("routers", "count", len(names))
 	}
+	n.routers.Store(&names)
 }
 
 // pullFromPeers asks other routers for the operator's records.
--- /dev/null
+++ b/internal/core/placement/follow.go
@@ -0,0 +1,24 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Follows reports whether the router self reads the cache events of a target that
+// serves a bounded number of readers. All routers that know the same routers
+// choose the same readers for a target, different ones for different targets.
+// readers of 0 or less means that the bound is not known: then all read.
+func Follows(self string, routers []string, target string, readers int) bool {
+	if readers <= 0 || len(routers) <= readers {
+		return true
+	}
+	ranked := slices.Clone(routers)
+	hash := xxhash.Sum64String(target)
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Or(cmp.Compare(rendezvous(hash, xxhash.Sum64String(a)), rendezvous(hash, xxhash.Sum64String(b))), cmp.Compare(a, b))
+	})
+	return slices.Contains(ranked[:readers], self)
+}
--- a/internal/core/placement/holdings_test.go
+++ b/internal/core/placement/holdings_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -125,3 +126,29 @@
 	}
 	is.True(PartBlocks(port.Scope{ClientAccount: "w", Model: "m"}, []port.Segment{{ID: "a", Tokens: 640}})[0] != x[0])
 }
+
+// Guards against more readers of a target's events than it serves, a target that
+// nobody reads, and one router that reads all.
+func TestFollowsBoundsTheReaders(t *testing.T) {
+	is := is.New(t)
+	var routers []string
+	for i := range 83 {
+		routers = append(routers, "r"+strconv.Itoa(i))
+	}
+	load := map[string]int{}
+	for target := range 90 {
+		readers := 0
+		for _, r := range routers {
+			if Follows(r, routers, "t"+strconv.Itoa(target), 12) {
+				readers++
+				load[r]++
+			}
+		}
+		is.Equal(readers, 12)
+	}
+	for _, n := range load {
+		is.True(n < 30) // 13 on average
+	}
+	is.True(Follows("r1", routers[:12], "t", 12))
+	is.True(Follows("r1", routers, "t", 0))
+}
--- a/internal/core/site/site.go
+++ b/internal/core/site/site.go
@@ -75,6 +75,8 @@
 type Store struct {
 	Address          string
 	AvailabilityZone string
+	// EventReaders bounds the readers of cache events that the store serves.
+	EventReaders int
 }
 
 // Engine describes the model engines of a service.
