Pass a target's own failure on, spread the return of refused clients, tell peers of crash suspects

Found by reading, each with a test that failed first: a target's 500 that was dropped for a repeat became a 502 when the repeat was over the bound, refused or lost (TestFailureOfATargetIsPassedOn); all refused clients were told the same time to come back (TestRefusedClientsComeBackSpread); a target was blamed when the client's time ended while connecting (TestDeadlineWhileConnectingIsNoFailureOfTheTarget). Suspects of a crash were told to peers only when quarantined.

--- a/cmd/mimosaseam/gateway_test.go
+++ b/cmd/mimosaseam/gateway_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -192,3 +193,35 @@
 		is.True(strings.Contains(err.Error(), path))
 	}
 }
+
+// Guards against a planned stop that cuts an open request or refuses one that came
+// before the entry knew, and a stopped router that still takes connections.
+func TestGatewayStopsWithoutCuttingRequests(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 60_000)
+	s.await("ready", s.ready)
+	s.service.Queue(platformtest.Slow)
+	open := make(chan int, 1)
+	go func() {
+		answer, _, err := platformtest.Send(s.front, "/book/", "k1", "")
+		if err != nil {
+			open <- 0
+			return
+		}
+		open <- answer.StatusCode
+	}()
+	s.await("an open request", func() bool { return s.node.gateway.Open() == 1 })
+	stopped := make(chan struct{})
+	go func() {
+		s.node.shutDown(t.Context(), syscall.SIGTERM)
+		close(stopped)
+	}()
+	s.await("not ready", func() bool { ok, _ := s.node.gateway.Ready(); return !ok })
+	answer, _ := s.send("/book/", "k1", "")
+	is.Equal(answer.StatusCode, http.StatusOK)
+	is.True(answer.Close)
+	is.Equal(<-open, http.StatusOK)
+	<-stopped
+	_, _, err := platformtest.Send(s.front, "/book/", "k1", "")
+	is.True(err != nil)
+}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -59,7 +59,7 @@
 		g.Log.Debug("target closes connections", "target", t.ID)
 	}
 	if answer.Status >= http.StatusInternalServerError && x.mayTryElsewhere() {
-		return fate.Failed, &port.BadRequestError{Peer: t.ID, Status: answer.Status}
+		return x.keepFailure(ctx, t, answer)
 	}
 	if x.route.Kind == site.Streaming && answer.Status == http.StatusOK {
 		return x.relayEvents(ctx, t, answer)
@@ -92,6 +92,31 @@
 	return !x.committed && fate.MayRepeat(x.route, h, fate.Failed) && x.g.Directory.otherThan(x.service, x.tried)
 }
 
+// keepFailure reads a failure that the target answered with. It is passed on when
+// no other target answers better.
+func (x *exchange) keepFailure(ctx context.Context, t Target, a port.Answer) (fate.Evidence, error) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, wholeAnswerBytes))
+	if err != nil {
+		return fate.Unknown, x.silent(ctx, err)
+	}
+	if len(body) < wholeAnswerBytes {
+		x.kept = &keptAnswer{answer: a, body: body}
+	}
+	return fate.Failed, &port.BadRequestError{Peer: t.ID, Status: a.Status}
+}
+
+// passKept answers with a failure that was kept.
+func (x *exchange) passKept() error {
+	x.commit(x.kept.answer, int64(len(x.kept.body)))
+	if len(x.kept.body) == 0 {
+		return nil
+	}
+	if err := x.sink.Write(x.kept.body); err != nil {
+		return &Failure{Kind: KindGone, Cause: err}
+	}
+	return nil
+}
+
 func (x *exchange) forward(t Target) port.Forward {
 	f := port.Forward{RequestID: x.r.ID, Method: x.r.Method, URI: x.r.URI, Host: x.r.Host, Header: x.r.Header, Body: x.r.Body,
 		Deadline: x.deadline, ExpectTarget: t.ID, CacheScope: x.cacheScope(t),
@@ -121,7 +146,7 @@
 		now := x.g.Clock.Now()
 		switch refused.Reason {
 		case port.NotRunUnreachable:
-			if !clientGone(ctx) {
+			if ctxAlive(ctx) {
 				x.g.circuits.Failure(now, t.ID, retry.Down)
 			}
 		case port.NotRunIncarnationChanged:
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/fate"
@@ -45,10 +46,18 @@
 	// fetchFrom and saveTo are where the last attempt moved cached parts.
 	fetchFrom, saveTo string
 	retryAfter        time.Duration
+	// kept is a target's failure that was held back for a repeat.
+	kept *keptAnswer
 	// expectWeights is the version that the target must serve, 0: any.
 	expectWeights int
 }
 
+// keptAnswer is a whole answer that has not been passed on yet.
+type keptAnswer struct {
+	answer port.Answer
+	body   []byte
+}
+
 // defaultTimeout stands in for a route and a client that name none.
 const defaultTimeout = 30 * time.Second
 
@@ -57,7 +66,7 @@
 func (g *Gateway) plan(r *Request, sink Sink) (*exchange, error) {
 	c := g.config.Load()
 	if c == nil {
-		return nil, &Failure{Kind: KindRefused, RetryAfter: comeBackSoon, Cause: ErrNoConfiguration}
+		return nil, &Failure{Kind: KindRefused, RetryAfter: spreadAfter(comeBackSoon), Cause: ErrNoConfiguration}
 	}
 	age := g.ConfigurationAge()
 	route := c.Route(r.Host, r.Path)
@@ -69,7 +78,7 @@
 		// A key may have been taken away since the configuration was last known to
 		// be the newest.
 		if g.settings().KeyBound > 0 && age > g.settings().KeyBound {
-			return x, &Failure{Kind: KindRefused, RetryAfter: comeBackLater, Cause: ErrUnverified}
+			return x, &Failure{Kind: KindRefused, RetryAfter: spreadAfter(comeBackLater), Cause: ErrUnverified}
 		}
 		if x.account = c.Account(r.Key); x.account == nil {
 			return x, g.unlessStale(age, KindNoAccount)
@@ -93,7 +102,7 @@
 // an older one may lack what is new.
 func (g *Gateway) unlessStale(age time.Duration, kind Kind) *Failure {
 	if age > g.settings().StaleBound {
-		return &Failure{Kind: KindRefused, RetryAfter: comeBackSoon, Cause: ErrUnverified}
+		return &Failure{Kind: KindRefused, RetryAfter: spreadAfter(comeBackSoon), Cause: ErrUnverified}
 	}
 	return &Failure{Kind: kind}
 }
@@ -144,7 +153,7 @@
 		}
 		x.history.Add(evidence)
 		x.lastCause = err
-		if x.done(ctx) || !fate.MayRepeat(x.route, x.history, evidence) {
+		if ctx.Err() != nil || !fate.MayRepeat(x.route, x.history, evidence) {
 			return x.giveUp(ctx, evidence, err)
 		}
 		if !x.g.mayRepeat(x.service) {
@@ -157,8 +166,6 @@
 	}
 }
 
-func (x *exchange) done(ctx context.Context) bool { return ctx.Err() != nil }
-
 // Waits that a refused client is advised to keep.
 const (
 	// comeBackSoon covers the start of a router or the busy moment of a target.
@@ -168,13 +175,21 @@
 	comeBackLater = 2 * time.Second
 )
 
+// spreadAfter spreads the return of refused clients over half of the wait to one
+// and a half, so that they do not come back together.
+func spreadAfter(wait time.Duration) time.Duration {
+	return time.Duration((0.5 + rand.Float64()) * float64(wait))
+}
+
 // giveUp decides the final answer.
 func (x *exchange) giveUp(ctx context.Context, last fate.Evidence, cause error) error {
-	f := &Failure{Cause: cause, RetryAfter: max(x.retryAfter, comeBackSoon)}
+	f := &Failure{Cause: cause, RetryAfter: spreadAfter(max(x.retryAfter, comeBackSoon))}
 	var own *Failure
 	switch {
 	case clientGone(ctx):
 		f.Kind = KindGone
+	case x.kept != nil && !x.committed && ctx.Err() == nil:
+		return x.passKept()
 	case errors.As(cause, &own):
 		return own
 	case fate.Final(x.history, last) == fate.Abort || x.committed:
--- a/internal/app/gateway/fake_test.go
+++ b/internal/app/gateway/fake_test.go
@@ -46,6 +46,9 @@
 	f.mu.Unlock()
 	if r.silent {
 		<-ctx.Done()
+		if r.err != nil {
+			return port.Answer{}, r.err
+		}
 		return port.Answer{}, &port.UnknownOutcomeError{Peer: address, Cause: ctx.Err()}
 	}
 	if r.err != nil {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -229,6 +229,10 @@
 	if err == nil {
 		err = x.serve(ctx)
 	}
+	if err != nil && x != nil {
+		// The client may repeat a request that crashed its target on another router.
+		g.Fingerprints.Publish(g.Clock.Now(), x.fingerprint)
+	}
 	g.finish(ctx, x, r, err)
 	return err
 }
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -186,3 +186,57 @@
 		is.True(repeats <= 50+20)
 	})
 }
+
+// Guards against a target's own failure that is replaced by another, because it
+// was dropped for a repeat that did not come about or failed otherwise.
+func TestFailureOfATargetIsPassedOn(t *testing.T) {
+	cases := map[string]struct {
+		replies []reply
+		// spent uses up the bound on repeats before.
+		spent bool
+		sends int
+	}{
+		"no repeat left":        {[]reply{failing}, true, 1},
+		"the repeat is refused": {[]reply{failing, notRun, notRun, notRun, notRun}, false, 4},
+		"the repeat is lost":    {[]reply{failing, unknown}, false, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, c.replies...)
+				for c.spent && w.mayRepeat("desk") {
+					continue
+				}
+				out, err := w.send(t.Context(), "look")
+				is.NoErr(err)
+				is.Equal(out.status, http.StatusInternalServerError)
+				is.Equal(out.body.String(), failing.body)
+				is.True(len(w.targets.sent()) <= c.sends)
+			})
+		})
+	}
+}
+
+// Guards against refused clients that all come back at the same moment.
+func TestRefusedClientsComeBackSpread(t *testing.T) {
+	is := is.New(t)
+	seen := map[time.Duration]bool{}
+	for range 50 {
+		after := spreadAfter(comeBackSoon)
+		is.True(after >= comeBackSoon/2 && after <= comeBackSoon*3/2)
+		seen[after] = true
+	}
+	is.True(len(seen) > 10)
+}
+
+// Guards against a target that is blamed for the end of a client's time.
+func TestDeadlineWhileConnectingIsNoFailureOfTheTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, reply{silent: true, err: &port.NotRunError{Target: "t", Reason: port.NotRunUnreachable}})
+		_, err := w.send(t.Context(), "book")
+		is.Equal(failureOf(err).Kind, KindRefused)
+		is.Equal(len(w.circuits.Unusable(time.Now())), 0)
+	})
+}
