--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -110,7 +110,7 @@
 }
 
 func serveGateway(file string, s settings.Gateway) error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(int64(memoryShare * s.Limits.MemoryMB * (1 << 20)))
 	out := telemetry.NewBoundedWriter(os.Stdout)
 	defer out.Close()
 	n := newEntryNode(file, s, out, telemetry.NewMetrics("gateway", "gateway_ms"))
@@ -202,7 +202,7 @@
 		StaleBound:   settings.Milliseconds(s.Bounds.ConfigurationMs),
 		WeightsBound: settings.Milliseconds(s.Bounds.WeightsMs),
 		RepeatRatio:  s.Bounds.RepeatRatio, RepeatAllowance: s.Bounds.RepeatAllowance,
-		RepeatWindow: time.Duration(s.Bounds.RepeatWindowS) * time.Second}
+		RepeatWindow: settings.Seconds(s.Bounds.RepeatWindowS)}
 	if s.Bounds.KeyRevokedStrict {
 		g.KeyBound = settings.Milliseconds(s.Bounds.KeyRevokedMs) - keyMargin
 	}
@@ -387,7 +387,7 @@
 
 func (n *entryNode) shutDown(ctx context.Context, received os.Signal) {
 	n.gateway.BeginDrain()
-	end := time.Now().Add(time.Duration(n.settings.Bounds.StopS)*time.Second - endMargin)
+	end := time.Now().Add(settings.Seconds(n.settings.Bounds.StopS) - endMargin)
 	n.log.Info("stopping", "signal", received.String(), "open", n.gateway.Open())
 	n.registry.Remove(ctx)
 	if err := n.fleet.Leave(ctx); err != nil {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -43,36 +43,36 @@
 // ProcessLimits bound what the process uses.
 type ProcessLimits struct {
 	// MemoryMB is the memory of the process in MB. Default 128.
-	MemoryMB int `json:"memory_mb"`
+	MemoryMB float64 `json:"memory_mb"`
 }
 
 // Bounds are what the deployment promises to its users.
 type Bounds struct {
 	// KeyRevokedMs is how long a key that was taken away may be served, in ms.
 	// Default 5000.
-	KeyRevokedMs int `json:"key_revoked_ms"`
+	KeyRevokedMs float64 `json:"key_revoked_ms"`
 	// KeyRevokedStrict stops serving keys on a router that cannot tell whether
 	// they were taken away.
 	KeyRevokedStrict bool `json:"key_revoked_strict"`
 	// ConfigurationMs is the time until a configuration is in force, in ms.
 	// Default 2500.
-	ConfigurationMs int `json:"configuration_ms"`
+	ConfigurationMs float64 `json:"configuration_ms"`
 	// RepeatRatio and RepeatAllowance bound repeated sends to a service over
 	// RepeatWindowS seconds. Defaults 0.2, 50, 10.
 	RepeatRatio     float64 `json:"repeat_ratio"`
 	RepeatAllowance float64 `json:"repeat_allowance"`
-	RepeatWindowS   int     `json:"repeat_window_s"`
+	RepeatWindowS   float64 `json:"repeat_window_s"`
 	// HolderTurnMs is the time within which two routers must not take turns in
 	// giving orders, in ms. Default 3000.
-	HolderTurnMs int `json:"holder_turn_ms"`
+	HolderTurnMs float64 `json:"holder_turn_ms"`
 	// TargetsCheckFencing says that targets refuse orders with old fencing tokens.
 	TargetsCheckFencing bool `json:"targets_check_fencing"`
 	// WeightsMs is the time after which no request may begin on weights older than
 	// those named last, in ms. Default 8000.
-	WeightsMs int `json:"weights_ms"`
+	WeightsMs float64 `json:"weights_ms"`
 	// StopS is the time between the signal to stop and the end by force, in s.
 	// Default 8.
-	StopS int `json:"stop_s"`
+	StopS float64 `json:"stop_s"`
 }
 
 // DefaultGateway returns the settings that hold where the file says nothing.
@@ -108,16 +108,25 @@
 	if s.Metrics.Address != "" {
 		checkAddress(d, "/metrics/address", s.Metrics.Address)
 	}
-	checkRange(d, "/limits/memory_mb", s.Limits.MemoryMB, 32, 1<<20)
 	b := s.Bounds
-	checkRange(d, "/bounds/key_revoked_ms", b.KeyRevokedMs, 100, 3_600_000)
-	checkRange(d, "/bounds/configuration_ms", b.ConfigurationMs, 100, 3_600_000)
-	checkRange(d, "/bounds/repeat_window_s", b.RepeatWindowS, 1, 3600)
-	checkRange(d, "/bounds/holder_turn_ms", b.HolderTurnMs, 100, 600_000)
-	checkRange(d, "/bounds/weights_ms", b.WeightsMs, 100, 3_600_000)
-	checkRange(d, "/bounds/stop_s", b.StopS, 1, 3600)
-	if b.RepeatRatio < 0 || b.RepeatRatio > 1 {
-		d.Add("/bounds/repeat_ratio", strconv.FormatFloat(b.RepeatRatio, 'g', -1, 64), "a number from 0 to 1")
+	for _, c := range []struct {
+		path            string
+		value           float64
+		lowest, highest float64
+	}{
+		{"/limits/memory_mb", s.Limits.MemoryMB, 32, 1 << 20},
+		{"/bounds/key_revoked_ms", b.KeyRevokedMs, 100, 3_600_000},
+		{"/bounds/configuration_ms", b.ConfigurationMs, 100, 3_600_000},
+		{"/bounds/repeat_ratio", b.RepeatRatio, 0, 1},
+		{"/bounds/repeat_allowance", b.RepeatAllowance, 0, 1 << 20},
+		{"/bounds/repeat_window_s", b.RepeatWindowS, 1, 3600},
+		{"/bounds/holder_turn_ms", b.HolderTurnMs, 100, 600_000},
+		{"/bounds/weights_ms", b.WeightsMs, 100, 3_600_000},
+		{"/bounds/stop_s", b.StopS, 1, 3600},
+	} {
+		if c.value < c.lowest || c.value > c.highest {
+			d.Add(c.path, number(c.value), "a number from "+number(c.lowest)+" to "+number(c.highest))
+		}
 	}
 	if err := d.Err(); err != nil {
 		return Gateway{}, err
@@ -125,5 +134,10 @@
 	return s, nil
 }
 
+func number(n float64) string { return strconv.FormatFloat(n, 'g', -1, 64) }
+
 // Milliseconds turns a number of a settings file into a duration.
-func Milliseconds(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+func Milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// Seconds turns a number of a settings file into a duration.
+func Seconds(s float64) time.Duration { return Milliseconds(1000 * s) }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -51,3 +52,15 @@
 		})
 	}
 }
+
+// Guards against a process that does not start because the platform writes a
+// figure with a fraction, or leaves out one that does not apply.
+func TestGatewaySettingsTakeFractions(t *testing.T) {
+	is := is.New(t)
+	s, err := ParseGateway("f", []byte(`{"vm": {"name": "r1", "region": "r", "availability_zone": "z"}, "callers": {"address": "127.0.0.1:1"},
+		"ready": {"address": "127.0.0.1:2"}, "peers": {"address": "127.0.0.1:3"}, "log": {"address": "127.0.0.1:4"},
+		"limits": {"memory_mb": 112.5}, "bounds": {"key_revoked_ms": 2500.5, "holder_turn_ms": 3000.0, "repeat_window_s": 7.5, "stop_s": 8.0}}`))
+	is.NoErr(err)
+	is.Equal(Milliseconds(s.Bounds.KeyRevokedMs), 2500500*time.Microsecond)
+	is.Equal(s.Bounds.WeightsMs, DefaultGateway().Bounds.WeightsMs)
+}
