--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -4,18 +4,13 @@
 	"context"
 	"errors"
 	"expvar"
-	"google.golang.org/grpc"
 	"io"
 	"log/slog"
-	"mimosaseam.example/mimosaseam/internal/app/fleet"
-	"mimosaseam.example/mimosaseam/internal/app/registry"
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -23,11 +18,14 @@
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+	"google.golang.org/grpc"
 
 	"mimosaseam.example/mimosaseam/internal/adapter/httpconn"
 	"mimosaseam.example/mimosaseam/internal/adapter/telemetry"
 	"mimosaseam.example/mimosaseam/internal/app/cachewatch"
+	"mimosaseam.example/mimosaseam/internal/app/fleet"
 	"mimosaseam.example/mimosaseam/internal/app/gateway"
+	"mimosaseam.example/mimosaseam/internal/app/registry"
 	"mimosaseam.example/mimosaseam/internal/app/sitesync"
 	"mimosaseam.example/mimosaseam/internal/app/weights"
 	"mimosaseam.example/mimosaseam/internal/bootclock"
@@ -93,6 +91,9 @@
 	settings settings.Gateway
 	log      *slog.Logger
 	level    *slog.LevelVar
+	clock    port.Clock
+	// boot goes on while the VM is suspended.
+	boot     port.Clock
 	gateway  *gateway.Gateway
 	dir      *gateway.Directory
 	weights  *weights.Manager
@@ -153,41 +154,61 @@
 }
 
 func newEntryNode(file string, s settings.Gateway, out io.Writer, metrics gateway.Metrics) *entryNode {
-	n := &entryNode{file: file, settings: s, level: new(slog.LevelVar)}
+	n := &entryNode{file: file, settings: s, level: new(slog.LevelVar), clock: port.SystemClock{}, boot: bootclock.Clock{}}
 	n.setLevel(s.LogLevel)
 	n.log = slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: n.level})).With("vm", s.VM.Name)
-	clock, boot := port.SystemClock{}, bootclock.Clock{}
-	placer := placement.New(placement.Settings{Region: s.VM.Region, AvailabilityZone: s.VM.AvailabilityZone})
-	fingerprints := retry.NewFingerprints()
 	pool := httpconn.New(httpconn.Options{Transport: targetTransport()})
-	targets := platform.NewTargets(pool, clock)
-	storeLog := platform.NewLog(s.Log.Address, pool)
-	n.dir = gateway.NewDirectory(n.log, clock, placer)
+	targets, log := platform.NewTargets(pool, n.clock), platform.NewLog(s.Log.Address, pool)
+	fingerprints := retry.NewFingerprints()
+	n.buildGateway(targets, fingerprints, metrics)
+	n.buildWeights(targets, log)
+	n.buildFollowers(targets, log)
+	n.joinPeers(log, fingerprints)
+	n.buildServers()
+	return n
+}
+
+func (n *entryNode) buildGateway(targets *platform.Targets, fingerprints *retry.Fingerprints, metrics gateway.Metrics) {
+	vm := n.settings.VM
+	placer := placement.New(placement.Settings{Region: vm.Region, AvailabilityZone: vm.AvailabilityZone})
+	n.dir = gateway.NewDirectory(n.log, n.clock, placer)
 	n.gateway = gateway.New(gateway.Deps{
-		Settings: gatewaySettings(s), Forwarder: targets, Control: targets, Placer: placer, Directory: n.dir,
-		Holdings: placement.NewHoldings(), Clock: clock, BootClock: boot, Log: n.log, Metrics: metrics,
+		Settings: gatewaySettings(n.settings), Forwarder: targets, Control: targets, Placer: placer, Directory: n.dir,
+		Holdings: placement.NewHoldings(), Clock: n.clock, BootClock: n.boot, Log: n.log, Metrics: metrics,
 		Routers:      func() int { return len(n.routerNames()) },
 		Wanted:       func(model string) (int, time.Time) { return n.weights.Wanted(model) },
 		Fingerprints: fingerprints, WatchedField: platform.WatchedField,
 	})
-	n.caches = &cachewatch.Watch{Caches: targets, Holdings: n.gateway.Holdings, Clock: clock, Logger: n.log, List: n.cacheAddresses}
-	n.weights = weights.New(weights.Deps{Log: storeLog, Control: targets, Clock: boot, Logger: n.log,
-		Holder:   s.VM.Name + "@" + strconv.FormatInt(time.Now().UnixMilli(), 36),
-		Fenced:   s.Bounds.TargetsCheckFencing,
-		TurnTime: settings.Milliseconds(s.Bounds.HolderTurnMs), Targets: n.engines,
-		OnOrdered: func(id string, d time.Duration) { n.dir.SetOrdered(id, clock.Now().Add(d)) },
-		OnWeights: n.dir.SetWeights})
-	n.operator = sitesync.Operator(&sitesync.Stream{Log: storeLog, Logger: n.log, Clock: boot,
+}
+
+func (n *entryNode) buildWeights(targets *platform.Targets, log *platform.Log) {
+	s := n.settings
+	n.weights = weights.New(weights.Deps{
+		Log: log, Control: targets, Clock: n.boot, Logger: n.log,
+		Holder: s.VM.Name + "@" + strconv.FormatInt(time.Now().UnixMilli(), 36),
+		Fenced: s.Bounds.TargetsCheckFencing, TurnTime: settings.Milliseconds(s.Bounds.HolderTurnMs),
+		Targets:   n.engines,
+		OnOrdered: func(id string, d time.Duration) { n.dir.SetOrdered(id, n.clock.Now().Add(d)) },
+		OnWeights: n.dir.SetWeights,
+	})
+}
+
+// buildFollowers builds what keeps the router's beliefs up to date.
+func (n *entryNode) buildFollowers(targets *platform.Targets, log *platform.Log) {
+	n.operator = sitesync.Operator(&sitesync.Stream{Log: log, Logger: n.log, Clock: n.boot,
 		Apply: n.applyOperator, Verified: n.gateway.Verify, Peers: n.pullFromPeers})
-	n.streams = []*sitesync.Stream{n.operator, sitesync.Targets(&sitesync.Stream{Log: storeLog, Logger: n.log, Clock: boot,
-		Apply: n.applyTarget, Reset: n.dir.Retain})}
-	n.joinPeers(storeLog, fingerprints)
+	entries := sitesync.Targets(&sitesync.Stream{Log: log, Logger: n.log, Clock: n.boot,
+		Apply: n.applyTarget, Reset: n.dir.Retain})
+	n.streams = []*sitesync.Stream{n.operator, entries}
+	n.caches = &cachewatch.Watch{Caches: targets, Holdings: n.gateway.Holdings, Clock: n.clock, Logger: n.log, List: n.cacheAddresses}
+}
+
+func (n *entryNode) buildServers() {
 	idle := &idleConns{limit: n.idleLimit, timers: map[net.Conn]*time.Timer{}}
-	n.callers = &http.Server{Handler: &platform.Ingress{Gateway: n.gateway, Clock: clock}, ReadHeaderTimeout: headerTimeout,
+	n.callers = &http.Server{Handler: &platform.Ingress{Gateway: n.gateway, Clock: n.clock}, ReadHeaderTimeout: headerTimeout,
 		ConnState: idle.changed, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
 	n.ready = &http.Server{Handler: platform.ReadyHandler(n.gateway.Ready), ReadHeaderTimeout: headerTimeout}
 	n.metrics = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout}
-	return n
 }
 
 // metricsHandler serves counters and latency histograms.
@@ -197,25 +218,6 @@
 	return mux
 }
 
-func gatewaySettings(s settings.Gateway) gateway.Settings {
-	g := gateway.Settings{AvailabilityZone: s.VM.AvailabilityZone, Regions: s.Regions,
-		StaleBound:   settings.Milliseconds(s.Bounds.ConfigurationMs),
-		WeightsBound: settings.Milliseconds(s.Bounds.WeightsMs),
-		RepeatRatio:  s.Bounds.RepeatRatio, RepeatAllowance: s.Bounds.RepeatAllowance,
-		RepeatWindow: settings.Seconds(s.Bounds.RepeatWindowS)}
-	if s.Bounds.KeyRevokedStrict {
-		g.KeyBound = settings.Milliseconds(s.Bounds.KeyRevokedMs) - keyMargin
-	}
-	return g
-}
-
-func (n *entryNode) setLevel(level string) {
-	var l slog.Level
-	if l.UnmarshalText([]byte(level)) == nil {
-		n.level.Set(l)
-	}
-}
-
 // targetTransport notices connections that went silent by unacknowledged bytes.
 func targetTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
@@ -229,86 +231,6 @@
 		MaxResponseHeaderBytes: 64 << 10, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10}
 }
 
-func (n *entryNode) applyOperator(r port.KeyedRecord) {
-	if r.Value == nil {
-		return
-	}
-	if platform.IsConfiguration(r.Key) {
-		c, err := platform.DecodeConfiguration(r.Value)
-		if err != nil {
-			n.log.Error("configuration not read", "error", err.Error())
-			return
-		}
-		n.gateway.SetConfiguration(c)
-		return
-	}
-	model, version, ok, err := platform.DecodeWeights(r.Key, r.Value)
-	if err != nil {
-		n.log.Error("weights version not read", "key", r.Key, "error", err.Error())
-	} else if ok {
-		n.weights.Want(model, version)
-	}
-}
-
-func (n *entryNode) applyTarget(r port.KeyedRecord) {
-	if r.Value == nil {
-		n.dir.Remove(r.Key)
-		return
-	}
-	entry, err := platform.DecodeTarget(r.Key, r.Value)
-	if err != nil {
-		n.log.Info("target entry not read", "key", r.Key, "error", err.Error())
-		n.dir.Remove(r.Key)
-		return
-	}
-	n.dir.Put(entry)
-}
-
-// engines lists the targets that serve models.
-func (n *entryNode) engines() []weights.Target {
-	var out []weights.Target
-	for _, t := range n.dir.All() {
-		for model, version := range t.Weights {
-			out = append(out, weights.Target{ID: t.ID, Address: t.Address, Incarnation: t.Incarnation(), Model: model,
-				Version: version, InFlight: t.InFlight})
-		}
-	}
-	return out
-}
-
-// cacheAddresses lists the engines and stores whose cache events this router reads.
-func (n *entryNode) cacheAddresses() []string {
-	c := n.gateway.Configuration()
-	if c == nil {
-		return nil
-	}
-	routers := n.routerNames()
-	var out []string
-	add := func(address string, readers int) {
-		if placement.Follows(n.settings.VM.Name, routers, address, readers) {
-			out = append(out, address)
-		}
-	}
-	for _, t := range n.dir.All() {
-		if s := c.Services[t.Service]; s != nil && s.Engine != nil {
-			add(t.Address, s.Engine.EventReaders)
-		}
-	}
-	for _, s := range c.Services {
-		if s.Store != nil {
-			add(s.Store.Address, s.Store.EventReaders)
-		}
-	}
-	return out
-}
-
-func (n *entryNode) routerNames() []string {
-	if names := n.routers.Load(); names != nil {
-		return *names
-	}
-	return []string{n.settings.VM.Name}
-}
-
 func (n *entryNode) idleLimit() time.Duration {
 	if c := n.gateway.Configuration(); c != nil && c.Limits.IdleTimeout > 0 {
 		return c.Limits.IdleTimeout
@@ -324,112 +246,3 @@
 		n.dir.Prune()
 	}
 }
-
-// watchSettings reads the settings file again after SIGHUP and after changes
-// without a signal.
-func (n *entryNode) watchSettings(ctx context.Context) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	ticker := time.NewTicker(settingsPoll)
-	defer ticker.Stop()
-	last, _ := os.Stat(n.file)
-	for {
-		signalled := false
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-hup:
-			signalled = true
-		case <-ticker.C:
-		}
-		info, err := os.Stat(n.file)
-		if err != nil {
-			n.log.Warn("settings not found", "error", err.Error())
-			continue
-		}
-		if !signalled && last != nil && info.ModTime().Equal(last.ModTime()) && info.Size() == last.Size() {
-			continue
-		}
-		last = info
-		n.reload()
-	}
-}
-
-// reload applies what may change while the process runs; addresses take a restart.
-func (n *entryNode) reload() {
-	s, err := settings.LoadGateway(n.file)
-	if err != nil {
-		n.log.Error("settings not reloaded", "error", err.Error())
-		return
-	}
-	n.setLevel(s.LogLevel)
-	n.gateway.SetSettings(gatewaySettings(s))
-	n.log.Info("settings reloaded", "bounds", s.Bounds)
-}
-
-// addStop ends the group after SIGTERM or SIGINT: the entry is told first, then
-// open requests end.
-func (n *entryNode) addStop(ctx context.Context, cancel context.CancelFunc, group *run.Group) {
-	group.Add(func() error {
-		signals := make(chan os.Signal, 1)
-		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-		defer signal.Stop(signals)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case received := <-signals:
-			n.shutDown(ctx, received)
-			return ErrStopped
-		}
-	}, func(error) { cancel() })
-}
-
-func (n *entryNode) shutDown(ctx context.Context, received os.Signal) {
-	n.gateway.BeginDrain()
-	end := time.Now().Add(settings.Seconds(n.settings.Bounds.StopS) - endMargin)
-	n.log.Info("stopping", "signal", received.String(), "open", n.gateway.Open())
-	n.registry.Remove(ctx)
-	if err := n.fleet.Leave(ctx); err != nil {
-		n.log.Info("peers not told of the stop", "error", err.Error())
-	}
-	if err := ctxtime.Sleep(ctx, leaveWait); err != nil {
-		n.log.Warn("stop cut short", "error", err.Error())
-	}
-	ctx, cancel := context.WithDeadline(ctx, end)
-	defer cancel()
-	if err := n.callers.Shutdown(ctx); err != nil {
-		n.log.Warn("requests cut off by the end of the time to stop", "open", n.gateway.Open(), "error", err.Error())
-	}
-}
-
-// idleConns closes clients' connections that are idle beyond the limit of the
-// configuration in force.
-type idleConns struct {
-	limit func() time.Duration
-
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
-}
-
-func (i *idleConns) changed(c net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if t := i.timers[c]; t != nil {
-		t.Stop()
-		delete(i.timers, c)
-	}
-	if state == http.StateIdle {
-		i.timers[c] = time.AfterFunc(i.limit(), func() { i.close(c) })
-	}
-}
-
-func (i *idleConns) close(c net.Conn) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.timers[c] != nil {
-		delete(i.timers, c)
-		// The client has closed it already when this fails.
-		_ = c.Close()
-	}
-}
--- /dev/null
+++ b/cmd/mimosaseam/gatewaybeliefs.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"mimosaseam.example/mimosaseam/internal/app/weights"
+	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/port"
+	"mimosaseam.example/mimosaseam/platform"
+)
+
+func (n *entryNode) applyOperator(r port.KeyedRecord) {
+	if r.Value == nil {
+		return
+	}
+	if platform.IsConfiguration(r.Key) {
+		c, err := platform.DecodeConfiguration(r.Value)
+		if err != nil {
+			n.log.Error("configuration not read", "error", err.Error())
+			return
+		}
+		n.gateway.SetConfiguration(c)
+		return
+	}
+	model, version, ok, err := platform.DecodeWeights(r.Key, r.Value)
+	if err != nil {
+		n.log.Error("weights version not read", "key", r.Key, "error", err.Error())
+	} else if ok {
+		n.weights.Want(model, version)
+	}
+}
+
+func (n *entryNode) applyTarget(r port.KeyedRecord) {
+	if r.Value == nil {
+		n.dir.Remove(r.Key)
+		return
+	}
+	entry, err := platform.DecodeTarget(r.Key, r.Value)
+	if err != nil {
+		n.log.Info("target entry not read", "key", r.Key, "error", err.Error())
+		n.dir.Remove(r.Key)
+		return
+	}
+	n.dir.Put(entry)
+}
+
+// engines lists the targets that serve models.
+func (n *entryNode) engines() []weights.Target {
+	var out []weights.Target
+	for _, t := range n.dir.All() {
+		for model, version := range t.Weights {
+			out = append(out, weights.Target{ID: t.ID, Address: t.Address, Incarnation: t.Incarnation(), Model: model,
+				Version: version, InFlight: t.InFlight})
+		}
+	}
+	return out
+}
+
+// cacheAddresses lists the engines and stores whose cache events this router reads.
+func (n *entryNode) cacheAddresses() []string {
+	c := n.gateway.Configuration()
+	if c == nil {
+		return nil
+	}
+	routers := n.routerNames()
+	var out []string
+	add := func(address string, readers int) {
+		if placement.Follows(n.settings.VM.Name, routers, address, readers) {
+			out = append(out, address)
+		}
+	}
+	for _, t := range n.dir.All() {
+		if s := c.Services[t.Service]; s != nil && s.Engine != nil {
+			add(t.Address, s.Engine.EventReaders)
+		}
+	}
+	for _, s := range c.Services {
+		if s.Store != nil {
+			add(s.Store.Address, s.Store.EventReaders)
+		}
+	}
+	return out
+}
+
+func (n *entryNode) routerNames() []string {
+	if names := n.routers.Load(); names != nil {
+		return *names
+	}
+	return []string{n.settings.VM.Name}
+}
--- /dev/null
+++ b/cmd/mimosaseam/gatewaysettings.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/app/gateway"
+	"mimosaseam.example/mimosaseam/internal/settings"
+)
+
+func gatewaySettings(s settings.Gateway) gateway.Settings {
+	g := gateway.Settings{AvailabilityZone: s.VM.AvailabilityZone, Regions: s.Regions,
+		StaleBound:   settings.Milliseconds(s.Bounds.ConfigurationMs),
+		WeightsBound: settings.Milliseconds(s.Bounds.WeightsMs),
+		RepeatRatio:  s.Bounds.RepeatRatio, RepeatAllowance: s.Bounds.RepeatAllowance,
+		RepeatWindow: settings.Seconds(s.Bounds.RepeatWindowS)}
+	if s.Bounds.KeyRevokedStrict {
+		g.KeyBound = settings.Milliseconds(s.Bounds.KeyRevokedMs) - keyMargin
+	}
+	return g
+}
+
+func (n *entryNode) setLevel(level string) {
+	var l slog.Level
+	if l.UnmarshalText([]byte(level)) == nil {
+		n.level.Set(l)
+	}
+}
+
+// watchSettings reads the settings file again after SIGHUP and after changes
+// without a signal.
+func (n *entryNode) watchSettings(ctx context.Context) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	last, _ := os.Stat(n.file)
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-hup:
+			signalled = true
+		case <-ticker.C:
+		}
+		info, err := os.Stat(n.file)
+		if err != nil {
+			n.log.Warn("settings not found", "error", err.Error())
+			continue
+		}
+		if !signalled && last != nil && info.ModTime().Equal(last.ModTime()) && info.Size() == last.Size() {
+			continue
+		}
+		last = info
+		n.reload()
+	}
+}
+
+// reload applies what may change while the process runs; addresses take a restart.
+func (n *entryNode) reload() {
+	s, err := settings.LoadGateway(n.file)
+	if err != nil {
+		n.log.Error("settings not reloaded", "error", err.Error())
+		return
+	}
+	n.setLevel(s.LogLevel)
+	n.gateway.SetSettings(gatewaySettings(s))
+	n.log.Info("settings reloaded", "bounds", s.Bounds)
+}
--- /dev/null
+++ b/cmd/mimosaseam/gatewaystop.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
+	"mimosaseam.example/mimosaseam/internal/settings"
+)
+
+// addStop ends the group after SIGTERM or SIGINT: the entry is told first, then
+// open requests end.
+func (n *entryNode) addStop(ctx context.Context, cancel context.CancelFunc, group *run.Group) {
+	group.Add(func() error {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+		defer signal.Stop(signals)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case received := <-signals:
+			n.shutDown(ctx, received)
+			return ErrStopped
+		}
+	}, func(error) { cancel() })
+}
+
+func (n *entryNode) shutDown(ctx context.Context, received os.Signal) {
+	n.gateway.BeginDrain()
+	end := time.Now().Add(settings.Seconds(n.settings.Bounds.StopS) - endMargin)
+	n.log.Info("stopping", "signal", received.String(), "open", n.gateway.Open())
+	n.registry.Remove(ctx)
+	if err := n.fleet.Leave(ctx); err != nil {
+		n.log.Info("peers not told of the stop", "error", err.Error())
+	}
+	if err := ctxtime.Sleep(ctx, leaveWait); err != nil {
+		n.log.Warn("stop cut short", "error", err.Error())
+	}
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	if err := n.callers.Shutdown(ctx); err != nil {
+		n.log.Warn("requests cut off by the end of the time to stop", "open", n.gateway.Open(), "error", err.Error())
+	}
+}
+
+// idleConns closes clients' connections that are idle beyond the limit of the
+// configuration in force.
+type idleConns struct {
+	limit func() time.Duration
+
+	mu     sync.Mutex
+	timers map[net.Conn]*time.Timer
+}
+
+func (i *idleConns) changed(c net.Conn, state http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if t := i.timers[c]; t != nil {
+		t.Stop()
+		delete(i.timers, c)
+	}
+	if state == http.StateIdle {
+		i.timers[c] = time.AfterFunc(i.limit(), func() { i.close(c) })
+	}
+}
+
+func (i *idleConns) close(c net.Conn) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.timers[c] != nil {
+		delete(i.timers, c)
+		// The client has closed it already when this fails.
+		_ = c.Close()
+	}
+}
