Take the time for leaving targets from the settings

Cause: the grace of 1.2 s and the interval of 0.8 s were derived from a bound of 2.5 s in a comment; a deployment with a shorter one would have sent requests to targets that left.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -171,7 +171,8 @@
 func (n *entryNode) buildGateway(targets *platform.Targets, fingerprints *retry.Fingerprints, metrics gateway.Metrics) {
 	vm := n.settings.VM
 	placer := placement.New(placement.Settings{Region: vm.Region, AvailabilityZone: vm.AvailabilityZone})
-	n.dir = gateway.NewDirectory(n.log, n.clock, placer)
+	leaving := settings.Milliseconds(n.settings.Bounds.LeavingMs)
+	n.dir = gateway.NewDirectory(n.log, n.clock, placer, gateway.LeavingGrace(leaving, sitesync.TargetsInterval(leaving)))
 	n.gateway = gateway.New(gateway.Deps{
 		Settings: gatewaySettings(n.settings), Forwarder: targets, Control: targets, Placer: placer, Directory: n.dir,
 		Holdings: placement.NewHoldings(), Clock: n.clock, BootClock: n.boot, Log: n.log, Metrics: metrics,
@@ -198,7 +199,7 @@
 	n.operator = sitesync.Operator(&sitesync.Stream{Log: log, Logger: n.log, Clock: n.boot,
 		Apply: n.applyOperator, Verified: n.gateway.Verify, Peers: n.pullFromPeers})
 	entries := sitesync.Targets(&sitesync.Stream{Log: log, Logger: n.log, Clock: n.boot,
-		Apply: n.applyTarget, Reset: n.dir.Retain})
+		Apply: n.applyTarget, Reset: n.dir.Retain}, sitesync.TargetsInterval(settings.Milliseconds(n.settings.Bounds.LeavingMs)))
 	n.streams = []*sitesync.Stream{n.operator, entries}
 	n.caches = &cachewatch.Watch{Caches: targets, Holdings: n.gateway.Holdings, Clock: n.clock, Logger: n.log, List: n.cacheAddresses}
 }
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -12,11 +12,8 @@
 )
 
 const (
-	// graceAfterRemoval is how long a target whose entry vanished may still be
-	// used when no other is left: entries also lapse while the log is away, and
-	// are back within 2 s of its return. It stays below the time in which a
-	// target that leaves must get no more requests.
-	graceAfterRemoval = 1200 * time.Millisecond
+	// requestMargin covers the way of a request to its target.
+	requestMargin = 500 * time.Millisecond
 	// keepRemoved is how long a removed target is remembered.
 	keepRemoved = 30 * time.Second
 	// busyFor is how long a target that refused for lack of room is passed over.
@@ -49,13 +46,25 @@
 	clock  port.Clock
 	placer placement.Placer
 
+	// grace is how long a target that leaves, or whose entry vanished, may still be
+	// used when no other is left: entries also lapse while the log is away, and are
+	// back within 2 s of its return.
+	grace time.Duration
+
 	mu      sync.Mutex
 	targets map[string]*Target
 }
 
+// LeavingGrace returns how long a target may be used after it was seen to leave,
+// when it must get no requests within the bound and the entries are read at the
+// interval.
+func LeavingGrace(bound, interval time.Duration) time.Duration {
+	return max(0, bound-interval-requestMargin)
+}
+
 // NewDirectory returns an empty directory.
-func NewDirectory(log *slog.Logger, clock port.Clock, placer placement.Placer) *Directory {
-	return &Directory{log: log, clock: clock, placer: placer, targets: map[string]*Target{}}
+func NewDirectory(log *slog.Logger, clock port.Clock, placer placement.Placer, grace time.Duration) *Directory {
+	return &Directory{log: log, clock: clock, placer: placer, grace: grace, targets: map[string]*Target{}}
 }
 
 // Put takes the newest entry of a target.
@@ -154,7 +163,7 @@
 		case t.Service != service:
 		case t.LeavingSince.IsZero():
 			staying = append(staying, *t)
-		case now.Sub(t.LeavingSince) < graceAfterRemoval:
+		case now.Sub(t.LeavingSince) < d.grace:
 			leaving = append(leaving, *t)
 		}
 	}
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -125,7 +125,7 @@
 		for _, id := range []string{"d1", "d2", "d3"} {
 			w.Directory.Remove(id)
 		}
-		time.Sleep(graceAfterRemoval)
+		time.Sleep(w.Directory.grace)
 		begun := time.Now()
 		_, err := w.send(t.Context(), "book")
 		is.Equal(failureOf(err).Kind, KindRefused)
@@ -240,3 +240,12 @@
 		is.Equal(len(w.circuits.Unusable(time.Now())), 0)
 	})
 }
+
+// Guards against a target that gets requests after the time in which it must get
+// none, on deployments that leave less time than the interval of the reads.
+func TestLeavingGrace(t *testing.T) {
+	is := is.New(t)
+	is.Equal(LeavingGrace(2500*time.Millisecond, 800*time.Millisecond), 1200*time.Millisecond)
+	is.Equal(LeavingGrace(900*time.Millisecond, 300*time.Millisecond), 100*time.Millisecond)
+	is.Equal(LeavingGrace(500*time.Millisecond, 160*time.Millisecond), time.Duration(0))
+}
--- a/internal/app/sitesync/sitesync.go
+++ b/internal/app/sitesync/sitesync.go
@@ -19,9 +19,11 @@
 	// Each answer verifies the configuration; keys must be verified several times
 	// within the 5 s after which one that was taken away must not be served.
 	operatorWait = 1200 * time.Millisecond
-	// targetsInterval is the time between two reads of the targets' entries. A
-	// target that leaves must get no requests 2.5 s after it said so.
-	targetsInterval = 800 * time.Millisecond
+	// maxTargetsInterval bounds the time between two reads of the targets' entries
+	// from above, leavingShare by the time in which a target that leaves must get no
+	// more requests.
+	maxTargetsInterval = 800 * time.Millisecond
+	leavingShare       = 3
 	// retryBase is the mean pause after a failed read.
 	retryBase = 150 * time.Millisecond
 	// peerTimeout bounds the question to other routers.
@@ -63,9 +65,15 @@
 	return s
 }
 
+// TargetsInterval is the time between two reads of the targets' entries when a
+// target that leaves must get no requests within the bound.
+func TargetsInterval(leaving time.Duration) time.Duration {
+	return min(maxTargetsInterval, leaving/leavingShare)
+}
+
 // Targets returns a follower of the targets' entries.
-func Targets(s *Stream) *Stream {
-	s.Name, s.Interval = port.StreamTargets, targetsInterval
+func Targets(s *Stream, interval time.Duration) *Stream {
+	s.Name, s.Interval = port.StreamTargets, interval
 	return s
 }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -57,6 +57,9 @@
 	// ConfigurationMs is the time until a configuration is in force, in ms.
 	// Default 2500.
 	ConfigurationMs float64 `json:"configuration_ms"`
+	// LeavingMs is the time after which a target that said that it leaves must get
+	// no requests, in ms. Default 2500.
+	LeavingMs float64 `json:"leaving_ms"`
 	// RepeatRatio and RepeatAllowance bound repeated sends to a service over
 	// RepeatWindowS seconds. Defaults 0.2, 50, 10.
 	RepeatRatio     float64 `json:"repeat_ratio"`
@@ -79,7 +82,7 @@
 func DefaultGateway() Gateway {
 	return Gateway{
 		Limits: ProcessLimits{MemoryMB: 128},
-		Bounds: Bounds{KeyRevokedMs: 5000, ConfigurationMs: 2500, RepeatRatio: 0.2, RepeatAllowance: 50, RepeatWindowS: 10,
+		Bounds: Bounds{KeyRevokedMs: 5000, ConfigurationMs: 2500, LeavingMs: 2500, RepeatRatio: 0.2, RepeatAllowance: 50, RepeatWindowS: 10,
 			HolderTurnMs: 3000, WeightsMs: 8000, StopS: 8},
 		LogLevel: "info",
 	}
@@ -117,6 +120,7 @@
 		{"/limits/memory_mb", s.Limits.MemoryMB, 32, 1 << 20},
 		{"/bounds/key_revoked_ms", b.KeyRevokedMs, 100, 3_600_000},
 		{"/bounds/configuration_ms", b.ConfigurationMs, 100, 3_600_000},
+		{"/bounds/leaving_ms", b.LeavingMs, 100, 3_600_000},
 		{"/bounds/repeat_ratio", b.RepeatRatio, 0, 1},
 		{"/bounds/repeat_allowance", b.RepeatAllowance, 0, 1 << 20},
 		{"/bounds/repeat_window_s", b.RepeatWindowS, 1, 3600},
@@ -128,6 +132,7 @@
 			d.Add(c.path, number(c.value), "a number from "+number(c.lowest)+" to "+number(c.highest))
 		}
 	}
+	checkOneOf(d, "/log_level", s.LogLevel, "debug", "info", "warn", "error")
 	if err := d.Err(); err != nil {
 		return Gateway{}, err
 	}
