Keep the newest weights known of one life of a target, and bound repeats before routers know each other

Cause: entries and reports are older than answers; one written before new weights took the belief back, so the caches known of the target were dropped twice and requests named the old weights. Found by reading; TestWeightsOfOneLifeNeverGoBack fails before (2 instead of 3).

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -176,7 +176,7 @@
 	n.gateway = gateway.New(gateway.Deps{
 		Settings: gatewaySettings(n.settings), Forwarder: targets, Control: targets, Placer: placer, Directory: n.dir,
 		Holdings: placement.NewHoldings(), Clock: n.clock, BootClock: n.boot, Log: n.log, Metrics: metrics,
-		Routers:      func() int { return len(n.routerNames()) },
+		Routers:      n.routerCount,
 		Wanted:       func(model string) (int, time.Time) { return n.weights.Wanted(model) },
 		Fingerprints: fingerprints, WatchedField: platform.WatchedField,
 	})
--- a/cmd/mimosaseam/gatewaybeliefs.go
+++ b/cmd/mimosaseam/gatewaybeliefs.go
@@ -80,6 +80,18 @@
 	return out
 }
 
+// unknownRouters stands in for the number of routers until others were found: the
+// bounds that they share must hold while all start at once.
+const unknownRouters = 16
+
+// routerCount is the number of routers that share the bounds.
+func (n *entryNode) routerCount() int {
+	if names := n.routers.Load(); names != nil {
+		return len(*names)
+	}
+	return unknownRouters
+}
+
 func (n *entryNode) routerNames() []string {
 	if names := n.routers.Load(); names != nil {
 		return *names
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -81,6 +81,7 @@
 	if old != nil && old.Incarnation() == e.Incarnation() && old.Address == e.Address {
 		*t = *old
 		t.TargetEntry, t.Removed = e, false
+		t.Weights = newestWeights(old.Weights, e.Weights)
 		d.noteWeights(t, old.Weights)
 	} else {
 		d.placer.Drop(e.Address)
@@ -97,6 +98,19 @@
 	d.targets[e.ID] = t
 }
 
+// newestWeights joins what was told of one life of a target: its versions only
+// grow, and entries and reports are older than answers.
+func newestWeights(known, told map[string]int) map[string]int {
+	out := maps.Clone(known)
+	if out == nil {
+		out = map[string]int{}
+	}
+	for model, version := range told {
+		out[model] = max(out[model], version)
+	}
+	return out
+}
+
 // noteWeights drops what was cached under other weights.
 func (d *Directory) noteWeights(t *Target, before map[string]int) {
 	if maps.Equal(t.Weights, before) {
@@ -250,11 +264,7 @@
 		}
 		if a.Weights > 0 && model != "" && t.Weights[model] < a.Weights {
 			before := t.Weights
-			t.Weights = maps.Clone(t.Weights)
-			if t.Weights == nil {
-				t.Weights = map[string]int{}
-			}
-			t.Weights[model] = a.Weights
+			t.Weights = newestWeights(before, map[string]int{model: a.Weights})
 			d.noteWeights(t, before)
 		}
 	})
@@ -269,7 +279,7 @@
 func (d *Directory) SetWeights(id string, weights map[string]int) {
 	d.update(id, func(t *Target) {
 		before := t.Weights
-		t.Weights = weights
+		t.Weights = newestWeights(before, weights)
 		d.noteWeights(t, before)
 	})
 }
