Tell other routers at once of long prompts, so that they do not pile up on one engine

A router counted only its own prompts. Ruled out: in-flight counts of the exchange (up to 8 s old), the load told with answers (counts requests).

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -96,6 +96,7 @@
 	boot     port.Clock
 	gateway  *gateway.Gateway
 	dir      *gateway.Directory
+	placer   *placement.Policy
 	weights  *weights.Manager
 	streams  []*sitesync.Stream
 	operator *sitesync.Stream
@@ -170,14 +171,15 @@
 
 func (n *entryNode) buildGateway(targets *platform.Targets, fingerprints *retry.Fingerprints, metrics gateway.Metrics) {
 	vm := n.settings.VM
-	placer := placement.New(placement.Settings{Region: vm.Region, AvailabilityZone: vm.AvailabilityZone})
+	n.placer = placement.New(placement.Settings{Region: vm.Region, AvailabilityZone: vm.AvailabilityZone})
 	leaving := settings.Milliseconds(n.settings.Bounds.LeavingMs)
-	n.dir = gateway.NewDirectory(n.log, n.clock, placer, gateway.LeavingGrace(leaving, sitesync.TargetsInterval(leaving)))
+	n.dir = gateway.NewDirectory(n.log, n.clock, n.placer, gateway.LeavingGrace(leaving, sitesync.TargetsInterval(leaving)))
 	n.gateway = gateway.New(gateway.Deps{
-		Settings: gatewaySettings(n.settings), Forwarder: targets, Control: targets, Placer: placer, Directory: n.dir,
+		Settings: gatewaySettings(n.settings), Forwarder: targets, Control: targets, Placer: n.placer, Directory: n.dir,
 		Holdings: placement.NewHoldings(), Clock: n.clock, BootClock: n.boot, Log: n.log, Metrics: metrics,
 		Routers:      n.routerCount,
 		Wanted:       func(model string) (int, time.Time) { return n.weights.Wanted(model) },
+		TellStarted:  func(target string, tokens int) { n.fleet.TellStarted(target, tokens) },
 		Fingerprints: fingerprints, WatchedField: platform.WatchedField,
 	})
 }
--- a/cmd/mimosaseam/gatewaypeers.go
+++ b/cmd/mimosaseam/gatewaypeers.go
@@ -6,6 +6,7 @@
 
 	"mimosaseam.example/mimosaseam/internal/adapter/peergrpc"
 	"mimosaseam.example/mimosaseam/internal/app/fleet"
+	"mimosaseam.example/mimosaseam/internal/app/gateway"
 	"mimosaseam.example/mimosaseam/internal/app/registry"
 	"mimosaseam.example/mimosaseam/internal/core/membership"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
@@ -33,6 +34,9 @@
 		// In-flight counts of peers are seconds old, and most requests end within one
 		// second: targets tell their load with each answer instead.
 		Callbacks: fleet.Callbacks{
+			OnStarted: func(target string, tokens int) {
+				n.placer.ObserveStarted(n.clock.Now(), target, tokens, gateway.PrefillTokensPerSecond)
+			},
 			OnFingerprints: func(values []string) { fingerprints.Receive(time.Now(), values) },
 			OnRouters:      func(others []membership.Router) { n.takeRouters(others) },
 		},
--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -115,6 +115,14 @@
 	return err
 }
 
+// Started implements port.WorkPeer.
+func (c *Client) Started(ctx context.Context, address, target string, tokens int) error {
+	_, err := call(ctx, c, address, func(ctx context.Context, p peerv1.PeerClient) (*peerv1.StartedResponse, error) {
+		return p.Started(ctx, &peerv1.StartedRequest{Target: target, Tokens: uint32(max(tokens, 0))})
+	})
+	return err
+}
+
 // call runs one call with a deadline. A failed call drops the connection, so
 // that the next one finds out on a fresh connection whether the old one went
 // silent.
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -125,6 +125,13 @@
 	return &peerv1.HandoffResponse{}, nil
 }
 
+func (s *server) Started(_ context.Context, in *peerv1.StartedRequest) (*peerv1.StartedResponse, error) {
+	if h, ok := s.handler.(port.WorkHandler); ok {
+		h.HandleStarted(in.GetTarget(), int(in.GetTokens()))
+	}
+	return &peerv1.StartedResponse{}, nil
+}
+
 func checkSender(m *peerv1.Member) error {
 	if m.GetName() == "" || len(m.GetName()) > maxNameBytes || !knownState(m.GetState()) {
 		return status.Error(codes.InvalidArgument, "the sender's name or state is invalid")
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -71,6 +72,8 @@
 	OnTargets func(marks []port.TargetMark)
 	// OnRouters takes the other routers after a change, at most once a second.
 	OnRouters func(routers []membership.Router)
+	// OnStarted takes a request with a long prompt that a peer sent to a target.
+	OnStarted func(target string, tokens int)
 	// OnConfigOffset takes the config offset that a peer has applied.
 	OnConfigOffset func(peer string, offset port.Offset)
 }
@@ -111,6 +114,8 @@
 type Fleet struct {
 	o      Options
 	urgent chan struct{}
+	// workCalls counts the messages about work under way.
+	workCalls atomic.Int64
 
 	mu      sync.Mutex
 	view    *membership.View
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -39,6 +39,7 @@
 		x.score = x.scoreOf(t)
 		x.moveParts(start, t)
 		g.Placer.Started(start, x.place, t.Address)
+		x.tellPeers(t)
 		g.Holdings.Expect(start, t.Address, x.cacheScope(t), x.r.Prompt)
 	}
 	x.logSend(ctx, t)
@@ -67,6 +68,21 @@
 	return x.relayWhole(ctx, t, answer)
 }
 
+// toldTokens is the size from which on other routers are told what a target has to
+// read: below it the wait is shorter than the way of the message matters.
+const toldTokens = 1500
+
+// PrefillTokensPerSecond is the rate at which an engine is taken to read prompts.
+const PrefillTokensPerSecond = prefillTokensPerSecond
+
+// tellPeers tells other routers of a long prompt, so that they do not send
+// theirs to the same target meanwhile.
+func (x *exchange) tellPeers(t Target) {
+	if missed := x.r.PromptTokens - x.score.CachedTokens; missed >= toldTokens && x.g.TellStarted != nil {
+		x.g.TellStarted(t.Address, missed)
+	}
+}
+
 // logSend tells where the request goes and why, so that one can be followed that
 // has no end because its router died.
 func (x *exchange) logSend(ctx context.Context, t Target) {
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -249,3 +249,21 @@
 	is.Equal(LeavingGrace(900*time.Millisecond, 300*time.Millisecond), 100*time.Millisecond)
 	is.Equal(LeavingGrace(500*time.Millisecond, 160*time.Millisecond), time.Duration(0))
 }
+
+// Guards against long prompts of which other routers learn nothing, and messages
+// for short or cached ones.
+func TestPeersAreToldOfLongPrompts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, fine, fine, fine)
+		var told []int
+		w.TellStarted = func(_ string, tokens int) { told = append(told, tokens) }
+		_, err := w.send(t.Context(), "check") // 900 tokens
+		is.NoErr(err)
+		is.Equal(len(told), 0)
+		long := &Request{ID: "r2", Method: http.MethodPost, URI: "/check/", Path: "/check/", Host: "h", Header: http.Header{}, Key: "key",
+			Model: testModel, PromptTokens: 9000, Prompt: []port.Segment{{ID: "x", Tokens: 9000}}, Received: time.Now()}
+		is.NoErr(w.Serve(t.Context(), long, &recorder{}))
+		is.Equal(told, []int{9000})
+	})
+}
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -69,7 +69,7 @@
 func (p *Policy) queueMs(now time.Time, t *targetState, target Target, perMs float64) float64 {
 	running := t.running(now)
 	others := running - float64(len(t.attempts))
-	ms := (t.pendingTokens(now) + others*p.pendingPerRequest()) / perMs
+	ms := (t.pendingTokens(now) + t.foreignTokens(now) + others*p.pendingPerRequest()) / perMs
 	if slots := float64(max(target.Slots, 1)); running >= slots {
 		ms += (running - slots + 1) / slots * p.service * 1000
 	}
--- a/internal/core/placement/policy_test.go
+++ b/internal/core/placement/policy_test.go
@@ -281,3 +281,20 @@
 		t.Run(name, func(t *testing.T) { is.New(t).Equal(MoveBeatsRecompute(c.transfer), c.want) })
 	}
 }
+
+// Guards against a long prompt that is sent to a target which another router has
+// just given one, and against work that is remembered after it was done.
+func TestWorkOfOtherRoutersCounts(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := New(Settings{})
+	targets := []Target{{Name: "a", Slots: 8, PrefillTokensPerSecond: 30_000}, {Name: "b", Slots: 8, PrefillTokensPerSecond: 30_000}}
+	req := Request{PromptTokens: 3000, BlockTokens: 64, Blocks: make([]port.BlockHash, 46)}
+	for i := range req.Blocks {
+		req.Blocks[i] = port.BlockHash(i + 1)
+	}
+	first := p.Rank(now, req, targets)[0].Target
+	p.ObserveStarted(now, first, 20_000, 30_000)
+	is.True(p.Rank(now, req, targets)[0].Target != first)
+	is.Equal(p.Rank(now.Add(time.Second), req, targets)[0].Target, first)
+}
--- a/internal/core/placement/targets.go
+++ b/internal/core/placement/targets.go
@@ -45,6 +45,11 @@
 	excess   float64
 	excessAt time.Time
 	events   eventState
+	// foreign is the work that other routers told of, in tokens, at foreignAt; it
+	// shrinks by foreignRate tokens a second.
+	foreign     float64
+	foreignAt   time.Time
+	foreignRate float64
 }
 
 // eventState follows the cache events of one target.
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -125,6 +125,18 @@
 	Handoff(ctx context.Context, address string, from Member, summary []byte) error
 }
 
+// WorkPeer tells other routers of work at once.
+type WorkPeer interface {
+	// Started tells that a request was sent to the target, which has to read the
+	// tokens for it.
+	Started(ctx context.Context, address, target string, tokens int) error
+}
+
+// WorkHandler takes what WorkPeer tells; a PeerHandler may implement it.
+type WorkHandler interface {
+	HandleStarted(target string, tokens int)
+}
+
 // PeerHandler answers the calls of other routers.
 type PeerHandler interface {
 	HandleExchange(ctx context.Context, e PeerExchange) (PeerExchange, error)
