Write all waiting log lines at the end of the process

Cause: at its end the writer wrote one batch of 16 KiB and left what waited behind it. Ruled out: lines lost by the bound (they are counted).

--- a/internal/adapter/telemetry/bounded.go
+++ b/internal/adapter/telemetry/bounded.go
@@ -56,7 +56,10 @@
 		case line := <-w.lines:
 			w.flush(line, batchWait)
 		case <-w.stop:
-			w.flush(nil, 0)
+			for len(w.lines) > 0 {
+				w.flush(nil, 0)
+			}
+			w.flush(nil, 0) // what was dropped last
 			return
 		}
 	}
