Mend what a second reading of the change found

Twice written: the wait for a signal to stop stood in both commands, the start of managers in their tests, the rate of prefill under two names. Needless: fields of the configuration that nothing reads (longest pause, models, connections of a target) are no longer decoded. Names: the core says Prefix; a VM is suspended. Constants: round trips bear their unit, the size from which peers are told has its reason. No check, bound or expectation is loosened.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -145,7 +145,7 @@
 	for _, loop := range loops {
 		group.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 	}
-	n.addStop(ctx, cancel, &group)
+	addSignal(ctx, cancel, &group, n.shutDown)
 	err = group.Run()
 	n.log.Info("stopped", "reason", err.Error())
 	if errors.Is(err, ErrStopped) {
--- a/cmd/mimosaseam/gateway_test.go
+++ b/cmd/mimosaseam/gateway_test.go
@@ -17,12 +17,16 @@
 
 	"github.com/matryer/is"
 
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/settings"
 	"mimosaseam.example/mimosaseam/platform/platformtest"
 )
 
 // waitFor bounds the wait for a state; it is no measure of speed.
-const waitFor = 20 * time.Second
+const (
+	waitFor  = 20 * time.Second
+	askEvery = 20 * time.Millisecond
+)
 
 type noMetrics struct{}
 
@@ -101,14 +105,16 @@
 	return response, text
 }
 
+// await asks for a state of the running router until it is reached.
 func (s *site) await(what string, is func() bool) {
 	s.t.Helper()
-	for end := time.Now().Add(waitFor); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if is() {
-			return
+	ctx, cancel := context.WithTimeout(s.t.Context(), waitFor)
+	defer cancel()
+	for !is() {
+		if ctxtime.Sleep(ctx, askEvery) != nil {
+			s.t.Fatal("not reached: " + what)
 		}
 	}
-	s.t.Fatal("not reached: " + what)
 }
 
 func (s *site) ready() bool {
@@ -200,7 +206,7 @@
 	is := is.New(t)
 	s := newSite(t, 60_000)
 	s.await("ready", s.ready)
-	s.service.Queue(platformtest.Slow)
+	s.service.Queue(platformtest.Hold)
 	open := make(chan int, 1)
 	go func() {
 		answer, _, err := platformtest.Send(s.front, "/book/", "k1", "")
@@ -220,6 +226,7 @@
 	answer, _ := s.send("/book/", "k1", "")
 	is.Equal(answer.StatusCode, http.StatusOK)
 	is.True(answer.Close)
+	s.service.Release()
 	is.Equal(<-open, http.StatusOK)
 	<-stopped
 	_, _, err := platformtest.Send(s.front, "/book/", "k1", "")
--- a/cmd/mimosaseam/gatewaystop.go
+++ b/cmd/mimosaseam/gatewaystop.go
@@ -5,34 +5,14 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/oklog/run"
-
 	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/settings"
 )
 
-// addStop ends the group after SIGTERM or SIGINT: the entry is told first, then
-// open requests end.
-func (n *entryNode) addStop(ctx context.Context, cancel context.CancelFunc, group *run.Group) {
-	group.Add(func() error {
-		signals := make(chan os.Signal, 1)
-		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-		defer signal.Stop(signals)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case received := <-signals:
-			n.shutDown(ctx, received)
-			return ErrStopped
-		}
-	}, func(error) { cancel() })
-}
-
+// shutDown tells the entry and the peers first, then lets open requests end.
 func (n *entryNode) shutDown(ctx context.Context, received os.Signal) {
 	n.gateway.BeginDrain()
 	end := time.Now().Add(settings.Seconds(n.settings.Bounds.StopS) - endMargin)
--- a/cmd/mimosaseam/serve.go
+++ b/cmd/mimosaseam/serve.go
@@ -68,7 +68,7 @@
 		return err
 	}
 	n.addLoops(ctx, cancel, &group)
-	n.addSignal(ctx, cancel, &group)
+	addSignal(ctx, cancel, &group, n.shutDown)
 	logger.Info("starting", "version", version, "callers", s.Callers.Address, "admin", s.Admin.Address, "peers", s.Peers.Address)
 	err = group.Run()
 	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
@@ -157,7 +157,7 @@
 }
 
 // addSignal ends the group after SIGTERM or SIGINT and a graceful shutdown.
-func (n *node) addSignal(ctx context.Context, cancel context.CancelFunc, group *run.Group) {
+func addSignal(ctx context.Context, cancel context.CancelFunc, group *run.Group, shutDown func(context.Context, os.Signal)) {
 	group.Add(func() error {
 		signals := make(chan os.Signal, 1)
 		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -166,8 +166,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case received := <-signals:
-			n.log.Info("stopping", "signal", received.String())
-			n.shutDown(ctx)
+			shutDown(ctx, received)
 			return ErrStopped
 		}
 	}, func(error) { cancel() })
@@ -175,7 +174,8 @@
 
 // shutDown makes the router unready at once, tells its peers, lets open
 // requests end, and writes what must not be lost.
-func (n *node) shutDown(ctx context.Context) {
+func (n *node) shutDown(ctx context.Context, received os.Signal) {
+	n.log.Info("stopping", "signal", received.String())
 	n.mu.Lock()
 	n.draining = true
 	n.mu.Unlock()
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -68,13 +68,11 @@
 	return x.relayWhole(ctx, t, answer)
 }
 
-// toldTokens is the size from which on other routers are told what a target has to
-// read: below it the wait is shorter than the way of the message matters.
+// toldTokens is the number of tokens from which on other routers are told what a
+// target has to read: at 30 tokens a ms it is twice the time that a message takes
+// to another region and back.
 const toldTokens = 1500
 
-// PrefillTokensPerSecond is the rate at which an engine is taken to read prompts.
-const PrefillTokensPerSecond = prefillTokensPerSecond
-
 // tellPeers tells other routers of a long prompt, so that they do not send
 // theirs to the same target meanwhile.
 func (x *exchange) tellPeers(t Target) {
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -19,14 +19,15 @@
 	minHold  = 50 * time.Millisecond
 	holdPoll = 10 * time.Millisecond
 
-	// prefillTokensPerSecond and decodeMsPerToken stand in for figures that
+	// PrefillTokensPerSecond and decodeMsPerToken stand in for figures that
 	// engines do not tell. Only their ratio to the link matters for placement.
-	prefillTokensPerSecond = 30_000
+	PrefillTokensPerSecond = 30_000
 	decodeMsPerToken       = 10
 
-	sameZoneMs  = 0.3
-	sameRegion  = 2.0
-	otherRegion = 24.0 // there and back, ms
+	// Round trips in ms, of the order that deployments state for their links.
+	sameZoneMs    = 0.3
+	sameRegionMs  = 2.0
+	otherRegionMs = 24.0
 )
 
 // choose picks the target of the next attempt, waiting a moment when none is usable.
@@ -148,7 +149,7 @@
 	return placement.Target{Name: t.Address, Address: t.Address, Region: x.g.settings().Regions[t.AvailabilityZone],
 		AvailabilityZone: t.AvailabilityZone, Incarnation: t.Incarnation(), Slots: max(t.Slots, x.engine.Slots),
 		CacheBlocks:            x.engine.CacheTokens / placement.PartBlockTokens,
-		PrefillTokensPerSecond: prefillTokensPerSecond, DecodeMsPerToken: decodeMsPerToken}
+		PrefillTokensPerSecond: PrefillTokensPerSecond, DecodeMsPerToken: decodeMsPerToken}
 }
 
 // scoreOf returns the score of the target in the last ranking.
@@ -187,7 +188,7 @@
 	case zone == own:
 		return sameZoneMs
 	case g.settings().Regions[zone] == g.settings().Regions[own]:
-		return sameRegion
+		return sameRegionMs
 	}
-	return otherRegion
+	return otherRegionMs
 }
--- a/internal/app/gateway/fake_test.go
+++ b/internal/app/gateway/fake_test.go
@@ -101,9 +101,9 @@
 
 // testRoutes has one route of each kind.
 func testConfiguration(version int64) *site.Configuration {
-	engine := &site.Engine{Slots: 8, CacheTokens: 100_000, Models: []string{testModel}}
+	engine := &site.Engine{Slots: 8, CacheTokens: 100_000}
 	route := func(name string, kind site.Kind, service string, attempts int, resumable bool) site.Route {
-		return site.Route{Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: kind, Resumable: resumable, MaxAttempts: attempts,
+		return site.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Resumable: resumable, MaxAttempts: attempts,
 			Services: []site.Share{{Service: service, Weight: 1}}, Timeout: 5 * time.Second, Objective: 200 * time.Millisecond}
 	}
 	return site.New(site.Definition{Version: version,
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -98,7 +98,7 @@
 	// Holdings knows what targets and stores hold.
 	Holdings *placement.Holdings
 	// Clock is steady while the process runs; BootClock also counts the time for
-	// which the machine was suspended.
+	// which the VM was suspended.
 	Clock     port.Clock
 	BootClock port.Clock
 	Log       *slog.Logger
--- a/internal/app/sitesync/sitesync.go
+++ b/internal/app/sitesync/sitesync.go
@@ -35,7 +35,7 @@
 	Log    port.KeyedLog
 	Name   string
 	Logger *slog.Logger
-	// Clock goes on while the machine is suspended.
+	// Clock goes on while the VM is suspended.
 	Clock port.Clock
 	// Wait is how long a read waits for news, Interval the pause between reads.
 	Wait     time.Duration
--- a/internal/app/weights/weights.go
+++ b/internal/app/weights/weights.go
@@ -63,7 +63,7 @@
 type Deps struct {
 	Log     port.Log
 	Control port.WeightsControl
-	// Clock goes on while the machine is suspended.
+	// Clock goes on while the VM is suspended.
 	Clock  port.Clock
 	Logger *slog.Logger
 	// Holder identifies this life of the router.
--- a/internal/app/weights/weights_test.go
+++ b/internal/app/weights/weights_test.go
@@ -123,6 +123,11 @@
 		TurnTime: turnTime, Targets: f.targets, OnOrdered: func(string, time.Duration) {}, OnWeights: func(string, map[string]int) {}})
 }
 
+// run rolls out in the background until the context ends.
+func run(ctx context.Context, m *Manager) {
+	go func() { _ = m.Run(ctx) }() // ends with the context
+}
+
 // behind counts the engines below the version.
 func (f *fleet) behind(version int) (n int) {
 	for _, t := range f.targets() {
@@ -156,7 +161,7 @@
 		for i := range 7 {
 			m := f.manager(string(rune('A' + i)))
 			m.Want(model, 2)
-			go func() { _ = m.Run(ctx) }()
+			run(ctx, m)
 		}
 		for range 600 {
 			time.Sleep(10 * time.Millisecond)
@@ -185,12 +190,12 @@
 		first, cancelFirst := context.WithCancel(t.Context())
 		a, b := f.manager("A"), f.manager("B")
 		a.Want(model, 2)
-		go func() { _ = a.Run(first) }()
+		run(first, a)
 		time.Sleep(600 * time.Millisecond)
 		cancelFirst() // in the middle of the roll-out
 		rest, cancel := context.WithCancel(t.Context())
 		b.Want(model, 2)
-		go func() { _ = b.Run(rest) }()
+		run(rest, b)
 		time.Sleep(12 * time.Second)
 		is.Equal(f.behind(2), 0)
 		var lastA, firstB time.Time
@@ -224,12 +229,12 @@
 		a, b := f.manager("A"), f.manager("B")
 		a.Fenced, b.Fenced = true, true
 		a.Want(model, 2)
-		go func() { _ = a.Run(first) }()
+		run(first, a)
 		time.Sleep(600 * time.Millisecond)
 		cancelFirst()
 		rest, cancel := context.WithCancel(t.Context())
 		b.Want(model, 2)
-		go func() { _ = b.Run(rest) }()
+		run(rest, b)
 		time.Sleep(6 * time.Second)
 		is.Equal(f.behind(2), 3)
 		f.mu.Lock()
@@ -266,7 +271,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		m := f.manager("A")
 		m.Want(model, 2)
-		go func() { _ = m.Run(ctx) }()
+		run(ctx, m)
 		time.Sleep(time.Second)
 		m.Want(model, 3)
 		time.Sleep(3 * time.Second)
@@ -293,7 +298,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		m := f.manager("A")
 		m.Want(model, 1)
-		go func() { _ = m.Run(ctx) }()
+		run(ctx, m)
 		time.Sleep(time.Minute)
 		batch, err := f.log.Read(t.Context(), port.StreamOrders, 1, 10, 0)
 		is.NoErr(err)
--- a/internal/bootclock/bootclock.go
+++ b/internal/bootclock/bootclock.go
@@ -1,11 +1,12 @@
 // Package bootclock is a clock that neither steps nor stops: it goes on while
-// the machine is suspended, which the monotonic clock of the runtime does not,
+// the VM is suspended, which the monotonic clock of the runtime does not,
 // and ignores changes of the time of day.
 package bootclock
 
 import (
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 )
 
@@ -17,7 +18,7 @@
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		// Every Linux that Go supports has this clock.
-		panic("bootclock: " + err.Error())
+		panic(eris.Wrap(err, "read the boot clock"))
 	}
 	return time.Unix(ts.Sec, ts.Nsec)
 }
--- a/internal/core/site/freshness.go
+++ b/internal/core/site/freshness.go
@@ -5,7 +5,7 @@
 // Freshness tells how old the knowledge is that a configuration is the newest.
 // A client account's key may be taken away at any time, so a router that
 // cannot tell whether this happened stops serving keys after a bound. Times
-// must come from a clock that goes on while the machine is suspended.
+// must come from a clock that goes on while the VM is suspended.
 type Freshness struct {
 	// verified is the latest moment at which the configuration was known to be
 	// the newest.
--- a/internal/core/site/site.go
+++ b/internal/core/site/site.go
@@ -25,10 +25,10 @@
 
 // Route says where requests go and what holds for them.
 type Route struct {
-	Name       string
-	Host       string
-	PathPrefix string
-	Kind       Kind
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
 	// Resumable streams may continue at another target behind their last event.
 	Resumable bool
 	// Services take the requests in proportion to their weights.
@@ -40,8 +40,6 @@
 	// Objective is the time within which an answer, or the first event of a
 	// stream, is on time.
 	Objective time.Duration
-	// MaxGap is the longest pause between events that is still on time.
-	MaxGap time.Duration
 	// Priority is the rank of the route, 0 is the highest.
 	Priority int
 	// Anonymous routes need no key.
@@ -63,8 +61,6 @@
 // Service is a group of equal targets.
 type Service struct {
 	Name string
-	// MaxConnections bounds the connections of all callers to one target; 0: unknown.
-	MaxConnections int
 	// Engine is set for services that run models.
 	Engine *Engine
 	// Store is set for a store of cached prompt parts, which no route names.
@@ -90,7 +86,6 @@
 	LinkMbps   float64
 	// EventReaders bounds the readers of cache events that one engine serves.
 	EventReaders int
-	Models       []string
 }
 
 // ClientAccount is a customer with its keys.
@@ -148,7 +143,7 @@
 	}
 	for _, routes := range c.routes {
 		slices.SortStableFunc(routes, func(a, b *Route) int {
-			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+			return cmp.Compare(len(b.Prefix), len(a.Prefix))
 		})
 	}
 	if len(d.Accounts) > 0 {
@@ -166,7 +161,7 @@
 // path, nil when there is none.
 func (c *Configuration) Route(host, path string) *Route {
 	for _, r := range c.routes[host] {
-		if strings.HasPrefix(path, r.PathPrefix) {
+		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
 	}
--- a/internal/core/site/site_test.go
+++ b/internal/core/site/site_test.go
@@ -10,8 +10,8 @@
 func testConfiguration() *Configuration {
 	return New(Definition{Version: 3,
 		Routes: []Route{
-			{Name: "short", Host: "a", PathPrefix: "/x/"}, {Name: "long", Host: "a", PathPrefix: "/x/y/"},
-			{Name: "open", Host: "b", PathPrefix: "/", Anonymous: true},
+			{Name: "short", Host: "a", Prefix: "/x/"}, {Name: "long", Host: "a", Prefix: "/x/y/"},
+			{Name: "open", Host: "b", Prefix: "/", Anonymous: true},
 		},
 		Accounts: []AccountDefinition{{ClientAccount: ClientAccount{Name: "one"}, Keys: []string{"k1", "k2"}}}})
 }
