Judge each naming of weights from its own time

Version 4 had been named at 10.7 s, and the bound was counted from the newest naming only, so older weights got its time as well. Ruled out: a target that was believed newer than it was; it served version 2 and was known to. Now the oldest version that may still be used follows from every naming, and the target checks it. TestFloorFollowsEachNaming and TestEachNamingHasItsOwnBound need what was missing.

--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -48,6 +48,8 @@
 	retryAfter        time.Duration
 	// kept is a target's failure that was held back for a repeat.
 	kept *keptAnswer
+	// floor is the oldest version on which the request may begin, 0: any.
+	floor int
 	// expectWeights is the version that the target must serve, 0: any.
 	expectWeights int
 }
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -108,6 +108,9 @@
 	// Wanted returns the version named last for a model and when this router
 	// learned of it by BootClock. Nil: none is ever named.
 	Wanted func(model string) (version int, named time.Time)
+	// Floor returns the oldest version of a model on which a request may still begin;
+	// nil: any.
+	Floor func(model string, within time.Duration) int
 	// TellStarted tells other routers of a request with much to read; nil: nobody.
 	TellStarted func(target string, tokens int)
 	// Fingerprints is exchanged with the other routers by the caller.
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -267,3 +267,25 @@
 		is.Equal(told, []int{9000})
 	})
 }
+
+// Guards against weights below those whose bound is over, while newer ones that
+// few targets serve were named just now.
+func TestEachNamingHasItsOwnBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, fine, fine, fine)
+		named := time.Now()
+		w.Wanted = func(string) (int, time.Time) { return 3, named }
+		w.Floor = func(string, time.Duration) int { return 2 }
+		time.Sleep(2 * time.Second)
+		_, err := w.send(t.Context(), "check") // all targets serve version 1
+		is.Equal(failureOf(err).Kind, KindRefused)
+		w.Directory.SetWeights("e3", map[string]int{testModel: 2})
+		_, err = w.send(t.Context(), "check")
+		is.NoErr(err)
+		sent := w.targets.sent()
+		is.Equal(len(sent), 1)
+		is.Equal(sent[0].ExpectTarget, "e3")
+		is.Equal(sent[0].ExpectWeights, 2)
+	})
+}
--- a/internal/app/weights/weights.go
+++ b/internal/app/weights/weights.go
@@ -44,7 +44,10 @@
 	// lateAfter is the duration of a roll-out from which on more targets load at once:
 	// answers on old weights are worth less than the time that the others lose.
 	lateAfter = 2500 * time.Millisecond
-	readLimit = 64 // records of one read of claims
+	// maxNamings bounds the namings of a model that are remembered; the oldest is
+	// long past its bound by then.
+	maxNamings = 64
+	readLimit  = 64 // records of one read of claims
 	// serveAgain is how long an ordered target is expected to start no request.
 	serveAgain = 900 * time.Millisecond
 )
@@ -102,6 +105,7 @@
 	wanted    map[string]int
 	named     time.Time // when the newest version was learned
 	namedAt   map[string]time.Time
+	namings   map[string][]rollout.Naming
 	heldUntil time.Time
 	token     port.Offset
 	pending   map[string]*pending
@@ -117,7 +121,7 @@
 // New returns a manager.
 func New(d Deps) *Manager {
 	return &Manager{Deps: d, changed: make(chan struct{}, 1), wanted: map[string]int{},
-		namedAt: map[string]time.Time{}, next: 1,
+		namedAt: map[string]time.Time{}, namings: map[string][]rollout.Naming{}, next: 1,
 		pending: map[string]*pending{}, failures: map[string]int{}}
 }
 
@@ -131,6 +135,11 @@
 	m.wanted[model] = version
 	m.named = m.Clock.Now()
 	m.namedAt[model] = m.named
+	kept := m.namings[model]
+	if len(kept) == maxNamings {
+		kept = kept[1:]
+	}
+	m.namings[model] = append(kept, rollout.Naming{Version: version, At: m.named})
 	m.Logger.Info("weights named", "model", model, "version", version)
 	m.wake()
 }
@@ -143,6 +152,14 @@
 	return m.wanted[model], m.namedAt[model]
 }
 
+// Floor returns the oldest version on which a request may still begin when none may
+// begin on older weights within the time after a naming; 0: any.
+func (m *Manager) Floor(model string, within time.Duration) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return rollout.Floor(m.namings[model], m.Clock.Now(), within)
+}
+
 func (m *Manager) state() (map[string]int, time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -127,3 +127,22 @@
 	}
 	return all
 }
+
+// Naming is a version of a model's weights with the time at which it was named.
+type Naming struct {
+	Version int
+	At      time.Time
+}
+
+// Floor returns the oldest version on which a request may still begin: the newest
+// for which the bound is near. Each version is judged from its own naming, so
+// newer ones that follow soon give older weights no more time. 0: any version.
+func Floor(namings []Naming, now time.Time, within time.Duration) int {
+	floor := 0
+	for _, n := range namings {
+		if NeedAt(now.Sub(n.At), within) == OnlyNewest {
+			floor = max(floor, n.Version)
+		}
+	}
+	return floor
+}
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -73,3 +73,15 @@
 	is.True(!Behind(engines(2, 3), map[string]int{"m": 2}))
 	is.True(!Behind(engines(1), nil))
 }
+
+// Guards against weights that get more time because newer ones are named before
+// all targets serve those named last.
+func TestFloorFollowsEachNaming(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(100, 0)
+	namings := []Naming{{2, start}, {3, start.Add(4 * time.Second)}, {4, start.Add(8 * time.Second)}}
+	for after, want := range map[time.Duration]int{0: 0, 5: 0, 6: 2, 9: 2, 10: 3, 13: 3, 14: 4} {
+		is.Equal(Floor(namings, start.Add(after*time.Second), 8*time.Second), want)
+	}
+	is.Equal(Floor(namings, start.Add(time.Hour), 0), 0)
+}
