Keep crash suspects of different routers apart

(1) A router that had not used a target before did not know its incarnation. When the target crashed before it answered and was back at once, the crash looked like a lost connection: the crashing request was never suspected there, ran as a fresh one on up to five targets, and met the harmless suspect of another router. Seen in a log of each start and crash. (2) Suspects were kept apart within one router only.

Change: an attempt on a target of unknown incarnation first asks for it. A suspect reserves its target with up to three routers that are picked by rendezvous hashing, and with its own table, so that two routers whose views differ after a start see each other too. Routers that do not answer grant.

--- a/cmd/mimosaseam/gatewaypeers.go
+++ b/cmd/mimosaseam/gatewaypeers.go
@@ -42,6 +42,7 @@
 		},
 	})
 	fingerprints.SetReport(n.fleet.ReportFingerprint)
+	fingerprints.SetArbiter(n.fleet)
 	n.peers = peergrpc.NewServer(n.fleet, nil)
 }
 
--- a/cmd/mimosaseam/node.go
+++ b/cmd/mimosaseam/node.go
@@ -212,6 +212,7 @@
 			OnConfigOffset: n.takeConfigOffset,
 		},
 	})
+	n.fingerprints.SetArbiter(n.fleet)
 	n.shares = shares.New(s.VM.Name, n.fleet.Demand)
 }
 
--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -123,6 +123,14 @@
 	return err
 }
 
+// Reserve implements port.SuspectPeer.
+func (c *Client) Reserve(ctx context.Context, address, target string, fingerprint uint64, release bool) (bool, error) {
+	out, err := call(ctx, c, address, func(ctx context.Context, p peerv1.PeerClient) (*peerv1.ReserveResponse, error) {
+		return p.Reserve(ctx, &peerv1.ReserveRequest{Target: target, Fingerprint: fingerprint, Release: release})
+	})
+	return out.GetGranted(), err
+}
+
 // call runs one call with a deadline. A failed call drops the connection, so
 // that the next one finds out on a fresh connection whether the old one went
 // silent.
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -132,6 +132,11 @@
 	return &peerv1.StartedResponse{}, nil
 }
 
+func (s *server) Reserve(_ context.Context, in *peerv1.ReserveRequest) (*peerv1.ReserveResponse, error) {
+	h, ok := s.handler.(port.SuspectHandler)
+	return &peerv1.ReserveResponse{Granted: !ok || h.HandleReserve(in.GetTarget(), in.GetFingerprint(), in.GetRelease())}, nil
+}
+
 func checkSender(m *peerv1.Member) error {
 	if m.GetName() == "" || len(m.GetName()) > maxNameBytes || !knownState(m.GetState()) {
 		return status.Error(codes.InvalidArgument, "the sender's name or state is invalid")
--- a/internal/adapter/peergrpc/work_test.go
+++ b/internal/adapter/peergrpc/work_test.go
@@ -19,6 +19,10 @@
 
 func (h *workHandler) HandleStarted(target string, tokens int) { h.target, h.tokens = target, tokens }
 
+func (h *workHandler) HandleReserve(target string, fingerprint uint64, release bool) bool {
+	return target == "t1" && fingerprint == 7 && !release
+}
+
 func (h *workHandler) HandlePullRecords(context.Context, string, port.Offset, int) (port.Batch, error) {
 	return port.Batch{Next: 5, Age: 1500*time.Millisecond + 1}, nil
 }
@@ -40,3 +44,22 @@
 	older, _ := serve(t, &handler{}, nil)
 	is.NoErr(c.Started(t.Context(), older, "t1", 9000))
 }
+
+// Guards against an answer of a peer about a suspect that is turned round, and against
+// suspects that cannot run beside a router of an earlier version.
+func TestReserveReachesPeers(t *testing.T) {
+	is := is.New(t)
+	c := NewClient(nil)
+	defer c.Close()
+	address, _ := serve(t, &workHandler{handler: &handler{}}, nil)
+	granted, err := c.Reserve(t.Context(), address, "t1", 7, false)
+	is.NoErr(err)
+	is.True(granted)
+	granted, err = c.Reserve(t.Context(), address, "t1", 8, false)
+	is.NoErr(err)
+	is.True(!granted)
+	older, _ := serve(t, &handler{}, nil)
+	granted, err = c.Reserve(t.Context(), older, "t1", 8, false)
+	is.NoErr(err)
+	is.True(granted)
+}
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"mimosaseam.example/mimosaseam/internal/core/membership"
+	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -116,6 +117,8 @@
 	urgent chan struct{}
 	// workCalls counts the messages about work under way.
 	workCalls atomic.Int64
+	// suspects are the targets that this router decides for.
+	suspects *retry.Reservations
 
 	mu      sync.Mutex
 	view    *membership.View
@@ -157,10 +160,11 @@
 		o.ListInterval = defaultListInterval
 	}
 	return &Fleet{
-		o:       o,
-		urgent:  make(chan struct{}, 1),
-		view:    membership.New(o.Clock.Now(), o.Self, o.Seeds, rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64()))),
-		reports: map[string]report{},
+		o:        o,
+		urgent:   make(chan struct{}, 1),
+		view:     membership.New(o.Clock.Now(), o.Self, o.Seeds, rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64()))),
+		reports:  map[string]report{},
+		suspects: retry.NewReservations(),
 	}
 }
 
--- a/internal/app/fleet/net_test.go
+++ b/internal/app/fleet/net_test.go
@@ -59,6 +59,7 @@
 		for _, stop := range net.stop {
 			stop()
 		}
+		<-time.After(workTimeout) // messages under way
 		synctest.Wait()
 	})
 }
@@ -211,3 +212,11 @@
 	}
 	return f.HandleHandoff(ctx, from, summary)
 }
+
+func (l *link) Reserve(ctx context.Context, address, target string, fingerprint uint64, release bool) (bool, error) {
+	f, err := l.reach(ctx, address)
+	if err != nil {
+		return false, err
+	}
+	return f.HandleReserve(target, fingerprint, release), nil
+}
--- a/internal/app/fleet/work.go
+++ b/internal/app/fleet/work.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mimosaseam.example/mimosaseam/internal/core/membership"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -25,19 +26,28 @@
 	neighbours := f.view.Neighbours()
 	f.mu.Unlock()
 	for _, to := range neighbours {
-		if f.workCalls.Add(1) > maxWorkCalls {
-			f.workCalls.Add(-1)
-			return
-		}
-		go func() {
-			defer f.workCalls.Add(-1)
-			ctx, cancel := context.WithTimeout(context.Background(), workTimeout)
-			defer cancel()
-			if err := peer.Started(ctx, to.Address, target, tokens); err != nil {
-				f.o.Logger.Debug("peer not told of work", "peer", to.Name, "error", err.Error())
-			}
-		}()
+		f.goTell("work at "+target, to, func(ctx context.Context) error {
+			return peer.Started(ctx, to.Address, target, tokens)
+		})
+	}
+}
+
+// goTell sends a message to a peer without waiting. It is dropped when too many are
+// under way.
+func (f *Fleet) goTell(what string, to membership.Target, send func(ctx context.Context) error) {
+	if f.workCalls.Add(1) > maxWorkCalls {
+		f.workCalls.Add(-1)
+		f.o.Logger.Debug("peer not told", "what", what, "peer", to.Name, "why", "too many messages under way")
+		return
 	}
+	go func() {
+		defer f.workCalls.Add(-1)
+		ctx, cancel := context.WithTimeout(context.Background(), workTimeout)
+		defer cancel()
+		if err := send(ctx); err != nil {
+			f.o.Logger.Debug("peer not told", "what", what, "peer", to.Name, "why", err.Error())
+		}
+	}()
 }
 
 // HandleStarted implements port.WorkHandler.
--- a/internal/app/router/attempt.go
+++ b/internal/app/router/attempt.go
@@ -42,12 +42,14 @@
 	weights         string
 }
 
-// event is one step of an attempt: opened, a chunk, or its end.
+// event is one step of an attempt: its target identified, opened, a chunk, or its
+// end.
 type event struct {
-	a      *attempt
-	opened port.ChunkStream
-	chunk  port.Chunk
-	err    error
+	a          *attempt
+	identified port.Incarnation
+	opened     port.ChunkStream
+	chunk      port.Chunk
+	err        error
 }
 
 // startAttempt registers the attempt with all that follows running work and
@@ -86,6 +88,11 @@
 // read runs one attempt and sends its events until the attempt is over or
 // abandoned. The channel has no buffer, so a slow caller stops the reading.
 func (c *completion) read(a *attempt, g port.Generation) {
+	if a.target.Incarnation == "" {
+		if inc := c.r.identify(a.ctx, c.p.pool, a.target); inc != "" && !c.send(event{a: a, identified: inc}) {
+			return
+		}
+	}
 	stream, err := c.r.Engine.Generate(a.ctx, a.target.Address, g)
 	if err != nil {
 		c.send(event{a: a, err: err})
--- a/internal/app/router/completion.go
+++ b/internal/app/router/completion.go
@@ -219,6 +219,9 @@
 		return false, nil
 	case e.err != nil:
 		return false, c.failed(ctx, e.a, ended(e.err))
+	case e.identified != "":
+		e.a.incarnation = e.identified
+		return false, nil
 	case e.opened != nil:
 		return false, c.opened(ctx, e.a, e.opened)
 	}
--- a/internal/app/router/crash_test.go
+++ b/internal/app/router/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -157,3 +158,24 @@
 		is.Equal(fleet.crashes, 2)
 	})
 }
+
+// Guards against a request that crashes one target after the other on a router that
+// has not used them before: they are back at once, so only their incarnation tells.
+func TestCrashBeforeTheFirstAnswerOfATarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := &crashFleet{lives: map[string]int{}, kill: map[string]context.CancelFunc{}}
+		b := newBench(t, nil)
+		fleet.install(b.engine)
+		for _, address := range []string{"e1", "e2", "e3"} {
+			b.engine.scripts[address] = func(context.Context, port.Generation) (port.ChunkStream, error) {
+				fleet.life(address)
+				fleet.crash(address)
+				return nil, &port.UnknownOutcomeError{Peer: address, Cause: io.ErrUnexpectedEOF}
+			}
+		}
+		_, err := b.complete(t.Context(), poison, 20, &textSink{})
+		is.Equal(failure(t, err).Kind, KindCrashSuspect)
+		is.Equal(fleet.crashes, 2)
+	})
+}
--- a/internal/app/router/health.go
+++ b/internal/app/router/health.go
@@ -79,6 +79,14 @@
 	}
 }
 
+// identify learns the incarnation of a target that this router has not used yet:
+// without it, a target that crashes before it answers and is back at once looks like
+// a lost connection, and a request that crashes targets is never suspected.
+func (r *Router) identify(ctx context.Context, pool config.Pool, t target) port.Incarnation {
+	r.observe(ctx, pool, t)
+	return r.Targets.State(t.Address).Incarnation
+}
+
 // judge records what a probe says of a target after a broken or stalled
 // attempt.
 func (r *Router) judge(pool config.Pool, t target, before port.Incarnation, h health, crashed bool) {
--- a/internal/app/router/service.go
+++ b/internal/app/router/service.go
@@ -195,6 +195,9 @@
 	ctx, span := r.Tracer.Start(ctx, "attempt", trace.WithAttributes(
 		attribute.String("target", t.Name), attribute.String("attempt_id", id)))
 	defer span.End()
+	if t.Incarnation == "" {
+		t.Incarnation = r.identify(ctx, c.p.pool, t)
+	}
 	r.limits.StartTarget(t.Address)
 	defer r.limits.EndTarget(t.Address)
 	r.circuits.Started(now, t.Address)
--- a/internal/core/retry/fingerprint.go
+++ b/internal/core/retry/fingerprint.go
@@ -65,6 +65,10 @@
 	records map[Fingerprint]*CrashRecord
 	running map[string]map[string]Fingerprint // target -> attempt -> request
 	crashes map[string]time.Time              // crashes already counted
+	// arbiter keeps suspects of other routers away; nil: none is asked. reserved holds
+	// the attempts that it has to be told the end of.
+	arbiter  Arbiter
+	reserved map[string]bool
 	// quarantines is closed and replaced when a request is quarantined.
 	quarantines chan struct{}
 	// report tells peers; news waits to be told without the lock held.
@@ -79,10 +83,19 @@
 		running: map[string]map[string]Fingerprint{},
 		crashes: map[string]time.Time{},
 
+		reserved:    map[string]bool{},
 		quarantines: make(chan struct{}),
 	}
 }
 
+// SetArbiter sets who keeps suspects of different routers apart. It must be called
+// before the first request.
+func (f *Fingerprints) SetArbiter(a Arbiter) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.arbiter = a
+}
+
 // Quarantines returns a channel that is closed at the next quarantine, for
 // requests that run on several targets at once.
 func (f *Fingerprints) Quarantines() <-chan struct{} {
@@ -139,12 +152,29 @@
 }
 
 // Start records that an attempt of the request is about to run on the target,
-// unless it may not run there.
+// unless it may not run there. For a suspect it asks the arbiter, which may take the
+// time of one message.
 func (f *Fingerprints) Start(now time.Time, fp Fingerprint, target, attempt string) bool {
+	arbiter, ok := f.register(now, fp, target, attempt)
+	if !ok || arbiter == nil {
+		return ok
+	}
+	if !arbiter.Reserve(target, fp) {
+		f.unregister(target, attempt)
+		return false
+	}
+	f.mu.Lock()
+	f.reserved[attempt] = true
+	f.mu.Unlock()
+	return true
+}
+
+// register records the attempt and returns who has to be asked for a suspect.
+func (f *Fingerprints) register(now time.Time, fp Fingerprint, target, attempt string) (Arbiter, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.mayRun(now, fp, target) {
-		return false
+		return nil, false
 	}
 	set := f.running[target]
 	if set == nil {
@@ -152,17 +182,29 @@
 		f.running[target] = set
 	}
 	set[attempt] = fp
-	return true
+	if f.live(now, fp) == nil {
+		return nil, true
+	}
+	return f.arbiter, true
 }
 
 // Ended records that the attempt no longer runs.
 func (f *Fingerprints) Ended(target, attempt string) {
+	if fp, reserved := f.unregister(target, attempt); reserved {
+		f.arbiter.Release(target, fp)
+	}
+}
+
+func (f *Fingerprints) unregister(target, attempt string) (fp Fingerprint, reserved bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	fp, reserved = f.running[target][attempt], f.reserved[attempt]
+	delete(f.reserved, attempt)
 	delete(f.running[target], attempt)
 	if len(f.running[target]) == 0 {
 		delete(f.running, target)
 	}
+	return fp, reserved
 }
 
 // Clear ends the suspicion of a request that ran past the place of the crash.
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -137,6 +137,18 @@
 	HandleStarted(target string, tokens int)
 }
 
+// SuspectPeer asks the router that decides for a target.
+type SuspectPeer interface {
+	// Reserve reports whether the crash suspect may run on the target alone; with
+	// release it gives the target back.
+	Reserve(ctx context.Context, address, target string, fingerprint uint64, release bool) (granted bool, err error)
+}
+
+// SuspectHandler decides for SuspectPeer; a PeerHandler may implement it.
+type SuspectHandler interface {
+	HandleReserve(target string, fingerprint uint64, release bool) (granted bool)
+}
+
 // PeerHandler answers the calls of other routers.
 type PeerHandler interface {
 	HandleExchange(ctx context.Context, e PeerExchange) (PeerExchange, error)
