Rank targets with the share of requests that fail on them

Cause: a target that fails a part of its requests while its status check is good got its full share of requests. Failures that a target answers opened no circuit, a circuit needs three failures in a row, and failures that were passed on counted as successes.

Answers that ran out of time count only when the target had the time of the objective.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -46,15 +46,17 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := x.watchSilence(ctx, cancel, t)
+	status := 0
 	defer func() {
 		stop()
-		x.ended(ctx, t, id, start, evidence, err)
+		x.ended(ctx, t, id, start, evidence, err, x.outcomeOf(ctx, start, status, evidence, err))
 	}()
 	answer, err := g.Forwarder.Forward(ctx, t.Address, x.forward(t))
 	if err != nil {
 		return x.unanswered(ctx, t, err)
 	}
 	defer answer.Body.Close()
+	status = answer.Status
 	g.Directory.learn(t.ID, x.r.Model, answer)
 	if answer.Closing {
 		g.Log.Debug("target closes connections", "target", t.ID)
@@ -86,6 +88,9 @@
 func (x *exchange) logSend(ctx context.Context, t Target) {
 	attrs := []slog.Attr{slog.String("request", x.r.ID), slog.String("target", t.ID), slog.Int("send", x.sends),
 		slog.Int("in_flight", t.InFlight), slog.Float64("left_ms", ms(x.deadline.Sub(x.g.Clock.Now())))}
+	if share := t.Reliability.FailureShare(x.g.Clock.Now()); share > 0 {
+		attrs = append(attrs, slog.Float64("failure_share", share))
+	}
 	if x.engine != nil {
 		attrs = append(attrs, slog.String("session", x.session()), slog.Int("prompt_tokens", x.r.PromptTokens),
 			slog.Int("cached_tokens", x.score.CachedTokens), slog.Int("elsewhere_tokens", x.elsewhere),
@@ -187,8 +192,25 @@
 	return err
 }
 
+// outcomeOf is what an attempt showed of its target, from its answer alone. A request
+// that ran out of time says something only when the target had the time within which
+// the route expects an answer.
+func (x *exchange) outcomeOf(ctx context.Context, start time.Time, status int, evidence fate.Evidence, err error) outcome {
+	switch {
+	case status >= http.StatusInternalServerError:
+		return outcomeBad
+	case err == nil:
+		return outcomeGood
+	case evidence == fate.NotRun || clientGone(ctx) || failureOf(err).Kind == KindGone:
+		return outcomeNone
+	case ctxAlive(ctx) || x.g.Clock.Now().Sub(start) >= x.route.Objective:
+		return outcomeBad
+	}
+	return outcomeNone
+}
+
 // ended takes the attempt off all counts.
-func (x *exchange) ended(ctx context.Context, t Target, id string, start time.Time, evidence fate.Evidence, err error) {
+func (x *exchange) ended(ctx context.Context, t Target, id string, start time.Time, evidence fate.Evidence, err error, o outcome) {
 	g, now := x.g, x.g.Clock.Now()
 	cached := -1
 	took := time.Duration(0)
@@ -203,7 +225,7 @@
 		g.circuits.Ended(t.ID)
 	}
 	g.Fingerprints.Ended(t.Address, id)
-	g.Directory.end(t.ID, took)
+	g.Directory.end(t.ID, took, o)
 	if x.engine != nil {
 		g.Placer.Finished(now, x.place, t.Address, t.Incarnation(), cached)
 	}
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -153,10 +153,16 @@
 func (x *exchange) placementTarget(t Target) placement.Target {
 	return placement.Target{Name: t.Address, Address: t.Address, Region: x.g.settings().Regions[t.AvailabilityZone],
 		AvailabilityZone: t.AvailabilityZone, Incarnation: t.Incarnation(), Slots: max(t.Slots, x.engine.Slots),
+		RiskMs:                 x.riskMs(t),
 		CacheBlocks:            x.engine.CacheTokens / placement.PartBlockTokens,
 		PrefillTokensPerSecond: PrefillTokensPerSecond, DecodeMsPerToken: decodeMsPerToken}
 }
 
+// riskMs is the expected loss by failures of the target.
+func (x *exchange) riskMs(t Target) float64 {
+	return balance.RiskMs(t.Reliability.FailureShare(x.g.Clock.Now()), x.route.Objective, x.route.Repeatable())
+}
+
 // scoreOf returns the score of the target in the last ranking.
 func (x *exchange) scoreOf(t Target) placement.Score {
 	for _, s := range x.scores {
@@ -173,7 +179,7 @@
 	for i, t := range targets {
 		byAddress[t.Address] = i
 		c := balance.Candidate{Address: t.Address, Slots: t.Slots, InFlight: t.InFlight, ServiceMs: t.ServiceMs,
-			LinkMs: x.g.linkMs(t.AvailabilityZone)}
+			LinkMs: x.g.linkMs(t.AvailabilityZone), RiskMs: x.riskMs(t)}
 		if now.Sub(t.Load.MeasuredAt) < loadFreshFor {
 			c.Reported, c.Explained = t.Load.Running+t.Load.Waiting, t.ExplainedLoad
 		}
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"mimosaseam.example/mimosaseam/internal/core/balance"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
@@ -35,7 +36,9 @@
 	// ExplainedLoad is the router's own part of Load.
 	ExplainedLoad int
 	ServiceMs     float64
-	InFlight      int
+	// Reliability is what this router's own requests showed.
+	Reliability balance.Reliability
+	InFlight    int
 	// Heard is when the target last sent any byte.
 	Heard time.Time
 }
@@ -228,10 +231,14 @@
 
 // end takes the request off; took is the time to the whole answer, 0 when there
 // was none.
-func (d *Directory) end(id string, took time.Duration) {
+func (d *Directory) end(id string, took time.Duration, o outcome) {
 	const gain = 0.1 // weight of a new sample in the running mean
+	now := d.clock.Now()
 	d.update(id, func(t *Target) {
 		t.InFlight--
+		if o != outcomeNone {
+			t.Reliability = t.Reliability.Observe(now, o == outcomeBad)
+		}
 		if took > 0 {
 			ms := float64(took) / float64(time.Millisecond)
 			if t.ServiceMs == 0 {
@@ -242,6 +249,16 @@
 	})
 }
 
+// outcome is what a request showed of the target that it ran on.
+type outcome int
+
+const (
+	// outcomeNone: the target refused it, or the client left.
+	outcomeNone outcome = iota
+	outcomeGood
+	outcomeBad
+)
+
 // heard records that the target sent bytes.
 func (d *Directory) heard(id string) {
 	now := d.clock.Now()
--- a/internal/app/gateway/fake_test.go
+++ b/internal/app/gateway/fake_test.go
@@ -34,6 +34,8 @@
 	replies  []reply
 	attempts []port.Forward
 	status   error
+	// always is what a target answers when no reply is left.
+	always map[string]reply
 }
 
 func (f *fakeTargets) Forward(ctx context.Context, address string, a port.Forward) (port.Answer, error) {
@@ -42,6 +44,8 @@
 	r := reply{status: http.StatusOK, body: "ok"}
 	if len(f.replies) > 0 {
 		r, f.replies = f.replies[0], f.replies[1:]
+	} else if own, set := f.always[address]; set {
+		r = own
 	}
 	f.mu.Unlock()
 	if r.silent {
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -289,3 +289,45 @@
 		is.Equal(sent[0].ExpectWeights, 2)
 	})
 }
+
+// Guards against requests that go on to a target that fails a part of them while
+// others serve, for lack of evidence other than its answers.
+func TestFailingTargetIsPassedOver(t *testing.T) {
+	cases := map[string]struct {
+		route string
+		grey  reply
+	}{
+		"answers with failures":      {"book", reply{status: 500}},
+		"answers nothing":            {"book", reply{silent: true}},
+		"engine answers failures":    {"brief", reply{status: 500}},
+		"breaks its answers off":     {"book", reply{status: 200, body: "o", broken: true}},
+		"failures that are repeated": {"look", reply{status: 500}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				w.targets.always = map[string]reply{}
+				for _, id := range []string{"e1", "e2", "e3"} {
+					w.targets.always["llm-"+id] = reply{status: http.StatusOK, body: event1 + event2}
+				}
+				_, _ = w.send(t.Context(), c.route)
+				first := w.targets.sent()[0].ExpectTarget // what idle targets are ranked like
+				w.targets.always["desk-"+first], w.targets.always["llm-"+first] = c.grey, c.grey
+				for range 20 {
+					<-time.After(100 * time.Millisecond) // engines read what they were sent
+					_, _ = w.send(t.Context(), c.route)
+				}
+				n := 0
+				for _, a := range w.targets.sent()[1:] {
+					if a.ExpectTarget == first {
+						n++
+					}
+				}
+				is.True(n > 0)
+				is.True(n < 10) // most go elsewhere
+			})
+		})
+	}
+}
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -19,6 +19,8 @@
 	Explained int
 	// LinkMs is the time there and back.
 	LinkMs float64
+	// RiskMs is the expected loss by failures; see RiskMs.
+	RiskMs float64
 	// ServiceMs is the usual time of one request on the target, 0: unknown.
 	ServiceMs float64
 }
@@ -27,7 +29,7 @@
 const defaultServiceMs = 20
 
 // ExpectedMs is the expected time to the answer: the link, the wait for a slot,
-// and the request itself. Slots that are taken slow a target before it is full,
+// the request itself, and what failures cost. Slots that are taken slow a target before it is full,
 // so that ties go to the emptier one.
 func (c Candidate) ExpectedMs() float64 {
 	service := c.ServiceMs
@@ -36,7 +38,7 @@
 	}
 	ahead := float64(c.InFlight + max(0, c.Reported-c.Explained))
 	slots := float64(max(c.Slots, 1))
-	ms := c.LinkMs + service*(1+ahead/slots/2)
+	ms := c.LinkMs + c.RiskMs + service*(1+ahead/slots/2)
 	if ahead >= slots {
 		ms += (ahead - slots + 1) / slots * service
 	}
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -16,6 +17,8 @@
 	reported.Reported = 18
 	slow.ServiceMs = 200
 	own := reported
+	failing := near
+	failing.RiskMs = RiskMs(0.4, 150*time.Millisecond, false)
 	own.Explained = 18
 	cases := map[string]struct {
 		a    Candidate
@@ -26,6 +29,7 @@
 		"full of requests of others":    {reported, "far"},
 		"slow":                          {slow, "far"},
 		"reported load that has ended":  {own, "near"},
+		"fails a part of its requests":  {failing, "far"},
 		"unknown service time and idle": {Candidate{Address: "near", Slots: 6}, "near"},
 	}
 	for name, c := range cases {
@@ -36,3 +40,23 @@
 		})
 	}
 }
+
+// Guards against one failure that shuts a target out, against a failing target that
+// stays in use, and against one that is never tried again.
+func TestReliability(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var r Reliability
+	is.Equal(r.FailureShare(now), 0.0)
+	r = r.Observe(now, true)
+	is.True(r.FailureShare(now) <= 0.2)
+	for range 5 {
+		r = r.Observe(now, true).Observe(now, false)
+	}
+	is.True(r.FailureShare(now) > 0.35)
+	is.True(r.FailureShare(now.Add(5*evidenceHalfLife)) < 0.1)
+	for range 100 {
+		r = r.Observe(now, false)
+	}
+	is.True(r.FailureShare(now) < 0.1)
+}
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -37,7 +37,7 @@
 	if left := target.ColdUntil.Sub(v.now); left > 0 {
 		s.ColdMs = 2 * (s.PrefillMs + s.QueueMs) * min(1, left.Seconds()/slowStart.Seconds())
 	}
-	s.CostMs = s.QueueMs + s.PrefillMs + s.LinkMs + s.ColdMs + s.RecomputeMs + s.CrossMs
+	s.CostMs = s.QueueMs + s.PrefillMs + s.LinkMs + s.ColdMs + s.RecomputeMs + s.CrossMs + target.RiskMs
 	c.state, c.score = t, s
 }
 
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -22,6 +22,8 @@
 	DecodeMsPerToken       float64
 	// ColdUntil is the end of the target's slow start.
 	ColdUntil time.Time
+	// RiskMs is the expected loss by failures of the target.
+	RiskMs float64
 }
 
 // Weights steer the cost of one route; see config.PlacementWeights.
