Hold requests back from engines that cannot answer in time

Cause: with more work than the engines can read, every request was sent at once.

Change: the gateway asks core/limits before the first send. A pool can now be gated by time instead of places: a request starts while it is on time on the engine that it would go to, later once that queue has shrunk; less urgent ones get less room. What waits goes by rank, then fair between client accounts, and is refused at once when it cannot start before the client gives up, with the expected wait as Retry-After, spread. Requests start one by one, so that each gate sees the one before. An engine's own count of waiting requests raises the estimate.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -29,7 +29,8 @@
 
 // attempt sends the request to the target and relays the answer. An error comes
 // with the evidence of what may have happened.
-func (x *exchange) attempt(ctx context.Context, t Target) (evidence fate.Evidence, err error) {
+// started is called once the attempt is counted.
+func (x *exchange) attempt(ctx context.Context, t Target, started func()) (evidence fate.Evidence, err error) {
 	g, start, id := x.g, x.g.Clock.Now(), x.attemptID()
 	x.sends++
 	x.lastTarget, x.tried[t.ID] = t.ID, true
@@ -37,11 +38,13 @@
 	g.circuits.Started(start, t.ID)
 	if x.engine != nil {
 		x.score = x.scoreOf(t)
+		g.noteWork(x.service, x.score.PrefillMs)
 		x.moveParts(start, t)
 		g.Placer.Started(start, x.place, t.Address)
 		x.tellPeers(t)
 		g.Holdings.Expect(start, t.Address, x.cacheScope(t), x.r.Prompt)
 	}
+	started()
 	x.logSend(ctx, t)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -32,7 +32,8 @@
 )
 
 // choose picks the target of the next attempt, waiting a moment when none is usable.
-func (x *exchange) choose(ctx context.Context) (Target, error) {
+// wait is called before it waits.
+func (x *exchange) choose(ctx context.Context, wait func()) (Target, error) {
 	hold := max(minHold, time.Duration(holdShare*float64(x.route.Objective)))
 	start := x.g.Clock.Now()
 	for {
@@ -40,6 +41,7 @@
 			x.g.Metrics.Observe(MetricPlacement, x.g.Clock.Now().Sub(start))
 			return t, nil
 		}
+		wait()
 		if x.g.Clock.Now().Sub(start) >= hold {
 			return Target{}, errors.Join(ErrNoTarget, x.lastCause)
 		}
@@ -51,16 +53,15 @@
 
 // best returns the preferred usable target.
 func (x *exchange) best(now time.Time) (Target, bool) {
-	usable := x.usable(now)
-	if len(usable) == 0 {
-		return Target{}, false
+	k := x.next
+	if x.next = nil; k == nil {
+		k = x.rank(now, true)
 	}
-	order := x.rankPlain
-	if x.engine != nil {
-		order = x.rankEngines
+	if k == nil {
+		return Target{}, false
 	}
-	for _, i := range order(now, usable) {
-		t := usable[i]
+	for _, i := range k.order {
+		t := k.targets[i]
 		if x.g.Fingerprints.Start(now, x.fingerprint, t.Address, x.attemptID()) {
 			return t, true
 		}
@@ -70,12 +71,12 @@
 
 // usable lists the targets that may be tried now. Those that were tried before
 // are left out while others remain.
-func (x *exchange) usable(now time.Time) []Target {
+func (x *exchange) usable(now time.Time, probe bool) []Target {
 	unusable := x.g.circuits.Unusable(now)
 	var fresh, tried []Target
 	for _, t := range x.suitable(x.g.Directory.Service(x.service)) {
 		if _, out := unusable[t.ID]; out {
-			if x.g.circuits.ClaimProbe(now, t.ID) {
+			if probe && x.g.circuits.ClaimProbe(now, t.ID) {
 				// The next real request is the probe: connecting fails at once on a
 				// target that is gone, and leaves the request not run.
 				x.g.circuits.Probed(now, t.ID, true)
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/fate"
+	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/core/site"
@@ -46,6 +47,10 @@
 	// fetchFrom and saveTo are where the last attempt moved cached parts.
 	fetchFrom, saveTo string
 	retryAfter        time.Duration
+	// next is the ranking with which the request was admitted, and queued how long it
+	// waited for that.
+	next   *ranked
+	queued time.Duration
 	// kept is a target's failure that was held back for a repeat.
 	kept *keptAnswer
 	// floor is the oldest version on which the request may begin, 0: any.
@@ -144,12 +149,24 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, time.Now().Add(x.deadline.Sub(x.g.Clock.Now())), ErrRouteTimeout)
 	defer cancel()
 	x.g.window(x.service).Request(x.g.Clock.Now())
+	permit, err := x.admit(ctx)
+	if err != nil {
+		return x.notAdmitted(ctx, err)
+	}
+	started := func() {
+		if permit != nil {
+			permit.Started()
+		}
+	}
+	if permit != nil {
+		defer permit.Release()
+	}
 	for {
-		t, err := x.choose(ctx)
+		t, err := x.choose(ctx, started)
 		if err != nil {
 			return x.giveUp(ctx, fate.NotRun, err)
 		}
-		evidence, err := x.attempt(ctx, t)
+		evidence, err := x.attempt(ctx, t, started)
 		if err == nil {
 			return nil
 		}
@@ -168,6 +185,17 @@
 	}
 }
 
+// notAdmitted refuses a request that cannot be served in time. The client is told when
+// the queue will have drained.
+func (x *exchange) notAdmitted(ctx context.Context, err error) error {
+	var refused *limits.RefusedError
+	if errors.As(err, &refused) {
+		x.g.Metrics.Add(MetricNotAdmitted, 1)
+		x.retryAfter = refused.RetryAfter
+	}
+	return x.giveUp(ctx, fate.NotRun, err)
+}
+
 // Waits that a refused client is advised to keep.
 const (
 	// comeBackSoon covers the start of a router or the busy moment of a target.
@@ -223,6 +251,9 @@
 	if x.account != nil {
 		out = append(out, slog.String("account", x.account.Name))
 	}
+	if x.queued >= toldWait {
+		out = append(out, slog.Float64("queued_ms", ms(x.queued)))
+	}
 	if x.firstEvent > 0 {
 		out = append(out, slog.Float64("first_event_ms", ms(x.firstEvent)))
 	}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/core/site"
@@ -37,6 +38,10 @@
 	MetricFirstEvent = "first_event"
 	MetricAnswer     = "answer"
 	MetricPlacement  = "placement"
+	// MetricQueueWait is how long requests waited for room, MetricNotAdmitted counts
+	// those that could not be served in time.
+	MetricQueueWait   = "queue_wait"
+	MetricNotAdmitted = "not_admitted"
 )
 
 // Request is one attempt of a client, read whole.
@@ -125,10 +130,13 @@
 	bounds   atomic.Pointer[Settings]
 	config   atomic.Pointer[site.Configuration]
 	circuits *retry.Circuits
+	limits   *limits.Controller
 
 	mu        sync.Mutex
 	freshness site.Freshness
 	windows   map[string]*retry.Window
+	// work is the usual time in ms for which a request keeps a target of a service busy.
+	work map[string]float64
 
 	open     atomic.Int64
 	draining atomic.Bool
@@ -136,7 +144,7 @@
 
 // New returns a gateway without a configuration.
 func New(d Deps) *Gateway {
-	g := &Gateway{Deps: d, circuits: retry.NewCircuits(), windows: map[string]*retry.Window{}}
+	g := &Gateway{Deps: d, circuits: retry.NewCircuits(), limits: limits.NewController(d.Clock, shares{d.Routers}), windows: map[string]*retry.Window{}, work: map[string]float64{}}
 	g.SetSettings(d.Settings)
 	return g
 }
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -331,3 +332,23 @@
 		})
 	}
 }
+
+// Guards against requests that are sent to engines which cannot answer before the
+// client gives up, and against refusals that do not say when to come back.
+func TestOverloadedEnginesAreHeldBackFrom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		// Each engine has 20 s of prompts to read for others.
+		for _, id := range []string{"e1", "e2", "e3"} {
+			w.Placer.(*placement.Policy).ObserveStarted(w.Clock.Now(), "llm-"+id, 20*PrefillTokensPerSecond, PrefillTokensPerSecond)
+		}
+		_, err := w.send(t.Context(), "check")
+		f := failureOf(err)
+		is.Equal(f.Kind, KindRefused)
+		is.True(f.RetryAfter > 2*time.Second) // half of the queue at least
+		is.Equal(len(w.targets.sent()), 0)
+		_, err = w.send(t.Context(), "book") // plain targets go on
+		is.NoErr(err)
+	})
+}
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -32,19 +32,28 @@
 // the request itself, and what failures cost. Slots that are taken slow a target before it is full,
 // so that ties go to the emptier one.
 func (c Candidate) ExpectedMs() float64 {
-	service := c.ServiceMs
-	if service <= 0 {
-		service = defaultServiceMs
+	return c.LinkMs + c.RiskMs + c.UsualMs()*(1+c.ahead()/c.slots()/2) + c.QueueMs()
+}
+
+// QueueMs is the expected wait for a slot.
+func (c Candidate) QueueMs() float64 {
+	if ahead := c.ahead(); ahead >= c.slots() {
+		return (ahead - c.slots() + 1) / c.slots() * c.UsualMs()
 	}
-	ahead := float64(c.InFlight + max(0, c.Reported-c.Explained))
-	slots := float64(max(c.Slots, 1))
-	ms := c.LinkMs + c.RiskMs + service*(1+ahead/slots/2)
-	if ahead >= slots {
-		ms += (ahead - slots + 1) / slots * service
+	return 0
+}
+
+// UsualMs is the usual time of a request that does not wait.
+func (c Candidate) UsualMs() float64 {
+	if c.ServiceMs <= 0 {
+		return defaultServiceMs
 	}
-	return ms
+	return c.ServiceMs
 }
 
+func (c Candidate) ahead() float64 { return float64(c.InFlight + max(0, c.Reported-c.Explained)) }
+func (c Candidate) slots() float64 { return float64(max(c.Slots, 1)) }
+
 // Rank orders the candidates, the best first.
 func Rank(candidates []Candidate) {
 	slices.SortStableFunc(candidates, func(a, b Candidate) int {
--- a/internal/core/limits/controller.go
+++ b/internal/core/limits/controller.go
@@ -52,6 +52,7 @@
 		defer c.mu.Unlock()
 		pool := c.pool(p.ask.Pool)
 		pool.running--
+		c.started(p)
 		pool.held(c.clock.Now().Sub(p.granted))
 		c.account(p.ask.Account).running--
 		// Other pools may hold requests of the account that wait for this place.
@@ -73,20 +74,47 @@
 		return w.permit, nil
 	default:
 	}
-	select {
-	case <-w.granted:
+	late := c.wait(ctx, w)
+	if !late && ctx.Err() == nil {
 		return w.permit, nil
-	case <-ctx.Done():
 	}
 	if !c.withdraw(w) {
 		w.permit.Release()
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if late || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return nil, &RefusedError{Reason: ReasonDeadline, RetryAfter: c.expectedWait(a)}
 	}
 	return nil, ctx.Err()
 }
 
+// wait returns when the request is granted, the context ends, or the deadline of a
+// gated request has passed, which it reports.
+func (c *Controller) wait(ctx context.Context, w *waiter) (late bool) {
+	if w.ask.Gate == nil {
+		select {
+		case <-w.granted:
+		case <-ctx.Done():
+		}
+		return false
+	}
+	deadline := time.NewTimer(w.ask.Deadline.Sub(c.clock.Now()))
+	defer deadline.Stop()
+	poll := time.NewTicker(gatePoll)
+	defer poll.Stop()
+	for {
+		select {
+		case <-w.granted:
+			return false
+		case <-ctx.Done():
+			return false
+		case <-deadline.C:
+			return true
+		case <-poll.C:
+			c.poll(w.ask)
+		}
+	}
+}
+
 // enqueue charges the request to the account's rates and puts it in the queue,
 // unless it cannot run before its deadline.
 func (c *Controller) enqueue(a Ask) (*waiter, error) {
@@ -95,6 +123,9 @@
 	now := c.clock.Now()
 	acc, p := c.account(a.Account), c.pool(a.Pool)
 	acc.arrived(now)
+	if a.Gate != nil {
+		return c.enqueueGated(now, p, a)
+	}
 	p.capacity = c.capacity(a)
 	if p.capacity == 0 {
 		return nil, &RefusedError{Reason: ReasonNoTargets, RetryAfter: time.Second}
@@ -129,23 +160,40 @@
 func (c *Controller) expectedWait(a Ask) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if a.Gate != nil {
+		return c.gatedWait(c.pool(a.Pool), a)
+	}
 	return c.pool(a.Pool).expectedWait(a)
 }
 
 // grant lets queued requests run while the pool has room.
 func (c *Controller) grant(p *pool) {
-	for p.queued > 0 && p.running < p.capacity {
+	now := c.clock.Now()
+	for p.queued > 0 && p.free() && !now.Before(p.blockedUntil) {
 		w := p.next(func(w *waiter) bool {
+			if w.ask.Gate != nil && w.ask.Gate.Room() > 0 {
+				return false
+			}
 			return w.ask.Limits.Concurrency <= 0 || c.account(w.ask.Account).running < c.quota(w.ask)
 		})
 		if w == nil {
+			if p.gated {
+				p.blockedUntil = now.Add(gatePoll)
+			}
 			return
 		}
-		p.running++
-		c.account(w.ask.Account).running++
-		w.permit = &Permit{c: c, ask: w.ask, granted: c.clock.Now()}
-		close(w.granted)
+		c.start(p, w)
+	}
+}
+
+func (c *Controller) start(p *pool, w *waiter) {
+	p.running++
+	c.account(w.ask.Account).running++
+	w.permit = &Permit{c: c, ask: w.ask, granted: c.clock.Now()}
+	if p.gated {
+		p.starting = w.permit
 	}
+	close(w.granted)
 }
 
 // quota is this router's share of the account's concurrency.
--- a/internal/core/limits/limits.go
+++ b/internal/core/limits/limits.go
@@ -64,7 +64,11 @@
 	Priority     int
 	PromptTokens int
 	OutputTokens int
-	Deadline     time.Time
+	// Deadline is the time until which the request may wait.
+	Deadline time.Time
+	// Gate replaces Targets, Without, Members and Slots where room is time; nil: the
+	// pool's places decide.
+	Gate *Gate
 }
 
 // Reason says why a request was refused.
--- a/internal/core/limits/queue.go
+++ b/internal/core/limits/queue.go
@@ -65,12 +65,27 @@
 	// busy holds the accounts with waiting requests, which are few among many.
 	busy   map[string]*accountQueue
 	queued int
+	// gated pools start one request at a time, because a gate sees only what has
+	// started; starting is the one that was granted last and has not.
+	gated    bool
+	starting *Permit
+	// blockedUntil is the time until which no gate is looked at again: each look ranks
+	// the targets once for every account that waits.
+	blockedUntil time.Time
 	// pass is the position of the account that was served last.
 	pass float64
 	// hold is the mean time for which a request holds its place.
 	hold time.Duration
 }
 
+// free reports whether another request may be granted at all.
+func (p *pool) free() bool {
+	if p.gated {
+		return p.starting == nil
+	}
+	return p.running < p.capacity
+}
+
 func (p *pool) account(account string) *accountQueue {
 	l := p.accounts[account]
 	if l == nil {
@@ -92,6 +107,16 @@
 	}
 }
 
+// outranked reports whether a request of a higher priority waits.
+func (p *pool) outranked(a Ask) bool {
+	for _, l := range p.busy {
+		if l.waiting[0].ask.Priority > a.Priority {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *pool) enqueue(w *waiter) {
 	l := p.account(w.ask.Account)
 	if len(l.waiting) == 0 {
