Give the gateway spans and named baselines

The platform's path had no spans, and the baselines ran in the driver only. Each hop of a request has a span now (accept, admit, place, attempt, calls to peers), exported over OTLP where the settings name a collector. The baselines moved from the driver to core/placement/baseline, one copy for both, and can be named as policy in the gateway's settings, for comparison only.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 
@@ -30,6 +32,7 @@
 	"mimosaseam.example/mimosaseam/internal/app/weights"
 	"mimosaseam.example/mimosaseam/internal/bootclock"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/placement/baseline"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
@@ -91,12 +94,13 @@
 	settings settings.Gateway
 	log      *slog.Logger
 	level    *slog.LevelVar
+	tracer   trace.Tracer
 	clock    port.Clock
 	// boot goes on while the VM is suspended.
 	boot     port.Clock
 	gateway  *gateway.Gateway
 	dir      *gateway.Directory
-	placer   *placement.Policy
+	placer   placement.Placer
 	weights  *weights.Manager
 	streams  []*sitesync.Stream
 	operator *sitesync.Stream
@@ -115,7 +119,12 @@
 	debug.SetMemoryLimit(int64(memoryShare * s.Limits.MemoryMB * (1 << 20)))
 	out := telemetry.NewBoundedWriter(os.Stdout)
 	defer out.Close()
-	n := newEntryNode(file, s, out, telemetry.NewMetrics("gateway", "gateway_ms"))
+	traces, err := telemetry.StartTraces(context.Background(),
+		settings.Telemetry{OTLPAddress: s.Tracing.OTLPAddress, TraceRatio: s.Tracing.TraceRatio}, s.VM)
+	if err != nil {
+		return err
+	}
+	n := newEntryNode(file, s, out, traces.Tracer, telemetry.NewMetrics("gateway", "gateway_ms"))
 	n.log.Info("starting", "version", version, "callers", s.Callers.Address, "ready", s.Ready.Address, "log", s.Log.Address)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -147,6 +156,11 @@
 	}
 	addSignal(ctx, cancel, &group, n.shutDown)
 	err = group.Run()
+	closing, cancelClosing := context.WithTimeout(context.Background(), endMargin/2)
+	defer cancelClosing()
+	if closeErr := traces.Close(closing); closeErr != nil {
+		n.log.Warn("spans not exported", "why", closeErr.Error())
+	}
 	n.log.Info("stopped", "reason", err.Error())
 	if errors.Is(err, ErrStopped) {
 		return nil
@@ -154,8 +168,8 @@
 	return err
 }
 
-func newEntryNode(file string, s settings.Gateway, out io.Writer, metrics gateway.Metrics) *entryNode {
-	n := &entryNode{file: file, settings: s, level: new(slog.LevelVar), clock: port.SystemClock{}, boot: bootclock.Clock{}}
+func newEntryNode(file string, s settings.Gateway, out io.Writer, tracer trace.Tracer, metrics gateway.Metrics) *entryNode {
+	n := &entryNode{file: file, settings: s, level: new(slog.LevelVar), tracer: tracer, clock: port.SystemClock{}, boot: bootclock.Clock{}}
 	n.setLevel(s.LogLevel)
 	n.log = slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: n.level})).With("vm", s.VM.Name)
 	pool := httpconn.New(httpconn.Options{Transport: targetTransport()})
@@ -171,12 +185,14 @@
 
 func (n *entryNode) buildGateway(targets *platform.Targets, fingerprints *retry.Fingerprints, metrics gateway.Metrics) {
 	vm := n.settings.VM
-	n.placer = placement.New(placement.Settings{Region: vm.Region, AvailabilityZone: vm.AvailabilityZone})
+	if n.placer = baseline.New(n.settings.Policy, rand.Uint64(), 1); n.placer == nil {
+		n.placer = placement.New(placement.Settings{Region: vm.Region, AvailabilityZone: vm.AvailabilityZone})
+	}
 	leaving := settings.Milliseconds(n.settings.Bounds.LeavingMs)
 	n.dir = gateway.NewDirectory(n.log, n.clock, n.placer, gateway.LeavingGrace(leaving, sitesync.TargetsInterval(leaving)))
 	n.gateway = gateway.New(gateway.Deps{
 		Settings: gatewaySettings(n.settings), Forwarder: targets, Control: targets, Placer: n.placer, Directory: n.dir,
-		Holdings: placement.NewHoldings(), Clock: n.clock, BootClock: n.boot, Log: n.log, Metrics: metrics,
+		Holdings: placement.NewHoldings(), Clock: n.clock, BootClock: n.boot, Log: n.log, Metrics: metrics, Tracer: n.tracer,
 		Routers:      n.routerCount,
 		Wanted:       func(model string) (int, time.Time) { return n.weights.Wanted(model) },
 		Floor:        func(model string, within time.Duration) int { return n.weights.Floor(model, within) },
--- a/cmd/mimosaseam/gateway_test.go
+++ b/cmd/mimosaseam/gateway_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/settings"
@@ -76,7 +77,7 @@
 }
 
 func (s *site) start(file string, loaded settings.Gateway) {
-	s.node = newEntryNode(file, loaded, io.Discard, noMetrics{})
+	s.node = newEntryNode(file, loaded, io.Discard, noop.NewTracerProvider().Tracer(""), noMetrics{})
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
 	for _, loop := range append([]func(context.Context) error{s.node.weights.Run, s.node.caches.Run}, s.node.streams[0].Run, s.node.streams[1].Run) {
--- a/cmd/mimosaseam/gatewaypeers.go
+++ b/cmd/mimosaseam/gatewaypeers.go
@@ -29,7 +29,7 @@
 	n.fleet = fleet.New(fleet.Options{
 		Self: port.Member{Name: s.VM.Name, Address: s.Peers.Address, Region: s.VM.Region,
 			AvailabilityZone: s.VM.AvailabilityZone, Incarnation: uint64(time.Now().UnixMilli())},
-		Peer: peergrpc.NewClient(nil), VMList: n.registry, Logger: n.log, ListInterval: routersInterval,
+		Peer: peergrpc.NewClient(nil, peergrpc.WithTracer(n.tracer)), VMList: n.registry, Logger: n.log, ListInterval: routersInterval,
 		Sources: fleet.Sources{Records: n.operator.Records},
 		// In-flight counts of peers are seconds old, and most requests end within one
 		// second: targets tell their load with each answer instead.
--- a/internal/app/gateway/admit.go
+++ b/internal/app/gateway/admit.go
@@ -36,6 +36,8 @@
 	if x.engine == nil {
 		return nil, nil
 	}
+	_, span := x.g.Tracer.Start(ctx, "admit")
+	defer span.End()
 	start := x.g.Clock.Now()
 	k := x.rank(start, false)
 	if k == nil {
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -9,6 +9,9 @@
 	"strconv"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"mimosaseam.example/mimosaseam/internal/core/fate"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/core/site"
@@ -32,6 +35,9 @@
 // started is called once the attempt is counted.
 func (x *exchange) attempt(ctx context.Context, t Target, started func()) (evidence fate.Evidence, err error) {
 	g, start, id := x.g, x.g.Clock.Now(), x.attemptID()
+	ctx, span := g.Tracer.Start(ctx, "attempt", trace.WithAttributes(
+		attribute.String("target", t.ID), attribute.String("attempt_id", id)))
+	defer span.End()
 	x.sends++
 	x.lastTarget, x.tried[t.ID] = t.ID, true
 	g.Directory.begin(t.ID)
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -34,6 +34,8 @@
 // choose picks the target of the next attempt, waiting a moment when none is usable.
 // wait is called before it waits.
 func (x *exchange) choose(ctx context.Context, wait func()) (Target, error) {
+	_, span := x.g.Tracer.Start(ctx, "place")
+	defer span.End()
 	hold := max(minHold, time.Duration(holdShare*float64(x.route.Objective)))
 	start := x.g.Clock.Now()
 	for {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -12,6 +12,12 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
 	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
@@ -108,6 +114,8 @@
 	BootClock port.Clock
 	Log       *slog.Logger
 	Metrics   Metrics
+	// Tracer gives each hop of a request a span; nil: none.
+	Tracer trace.Tracer
 	// Routers returns the number of routers that share the bounds.
 	Routers func() int
 	// Wanted returns the version named last for a model and when this router
@@ -144,6 +152,9 @@
 
 // New returns a gateway without a configuration.
 func New(d Deps) *Gateway {
+	if d.Tracer == nil {
+		d.Tracer = noop.NewTracerProvider().Tracer("")
+	}
 	g := &Gateway{Deps: d, circuits: retry.NewCircuits(), limits: limits.NewController(d.Clock, shares{d.Routers}), windows: map[string]*retry.Window{}, work: map[string]float64{}}
 	g.SetSettings(d.Settings)
 	return g
@@ -238,6 +249,9 @@
 	g.open.Add(1)
 	defer g.open.Add(-1)
 	g.Metrics.Add(MetricRequests, 1)
+	ctx = propagation.TraceContext{}.Extract(ctx, propagation.HeaderCarrier(r.Header))
+	ctx, span := g.Tracer.Start(ctx, "accept", trace.WithAttributes(attribute.String("request_id", r.ID)))
+	defer span.End()
 	x, err := g.plan(r, sink)
 	if err == nil {
 		err = x.serve(ctx)
@@ -246,6 +260,9 @@
 		// The client may repeat a request that crashed its target on another router.
 		g.Fingerprints.Publish(g.Clock.Now(), x.fingerprint)
 	}
+	if err != nil {
+		span.SetStatus(codes.Error, failureOf(err).Kind.String())
+	}
 	g.finish(ctx, x, r, err)
 	return err
 }
--- a/internal/bench/placement/arrivals.go
+++ b/internal/bench/placement/arrivals.go
@@ -8,6 +8,7 @@
 	"sort"
 	"time"
 
+	"mimosaseam.example/mimosaseam/internal/core/placement/baseline"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -193,15 +194,7 @@
 		if level < len(a.nodes) {
 			owner = uint64(a.nodes[level])
 		}
-		hashes[i] = port.BlockHash(scramble(scramble(owner+1) + uint64(i)))
+		hashes[i] = port.BlockHash(baseline.Scramble(baseline.Scramble(owner+1) + uint64(i)))
 	}
 	return hashes
 }
-
-// scramble is the finalizer of splitmix64.
-func scramble(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/bench/placement/result.go
+++ b/internal/bench/placement/result.go
@@ -2,11 +2,11 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
 	core "mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/placement/baseline"
 )
 
 // Result is what one policy did with the arrivals.
@@ -158,21 +158,12 @@
 }
 
 func maker(w Workload, policy string) func(seed uint64, region string) core.Placer {
-	switch policy {
-	case "round-robin":
-		return func(seed uint64, _ string) core.Placer {
-			return &roundRobin{inFlight: newInFlight(), turn: int(seed % 1000)}
-		}
-	case "least-loaded":
-		return func(seed uint64, _ string) core.Placer {
-			return &leastLoaded{inFlight: newInFlight(), rng: rand.New(rand.NewPCG(seed, 3))}
-		}
-	case "prefix-hash":
+	if slices.Contains(baseline.Names, policy) {
 		first := 0
 		if len(w.Levels) > 0 {
 			first = w.Levels[0].Tokens / w.BlockTokens
 		}
-		return func(uint64, string) core.Placer { return &prefixHash{inFlight: newInFlight(), firstBlocks: first} }
+		return func(seed uint64, _ string) core.Placer { return baseline.New(policy, seed, first) }
 	}
 	return func(seed uint64, region string) core.Placer {
 		return core.New(core.Settings{Seed: seed, Region: region, InterRegionMs: w.InterRegionMs})
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -79,6 +79,9 @@
 	ObserveEvents(now time.Time, target string, after uint64, events port.CacheEvents)
 	// ObservePeer takes the in-flight counts that a peer reported.
 	ObservePeer(now time.Time, peer string, inFlight map[string]int)
+	// ObserveStarted takes a request that another router sent to the target, which
+	// has to read the tokens at the given rate.
+	ObserveStarted(now time.Time, target string, tokens int, tokensPerSecond float64)
 	// InFlight returns the router's own in-flight count for each target.
 	InFlight() map[string]int
 	// Drop forgets all cached blocks of the target (crash, restart, new weights).
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"mimosaseam.example/mimosaseam/internal/core/placement/baseline"
 	"mimosaseam.example/mimosaseam/internal/strictjson"
 )
 
@@ -28,6 +29,21 @@
 	Bounds  Bounds            `json:"bounds"`
 	// LogLevel is debug, info, warn or error. Default info.
 	LogLevel string `json:"log_level"`
+	// Policy places generations: mimosaseam, or round-robin, least-loaded or
+	// prefix-hash, which are for comparison only. Default mimosaseam.
+	Policy  string  `json:"policy"`
+	Tracing Tracing `json:"tracing"`
+}
+
+// PolicyMimosaseam is the name of the product's own placement.
+const PolicyMimosaseam = "mimosaseam"
+
+// Tracing says where spans go.
+type Tracing struct {
+	// OTLPAddress takes spans over OTLP gRPC, host:port. Default none.
+	OTLPAddress string `json:"otlp_address"`
+	// TraceRatio is the share of requests traced, 0 to 1. Default 1 where a destination is set.
+	TraceRatio float64 `json:"trace_ratio"`
 }
 
 // ListenAddress is an address to listen on.
@@ -85,6 +101,8 @@
 		Bounds: Bounds{KeyRevokedMs: 5000, ConfigurationMs: 2500, LeavingMs: 2500, RepeatRatio: 0.2, RepeatAllowance: 50, RepeatWindowS: 10,
 			HolderTurnMs: 3000, WeightsMs: 8000, StopS: 8},
 		LogLevel: "info",
+		Policy:   PolicyMimosaseam,
+		Tracing:  Tracing{TraceRatio: 1},
 	}
 }
 
@@ -132,6 +150,13 @@
 			d.Add(c.path, number(c.value), "a number from "+number(c.lowest)+" to "+number(c.highest))
 		}
 	}
+	checkOneOf(d, "/policy", s.Policy, append([]string{PolicyMimosaseam}, baseline.Names...)...)
+	if s.Tracing.OTLPAddress != "" {
+		checkAddress(d, "/tracing/otlp_address", s.Tracing.OTLPAddress)
+	}
+	if r := s.Tracing.TraceRatio; r < 0 || r > 1 {
+		d.Add("/tracing/trace_ratio", number(r), "a number from 0 to 1")
+	}
 	checkOneOf(d, "/log_level", s.LogLevel, "debug", "info", "warn", "error")
 	if err := d.Err(); err != nil {
 		return Gateway{}, err
