--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -14,6 +14,7 @@
 	flaggy.SetDescription("load and experiment tools of mimosaseam")
 	placement, relay := registerPlacement(), registerRelay()
 	detection, capacity := registerDetection(), registerCapacity()
+	explainDay := registerExplainDay()
 	flaggy.Parse()
 	var run func(io.Writer) error
 	switch {
@@ -25,6 +26,8 @@
 		run = detection.run
 	case capacity.Used:
 		run = capacity.run
+	case explainDay.Used:
+		run = explainDay.run
 	default:
 		flaggy.ShowHelpAndExit("name a subcommand")
 	}
--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -125,7 +125,7 @@
 		return err
 	}
 	n := newEntryNode(file, s, out, traces.Tracer, telemetry.NewMetrics("gateway", "gateway_ms"))
-	n.log.Info("starting", "version", version, "callers", s.Callers.Address, "ready", s.Ready.Address, "log", s.Log.Address)
+	n.log.Info("starting", "version", version, "availability_zone", s.VM.AvailabilityZone, "callers", s.Callers.Address, "ready", s.Ready.Address, "log", s.Log.Address)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group run.Group
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -104,6 +104,7 @@
 		attrs = append(attrs, slog.String("session", x.session()), slog.Int("prompt_tokens", x.r.PromptTokens),
 			slog.Int("cached_tokens", x.score.CachedTokens), slog.Int("elsewhere_tokens", x.elsewhere),
 			slog.Float64("queue_ms", x.score.QueueMs), slog.Float64("prefill_ms", x.score.PrefillMs),
+			slog.Float64("link_ms", x.score.LinkMs),
 			slog.String("reason", x.score.Reason), slog.Int("weights", t.Weights[x.r.Model]))
 		if x.fetchFrom != "" || x.saveTo != "" {
 			attrs = append(attrs, slog.String("fetch_from", x.fetchFrom), slog.String("save_to", x.saveTo))
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -245,7 +245,7 @@
 
 // attrs are the inputs of the request's decisions for its log line.
 func (x *exchange) attrs() []slog.Attr {
-	out := []slog.Attr{slog.String("route", x.route.Name), slog.String("service", x.service),
+	out := []slog.Attr{slog.String("route", x.route.Name), slog.String("service", x.service), slog.Float64("objective_ms", ms(x.route.Objective)),
 		slog.String("target", x.lastTarget), slog.Int("sends", x.sends), slog.Int("runs", x.history.Runs),
 		slog.Int("refusals", x.history.Refusals)}
 	if x.account != nil {
--- /dev/null
+++ b/internal/bench/day/read.go
@@ -0,0 +1,85 @@
+// Package day explains a day of the gateway from its own log lines: who was served, where
+// the time to the first token went, and which prompt tokens were read.
+package day
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrNoRequests means that the input has no line about a request.
+var ErrNoRequests = eris.New("the input has no log line about a request")
+
+// maxLineBytes bounds one log line.
+const maxLineBytes = 1 << 20
+
+// line is what the report reads of one log line. Fields that a line lacks stay zero.
+type line struct {
+	Time             time.Time `json:"time"`
+	Message          string    `json:"msg"`
+	VM               string    `json:"vm"`
+	AvailabilityZone string    `json:"availability_zone"`
+	Request          string    `json:"request"`
+	Route            string    `json:"route"`
+	Account          string    `json:"account"`
+	Outcome          string    `json:"outcome"`
+	FirstEventMs     float64   `json:"first_event_ms"`
+	ObjectiveMs      float64   `json:"objective_ms"`
+	QueuedMs         float64   `json:"queued_ms"`
+	PromptTokens     int       `json:"prompt_tokens"`
+	CachedTokens     int       `json:"cached_tokens"`
+	ElsewhereTokens  int       `json:"elsewhere_tokens"`
+	FetchFrom        string    `json:"fetch_from"`
+	QueueMs          float64   `json:"queue_ms"`
+	PrefillMs        float64   `json:"prefill_ms"`
+	LinkMs           float64   `json:"link_ms"`
+}
+
+// Messages of the gateway's log that the report reads.
+const (
+	messageStarting    = "starting"
+	messageSent        = "sent"
+	messageAnswered    = "answered"
+	messageNotAnswered = "not answered"
+	messageRepeated    = "repeated"
+	messageOrder       = "order"
+)
+
+// Read reads log lines of any number of routers. Text before the first brace of a line
+// is passed over, as are lines that are no JSON; their number is in the report.
+func Read(r io.Reader) (*Report, error) {
+	b := newBuilder()
+	in := bufio.NewReaderSize(r, maxLineBytes)
+	for {
+		text, err := in.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			b.report.Skipped++
+			continue
+		}
+		if at := bytes.IndexByte(text, '{'); at >= 0 {
+			var l line
+			if json.Unmarshal(text[at:], &l) != nil || l.Message == "" {
+				b.report.Skipped++
+			} else {
+				b.add(l)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, eris.Wrap(err, "read log lines")
+		}
+	}
+	if len(b.report.Routes) == 0 {
+		return nil, ErrNoRequests
+	}
+	b.finish()
+	return b.report, nil
+}
--- a/internal/bench/placement/plot.go
+++ b/internal/bench/placement/plot.go
@@ -1,14 +1,14 @@
 package placement
 
 import (
-	"os"
-
 	"github.com/rotisserie/eris"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
+
+	"mimosaseam.example/mimosaseam/internal/bench/svgfile"
 )
 
 // panel is one bar chart of the comparison.
@@ -35,7 +35,7 @@
 		}
 		p.Draw(tiles.At(draw.New(canvas), i, 0))
 	}
-	return save(path, canvas)
+	return svgfile.Save(path, canvas)
 }
 
 func (p panel) chart(results []Result) (*plot.Plot, error) {
@@ -58,15 +58,3 @@
 	chart.NominalX(names...)
 	return chart, nil
 }
-
-func save(path string, canvas *vgsvg.Canvas) error {
-	file, err := os.Create(path)
-	if err != nil {
-		return eris.Wrap(err, "create plot")
-	}
-	if _, err := canvas.WriteTo(file); err != nil {
-		_ = file.Close()
-		return eris.Wrap(err, "write plot")
-	}
-	return eris.Wrap(file.Close(), "close plot")
-}
