Learn how fast engines read; let some routers read the log for others

The rate at which engines read prompts was a constant, 30,000 tokens a second, which misjudges queues and admission wherever engines differ from the two known sites. Each router now learns it for each service from prompts that waited for nothing else; the mean is of logarithms and begins at the old constant. The time for which an entry says that a target is slow after its start is weighed (it was read only). The tests fail without the change.

From five routers in an availability zone on, the first two by name read, a little more often, and the others ask them every 0.5 s. What a peer tells has an age and is not taken when it is too old; a router whose reader is silent, stale or behind reads itself. A reader that began after what the asking router knows is not believed, since neither knows what was removed in between. Smaller zones are as before. Ruled out: longer waits for all (the age of the configuration bounds how long keys are served).

--- a/cmd/mimosaseam/gatewaypeers.go
+++ b/cmd/mimosaseam/gatewaypeers.go
@@ -8,9 +8,11 @@
 	"mimosaseam.example/mimosaseam/internal/app/fleet"
 	"mimosaseam.example/mimosaseam/internal/app/gateway"
 	"mimosaseam.example/mimosaseam/internal/app/registry"
+	"mimosaseam.example/mimosaseam/internal/app/sitesync"
 	"mimosaseam.example/mimosaseam/internal/core/membership"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/port"
+	"mimosaseam.example/mimosaseam/internal/settings"
 )
 
 const (
@@ -30,12 +32,12 @@
 		Self: port.Member{Name: s.VM.Name, Address: s.Peers.Address, Region: s.VM.Region,
 			AvailabilityZone: s.VM.AvailabilityZone, Incarnation: uint64(time.Now().UnixMilli())},
 		Peer: peergrpc.NewClient(nil, peergrpc.WithTracer(n.tracer)), VMList: n.registry, Logger: n.log, ListInterval: routersInterval,
-		Sources: fleet.Sources{Records: n.operator.Records},
+		Sources: fleet.Sources{Records: n.records},
 		// In-flight counts of peers are seconds old, and most requests end within one
 		// second: targets tell their load with each answer instead.
 		Callbacks: fleet.Callbacks{
 			OnStarted: func(target string, tokens int) {
-				n.placer.ObserveStarted(n.clock.Now(), target, tokens, gateway.PrefillTokensPerSecond)
+				n.placer.ObserveStarted(n.clock.Now(), target, tokens, n.gateway.PrefillRate(target))
 			},
 			OnFingerprints: func(values []string) { fingerprints.Receive(time.Now(), values) },
 			OnRouters:      func(others []membership.Router) { n.takeRouters(others) },
@@ -58,6 +60,30 @@
 		n.log.Info("routers", "count", len(names))
 	}
 	n.routers.Store(&names)
+	// What others read is older than what this router reads itself.
+	leaving := settings.Milliseconds(n.settings.Bounds.LeavingMs)
+	staleness := sitesync.TargetsInterval(leaving)
+	if n.fleet.ReadByOthers() {
+		staleness = sitesync.TargetsStaleness(leaving)
+	}
+	n.dir.SetGrace(gateway.LeavingGrace(leaving, staleness))
+}
+
+// records answers other routers from the streams that this one follows.
+func (n *entryNode) records(ctx context.Context, stream string, from port.Offset, limit int) (port.Batch, error) {
+	for _, s := range n.streams {
+		if s.Name == stream {
+			return s.Records(ctx, stream, from, limit)
+		}
+	}
+	return port.Batch{}, &port.NotFoundError{Peer: "router " + n.settings.VM.Name, Name: stream}
+}
+
+func (n *entryNode) followed() bool { return n.fleet.Followed() }
+
+// pullFromReader asks a router of this availability zone that reads the log.
+func (n *entryNode) pullFromReader(ctx context.Context, stream string, from port.Offset) (port.Batch, bool, error) {
+	return n.fleet.PullFromReader(ctx, stream, from, pullLimit)
 }
 
 // pullFromPeers asks other routers for the operator's records.
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -39,6 +39,7 @@
 		attribute.String("target", t.ID), attribute.String("attempt_id", id)))
 	defer span.End()
 	x.sends++
+	x.sentAt = start
 	x.lastTarget, x.tried[t.ID] = t.ID, true
 	g.Directory.begin(t.ID)
 	g.circuits.Started(start, t.ID)
@@ -388,6 +389,10 @@
 		x.g.Metrics.Observe(MetricFirstEvent, x.firstEvent)
 	}
 	if x.engine != nil && !x.history.Delivered {
+		if x.fetchFrom == "" && !x.sentAt.IsZero() {
+			x.g.noteFirstToken(x.service, x.score, x.r.PromptTokens-x.score.CachedTokens, now.Sub(x.sentAt))
+		}
+		x.sentAt = time.Time{}
 		x.g.Placer.FirstToken(now, x.place, t.Address, x.firstEvent)
 	}
 }
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -20,10 +20,8 @@
 	minHold  = 50 * time.Millisecond
 	holdPoll = 10 * time.Millisecond
 
-	// PrefillTokensPerSecond and decodeMsPerToken stand in for figures that
-	// engines do not tell. Only their ratio to the link matters for placement.
-	PrefillTokensPerSecond = 30_000
-	decodeMsPerToken       = 10
+	// decodeMsPerToken stands in for a figure that engines do not tell.
+	decodeMsPerToken = 10
 
 	// Round trips in ms, of the order that deployments state for their links.
 	sameZoneMs    = 0.3
@@ -158,7 +156,8 @@
 		AvailabilityZone: t.AvailabilityZone, Incarnation: t.Incarnation(), Slots: max(t.Slots, x.engine.Slots),
 		RiskMs:                 x.riskMs(t),
 		CacheBlocks:            x.engine.CacheTokens / placement.PartBlockTokens,
-		PrefillTokensPerSecond: PrefillTokensPerSecond, DecodeMsPerToken: decodeMsPerToken}
+		ColdUntil:              t.ColdUntil,
+		PrefillTokensPerSecond: x.g.prefillRate(x.service), DecodeMsPerToken: decodeMsPerToken}
 }
 
 // riskMs is the expected loss by failures of the target.
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -39,6 +39,8 @@
 	// Reliability is what this router's own requests showed.
 	Reliability balance.Reliability
 	InFlight    int
+	// ColdUntil is the end of the target's slow start.
+	ColdUntil time.Time
 	// Heard is when the target last sent any byte.
 	Heard time.Time
 }
@@ -70,6 +72,13 @@
 	return &Directory{log: log, clock: clock, placer: placer, grace: grace, targets: map[string]*Target{}}
 }
 
+// SetGrace changes how long a target that leaves may still be used.
+func (d *Directory) SetGrace(grace time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.grace = grace
+}
+
 // Put takes the newest entry of a target.
 func (d *Directory) Put(e port.TargetEntry) {
 	now := d.clock.Now()
@@ -89,6 +98,7 @@
 	} else {
 		d.placer.Drop(e.Address)
 	}
+	t.ColdUntil = now.Add(e.ColdFor)
 	if !e.Leaving && (old == nil || !old.Leaving) {
 		t.LeavingSince = time.Time{}
 	} else if t.LeavingSince.IsZero() {
@@ -215,6 +225,18 @@
 	return out
 }
 
+// serviceAt returns the service of the target at the address; empty: unknown.
+func (d *Directory) serviceAt(address string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range d.targets {
+		if t.Address == address {
+			return t.Service
+		}
+	}
+	return ""
+}
+
 // update changes a target that is still known.
 func (d *Directory) update(id string, change func(t *Target)) {
 	d.mu.Lock()
--- a/internal/app/gateway/directory_test.go
+++ b/internal/app/gateway/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -35,3 +36,17 @@
 	d.Put(entry(4, 1)) // a late entry of the earlier life
 	is.Equal(version(), 2)
 }
+
+// Guards against targets that get their full share while they are slow after a start.
+func TestColdTargetsAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.Directory.Put(port.TargetEntry{ID: "e1", Service: "llm", Address: "llm-e1", Slots: 8, ColdFor: 30 * time.Second,
+			Weights: map[string]int{testModel: 1}})
+		w.Directory.Put(port.TargetEntry{ID: "e2", Service: "llm", Address: "llm-e2", Slots: 8, ColdFor: 30 * time.Second,
+			Weights: map[string]int{testModel: 1}})
+		_, _ = w.send(t.Context(), "check")
+		is.Equal(w.targets.sent()[0].ExpectTarget, "e3")
+	})
+}
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -34,9 +34,11 @@
 	history fate.History
 	order   stream.Order
 	// committed is set once the head of an answer was passed on.
-	committed  bool
-	tried      map[string]bool
-	sends      int
+	committed bool
+	tried     map[string]bool
+	sends     int
+	// sentAt is the start of the last send, zero once its first event came.
+	sentAt     time.Time
 	lastTarget string
 	lastCause  error
 	firstEvent time.Duration
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -143,8 +143,10 @@
 	mu        sync.Mutex
 	freshness site.Freshness
 	windows   map[string]*retry.Window
-	// work is the usual time in ms for which a request keeps a target of a service busy.
-	work map[string]float64
+	// work is the usual time in ms for which a request keeps a target of a service busy,
+	// rates how fast the engines of a service read prompts.
+	work  map[string]float64
+	rates map[string]placement.PrefillRate
 
 	open     atomic.Int64
 	draining atomic.Bool
@@ -155,7 +157,8 @@
 	if d.Tracer == nil {
 		d.Tracer = noop.NewTracerProvider().Tracer("")
 	}
-	g := &Gateway{Deps: d, circuits: retry.NewCircuits(), limits: limits.NewController(d.Clock, shares{d.Routers}), windows: map[string]*retry.Window{}, work: map[string]float64{}}
+	g := &Gateway{Deps: d, circuits: retry.NewCircuits(), limits: limits.NewController(d.Clock, shares{d.Routers}), windows: map[string]*retry.Window{}, work: map[string]float64{},
+		rates: map[string]placement.PrefillRate{}}
 	g.SetSettings(d.Settings)
 	return g
 }
@@ -221,6 +224,27 @@
 // Open returns the number of requests under way.
 func (g *Gateway) Open() int { return int(g.open.Load()) }
 
+func (g *Gateway) prefillRate(service string) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rates[service].TokensPerSecond()
+}
+
+// PrefillRate is the rate at which the target reads prompts, in tokens per second.
+func (g *Gateway) PrefillRate(address string) float64 {
+	return g.prefillRate(g.Directory.serviceAt(address))
+}
+
+// noteFirstToken learns the rate from a request that waited for nothing else.
+func (g *Gateway) noteFirstToken(service string, s placement.Score, tokens int, took time.Duration) {
+	if s.QueueMs > 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rates[service] = g.rates[service].Observe(tokens, float64(took)/float64(time.Millisecond)-s.LinkMs)
+}
+
 func (g *Gateway) window(service string) *retry.Window {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/app/gateway/parts.go
+++ b/internal/app/gateway/parts.go
@@ -29,7 +29,7 @@
 	shared := x.r.Prompt[:max(0, len(x.r.Prompt)-1)]
 	scope := x.cacheScope(t)
 	transfer := placement.FetchCosts{TokenBytes: x.engine.TokenBytes, LinkMbps: x.engine.LinkMbps,
-		PrefillTokensPerSecond: PrefillTokensPerSecond, Objective: x.route.Objective}
+		PrefillTokensPerSecond: x.g.prefillRate(x.service), Objective: x.route.Objective}
 	sources := x.sources(now, t, scope, shared)
 	for _, s := range sources {
 		x.elsewhere = max(x.elsewhere, s.CachedTokens)
--- a/internal/app/sitesync/sitesync.go
+++ b/internal/app/sitesync/sitesync.go
@@ -49,14 +49,20 @@
 
 	// Peers asks other routers for the records from the offset on; nil: none are asked.
 	Peers func(ctx context.Context, stream string, from port.Offset) []port.Batch
+	// Relay asks a router that reads the log for those around it; nil: each reads itself.
+	// Followed reports whether others ask this router.
+	Relay    Relay
+	Followed func() bool
 
 	mu     sync.Mutex
 	next   port.Offset
 	loaded bool
 	lost   bool
 	// newest and verified are what other routers may ask for.
-	newest   map[string][]byte
+	newest   map[string]kept
 	verified time.Time
+	// since is the offset from which on removed keys are among newest.
+	since port.Offset
 }
 
 // Operator returns a follower of the operator's stream.
@@ -71,6 +77,12 @@
 	return min(maxTargetsInterval, leaving/leavingShare)
 }
 
+// TargetsStaleness is how old what is known of the targets can be while the log
+// answers: read by a peer, and asked for after that.
+func TargetsStaleness(leaving time.Duration) time.Duration {
+	return TargetsInterval(leaving) + relayInterval
+}
+
 // Targets returns a follower of the targets' entries.
 func Targets(s *Stream, interval time.Duration) *Stream {
 	s.Name, s.Interval = port.StreamTargets, interval
@@ -81,7 +93,10 @@
 func (s *Stream) Run(ctx context.Context) error {
 	for {
 		pause := s.Interval
-		if err := s.read(ctx); err != nil {
+		if s.relayed(ctx) {
+			s.setLost(false, nil)
+			pause = relayInterval
+		} else if err := s.read(ctx); err != nil {
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
@@ -115,7 +130,7 @@
 	if !s.loaded {
 		return s.load(ctx, at)
 	}
-	batch, err := s.Log.Changes(ctx, s.Name, s.next, s.Wait)
+	batch, err := s.Log.Changes(ctx, s.Name, s.next, s.wait())
 	var expired *port.ExpiredError
 	var invalid *port.BadRequestError
 	if errors.As(err, &expired) || errors.As(err, &invalid) {
@@ -136,6 +151,9 @@
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
+	s.newest, s.since = nil, batch.Next
+	s.mu.Unlock()
 	s.apply(batch, at)
 	if s.Reset != nil {
 		keys := map[string]bool{}
@@ -163,14 +181,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.next = batch.Next
-	if s.Peers == nil {
+	if s.Peers == nil && s.Relay == nil {
 		return
 	}
 	if s.newest == nil {
-		s.newest = map[string][]byte{}
+		s.newest = map[string]kept{}
 	}
 	for _, r := range batch.Records {
-		s.newest[r.Key] = r.Value
+		s.newest[r.Key] = kept{value: r.Value, offset: batch.Next - 1}
 	}
 	if at.After(s.verified) {
 		s.verified = at
@@ -196,10 +214,7 @@
 	if best == nil {
 		return
 	}
-	batch := port.KeyedBatch{Next: best.Next}
-	for _, r := range best.Records {
-		batch.Records = append(batch.Records, port.KeyedRecord{Key: r.ID, Value: r.Data})
-	}
+	batch := fromPeer(*best)
 	s.Logger.Info("records from a peer", "stream", s.Name, "records", len(batch.Records), "next", best.Next, "age_ms", best.Age.Milliseconds())
 	s.apply(batch, at.Add(-best.Age))
 }
@@ -210,20 +225,23 @@
 	return s.next
 }
 
-// Records answers another router that cannot read the log: all that is newest,
-// unless it knows that already.
+// Records answers another router that does not or cannot read the log: what is newer
+// than it knows. It fails with an ExpiredError when keys may have been removed that
+// neither of the two knows of.
 func (s *Stream) Records(_ context.Context, stream string, from port.Offset, _ int) (port.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if stream != s.Name || s.verified.IsZero() {
 		return port.Batch{}, &port.NotFoundError{Peer: "router", Name: stream}
 	}
-	b := port.Batch{Next: s.next, Age: s.Clock.Now().Sub(s.verified)}
-	if from >= s.next {
-		return b, nil
+	if s.Reset != nil && from < s.since {
+		return port.Batch{}, &port.ExpiredError{Stream: stream, From: from, Oldest: s.since}
 	}
-	for key, value := range s.newest {
-		b.Records = append(b.Records, port.Record{Offset: s.next - 1, ID: key, Data: value})
+	b := port.Batch{Next: s.next, Age: s.Clock.Now().Sub(s.verified)}
+	for key, k := range s.newest {
+		if k.offset >= from {
+			b.Records = append(b.Records, port.Record{Offset: k.offset, ID: key, Data: k.value})
+		}
 	}
 	return b, nil
 }
--- a/internal/app/sitesync/sitesync_test.go
+++ b/internal/app/sitesync/sitesync_test.go
@@ -202,3 +202,83 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against routers that miss what a reader knows: news, removed keys, and the
+// age of it all; and against knowledge that is taken although it is old.
+func TestRelayedRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log, own := &keyed{}, &keyed{}
+		for _, k := range []*keyed{log, own} {
+			k.add("a", "1")
+			k.add("b", "1")
+		}
+		reader := follow(log, func(context.Context, string, port.Offset) []port.Batch { return nil })
+		reader.Followed = func() bool { return true }
+		relay := func(ctx context.Context, stream string, from port.Offset) (port.Batch, bool, error) {
+			b, err := reader.Records(ctx, stream, from, 0)
+			return b, true, err
+		}
+		// The follower's own log shows how often it is read.
+		near := follow(own, nil)
+		near.Relay = relay
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = reader.Run(ctx) }()
+		<-time.After(time.Second)
+		go func() { _ = near.Run(ctx) }()
+		<-time.After(time.Second)
+		log.add("a", "2")
+		log.add("b", "")
+		log.add("c", "3")
+		<-time.After(time.Second)
+		values, age := near.state()
+		is.Equal(values["a"], "2")
+		is.Equal(values["b"], "")
+		is.Equal(values["c"], "3")
+		is.True(age <= 2*followedWait+relayInterval+relaySlack)
+		is.Equal(own.newest, 1) // read once, at the start
+
+		// The reader loses the log: it does not vouch for more than it knows, and the
+		// follower reads itself.
+		log.mu.Lock()
+		log.down = true
+		log.mu.Unlock()
+		for range 4 {
+			own.add("a", "9")
+		}
+		<-time.After(10 * time.Second)
+		values, age = near.state()
+		is.Equal(values["a"], "9")
+		is.True(age < 2*operatorWait+relayInterval)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against keys that were removed while neither the reader nor the asking router
+// read the log.
+func TestReaderThatBeganLaterIsNotBelieved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &keyed{}
+		log.add("gone", "1")
+		log.add("stays", "1")
+		near := follow(log, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		is.NoErr(near.read(ctx))
+		log.add("gone", "")
+		reader := follow(log, nil)
+		reader.Relay = func(context.Context, string, port.Offset) (port.Batch, bool, error) { return port.Batch{}, false, nil }
+		is.NoErr(reader.read(ctx))
+		near.Relay = func(ctx context.Context, stream string, from port.Offset) (port.Batch, bool, error) {
+			b, err := reader.Records(ctx, stream, from, 0)
+			return b, true, err
+		}
+		go func() { _ = near.Run(ctx) }()
+		<-time.After(time.Second)
+		values, _ := near.state()
+		is.Equal(values, map[string]string{"stays": "1"})
+		cancel()
+		synctest.Wait()
+	})
+}
