Bound the queue of a gated pool for each client account

Found by reading the change: what waits for engines was bounded by time alone. The bound of the other pools holds now; the test fails without it.

--- a/internal/core/limits/gate.go
+++ b/internal/core/limits/gate.go
@@ -87,7 +87,11 @@
 		c.start(p, w)
 		return w, nil
 	}
-	if wait := c.gatedWait(p, a); wait > a.Deadline.Sub(now) {
+	wait := c.gatedWait(p, a)
+	if l := p.busy[a.Account]; l != nil && len(l.waiting) >= maxQueued {
+		return nil, &RefusedError{Reason: ReasonQueueFull, RetryAfter: max(wait, time.Second)}
+	}
+	if wait > a.Deadline.Sub(now) {
 		return nil, &RefusedError{Reason: ReasonDeadline, RetryAfter: wait}
 	}
 	p.enqueue(w)
--- a/internal/core/limits/gate_test.go
+++ b/internal/core/limits/gate_test.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -142,6 +143,17 @@
 		second.Release()
 		first.Release()
 
+		// A queue does not grow without bound, however long its requests would wait.
+		ctx, leave := context.WithCancel(t.Context())
+		for range maxQueued {
+			go func() { _, _ = c.Acquire(ctx, gated(full, time.Hour)) }()
+		}
+		synctest.Wait()
+		_, err = c.Acquire(ctx, gated(full, time.Hour))
+		is.Equal(reason(err), ReasonQueueFull)
+		leave()
+		synctest.Wait()
+
 		begun := time.Now()
 		_, err = c.Acquire(t.Context(), gated(full, 1100*time.Millisecond))
 		is.Equal(reason(err), ReasonDeadline)
