--- a/internal/faultmatrix/faults_test.go
+++ b/internal/faultmatrix/faults_test.go
@@ -1,6 +1,7 @@
 package faultmatrix
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -57,12 +58,14 @@
 }
 
 func (w *world) outage() {
-	set := func(on bool) {
-		w.must(harness.Control(w.ctx, http.MethodPost, "http://"+w.sys.Log.Direct+"/control/faults", map[string]bool{"outage": on}))
-		w.must(harness.Control(w.ctx, http.MethodPost, "http://"+w.sys.VMs.Direct+"/control/faults", map[string]bool{"outage": on}))
-	}
-	set(true)
-	w.heals = append(w.heals, func() { set(false) })
+	w.must(w.setOutage(true))
+	w.heals = append(w.heals, func() { w.must(w.setOutage(false)) })
+}
+
+func (w *world) setOutage(on bool) error {
+	fault := map[string]bool{"outage": on}
+	return errors.Join(harness.Control(w.ctx, http.MethodPost, "http://"+w.sys.Log.Direct+"/control/faults", fault),
+		harness.Control(w.ctx, http.MethodPost, "http://"+w.sys.VMs.Direct+"/control/faults", fault))
 }
 
 // crashOnRequest makes the poisoned prompt crash every engine that starts it,
