Sort the targets of a service without copying them

Cause: every request lists the targets of its service twice, copied and sorted as values of about 300 bytes: 15% of the processor time of a streamed request of 20 events with 12 targets (new benchmark, profile), the largest single part. Change: pointers are sorted, and copied once in order. After: 4%; 44,306 to 36,444 bytes allocated for a request. The time by the clock (274 and 273 µs) says nothing, as the machine was busy. The order is the same.

--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -184,45 +185,44 @@
 	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var staying, leaving []Target
+	var staying, leaving []*Target
 	for _, t := range d.targets {
 		switch {
 		case t.Service != service:
 		case t.LeavingSince.IsZero():
-			staying = append(staying, *t)
+			staying = append(staying, t)
 		case now.Sub(t.LeavingSince) < d.grace:
-			leaving = append(leaving, *t)
+			leaving = append(leaving, t)
 		}
 	}
 	if len(staying) == 0 {
 		staying = leaving
 	}
-	slices.SortFunc(staying, func(a, b Target) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return staying
+	return copies(staying)
+}
+
+// copies returns the targets in the order of their ids. Pointers are sorted, because
+// every request comes here and targets are large.
+func copies(targets []*Target) []Target {
+	slices.SortFunc(targets, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
+	out := make([]Target, len(targets))
+	for i, t := range targets {
+		out[i] = *t
+	}
+	return out
 }
 
 // All returns copies of all targets that stay.
 func (d *Directory) All() []Target {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make([]Target, 0, len(d.targets))
+	out := make([]*Target, 0, len(d.targets))
 	for _, t := range d.targets {
 		if t.LeavingSince.IsZero() {
-			out = append(out, *t)
+			out = append(out, t)
 		}
 	}
-	slices.SortFunc(out, func(a, b Target) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return out
+	return copies(out)
 }
 
 // serviceAt returns the service of the target at the address; empty: unknown.
