Do not take a line within which a connection broke for an event

The stream was visibly broken off, which is allowed; the harness's client was wrong. The check tells where a stream went wrong. The seed stays as a regression case.

--- a/internal/faultmatrix/checks_test.go
+++ b/internal/faultmatrix/checks_test.go
@@ -87,7 +87,8 @@
 		a := s.answer
 		switch {
 		case a.Gap:
-			bad = append(bad, s.id+": chunks out of order")
+			bad = append(bad, fmt.Sprintf("%s: chunks out of order, next %d, done %t, error %v, text ends %.80q", s.id, a.Next, a.Done, a.Err,
+				a.Text[max(0, len(a.Text)-80):]))
 		case a.Done && a.Broken:
 			bad = append(bad, s.id+": error event and [DONE]")
 		case a.Done && !a.Whole(s.prompt, s.tokens, o.weights...):
--- a/internal/faultmatrix/soak_test.go
+++ b/internal/faultmatrix/soak_test.go
@@ -19,7 +19,11 @@
 )
 
 // soakRegressions are seeds that once failed, each with a line on the cause.
-var soakRegressions = []uint64{}
+var soakRegressions = []uint64{
+	// A line within which a connection broke counted as a chunk out of order (the
+	// harness's client); seen once in CI and in 1 of 8 runs beside load.
+	2,
+}
 
 const (
 	// soakFaults is the number of faults in one run; they come in series and overlap.
@@ -36,7 +40,9 @@
 func TestSoak(t *testing.T) {
 	seeds := slices.Clone(soakRegressions)
 	for i := range *soakSeeds {
-		seeds = append(seeds, *soakFirst+i)
+		if seed := *soakFirst + i; !slices.Contains(seeds, seed) {
+			seeds = append(seeds, seed)
+		}
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
--- a/internal/harness/client.go
+++ b/internal/harness/client.go
@@ -113,6 +113,7 @@
 
 func (a *Answer) readEvents(r io.Reader, begun time.Time, onChunk func(int)) {
 	scanner := bufio.NewScanner(r)
+	scanner.Split(wholeLines)
 	for scanner.Scan() {
 		line := scanner.Text()
 		if line == "event: error" {
@@ -137,6 +138,15 @@
 	a.Err = scanner.Err()
 }
 
+// wholeLines splits at line ends and drops what comes after the last: a line within
+// which the connection broke is no event.
+func wholeLines(data []byte, atEOF bool) (advance int, line []byte, err error) {
+	if bytes.IndexByte(data, '\n') < 0 && atEOF {
+		return len(data), nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
 func (a *Answer) chunk(data string, begun time.Time, onChunk func(int)) {
 	var event struct {
 		Choices []struct {
