--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -57,16 +57,22 @@
 	// idleBeforeConfiguration holds for clients' connections until the
 	// configuration names a limit.
 	idleBeforeConfiguration = 60 * time.Second
-	headerTimeout           = 10 * time.Second
+	// headerTimeout frees connections whose client never ends its headers; it is far
+	// beyond any link that still serves.
+	headerTimeout = 10 * time.Second
 	// keyMargin covers the difference between clocks that run at different speeds.
 	keyMargin = 100 * time.Millisecond
 	// leaveWait is how long a stopping router takes new connections: the entry
 	// asks once a second and stops after two refusals.
 	leaveWait = 2500 * time.Millisecond
 	// endMargin is the part of the time to stop that is kept for the end itself.
-	endMargin    = 700 * time.Millisecond
+	endMargin = 700 * time.Millisecond
+	// settingsPoll is the time between two looks at the settings file, which may change
+	// without a signal.
 	settingsPoll = 2 * time.Second
-	pruneTick    = 10 * time.Second
+	// pruneTick is the time between two searches for targets that are gone for long; it
+	// bounds memory only.
+	pruneTick = 10 * time.Second
 )
 
 func gatewayCommand() command {
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -23,7 +23,8 @@
 	// wholeAnswerBytes is the size up to which an answer is read whole before it
 	// is passed on, so that one that breaks off can be repeated.
 	wholeAnswerBytes = 256 << 10
-	copyBytes        = 16 << 10
+	// copyBytes is the size of one write to a client: about what one read brings.
+	copyBytes = 16 << 10
 	// probeTimeout bounds the question whether a silent target still lives.
 	probeTimeout = 400 * time.Millisecond
 )
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -17,7 +17,8 @@
 	// target: after it another router or a later time serves the client better.
 	holdShare = 0.5
 	// minHold covers the busy time of a target where routes have short objectives.
-	minHold  = 50 * time.Millisecond
+	minHold = 50 * time.Millisecond
+	// holdPoll is the time between two looks for a usable target: short against minHold.
 	holdPoll = 10 * time.Millisecond
 
 	// decodeMsPerToken stands in for a figure that engines do not tell.
--- a/internal/app/gateway/fake_test.go
+++ b/internal/app/gateway/fake_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/core/site"
@@ -155,3 +157,12 @@
 	out := &recorder{}
 	return out, w.Serve(ctx, r, out)
 }
+
+// sentOnce checks that one request was sent in all, to the target and for the weights.
+func (w *world) sentOnce(is *is.I, target string, weights int) {
+	is.Helper()
+	sent := w.targets.sent()
+	is.Equal(len(sent), 1)
+	is.Equal(sent[0].ExpectTarget, target)
+	is.Equal(sent[0].ExpectWeights, weights)
+}
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -163,11 +163,8 @@
 		w.Directory.SetWeights("e2", map[string]int{testModel: 2})
 		_, err = w.send(t.Context(), "check")
 		is.NoErr(err)
-		sent := w.targets.sent()
-		is.Equal(len(sent), 1)
-		is.Equal(sent[0].ExpectTarget, "e2")
-		is.Equal(sent[0].ExpectWeights, 2)
-		is.Equal(sent[0].CacheScope, "v2/")
+		w.sentOnce(is, "e2", 2)
+		is.Equal(w.targets.sent()[0].CacheScope, "v2/")
 	})
 }
 
@@ -284,10 +281,7 @@
 		w.Directory.SetWeights("e3", map[string]int{testModel: 2})
 		_, err = w.send(t.Context(), "check")
 		is.NoErr(err)
-		sent := w.targets.sent()
-		is.Equal(len(sent), 1)
-		is.Equal(sent[0].ExpectTarget, "e3")
-		is.Equal(sent[0].ExpectWeights, 2)
+		w.sentOnce(is, "e3", 2)
 	})
 }
 
--- a/internal/core/balance/reliability.go
+++ b/internal/core/balance/reliability.go
@@ -16,7 +16,7 @@
 )
 
 // Reliability is how often requests failed on a target, as their own answers showed.
-// It answers targets that fail a part of their requests while their status check is
+// It answers targets that fail a part of their requests while their health check is
 // good. The zero value knows nothing.
 type Reliability struct {
 	runs     float64
--- a/internal/faultmatrix/soak_test.go
+++ b/internal/faultmatrix/soak_test.go
@@ -28,7 +28,8 @@
 const (
 	// soakFaults is the number of faults in one run; they come in series and overlap.
 	soakFaults = 10
-	// Faults last and follow each other for at most these times.
+	// Faults last and follow each other for at most these times. They are what a run is
+	// made of; no verdict waits for a time.
 	soakLongest, soakGap = 1500 * time.Millisecond, 700 * time.Millisecond
 	// soakCallers send streams and reservations for as long as the faults last.
 	soakCallers = 4
