weights, fleet: announce engines that load weights to the other routers

Cause: only the router that gives the orders knew which engines were loading.

Change: the holder of the lease announces to its neighbours that an engine has accepted an order, and that it serves the version. The new call Loading of the routers' protocol carries it; a router of an earlier version answers that it does not know the call, which changes nothing. A pause is bounded by 2 s and ends with the load; versions that nobody has named are ignored.

Tests: TestLoadsAreAnnounced, TestLoadingReachesPeers, TestAnnouncedLoadsPauseTargets.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -216,6 +216,7 @@
 		TargetsCheckFencing: s.Bounds.TargetsCheckFencing, HandoverInterval: settings.Milliseconds(s.Bounds.HandoverIntervalMs),
 		Targets:   n.engines,
 		OnPaused:  func(id string, d time.Duration) { n.dir.SetPaused(id, n.clock.Now().Add(d)) },
+		OnLoading: func(l port.TargetLoading) { n.fleet.AnnounceLoading(l) },
 		OnWeights: n.dir.SetWeights,
 	})
 }
--- a/cmd/mimosaseam/gatewaypeers.go
+++ b/cmd/mimosaseam/gatewaypeers.go
@@ -40,6 +40,7 @@
 			OnStarted: func(target string, tokens int) {
 				n.placer.ObservePeerRequest(n.clock.Now(), target, tokens, n.gateway.PrefillRate(target))
 			},
+			OnLoading:      func(l port.TargetLoading) { n.gateway.ObserveLoading(l) },
 			OnFingerprints: func(values []string) { crashTracker.Receive(time.Now(), values) },
 			OnRouters:      func(others []membership.Router) { n.setRouters(others) },
 		},
--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -123,6 +123,15 @@
 	return err
 }
 
+// Loading implements port.LoadingNotifier.
+func (c *Client) Loading(ctx context.Context, address string, l port.TargetLoading) error {
+	in := &peerv1.LoadingRequest{Target: l.Target, Model: l.Model, Version: int64(l.Version), PauseMs: uint32(max(l.Pause, 0) / time.Millisecond)}
+	_, err := call(ctx, c, address, func(ctx context.Context, p peerv1.PeerClient) (*peerv1.LoadingResponse, error) {
+		return p.Loading(ctx, in)
+	})
+	return err
+}
+
 // Reserve implements port.ReservationPeer.
 func (c *Client) Reserve(ctx context.Context, address, target string, fingerprint uint64, release bool) (bool, error) {
 	out, err := call(ctx, c, address, func(ctx context.Context, p peerv1.PeerClient) (*peerv1.ReserveResponse, error) {
--- a/internal/adapter/peergrpc/notify_test.go
+++ b/internal/adapter/peergrpc/notify_test.go
@@ -13,12 +13,15 @@
 // peerHandler also handles prefill notifications and reservations.
 type peerHandler struct {
 	*handler
-	target string
-	tokens int
+	target  string
+	tokens  int
+	loading port.TargetLoading
 }
 
 func (h *peerHandler) HandleStarted(target string, tokens int) { h.target, h.tokens = target, tokens }
 
+func (h *peerHandler) HandleLoading(l port.TargetLoading) { h.loading = l }
+
 func (h *peerHandler) HandleReserve(target string, fingerprint uint64, release bool) bool {
 	return target == "t1" && fingerprint == 7 && !release
 }
@@ -63,3 +66,22 @@
 	is.NoErr(err)
 	is.True(granted)
 }
+
+// Guards against announcements of loading targets that are lost or changed on the way, and
+// calls that fail on a router of an earlier version.
+func TestLoadingReachesPeers(t *testing.T) {
+	is := is.New(t)
+	c := NewClient(nil)
+	defer c.Close()
+	h := &peerHandler{handler: &handler{}}
+	address, _ := serve(t, h, nil)
+	for _, l := range []port.TargetLoading{
+		{Target: "t1", Model: "m", Version: 4, Pause: 1500 * time.Millisecond},
+		{Target: "t1", Model: "m", Version: 4},
+	} {
+		is.NoErr(c.Loading(t.Context(), address, l))
+		is.Equal(h.loading, l)
+	}
+	older, _ := serve(t, &handler{}, nil)
+	is.NoErr(c.Loading(t.Context(), older, port.TargetLoading{Target: "t1"}))
+}
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -134,6 +134,14 @@
 	return &peerv1.StartedResponse{}, nil
 }
 
+func (s *server) Loading(_ context.Context, in *peerv1.LoadingRequest) (*peerv1.LoadingResponse, error) {
+	if h, ok := s.handler.(port.LoadingHandler); ok {
+		h.HandleLoading(port.TargetLoading{Target: in.GetTarget(), Model: in.GetModel(), Version: int(in.GetVersion()),
+			Pause: time.Duration(in.GetPauseMs()) * time.Millisecond})
+	}
+	return &peerv1.LoadingResponse{}, nil
+}
+
 func (s *server) Reserve(_ context.Context, in *peerv1.ReserveRequest) (*peerv1.ReserveResponse, error) {
 	h, ok := s.handler.(port.ReservationHandler)
 	return &peerv1.ReserveResponse{Granted: !ok || h.HandleReserve(in.GetTarget(), in.GetFingerprint(), in.GetRelease())}, nil
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -80,6 +80,9 @@
 	// OnStarted is called for a request with a long prompt that a peer sent to
 	// a target.
 	OnStarted func(target string, tokens int)
+	// OnLoading is called for a target that loads new weights, or has loaded them,
+	// on the order of a peer.
+	OnLoading func(l port.TargetLoading)
 	// OnConfigOffset receives the config offset that a peer has applied.
 	OnConfigOffset func(peer string, offset port.Offset)
 }
--- a/internal/app/fleet/prefill.go
+++ b/internal/app/fleet/prefill.go
@@ -22,13 +22,29 @@
 	if !ok {
 		return
 	}
+	f.sendToNeighbours("request started at "+target, func(ctx context.Context, address string) error {
+		return peer.Started(ctx, address, target, tokens)
+	})
+}
+
+// AnnounceLoading announces to the neighbours that a target loads new weights, or has
+// loaded them. It does not wait for responses.
+func (f *Fleet) AnnounceLoading(l port.TargetLoading) {
+	peer, ok := f.o.Peer.(port.LoadingNotifier)
+	if !ok {
+		return
+	}
+	f.sendToNeighbours("weights of "+l.Target, func(ctx context.Context, address string) error {
+		return peer.Loading(ctx, address, l)
+	})
+}
+
+func (f *Fleet) sendToNeighbours(what string, send func(ctx context.Context, address string) error) {
 	f.mu.Lock()
 	neighbours := f.view.Neighbours()
 	f.mu.Unlock()
 	for _, to := range neighbours {
-		f.sendAsync("request started at "+target, to, func(ctx context.Context) error {
-			return peer.Started(ctx, to.Address, target, tokens)
-		})
+		f.sendAsync(what, to, func(ctx context.Context) error { return send(ctx, to.Address) })
 	}
 }
 
@@ -56,3 +72,10 @@
 		on(target, tokens)
 	}
 }
+
+// HandleLoading implements port.LoadingHandler.
+func (f *Fleet) HandleLoading(l port.TargetLoading) {
+	if on := f.o.Callbacks.OnLoading; on != nil {
+		on(l)
+	}
+}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -252,6 +252,25 @@
 	g.prefillRates[service] = g.prefillRates[service].Observe(tokens, float64(took)/float64(time.Millisecond)-s.LinkMs)
 }
 
+// maxLoadingPause bounds the pause of a target that a peer announces.
+const maxLoadingPause = 2 * time.Second
+
+// ObserveLoading records a peer's announcement that a target loads new weights or has
+// loaded them. Versions that this router does not know yet are ignored.
+func (g *Gateway) ObserveLoading(l port.TargetLoading) {
+	if g.DesiredVersion == nil {
+		return
+	}
+	if desired, _ := g.DesiredVersion(l.Model); l.Version <= 0 || l.Version > desired {
+		return
+	}
+	if l.Pause > 0 {
+		g.Directory.SetPaused(l.Target, g.Clock.Now().Add(min(l.Pause, maxLoadingPause)))
+		return
+	}
+	g.Directory.SetWeights(l.Target, map[string]int{l.Model: l.Version})
+}
+
 func (g *Gateway) retryLimiter(service string) *retry.RetryLimiter {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -345,3 +345,45 @@
 		is.NoErr(err)
 	})
 }
+
+// Guards against requests to an engine that loads weights on the order of another router,
+// a pause that outlives the load, and announcements of versions that nobody has named.
+func TestAnnouncedLoadsPauseTargets(t *testing.T) {
+	cases := map[string]struct {
+		announced []port.TargetLoading
+		wait      time.Duration
+		paused    bool
+		weights   int
+	}{
+		"loading":            {[]port.TargetLoading{{Target: "e1", Model: testModel, Version: 2, Pause: time.Second}}, 0, true, 1},
+		"pause over":         {[]port.TargetLoading{{Target: "e1", Model: testModel, Version: 2, Pause: time.Second}}, time.Second, false, 1},
+		"pause is bounded":   {[]port.TargetLoading{{Target: "e1", Model: testModel, Version: 2, Pause: time.Hour}}, maxLoadingPause, false, 1},
+		"loaded":             {[]port.TargetLoading{{Target: "e1", Model: testModel, Version: 2, Pause: time.Second}, {Target: "e1", Model: testModel, Version: 2}}, 0, false, 2},
+		"version not named":  {[]port.TargetLoading{{Target: "e1", Model: testModel, Version: 3, Pause: time.Second}, {Target: "e1", Model: testModel, Version: 3}}, 0, false, 1},
+		"another model":      {[]port.TargetLoading{{Target: "e1", Model: "other", Version: 2, Pause: time.Second}}, 0, false, 1},
+		"negative version":   {[]port.TargetLoading{{Target: "e1", Model: testModel, Version: -2, Pause: time.Second}}, 0, false, 1},
+		"target not known":   {[]port.TargetLoading{{Target: "e9", Model: testModel, Version: 2, Pause: time.Second}}, 0, false, 1},
+		"older announcement": {[]port.TargetLoading{{Target: "e1", Model: testModel, Version: 2}, {Target: "e1", Model: testModel, Version: 1}}, 0, false, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newTestGateway(t)
+				w.DesiredVersion = func(model string) (int, time.Time) {
+					if model == testModel {
+						return 2, time.Now()
+					}
+					return 0, time.Time{}
+				}
+				for _, l := range c.announced {
+					w.ObserveLoading(l)
+				}
+				time.Sleep(c.wait)
+				e1 := w.Directory.Service("llm")[0]
+				is.Equal(e1.PausedUntil.After(time.Now()), c.paused)
+				is.Equal(e1.Weights[testModel], c.weights)
+			})
+		})
+	}
+}
--- a/internal/app/weights/order.go
+++ b/internal/app/weights/order.go
@@ -19,6 +19,9 @@
 	maxReportAge = 1500 * time.Millisecond
 	// switchPause is the expected time for which an ordered target starts no requests.
 	switchPause = 900 * time.Millisecond
+	// announcedPause is the pause announced to other routers. It is longer, because the
+	// end of the load is announced too.
+	announcedPause = 2 * switchPause
 )
 
 // pending is an order whose effect was not observed yet.
@@ -64,6 +67,9 @@
 		case status.Weights[t.Model] >= p.version:
 			m.Logger.Info("weights in force", "target", t.ID, "version", p.version, "ms", m.Clock.Now().Sub(p.begun).Milliseconds())
 			m.clearFailures(t)
+			if p.sent {
+				m.announce(t, p.version, 0)
+			}
 			return
 		case status.OrderInProgress || p.sent && status.AcceptedOrders > p.accepted:
 			m.OnPaused(t.ID, 2*statusInterval)
@@ -123,6 +129,7 @@
 	case err == nil, errors.As(err, &unknown):
 		p.acknowledged = err == nil
 		m.OnPaused(t.ID, switchPause)
+		m.announce(t, p.version, announcedPause)
 		return true
 	case errors.As(err, &stale):
 		m.setHeld(0, time.Time{})
@@ -130,6 +137,12 @@
 	return false
 }
 
+func (m *Manager) announce(t Target, version int, pause time.Duration) {
+	if m.OnLoading != nil {
+		m.OnLoading(port.TargetLoading{Target: t.ID, Model: t.Model, Version: version, Pause: pause})
+	}
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/app/weights/weights.go
+++ b/internal/app/weights/weights.go
@@ -59,6 +59,9 @@
 	Targets func() []Target
 	// OnPaused is called when a target is expected to start no requests for the time pause.
 	OnPaused func(id string, pause time.Duration)
+	// OnLoading is called when a target has accepted an order and when it serves the
+	// ordered version; nil: not called.
+	OnLoading func(l port.TargetLoading)
 	// OnWeights is called with the versions in a target's status report.
 	OnWeights func(id string, weights map[string]int)
 }
--- a/internal/app/weights/weights_test.go
+++ b/internal/app/weights/weights_test.go
@@ -307,3 +307,37 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against engines whose load is announced without its end, or not at all, so that
+// other routers send them requests that they refuse.
+func TestLoadsAreAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(3)
+		var mu sync.Mutex
+		var announced []port.TargetLoading
+		m := f.manager("r1")
+		m.OnLoading = func(l port.TargetLoading) {
+			mu.Lock()
+			defer mu.Unlock()
+			announced = append(announced, l)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		run(ctx, m)
+		m.SetDesired(model, 2)
+		time.Sleep(10 * time.Second)
+		is.Equal(f.behind(2), 0)
+		mu.Lock()
+		defer mu.Unlock()
+		paused := map[string]bool{}
+		for _, l := range announced {
+			is.Equal(l.Model, model)
+			is.Equal(l.Version, 2)
+			is.Equal(paused[l.Target], l.Pause == 0) // the end follows the begin
+			paused[l.Target] = l.Pause > 0
+			is.True(l.Pause == 0 || l.Pause > loadTime+statusLag)
+		}
+		is.Equal(len(announced), 6)
+	})
+}
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -128,6 +128,26 @@
 	Handoff(ctx context.Context, address string, from Member, summary []byte) error
 }
 
+// TargetLoading announces that a target loads new weights. While Pause is positive, the
+// target starts no requests for about that long; 0 means that it serves the version.
+type TargetLoading struct {
+	Target  string
+	Model   string
+	Version int
+	Pause   time.Duration
+}
+
+// LoadingNotifier notifies other routers of targets that load new weights.
+type LoadingNotifier interface {
+	Loading(ctx context.Context, address string, l TargetLoading) error
+}
+
+// LoadingHandler handles the notifications of a LoadingNotifier; a PeerHandler may
+// implement it.
+type LoadingHandler interface {
+	HandleLoading(l TargetLoading)
+}
+
 // PrefillNotifier notifies other routers immediately of requests sent to targets.
 type PrefillNotifier interface {
 	// Started reports that a request was sent to the target, which needs to prefill
