gateway: infer from a refusal that an engine loads newer weights

Cause: a router that no announcement has reached (more routers than neighbours, lost messages) waited 150 ms after a refusal and tried the engine again. The refusal says more: an engine with older weights than announced that refuses while it reports free slots is loading.

Refusals carry the load that the target reported with them.

Test: TestRefusingEngineIsSkippedWhileItLoads.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -187,12 +187,26 @@
 		default:
 			x.retryAfter = max(x.retryAfter, refused.RetryAfter)
 			x.g.circuits.SetBusy(t.ID, now.Add(busyBackoff))
+			if full := refused.Load != nil && (refused.Load.Waiting > 0 || refused.Load.Running >= refused.Load.Slots); !full && x.outdated(t) {
+				// A target that refuses requests while it has free slots loads the
+				// newer weights. Only the router that gave the order knows for certain.
+				x.g.Directory.SetPaused(t.ID, now.Add(loadingPause))
+			}
 		}
 		return retrypolicy.NotRun, err
 	}
 	return retrypolicy.Unknown, x.markUnresponsive(ctx, err)
 }
 
+// outdated reports whether newer weights than the target's were announced.
+func (x *exchange) outdated(t Target) bool {
+	if x.engine == nil || x.g.DesiredVersion == nil {
+		return false
+	}
+	desired, _ := x.g.DesiredVersion(x.r.Model)
+	return t.Weights[x.r.Model] < desired
+}
+
 // markUnresponsive adds ErrUnresponsive to err if that ended the attempt.
 func (x *exchange) markUnresponsive(ctx context.Context, err error) error {
 	if errors.Is(context.Cause(ctx), ErrUnresponsive) {
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -21,6 +21,9 @@
 	// busyBackoff is how long a target is skipped after it refused a request for lack of
 	// capacity or because its weights changed.
 	busyBackoff = 150 * time.Millisecond
+	// loadingPause is how long a target is skipped that probably loads newer weights:
+	// less than a load takes, since it is unknown how much of it has passed.
+	loadingPause = 700 * time.Millisecond
 	// loadReportTTL is the age after which a target's load report is ignored.
 	loadReportTTL = 2 * time.Second
 )
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -387,3 +387,36 @@
 		})
 	}
 }
+
+// Guards against a router that sends one request after the other to an engine that loads
+// newer weights, although other engines are free.
+func TestRefusingEngineIsSkippedWhileItLoads(t *testing.T) {
+	loading := &port.NotRunError{Target: "t", Reason: port.NotRunOverloaded, Load: &port.LoadReport{Running: 3, Slots: 8}}
+	full := &port.NotRunError{Target: "t", Reason: port.NotRunOverloaded, Load: &port.LoadReport{Running: 8, Waiting: 4, Slots: 8}}
+	cases := map[string]struct {
+		err     error
+		desired int
+		paused  bool
+	}{
+		"loads newer weights":  {loading, 2, true},
+		"full":                 {full, 2, false},
+		"serves the newest":    {loading, 1, false},
+		"load is not reported": {&port.NotRunError{Target: "t", Reason: port.NotRunOverloaded}, 2, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newTestGateway(t, reply{err: c.err}, fine)
+				w.DesiredVersion = func(string) (int, time.Time) { return c.desired, time.Now() }
+				_, err := w.send(t.Context(), "check")
+				is.NoErr(err)
+				time.Sleep(busyBackoff)
+				first := w.targets.sent()[0].ExpectTarget
+				for _, e := range w.Directory.Service("llm") {
+					is.Equal(e.PausedUntil.After(time.Now()), c.paused && e.ID == first)
+				}
+			})
+		})
+	}
+}
--- a/internal/port/failure.go
+++ b/internal/port/failure.go
@@ -73,7 +73,9 @@
 	Target     string
 	Reason     NotRunReason
 	RetryAfter time.Duration
-	Cause      error
+	// Load is the load that the target reported with its refusal, nil if it did not.
+	Load  *LoadReport
+	Cause error
 }
 
 func (e *NotRunError) Error() string {
