placement: count the lost cache when a prompt is prefilled on old weights

Cause: while newer weights are rolled out, prompts that no engine had cached were prefilled on engines with old weights, which drop the cache within seconds; the same parts were prefilled again on the new weights, and requests that begin on old weights earn less.

Change: a prefill on a target whose cache expires costs as much more as one outside of the home targets. Cached prompts still go where they are cached.

Test: TestPrefillsAvoidTargetsWhoseCacheExpires.

--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -160,6 +160,7 @@
 		FailureCostMs:          x.failureCostMs(t),
 		CacheBlocks:            x.engine.CacheTokens / placement.PartBlockTokens,
 		ColdUntil:              t.ColdUntil,
+		CacheExpires:           x.outdated(t),
 		PrefillTokensPerSecond: x.g.prefillRate(x.service), DecodeMsPerToken: decodeMsPerToken}
 }
 
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -31,6 +31,9 @@
 	s.PrefillMs = uncached / perMs
 	s.QueueMs = p.queueMs(v.now, t, target, perMs)
 	s.RecomputeMs = (p.missWeight(v, c.order, s.QueueMs*perMs) + v.req.Weights.Recompute) * s.PrefillMs
+	if target.CacheExpires {
+		s.RecomputeMs += p.cfg.MissWeight * s.PrefillMs
+	}
 	s.LinkMs = 2 * p.linkMs(target)
 	if target.Region != p.cfg.Region {
 		s.CrossRegionMs = v.req.Weights.CrossRegionMsPerMiB * float64(v.req.PromptBytes) / bytesPerMiB
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -22,6 +22,8 @@
 	DecodeMsPerToken       float64
 	// ColdUntil is the end of the target's slow-start period.
 	ColdUntil time.Time
+	// CacheExpires is set if the target will soon drop what it has cached.
+	CacheExpires bool
 	// FailureCostMs is the expected cost of failures on the target, in ms.
 	FailureCostMs float64
 }
--- a/internal/core/placement/policy_test.go
+++ b/internal/core/placement/policy_test.go
@@ -299,3 +299,25 @@
 	is.True(p.Rank(now, req, targets)[0].Target != first)
 	is.Equal(p.Rank(now.Add(time.Second), req, targets)[0].Target, first)
 }
+
+// Guards against prompts that are prefilled on a target which drops its cache soon, although
+// another could retain them, and against cached prompts that are prefilled again elsewhere
+// for that reason.
+func TestPrefillsAvoidTargetsWhoseCacheExpires(t *testing.T) {
+	is := is.New(t)
+	p := New(Settings{Seed: 1})
+	targets := fleet(4)
+	q := newRequest("a", "w", 1, 2, 3, 4)
+	home := p.Rank(start, q, targets)[0].Target
+	for i := range targets {
+		targets[i].CacheExpires = targets[i].Name == home
+	}
+	is.True(p.Rank(start, q, targets)[0].Target != home)
+	q.KnownCachedTokens = map[string]int{home: q.PromptTokens}
+	is.Equal(p.Rank(start, q, targets)[0].Target, home)
+	q.KnownCachedTokens = nil
+	for i := range targets {
+		targets[i].CacheExpires = true
+	}
+	is.Equal(p.Rank(start, q, targets)[0].Target, home) // no other target retains it either
+}
