platform, gateway: believe no late copy of a response

Cause: a target may send a second copy of a response on a connection that is in use again. The id told the copies apart, but for three cases. A refusal without an id was taken for the refusal of the next request, which then ran a second time on another send, or whose caller was told that it had not run. A refused request that was sent again to the same target on the same connection took the copy of the refusal, with its own id, for the answer, and ran beside it. Control calls looked at no id at all.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -40,6 +40,11 @@
 	defer span.End()
 	x.attempts++
 	x.sentAt = start
+	if x.tried[t.ID] {
+		// A late copy of the target's response to the earlier attempt carries the
+		// same id.
+		ctx = port.WithFreshConnection(ctx)
+	}
 	x.lastTarget, x.tried[t.ID] = t.ID, true
 	g.Directory.begin(t.ID)
 	g.circuits.Started(start, t.ID)
