platform, gateway: do not wait for the end of a refusal or failure

Cause: before a refused or failed request was sent to another target, the rest of the first response was read: up to 64 KB of a refusal, to keep its connection, and all of an error response, which may have to be relayed. A target that sends a byte now and then held the request until its deadline; a booking that was refused by one target was never offered to the next.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -25,6 +25,9 @@
 	maxBufferedBytes = 256 << 10
 	// copyBufferBytes is the size of one write to a client, about that of one read.
 	copyBufferBytes = 16 << 10
+	// heldResponseTimeout bounds the wait for the body of an error response that is held
+	// back: a retry on another target is worth more than the body.
+	heldResponseTimeout = 100 * time.Millisecond
 	// probeTimeout bounds the status request to an unresponsive target.
 	probeTimeout = 400 * time.Millisecond
 )
@@ -129,11 +132,10 @@
 // holdFailure buffers the target's error response. It is relayed if no other target
 // returns a better one.
 func (x *exchange) holdFailure(ctx context.Context, t Target, a port.ForwardResponse) (retrypolicy.Outcome, error) {
+	stop := time.AfterFunc(heldResponseTimeout, func() { _ = a.Body.Close() }) // the reader sees the error
+	defer stop.Stop()
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes))
-	if err != nil {
-		return retrypolicy.Unknown, x.markUnresponsive(ctx, err)
-	}
-	if len(body) < maxBufferedBytes {
+	if err == nil && len(body) < maxBufferedBytes {
 		x.held = &bufferedResponse{response: a, body: body}
 	}
 	return retrypolicy.Failed, &port.BadRequestError{Peer: t.ID, Status: a.Status}
