gateway: do not cut an idempotent response that is being relayed

Cause: an idempotent request is retried on another target after twice its latency objective. The clock went on while a large response was relayed, so a sound one was cut midway, where no retry is possible any more.

Change: once a response is being relayed, only the deadline ends it.

Test over real sockets: TestLargeSoundAnswerIsNotCut (broke off before).

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -338,6 +338,7 @@
 		return
 	}
 	x.committed = true
+	x.relaying.Store(true)
 	x.sink.Head(a.Status, a.Header, length)
 }
 
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/gatewayconfig"
@@ -34,8 +35,10 @@
 
 	history  retrypolicy.History
 	sequence stream.SequenceChecker
-	// committed is set once response headers were sent to the client.
+	// committed is set once response headers were sent to the client. relaying is its
+	// copy for watchLiveness.
 	committed bool
+	relaying  atomic.Bool
 	tried     map[string]bool
 	attempts  int
 	// sentAt is the start of the last attempt, zero once its first event arrived.
--- a/internal/app/gateway/liveness.go
+++ b/internal/app/gateway/liveness.go
@@ -53,7 +53,9 @@
 func (g *Gateway) unresponsive(ctx context.Context, x *exchange, t Target, since *time.Time) bool {
 	now := g.Clock.Now()
 	if x.route.Kind == gatewayconfig.Idempotent {
-		return now.Sub(*since) > slowFactor*x.route.Objective && g.Directory.hasOther(x.service, map[string]bool{t.ID: true})
+		// A response that is being relayed can no longer be retried: it has until the
+		// deadline.
+		return !x.relaying.Load() && now.Sub(*since) > slowFactor*x.route.Objective && g.Directory.hasOther(x.service, map[string]bool{t.ID: true})
 	}
 	if active := g.Directory.lastActivity(t.ID); active.After(*since) {
 		*since = active
