platform, gateway: cut off callers that stall in a body or do not read

Cause: nothing bounded the time in which a caller sends the body of its request, nor the time that a write to a caller waits. One that stopped in its body, or that did not read while its target sent on, held a connection, a goroutine and, in the second case, a run on an engine for good; the request's deadline does not reach a blocked write.

--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -155,6 +155,7 @@
 func (x *exchange) serve(ctx context.Context) error {
 	ctx, cancel := context.WithDeadlineCause(ctx, time.Now().Add(x.deadline.Sub(x.g.Clock.Now())), ErrRouteTimeout)
 	defer cancel()
+	defer context.AfterFunc(ctx, x.sink.Expire)()
 	x.g.retryLimiter(x.service).CountRequest(x.g.Clock.Now())
 	permit, err := x.admit(ctx)
 	if err != nil {
--- a/internal/app/gateway/failure.go
+++ b/internal/app/gateway/failure.go
@@ -23,16 +23,19 @@
 	KindAborted
 	// KindClientGone: the client disconnected.
 	KindClientGone
-	// KindNoRoute, KindNoAccount, KindTooLarge and KindInvalid are errors of the client.
+	// KindNoRoute, KindNoAccount, KindTooLarge, KindInvalid and KindIncomplete are errors
+	// of the client.
 	KindNoRoute
 	KindNoAccount
 	KindTooLarge
 	KindInvalid
+	// KindIncomplete: the client did not send the whole request in time.
+	KindIncomplete
 	// KindCrashesTargets: the request crashes the targets that run it.
 	KindCrashesTargets
 )
 
-var kindNames = [...]string{"refused", "unknown", "timeout", "aborted", "client gone", "no route", "no account", "too large", "invalid", "crashes targets"}
+var kindNames = [...]string{"refused", "unknown", "timeout", "aborted", "client gone", "no route", "no account", "too large", "invalid", "incomplete", "crashes targets"}
 
 // String returns the kind's name in logs.
 func (k Kind) String() string { return kindNames[k] }
--- a/internal/app/gateway/fake_test.go
+++ b/internal/app/gateway/fake_test.go
@@ -98,6 +98,8 @@
 	return err
 }
 
+func (r *recorder) Expire() {}
+
 type noMetrics struct{}
 
 func (noMetrics) Add(string, int64)             {}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -79,6 +79,9 @@
 	// Write sends a part of the body immediately. An error means that the client has
 	// disconnected.
 	Write(p []byte) error
+	// Expire makes a Write that waits for the client fail soon: the request's deadline has
+	// passed. It may be called while Write runs.
+	Expire()
 }
 
 // Settings are set by the deployment.
