platform, placement: bound the numbers that peers send

Cause: numbers were taken as they came. A prompt part of 9,000,000,000,000 tokens in a client's request made the router allocate a block for each 64 of them until it ran out of memory: one request ended the process and all that it served.

--- a/internal/core/placement/parts.go
+++ b/internal/core/placement/parts.go
@@ -13,6 +13,9 @@
 // prompts have only a few hundred such blocks.
 const PartBlockTokens = 64
 
+// maxPartBlocks bounds the blocks of one prompt. Placement ignores what lies behind them.
+const maxPartBlocks = 1 << 16
+
 // PartBlocks converts a prompt's sequence of parts to the block hashes used for
 // placement. Equal parts after equal parts yield equal blocks; the last block of a
 // part may be shorter. A part is a port.Segment of the prompt; in this package, a
@@ -24,6 +27,9 @@
 	for _, part := range parts {
 		id := xxhash.Sum64String(part.ID)
 		for n := 0; n < (part.Tokens+PartBlockTokens/2)/PartBlockTokens; n++ {
+			if len(blocks) == maxPartBlocks {
+				return blocks
+			}
 			binary.LittleEndian.PutUint64(buffer[0:], at)
 			binary.LittleEndian.PutUint64(buffer[8:], id)
 			binary.LittleEndian.PutUint64(buffer[16:], uint64(n))
--- a/internal/core/placement/peerprefill.go
+++ b/internal/core/placement/peerprefill.go
@@ -2,13 +2,17 @@
 
 import "time"
 
+// maxPeerPrefillTokens bounds the prefill work of one announced request: no announcement
+// keeps a target out of use for long.
+const maxPeerPrefillTokens = 1 << 18
+
 // ObservePeerRequest records a request that another router sent to the target:
 // the number of tokens to prefill and the rate at which the target prefills them.
 func (p *Policy) ObservePeerRequest(now time.Time, target string, tokens int, tokensPerSecond float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.target(target)
-	t.peerPrefillTokens = t.pendingPeerTokens(now) + float64(max(tokens, 0))
+	t.peerPrefillTokens = t.pendingPeerTokens(now) + float64(max(0, min(tokens, maxPeerPrefillTokens)))
 	t.peerPrefillAt, t.peerPrefillRate = now, tokensPerSecond
 }
 
