panics: keep an unexpected error from ending the process

Cause: net/http catches a panic of a caller's request, and nothing else was caught: one in a call of another router (gRPC catches none), in a liveness check, a probe, an order, a cache reader or a background loop ended the process with all requests in it. What net/http caught at the gateway's door was logged at debug level, and the request was neither finished nor logged.

Change: each goroutine catches its panic, counts it ("panics" of the metrics) and logs it with its stack and the request, target or peer that it worked for. A request ends as of unknown outcome, a call of a peer fails, a loop is restarted after a second. Errors of the callers' server are logged as warnings.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -154,13 +154,12 @@
 		return eris.Wrap(err, "listen for peers")
 	}
 	group.Add(func() error { return n.peers.Serve(peers) }, func(error) { n.peers.Stop() })
-	loops := []func(context.Context) error{n.weights.Run, n.caches.Run, n.watchSettings, n.prune, n.registry.Run, n.fleet.Run}
+	loops := map[string]func(context.Context) error{"weights": n.weights.Run, "cache events": n.caches.Run, "settings": n.watchSettings,
+		"prune": n.prune, "registry": n.registry.Run, "fleet": n.fleet.Run}
 	for _, s := range n.followers {
-		loops = append(loops, s.Run)
-	}
-	for _, loop := range loops {
-		group.Add(func() error { return loop(ctx) }, func(error) { cancel() })
+		loops[s.Name] = s.Run
 	}
+	addLoops(ctx, cancel, &group, n.log, loops)
 	addSignal(ctx, cancel, &group, n.shutDown)
 	err = group.Run()
 	closing, cancelClosing := context.WithTimeout(context.Background(), exitMargin/2)
@@ -234,7 +233,7 @@
 func (n *gatewayNode) buildServers() {
 	idle := &idleConns{limit: n.idleLimit, timers: map[net.Conn]*time.Timer{}}
 	n.callers = &http.Server{Handler: &platform.Ingress{Gateway: n.gateway, Clock: n.clock}, ReadHeaderTimeout: headerTimeout,
-		ConnState: idle.onStateChange, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
+		ConnState: idle.onStateChange, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
 	n.ready = &http.Server{Handler: platform.ReadyHandler(n.gateway.Ready), ReadHeaderTimeout: headerTimeout}
 	n.metrics = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout}
 }
--- a/cmd/mimosaseam/gatewaypeers.go
+++ b/cmd/mimosaseam/gatewaypeers.go
@@ -47,7 +47,7 @@
 	})
 	crashTracker.SetReport(n.fleet.ReportFingerprint)
 	crashTracker.SetArbiter(n.fleet)
-	n.peers = peergrpc.NewServer(n.fleet, nil)
+	n.peers = peergrpc.NewServer(n.fleet, nil, n.log)
 }
 
 // setRouters records the routers that may be serving and therefore share the bounds.
--- a/cmd/mimosaseam/serve.go
+++ b/cmd/mimosaseam/serve.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -19,6 +20,7 @@
 	"mimosaseam.example/mimosaseam/internal/adapter/peergrpc"
 	"mimosaseam.example/mimosaseam/internal/adapter/telemetry"
 	"mimosaseam.example/mimosaseam/internal/ctxtime"
+	"mimosaseam.example/mimosaseam/internal/panics"
 	"mimosaseam.example/mimosaseam/internal/settings"
 )
 
@@ -102,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	server := peergrpc.NewServer(n.fleet, n.peerCreds)
+	server := peergrpc.NewServer(n.fleet, n.peerCreds, n.log)
 	group.Add(func() error { return server.Serve(peers) }, func(error) { server.Stop() })
 	return nil
 }
@@ -124,14 +126,20 @@
 
 // addLoops adds the background loops, which run until the process stops.
 func (n *serveNode) addLoops(ctx context.Context, cancel context.CancelFunc, group *run.Group) {
-	loops := []func(context.Context) error{
-		n.config.Run, n.ledger.Follow, n.orders.Run, n.observer.Run,
-		n.logFingerprints, n.publishSummary, n.watchLeaving, n.joinThenRunFleet,
+	loops := map[string]func(context.Context) error{
+		"configuration": n.config.Run, "ledger": n.ledger.Follow, "orders": n.orders.Run, "observer": n.observer.Run,
+		"fingerprints": n.logFingerprints, "summary": n.publishSummary, "leaving targets": n.watchLeaving, "fleet": n.joinThenRunFleet,
 	}
-	for _, f := range n.followers {
-		loops = append(loops, f.Run)
+	for i, f := range n.followers {
+		loops["follower "+strconv.Itoa(i)] = f.Run
 	}
-	for _, loop := range loops {
+	addLoops(ctx, cancel, group, n.log, loops)
+}
+
+// addLoops adds loops that run until the process stops. One that panics is restarted.
+func addLoops(ctx context.Context, cancel context.CancelFunc, group *run.Group, log *slog.Logger, loops map[string]func(context.Context) error) {
+	for name, loop := range loops {
+		loop = panics.Loop(log, name, loop)
 		group.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 	}
 }
--- a/internal/adapter/peergrpc/net_test.go
+++ b/internal/adapter/peergrpc/net_test.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
+	"log/slog"
 	"math/big"
 	"net"
 	"sync/atomic"
@@ -81,7 +82,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	listener := &countingListener{Listener: inner}
-	s := NewServer(h, creds)
+	s := NewServer(h, creds, slog.New(slog.DiscardHandler))
 	go func() { _ = s.Serve(listener) }()
 	t.Cleanup(s.Stop)
 	return inner.Addr().String(), listener
--- a/internal/adapter/peergrpc/notify_test.go
+++ b/internal/adapter/peergrpc/notify_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"mimosaseam.example/mimosaseam/internal/panics"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -85,3 +87,24 @@
 	older, _ := serve(t, &handler{}, nil)
 	is.NoErr(c.Loading(t.Context(), older, port.TargetLoading{Target: "t1"}))
 }
+
+// panickingHandler panics in HandlePullRecords.
+type panickingHandler struct{ *handler }
+
+func (panickingHandler) HandlePullRecords(context.Context, string, port.Offset, int) (port.Batch, error) {
+	panic("unexpected")
+}
+
+// Guards against an unexpected error in one call of a peer that ends the process.
+func TestPanicEndsItsCallOnly(t *testing.T) {
+	is := is.New(t)
+	c := NewClient(nil)
+	defer c.Close()
+	address, _ := serve(t, panickingHandler{&handler{}}, nil)
+	before := panics.Count()
+	_, err := c.PullRecords(t.Context(), address, "s", 1, 1)
+	var unknown *port.UnknownOutcomeError
+	is.True(errors.As(err, &unknown))
+	is.Equal(panics.Count(), before+1)
+	is.NoErr(c.Started(t.Context(), address, "t1", 1))
+}
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"time"
 
 	"google.golang.org/grpc"
@@ -14,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "mimosaseam.example/mimosaseam/api/peer/v1"
+	"mimosaseam.example/mimosaseam/internal/panics"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -41,7 +43,7 @@
 
 // NewServer returns a gRPC server that passes the calls of other routers to h.
 // The credentials should require client certificates; nil: no TLS.
-func NewServer(h port.PeerHandler, creds credentials.TransportCredentials) *grpc.Server {
+func NewServer(h port.PeerHandler, creds credentials.TransportCredentials, log *slog.Logger) *grpc.Server {
 	options := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
@@ -50,7 +52,7 @@
 		grpc.StaticConnWindowSize(windowBytes),
 		grpc.ConnectionTimeout(maxHandleTime),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: maxIdle}),
-		grpc.ChainUnaryInterceptor(limitDuration, continueTrace),
+		grpc.ChainUnaryInterceptor(catchPanics(log), limitDuration, continueTrace),
 	}
 	if creds != nil {
 		options = append(options, grpc.Creds(creds))
@@ -60,6 +62,19 @@
 	return s
 }
 
+// catchPanics converts a panic to a failed call: gRPC would end the process.
+func catchPanics(log *slog.Logger) grpc.UnaryServerInterceptor {
+	return func(ctx context.Context, req any, info *grpc.UnaryServerInfo, next grpc.UnaryHandler) (out any, err error) {
+		defer func() {
+			if value := recover(); value != nil {
+				panics.Log(log, info.FullMethod, value)
+				out, err = nil, status.Error(codes.Internal, "unexpected error")
+			}
+		}()
+		return next(ctx, req)
+	}
+}
+
 func limitDuration(ctx context.Context, req any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxHandleTime)
 	defer cancel()
--- a/internal/app/cachewatch/cachewatch.go
+++ b/internal/app/cachewatch/cachewatch.go
@@ -10,6 +10,7 @@
 
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/ctxtime"
+	"mimosaseam.example/mimosaseam/internal/panics"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -46,7 +47,13 @@
 			if running[address] == nil {
 				one, cancel := context.WithCancel(ctx)
 				running[address] = cancel
-				go w.follow(one, address)
+				go func() {
+					// It ends with the context only.
+					_ = panics.Loop(w.Logger, "cache events of "+address, func(ctx context.Context) error {
+						w.follow(ctx, address)
+						return ctx.Err()
+					})(one)
+				}()
 			}
 		}
 		for address, cancel := range running {
--- a/internal/app/completions/attempt.go
+++ b/internal/app/completions/attempt.go
@@ -14,6 +14,7 @@
 
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
+	"mimosaseam.example/mimosaseam/internal/panics"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -144,6 +145,7 @@
 	c.r.circuits.Ended(a.target.Address)
 	ctx, cancel := context.WithTimeout(port.WithFreshConnection(context.WithoutCancel(ctx)), cancelTimeout)
 	go func() {
+		defer panics.Catch(c.r.Logger, "cancel of an attempt", "attempt_id", a.id)
 		defer cancel()
 		if err := c.r.Engine.Cancel(ctx, a.target.Address, a.id); err != nil {
 			c.log(a).Info("failed to cancel attempt", slog.Any("error", err))
--- a/internal/app/completions/place.go
+++ b/internal/app/completions/place.go
@@ -11,6 +11,7 @@
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/ctxtime"
+	"mimosaseam.example/mimosaseam/internal/panics"
 )
 
 // Reasons why a target of the pool is excluded from placement.
@@ -236,6 +237,7 @@
 		}
 		t := k.target(address)
 		go func() {
+			defer panics.Catch(r.Logger, "probe", "target", address)
 			h := r.probe(ctx, pool, t, "")
 			if h.reachable {
 				r.Targets.Observe(address, h.incarnation, h.weights, coldStart(pool))
--- a/internal/app/completions/stall.go
+++ b/internal/app/completions/stall.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"mimosaseam.example/mimosaseam/internal/panics"
 )
 
 const (
@@ -46,6 +48,7 @@
 		a.probing = true
 		c.r.Metrics.Add(MetricStalls, 1)
 		go func() {
+			defer panics.Catch(c.r.Logger, "probe", "target", a.target.Address)
 			h := c.r.probe(ctx, c.plan.pool, a.target, a.incarnation)
 			select {
 			case c.probes <- &probeResult{attempt: a, health: h}:
--- a/internal/app/fleet/loop.go
+++ b/internal/app/fleet/loop.go
@@ -7,6 +7,7 @@
 
 	"mimosaseam.example/mimosaseam/internal/core/membership"
 	"mimosaseam.example/mimosaseam/internal/ctxtime"
+	"mimosaseam.example/mimosaseam/internal/panics"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -27,9 +28,15 @@
 // until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
 	var loops sync.WaitGroup
-	loops.Go(func() { f.listLoop(ctx) })
-	loops.Go(func() { f.urgentLoop(ctx) })
-	loops.Go(func() { f.exchangeLoop(ctx) })
+	for what, loop := range map[string]func(context.Context){"list loop": f.listLoop, "urgent loop": f.urgentLoop, "exchange loop": f.exchangeLoop} {
+		loops.Go(func() {
+			// The loops end with the context only.
+			_ = panics.Loop(f.o.Logger, what, func(ctx context.Context) error {
+				loop(ctx)
+				return ctx.Err()
+			})(ctx)
+		})
+	}
 	loops.Wait()
 	return ctx.Err()
 }
@@ -197,6 +204,7 @@
 		}
 		go func() {
 			defer func() { <-slots }()
+			defer panics.Catch(f.o.Logger, "urgent message", "peer", to.Name)
 			f.sendUrgent(ctx, to, message)
 		}()
 	}
--- a/internal/app/fleet/prefill.go
+++ b/internal/app/fleet/prefill.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/membership"
+	"mimosaseam.example/mimosaseam/internal/panics"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -58,6 +59,7 @@
 	}
 	go func() {
 		defer f.asyncCalls.Add(-1)
+		defer panics.Catch(f.o.Logger, what, "peer", to.Name)
 		ctx, cancel := context.WithTimeout(context.Background(), asyncTimeout)
 		defer cancel()
 		if err := send(ctx); err != nil {
--- a/internal/app/fleet/reservations.go
+++ b/internal/app/fleet/reservations.go
@@ -10,6 +10,7 @@
 
 	"mimosaseam.example/mimosaseam/internal/core/membership"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
+	"mimosaseam.example/mimosaseam/internal/panics"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -34,7 +35,12 @@
 	peers := f.arbiters(target)
 	responses := make(chan bool, len(peers))
 	for _, to := range peers {
-		go func() { responses <- f.requestReservation(to, target, fp) }()
+		go func() {
+			granted := true // as of a router that does not respond
+			defer func() { responses <- granted }()
+			defer panics.Catch(f.o.Logger, "reservation", "peer", to.Name)
+			granted = f.requestReservation(to, target, fp)
+		}()
 	}
 	granted := true
 	for range peers {
--- a/internal/app/gateway/failure.go
+++ b/internal/app/gateway/failure.go
@@ -85,7 +85,7 @@
 	ErrRetryBudget     = eris.New("repeated sends to the service are at their bound")
 	ErrUnresponsive    = eris.New("the target stopped responding")
 	ErrRouteTimeout    = eris.New("the route's timeout or the client's deadline has passed")
-	ErrTruncatedEvent  = eris.New("the stream ended within an event")
+	ErrPanic           = eris.New("an unexpected error, logged as panic")
 )
 
 // clientDisconnected reports whether the client has disconnected.
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
+	"mimosaseam.example/mimosaseam/internal/panics"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -304,10 +305,7 @@
 	ctx = propagation.TraceContext{}.Extract(ctx, propagation.HeaderCarrier(r.Header))
 	ctx, span := g.Tracer.Start(ctx, "accept", trace.WithAttributes(attribute.String("request_id", r.ID)))
 	defer span.End()
-	x, err := g.plan(r, sink)
-	if err == nil {
-		err = x.serve(ctx)
-	}
+	x, err := g.planAndServe(ctx, r, sink)
 	if err != nil && x != nil {
 		// The client may retry a request that crashed its target on another router.
 		g.CrashTracker.Publish(g.Clock.Now(), x.fingerprint)
@@ -319,6 +317,20 @@
 	return err
 }
 
+// planAndServe converts a panic to a failure of its request. The request may have run.
+func (g *Gateway) planAndServe(ctx context.Context, r *Request, sink Sink) (x *exchange, err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			panics.Log(g.Log, "a request", value, "request", r.ID)
+			err = &Failure{Kind: KindUnknown, Cause: ErrPanic}
+		}
+	}()
+	if x, err = g.plan(r, sink); err == nil {
+		err = x.serve(ctx)
+	}
+	return x, err
+}
+
 // finish counts and logs the outcome with the inputs of its decisions.
 func (g *Gateway) finish(ctx context.Context, x *exchange, r *Request, err error) {
 	took := g.Clock.Now().Sub(r.Received)
--- a/internal/app/gateway/liveness.go
+++ b/internal/app/gateway/liveness.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/gatewayconfig"
+	"mimosaseam.example/mimosaseam/internal/panics"
 )
 
 const (
@@ -28,6 +29,7 @@
 	}
 	done := make(chan struct{})
 	go func() {
+		defer panics.Catch(x.g.Log, "liveness check", "request", x.r.ID, "target", t.ID)
 		ticker := time.NewTicker(livenessInterval)
 		defer ticker.Stop()
 		since := x.g.Clock.Now()
--- a/internal/app/weights/order.go
+++ b/internal/app/weights/order.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/ctxtime"
+	"mimosaseam.example/mimosaseam/internal/panics"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -42,13 +43,16 @@
 	m.pending[t.ID] = p
 	m.mu.Unlock()
 	go func() {
+		defer func() {
+			m.mu.Lock()
+			if m.pending[t.ID] == p {
+				delete(m.pending, t.ID)
+			}
+			m.mu.Unlock()
+			m.wake()
+		}()
+		defer panics.Catch(m.Logger, "order", "target", t.ID)
 		m.execute(ctx, t, p)
-		m.mu.Lock()
-		if m.pending[t.ID] == p {
-			delete(m.pending, t.ID)
-		}
-		m.mu.Unlock()
-		m.wake()
 	}()
 }
 
