gateway: end a planned stop without cutting off requests

Cause: after the load balancer's delay, net/http closed all connections that it counts as idle, and it counts a connection as idle until the whole head of a request was read: a request whose first bytes had arrived was cut off, on a new connection as on a kept one. The return of the callers' server ended the run group, whose interrupts cut what was open after five more seconds, whatever the time for the shutdown was. What was still open at its end got a closed connection, queued requests included, which had not run. The last log line then read the error of a group that had none, and the process ended with a panic and status 2 after each planned stop.

Change: the router tracks its callers' connections itself. It accepts those that wait when the listener is closed, closes only connections on which no byte of a request has arrived, and waits for the others until the time for the shutdown is over. 300 ms before, open requests get their final answer: 503 where nothing was sent, else 504.

Test over a real process and SIGTERM: TestStopUnderLoad, requests in eight states, and a connection that arrives during the stop. Before: "head half read" on both kinds of connection and "no answer until the end" got no answer, and the exit status was 2.

--- /dev/null
+++ b/cmd/mimosaseam/callerconns.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// backlogTimeout bounds the acceptance of connections that were waiting when the
+	// listener is closed.
+	backlogTimeout = 50 * time.Millisecond
+	// newConnTimeout is how long a new connection without a first byte is kept open during
+	// a shutdown.
+	newConnTimeout = time.Second
+	// drainPollInterval is the time between two looks at the open connections during a
+	// shutdown.
+	drainPollInterval = 20 * time.Millisecond
+	// finalAnswers is the time before the shutdown deadline at which requests that are
+	// still open get their final answer.
+	finalAnswers = 300 * time.Millisecond
+)
+
+// callerConns is the listener for callers and tracks their connections. It closes idle
+// ones, but none on which a request has begun to arrive: net/http counts a connection as
+// idle until the head of a request was read as a whole.
+type callerConns struct {
+	net.Listener
+	// idleLimit returns how long a connection may be idle.
+	idleLimit func() time.Duration
+
+	stopping atomic.Bool
+	closed   chan struct{}
+	closing  sync.Once
+
+	mu   sync.Mutex
+	open map[*callerConn]struct{}
+}
+
+// callerConn is one connection of a caller.
+type callerConn struct {
+	net.Conn
+	opened time.Time
+	// begun is set once bytes of a request have arrived, until the request has ended.
+	begun atomic.Bool
+	// used is set with the first byte.
+	used  atomic.Bool
+	timer *time.Timer
+}
+
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.begun.Store(true)
+		c.used.Store(true)
+	}
+	return n, err
+}
+
+func newCallerConns(idleLimit func() time.Duration) *callerConns {
+	return &callerConns{idleLimit: idleLimit, closed: make(chan struct{}), open: map[*callerConn]struct{}{}}
+}
+
+// Accept implements net.Listener. After StopAccepting it waits for Close.
+func (l *callerConns) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil && l.stopping.Load() {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			_ = l.Listener.Close() // the backlog is empty
+		}
+		<-l.closed
+		return nil, net.ErrClosed
+	}
+	if err != nil {
+		return nil, err
+	}
+	conn := &callerConn{Conn: c, opened: time.Now()}
+	l.mu.Lock()
+	l.open[conn] = struct{}{}
+	l.mu.Unlock()
+	return conn, nil
+}
+
+// StopAccepting accepts the connections that are waiting and then closes the listener.
+func (l *callerConns) StopAccepting() {
+	l.stopping.Store(true)
+	deadline, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || deadline.SetDeadline(time.Now().Add(backlogTimeout)) != nil {
+		_ = l.Listener.Close() // without a deadline, the backlog is lost
+	}
+}
+
+// Close implements net.Listener.
+func (l *callerConns) Close() error {
+	l.closing.Do(func() { close(l.closed) })
+	err := l.Listener.Close()
+	if l.stopping.Load() {
+		return nil // it was closed before
+	}
+	return err
+}
+
+// onStateChange follows the states of net/http's connections.
+func (l *callerConns) onStateChange(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.timer != nil {
+		c.timer.Stop()
+		c.timer = nil
+	}
+	switch state {
+	case http.StateIdle:
+		c.begun.Store(false)
+		c.timer = time.AfterFunc(l.idleLimit(), func() { l.closeIdle(c) })
+	case http.StateClosed, http.StateHijacked:
+		delete(l.open, c)
+	}
+}
+
+func (l *callerConns) closeIdle(c *callerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.timer != nil && !c.begun.Load() {
+		_ = c.Close() // an error means that the caller has already closed it
+	}
+}
+
+// CloseIdle closes the connections that wait for a request, except new ones that were
+// opened since the time, and returns the number of the others.
+func (l *callerConns) CloseIdle(since time.Time) (left int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		idle := c.timer != nil || !c.used.Load() && c.opened.Before(since)
+		if idle && !c.begun.Load() {
+			_ = c.Close() // an error means that the caller has already closed it
+			delete(l.open, c)
+			continue
+		}
+		left++
+	}
+	return left
+}
--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -118,6 +118,7 @@
 	routers atomic.Pointer[[]string]
 	caches  *cachewatch.Watcher
 	callers *http.Server
+	conns   *callerConns
 	ready   *http.Server
 	metrics *http.Server
 }
@@ -147,6 +148,10 @@
 		if err != nil {
 			return eris.Wrap(err, "listen")
 		}
+		if l.server == n.callers {
+			n.conns.Listener = listener
+			listener = n.conns
+		}
 		addHTTP(&group, listener, l.server)
 	}
 	peers, err := net.Listen("tcp", s.Peers.Address)
@@ -231,9 +236,9 @@
 }
 
 func (n *gatewayNode) buildServers() {
-	idle := &idleConns{limit: n.idleLimit, timers: map[net.Conn]*time.Timer{}}
+	n.conns = newCallerConns(n.idleLimit)
 	n.callers = &http.Server{Handler: &platform.Ingress{Gateway: n.gateway, Clock: n.clock}, ReadHeaderTimeout: headerTimeout,
-		ConnState: idle.onStateChange, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
+		ConnState: n.conns.onStateChange, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
 	n.ready = &http.Server{Handler: platform.ReadyHandler(n.gateway.Ready), ReadHeaderTimeout: headerTimeout}
 	n.metrics = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout}
 }
--- a/cmd/mimosaseam/gateway_test.go
+++ b/cmd/mimosaseam/gateway_test.go
@@ -88,7 +88,8 @@
 		s.t.Fatal(err)
 	}
 	s.baseURL = "http://" + listener.Addr().String()
-	go func() { _ = s.node.callers.Serve(listener) }() // ends with Close
+	s.node.conns.Listener = listener
+	go func() { _ = s.node.callers.Serve(s.node.conns) }() // ends with Close
 	s.t.Cleanup(func() {
 		cancel()
 		_ = s.node.callers.Close()
--- a/cmd/mimosaseam/gatewaystop.go
+++ b/cmd/mimosaseam/gatewaystop.go
@@ -2,21 +2,20 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"os"
-	"sync"
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/settings"
 )
 
-// shutDown first turns unready for the load balancer and announces the stop to
-// peers, then drains open requests.
+// shutDown first turns unready for the load balancer and announces the stop to peers. Once
+// no new connections are expected, it waits until the open requests have ended, those whose
+// first byte has arrived included. The ones that remain shortly before the end are answered
+// with what is true of them.
 func (n *gatewayNode) shutDown(ctx context.Context, received os.Signal) {
-	n.gateway.BeginDrain()
 	end := time.Now().Add(settings.Seconds(n.settings.Bounds.StopS) - exitMargin)
+	n.gateway.BeginDrain()
 	n.log.Info("stopping", "signal", received.String(), "open", n.gateway.OpenRequests())
 	n.registry.Remove(ctx)
 	if err := n.fleet.Leave(ctx); err != nil {
@@ -25,40 +24,22 @@
 	if err := ctxtime.Sleep(ctx, leaveDelay); err != nil {
 		n.log.Warn("shutdown delay interrupted", "error", err.Error())
 	}
-	ctx, cancel := context.WithDeadline(ctx, end)
-	defer cancel()
-	if err := n.callers.Shutdown(ctx); err != nil {
-		n.log.Warn("requests aborted at the shutdown deadline", "open", n.gateway.OpenRequests(), "error", err.Error())
-	}
-}
-
-// idleConns closes clients' connections that are idle beyond the limit of the
-// configuration in force.
-type idleConns struct {
-	limit func() time.Duration
-
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
-}
-
-func (i *idleConns) onStateChange(c net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if t := i.timers[c]; t != nil {
-		t.Stop()
-		delete(i.timers, c)
-	}
-	if state == http.StateIdle {
-		i.timers[c] = time.AfterFunc(i.limit(), func() { i.close(c) })
+	n.conns.StopAccepting()
+	n.awaitConnections(ctx, end.Add(-finalAnswers))
+	if open := n.gateway.OpenRequests(); open > 0 {
+		n.log.Warn("requests ended at the shutdown deadline", "open", open)
 	}
+	n.gateway.EndRequests()
+	n.awaitConnections(ctx, end)
+	// What is still open now is aborted.
+	_ = n.callers.Close()
 }
 
-func (i *idleConns) close(c net.Conn) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.timers[c] != nil {
-		delete(i.timers, c)
-		// An error means that the client has already closed the connection.
-		_ = c.Close()
+// awaitConnections closes the idle connections of callers until none is left.
+func (n *gatewayNode) awaitConnections(ctx context.Context, end time.Time) {
+	for n.conns.CloseIdle(time.Now().Add(-newConnTimeout)) > 0 && time.Now().Before(end) {
+		if err := ctxtime.Sleep(ctx, drainPollInterval); err != nil {
+			return
+		}
 	}
 }
--- a/cmd/mimosaseam/serve.go
+++ b/cmd/mimosaseam/serve.go
@@ -114,7 +114,7 @@
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve")
 		}
-		return nil
+		return ErrStopped
 	}, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 		defer cancel()
--- /dev/null
+++ b/cmd/mimosaseam/stop_test.go
@@ -0,0 +1,234 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosaseam.example/mimosaseam/platform/platformtest"
+)
+
+// runAsGateway makes the test binary run the command gateway.
+const runAsGateway = "MIMOSASEAM_TEST_GATEWAY"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runAsGateway) != "" {
+		os.Args = []string{"mimosaseam", "gateway"}
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// gatewayProcess is a router of the command gateway as a process.
+type gatewayProcess struct {
+	t       *testing.T
+	log     *platformtest.Log
+	cmd     *exec.Cmd
+	callers string
+	ready   string
+	output  *os.File
+}
+
+// startGatewayProcess starts a router whose shutdown may take stopS seconds, with the
+// configuration of ConfigureKinds and the targets.
+func startGatewayProcess(t *testing.T, stopS, timeoutMs int, services, engines []*platformtest.RawTarget) *gatewayProcess {
+	t.Helper()
+	p := &gatewayProcess{t: t, log: platformtest.NewLog(), callers: freeAddress(t), ready: freeAddress(t)}
+	logServer := httptest.NewServer(p.log)
+	t.Cleanup(logServer.Close)
+	p.log.ConfigureKinds(1, timeoutMs, "k1")
+	for _, target := range services {
+		p.log.PutTarget(target.Target, "desk", false, 1)
+	}
+	for _, target := range engines {
+		p.log.PutTarget(target.Target, "llm", false, 1)
+	}
+	file := filepath.Join(t.TempDir(), "settings.jsonc")
+	text := fmt.Sprintf(`{"vm": {"name": "r1", "region": "r", "availability_zone": "z"}, "callers": {"address": %q},
+		"ready": {"address": %q}, "peers": {"address": %q}, "regions": {"z": "r"}, "log": {"address": %q}, "limits": {"memory_mb": 200},
+		"bounds": {"stop_s": %d}}`, p.callers, p.ready, freeAddress(t), strings.TrimPrefix(logServer.URL, "http://"), stopS)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	output, err := os.Create(filepath.Join(t.TempDir(), "output"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.output = output
+	p.cmd = exec.Command(os.Args[0])
+	p.cmd.Env = append(os.Environ(), runAsGateway+"=1", settingsVariable+"="+file)
+	p.cmd.Stdout, p.cmd.Stderr = output, output
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill() // it may have ended
+		_ = output.Close()
+	})
+	p.await("ready", func() bool {
+		r, err := http.Get("http://" + p.ready + platformtest.ReadyPath)
+		if err != nil {
+			return false
+		}
+		defer r.Body.Close()
+		return r.StatusCode == http.StatusOK
+	})
+	return p
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (p *gatewayProcess) await(what string, is func() bool) {
+	p.t.Helper()
+	for end := time.Now().Add(stateTimeout); !is(); pause(20) {
+		if time.Now().After(end) {
+			text, _ := os.ReadFile(p.output.Name()) // for the message only
+			p.t.Fatalf("not reached: %s\n%s", what, text)
+		}
+	}
+}
+
+// rawCall is a request that is written in parts on a connection of its own.
+type rawCall struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func (p *gatewayProcess) dial() *rawCall {
+	p.t.Helper()
+	c, err := net.Dial("tcp", p.callers)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { _ = c.Close() }) // it may be closed
+	return &rawCall{Conn: c, in: bufio.NewReader(c)}
+}
+
+func (c *rawCall) write(text string) { _, _ = io.WriteString(c.Conn, text) } // answer reports what follows
+
+// answer reads one answer; the status is 0 if there is none.
+func (c *rawCall) answer() (status int, body string, complete bool) {
+	r, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return 0, "", false
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	return r.StatusCode, string(text), err == nil
+}
+
+func requestHead(id, path string, length int) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Key: k1\r\n%s: m\r\n%s: p:10\r\n%s: 10,5\r\nContent-Length: %d\r\n\r\n",
+		path, id, platformtest.ModelHeader, platformtest.PromptHeader, platformtest.TokensHeader, length)
+}
+
+// Guards against a planned stop that cuts off a request, in whatever state SIGTERM finds
+// it, and against one that does not end by itself.
+func TestStopUnderLoad(t *testing.T) {
+	const (
+		stopS = 9
+		// late is after the time in which the load balancer still sends new connections.
+		late = leaveDelay + 700*time.Millisecond
+	)
+	is := is.New(t)
+	slow := func(c *platformtest.RawConn, r *http.Request, _ int) bool {
+		switch {
+		case strings.HasPrefix(r.URL.Path, "/book/wait"):
+			time.Sleep(late)
+		case strings.HasPrefix(r.URL.Path, "/book/never"):
+			waitClosed(c)
+			return false
+		case strings.HasPrefix(r.URL.Path, "/brief/"):
+			c.Send(platformtest.Head(r, "200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"))
+			for id := 1; id <= 4; id++ {
+				time.Sleep(late / 4)
+				event := fmt.Sprintf("id: %d\ndata: x\n\n", id)
+				c.Send(fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
+			}
+			return c.Send("0\r\n\r\n")
+		}
+		return c.Send(platformtest.Whole(r, "ran"))
+	}
+	service, engine := newRawTarget(t, "d9", "", slow), newRawTarget(t, "e9", "m", slow)
+	p := startGatewayProcess(t, stopS, 60_000, []*platformtest.RawTarget{service}, []*platformtest.RawTarget{engine})
+	half := func(text string) (string, string) { return text[:len(text)/2], text[len(text)/2:] }
+
+	type request struct {
+		name   string
+		before func(c *rawCall)
+		after  func(c *rawCall)
+		at     time.Duration // after SIGTERM
+		status int
+	}
+	kept := func(c *rawCall) {
+		c.write(requestHead("k", "/book/", 0))
+		c.answer()
+	}
+	begin, rest := half(requestHead("h", "/book/", 0))
+	requests := []request{
+		{"head half read", func(c *rawCall) { c.write(begin) }, func(c *rawCall) { c.write(rest) }, late, 200},
+		{"head half read on a kept connection", func(c *rawCall) { kept(c); c.write(begin) }, func(c *rawCall) { c.write(rest) }, late, 200},
+		{"body half read", func(c *rawCall) { c.write(requestHead("b", "/book/", 8) + "half") }, func(c *rawCall) { c.write("rest") }, late, 200},
+		{"body half read on a kept connection", func(c *rawCall) { kept(c); c.write(requestHead("b", "/book/", 8) + "half") }, func(c *rawCall) { c.write("rest") }, late, 200},
+		{"waiting for a head", func(c *rawCall) { c.write(requestHead("w", "/book/wait", 0)) }, nil, 0, 200},
+		{"streaming", func(c *rawCall) { c.write(requestHead("s", "/brief/", 0)) }, nil, 0, 200},
+		{"arrives on a kept connection", kept, func(c *rawCall) { c.write(requestHead("a", "/book/", 0)) }, leaveDelay / 2, 200},
+		{"no answer until the end", func(c *rawCall) { c.write(requestHead("n", "/book/never", 0)) }, nil, 0, 504},
+	}
+	conns := make([]*rawCall, len(requests))
+	for i, r := range requests {
+		conns[i] = p.dial()
+		r.before(conns[i])
+	}
+	p.await("the requests at the targets", func() bool { return service.Requests() == 5 && engine.Requests() == 1 })
+	is.NoErr(p.cmd.Process.Signal(syscall.SIGTERM))
+	stop := time.Now()
+	var done sync.WaitGroup
+	for i, r := range requests {
+		done.Go(func() {
+			if r.after != nil {
+				time.Sleep(time.Until(stop.Add(r.at)))
+				r.after(conns[i])
+			}
+			status, body, complete := conns[i].answer()
+			if status != r.status || !complete {
+				t.Errorf("%s: status %d, complete %v, body %q", r.name, status, complete, body)
+			}
+		})
+	}
+	// A connection that arrives while the load balancer may still send some.
+	last := p.dial()
+	time.Sleep(leaveDelay / 2)
+	last.write(requestHead("l", "/book/", 0))
+	status, _, complete := last.answer()
+	is.Equal(status, http.StatusOK)
+	is.True(complete)
+	done.Wait()
+	is.NoErr(p.cmd.Wait()) // exit code 0: nothing failed on the way
+	text, err := os.ReadFile(p.output.Name())
+	is.NoErr(err)
+	is.True(strings.Contains(string(text), `"msg":"stopped"`))
+	is.True(!strings.Contains(string(text), "panic"))
+}
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -155,6 +155,9 @@
 func (x *exchange) serve(ctx context.Context) error {
 	ctx, cancel := context.WithDeadlineCause(ctx, time.Now().Add(x.deadline.Sub(x.g.Clock.Now())), ErrRouteTimeout)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(x.g.running, func() { end(context.Cause(x.g.running)) })()
 	defer context.AfterFunc(ctx, x.sink.Expire)()
 	x.g.retryLimiter(x.service).CountRequest(x.g.Clock.Now())
 	permit, err := x.admit(ctx)
--- a/internal/app/gateway/failure.go
+++ b/internal/app/gateway/failure.go
@@ -85,6 +85,7 @@
 	ErrRetryBudget     = eris.New("repeated sends to the service are at their bound")
 	ErrUnresponsive    = eris.New("the target stopped responding")
 	ErrRouteTimeout    = eris.New("the route's timeout or the client's deadline has passed")
+	ErrStopping        = eris.New("the router is stopping")
 	ErrPanic           = eris.New("an unexpected error, logged as panic")
 )
 
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -157,7 +157,10 @@
 	meanOccupancyMs map[string]float64
 	prefillRates    map[string]placement.PrefillRate
 
-	open     atomic.Int64
+	// running ends with EndRequests.
+	running     context.Context
+	endRequests context.CancelCauseFunc
+	open        atomic.Int64
 	draining atomic.Bool
 }
 
@@ -168,6 +171,7 @@
 	}
 	g := &Gateway{Deps: d, circuits: retry.NewCircuits(), limits: limits.NewController(d.Clock, routerCount{d.Routers}), retryLimiters: map[string]*retry.RetryLimiter{}, meanOccupancyMs: map[string]float64{},
 		prefillRates: map[string]placement.PrefillRate{}}
+	g.running, g.endRequests = context.WithCancelCause(context.Background())
 	g.SetSettings(d.Settings)
 	return g
 }
@@ -228,6 +232,10 @@
 // are served.
 func (g *Gateway) BeginDrain() { g.draining.Store(true) }
 
+// EndRequests ends the requests in progress and those that still arrive: at the end of a
+// shutdown, an answer that is true serves a client better than a closed connection.
+func (g *Gateway) EndRequests() { g.endRequests(ErrStopping) }
+
 // Draining reports whether a shutdown has begun.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
 
