placement: choose readers of cache events without ranking all routers

Cause: twice a second, each router ranked all routers for each engine, to see whether it is one of the few that may read the engine's cache events.

Change: a router counts the routers that precede it and stops when enough do. The choice is the same.

--- a/cmd/mimosaseam/gatewayrecords.go
+++ b/cmd/mimosaseam/gatewayrecords.go
@@ -63,7 +63,7 @@
 	routers := n.routerNames()
 	var out []string
 	add := func(address string, readers int) {
-		if placement.ReadsCacheEvents(n.settings.VM.Name, routers, address, readers) {
+		if placement.IsChosen(n.settings.VM.Name, routers, address, readers) {
 			out = append(out, address)
 		}
 	}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -161,7 +161,7 @@
 	running     context.Context
 	endRequests context.CancelCauseFunc
 	open        atomic.Int64
-	draining atomic.Bool
+	draining    atomic.Bool
 }
 
 // New returns a gateway without a configuration.
--- a/internal/core/placement/cacheindex_test.go
+++ b/internal/core/placement/cacheindex_test.go
@@ -129,7 +129,7 @@
 
 // Guards against more readers of a target's events than it serves, a target without
 // readers, and a router that reads the events of all targets.
-func TestReadsCacheEventsLimitsReaders(t *testing.T) {
+func TestChosenRoutersAreLimited(t *testing.T) {
 	is := is.New(t)
 	var routers []string
 	for i := range 83 {
@@ -139,7 +139,7 @@
 	for target := range 90 {
 		readers := 0
 		for _, r := range routers {
-			if ReadsCacheEvents(r, routers, "t"+strconv.Itoa(target), 12) {
+			if IsChosen(r, routers, "t"+strconv.Itoa(target), 12) {
 				readers++
 				load[r]++
 			}
@@ -149,6 +149,6 @@
 	for _, n := range load {
 		is.True(n < 30) // 13 on average
 	}
-	is.True(ReadsCacheEvents("r1", routers[:12], "t", 12))
-	is.True(ReadsCacheEvents("r1", routers, "t", 0))
+	is.True(IsChosen("r1", routers[:12], "t", 12))
+	is.True(IsChosen("r1", routers, "t", 0))
 }
--- a/internal/core/placement/eventreaders.go
+++ b/internal/core/placement/eventreaders.go
@@ -1,24 +1,30 @@
 package placement
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// ReadsCacheEvents reports whether the router self reads the cache events of a target
-// that serves a limited number of readers. Routers with the same list of routers
-// compute the same readers for a target; different targets have different readers. If
-// readers is 0 or less, the limit is unknown and all routers read.
-func ReadsCacheEvents(self string, routers []string, target string, readers int) bool {
-	if readers <= 0 || len(routers) <= readers {
+// IsChosen reports whether the router self is one of the n routers that serve a key, such as
+// the address of a target whose cache events only n routers can read. Routers with the same
+// list of routers choose the same; different keys have different routers. If n is 0 or less,
+// the limit is unknown and all routers are chosen.
+func IsChosen(self string, routers []string, key string, n int) bool {
+	if n <= 0 || len(routers) <= n {
 		return true
 	}
-	ranked := slices.Clone(routers)
-	hash := xxhash.Sum64String(target)
-	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(rendezvous(hash, xxhash.Sum64String(a)), rendezvous(hash, xxhash.Sum64String(b))), cmp.Compare(a, b))
-	})
-	return slices.Contains(ranked[:readers], self)
+	hash := xxhash.Sum64String(key)
+	own := rendezvous(hash, xxhash.Sum64String(self))
+	// The chosen are those with the lowest weights. Most routers meet as many lower ones
+	// soon, so that few weights are computed: this runs for each target.
+	lower := 0
+	for _, name := range routers {
+		if w := rendezvous(hash, xxhash.Sum64String(name)); w < own || w == own && name < self {
+			if lower++; lower == n {
+				return false
+			}
+		}
+	}
+	return slices.Contains(routers, self)
 }
