gatewaysync: neither apply nor relay the targets' signs of life

Cause: each target rewrites its entry about every 1.2 s, and only the number in it has changed.

A router that meets another target at an entry's address no longer removes the entry, since no rewriting would bring it back; it skips it for 3 s, in which the entry of a target that is gone expires.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -188,7 +188,7 @@
 				x.g.circuits.Failure(now, t.ID, retry.TargetDown)
 			}
 		case port.NotRunIncarnationChanged:
-			x.g.Directory.Remove(t.ID)
+			x.g.Directory.SetPaused(t.ID, now.Add(replacedPause))
 		case port.NotRunWeightsChanged:
 			x.g.circuits.SetBusy(t.ID, now.Add(busyBackoff))
 		default:
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -24,6 +24,9 @@
 	// loadingPause is how long a target is skipped that probably loads newer weights:
 	// less than a load takes, since it is unknown how much of it has passed.
 	loadingPause = 700 * time.Millisecond
+	// replacedPause is how long a target is skipped at whose address another one has
+	// responded. By then its entry has expired, or it is the target after all.
+	replacedPause = 3 * time.Second
 	// loadReportTTL is the age after which a target's load report is ignored.
 	loadReportTTL = 2 * time.Second
 )
--- a/internal/app/gatewaysync/gatewaysync.go
+++ b/internal/app/gatewaysync/gatewaysync.go
@@ -44,6 +44,10 @@
 	Apply func(r port.KeyedRecord)
 	// Reset is called after a full load with the complete set of keys.
 	Reset func(keys map[string]bool)
+	// Unchanged reports whether a newer value of a key says the same as an older one; nil:
+	// each one says something new. Such values are neither applied nor served to others:
+	// targets rewrite their entries every second or so.
+	Unchanged func(older, newer []byte) bool
 	// OnVerified is called with a time at which the applied records were the newest.
 	OnVerified func(at time.Time)
 
@@ -79,9 +83,9 @@
 }
 
 // TargetsStaleness returns the maximum age of the known target entries while the log is
-// available: the interval of a peer's reads and that of the requests to the peer.
+// available: the interval of a reader's reads and those of the requests to it and to a relay.
 func TargetsStaleness(leaving time.Duration) time.Duration {
-	return TargetsInterval(leaving) + relayInterval
+	return TargetsInterval(leaving) + 2*relayInterval
 }
 
 // Targets configures the follower for the targets' entries and returns it.
@@ -168,6 +172,7 @@
 }
 
 func (f *Follower) apply(batch port.KeyedBatch, at time.Time) {
+	batch.Records = f.changes(batch.Records)
 	for _, r := range batch.Records {
 		f.Apply(r)
 	}
@@ -177,6 +182,29 @@
 	}
 }
 
+// changes returns the records that say something new.
+func (f *Follower) changes(records []port.KeyedRecord) []port.KeyedRecord {
+	if f.Unchanged == nil {
+		return records
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []port.KeyedRecord
+	latest := map[string][]byte{} // of the keys in out
+	for _, r := range records {
+		old, known := latest[r.Key]
+		if !known {
+			old = f.newest[r.Key].value
+		}
+		if r.Value != nil && old != nil && f.Unchanged(old, r.Value) {
+			continue
+		}
+		latest[r.Key] = r.Value
+		out = append(out, r)
+	}
+	return out
+}
+
 // retain stores the newest records to serve them to other routers.
 func (f *Follower) retain(batch port.KeyedBatch, at time.Time) {
 	f.mu.Lock()
--- a/internal/app/gatewaysync/gatewaysync_test.go
+++ b/internal/app/gatewaysync/gatewaysync_test.go
@@ -282,3 +282,41 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against signs of life of targets that are applied or relayed as if they said
+// something new, and against a change that is taken for one.
+func TestUnchangedRecordsAreNotApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &fakeLog{}
+		log.add("a", "1 first")
+		f := newRecorder(log, func(context.Context, string, port.Offset) []port.Batch { return nil })
+		f.Unchanged = func(older, newer []byte) bool { return older[0] == newer[0] }
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Run(ctx) }()
+		<-time.After(time.Second)
+		from := f.offset()
+		log.add("a", "1 again")
+		<-time.After(time.Second)
+		values, _ := f.state()
+		is.Equal(values["a"], "1 first")
+		b, err := f.Records(ctx, f.Name, from, 0)
+		is.NoErr(err)
+		is.Equal(len(b.Records), 0)
+		is.True(b.Next > from)
+		log.add("a", "2")
+		<-time.After(time.Second)
+		values, _ = f.state()
+		is.Equal(values["a"], "2")
+		log.add("a", "")
+		log.add("a", "2")
+		<-time.After(time.Second)
+		values, _ = f.state()
+		is.Equal(values["a"], "2") // removed and back
+		b, err = f.Records(ctx, f.Name, from, 0)
+		is.NoErr(err)
+		is.Equal(len(b.Records), 1)
+		cancel()
+		synctest.Wait()
+	})
+}
