--- a/cmd/mimosaseam/gatewaypeers.go
+++ b/cmd/mimosaseam/gatewaypeers.go
@@ -18,6 +18,9 @@
 const (
 	// routersInterval is the mean time between reads of the routers' entries.
 	routersInterval = 5 * time.Second
+	// routersIntervalPerRouter bounds the reads of all routers to two a second. A router
+	// that starts is made known by its own exchanges.
+	routersIntervalPerRouter = 500 * time.Millisecond
 	// pullLimit bounds the records taken from a peer: one configuration and one
 	// version for each model.
 	pullLimit = 1000
@@ -32,7 +35,7 @@
 	n.fleet = fleet.New(fleet.Options{
 		Self: port.Member{Name: s.VM.Name, Address: s.Peers.Address, Region: s.VM.Region,
 			AvailabilityZone: s.VM.AvailabilityZone, Incarnation: uint64(time.Now().UnixMilli())},
-		Peer: peergrpc.NewClient(nil, peergrpc.WithTracer(n.tracer)), VMList: n.registry, Logger: n.log, ListInterval: routersInterval,
+		Peer: peergrpc.NewClient(nil, peergrpc.WithTracer(n.tracer)), VMList: n.registry, Logger: n.log, ListInterval: routersInterval, ListIntervalPerRouter: routersIntervalPerRouter,
 		Sources: fleet.Sources{Records: n.serveRecords},
 		// Peers' in-flight counts are not used: they are seconds old, and most requests
 		// end within one second. Targets report their load with each response instead.
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -102,6 +102,9 @@
 	// ListInterval is the mean time between two polls of a short VM list; long
 	// lists are polled less often. 0: 5 s.
 	ListInterval time.Duration
+	// ListIntervalPerRouter raises ListInterval to this time for each router, which
+	// bounds the polls of the whole fleet. 0: not raised.
+	ListIntervalPerRouter time.Duration
 	// MaxExchangeBytes bounds the encoded size of one message of an exchange.
 	// 0: derived from the size of the fleet.
 	MaxExchangeBytes int
--- a/internal/app/fleet/loop.go
+++ b/internal/app/fleet/loop.go
@@ -255,12 +255,13 @@
 func (f *Fleet) pollInterval() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	interval := max(f.o.ListInterval, time.Duration(f.view.Len()+1)*f.o.ListIntervalPerRouter)
 	if f.listBytes <= shortListBytes {
-		return f.o.ListInterval
+		return interval
 	}
 	bySize := time.Duration(f.listBytes) * time.Second / listBytesPerSecond
 	byFleet := time.Duration(f.view.Len()+1) * maxListIntervalPerRouter
-	return max(f.o.ListInterval, min(bySize, byFleet))
+	return max(interval, min(bySize, byFleet))
 }
 
 func listSize(vms []port.VM) int {
--- a/internal/app/gatewaysync/relay.go
+++ b/internal/app/gatewaysync/relay.go
@@ -10,10 +10,11 @@
 
 const (
 	// relayInterval is the time between two requests to the router that reads the log on
-	// behalf of its neighbours. It adds to the age of that router's records.
+	// behalf of others, or relays its records. It adds to the age of that router's records;
+	// there is at most one relay in between.
 	relayInterval = 500 * time.Millisecond
-	// relaySlack is the age allowed to a relayed response beyond the time between the
-	// reader's own reads, for the round trip and a late read. Older ones are rejected.
+	// relaySlack is the age allowed to a relayed response beyond the times between the
+	// reads of the reader and of a relay, for the round trip and a late read. Older ones are rejected.
 	relaySlack = 300 * time.Millisecond
 	// readerWait replaces operatorWait on a router with followers: an empty response
 	// verifies only the time at which it was requested, so what the router serves is
@@ -59,7 +60,7 @@
 	case err != nil:
 		f.Logger.Debug("reading the log instead of a peer", "stream", f.Name, "why", err.Error())
 		return false
-	case b.Age > 2*readerWait+f.Interval+relaySlack || b.Next < f.offset():
+	case b.Age > 2*readerWait+f.Interval+relayInterval+relaySlack || b.Next < f.offset():
 		f.Logger.Debug("reading the log instead of a peer", "stream", f.Name, "age_ms", b.Age.Milliseconds(), "next", b.Next)
 		return false
 	}
