weights: let five routers claim the lease on orders early

Change: five routers, chosen alike by all, claim and read early. The others do so only 5 s after the weights were named.

Test: TestCandidatesClaimFirst.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -70,6 +70,9 @@
 	// settingsPollInterval is the time between checks of the settings file, which may
 	// change without a signal.
 	settingsPollInterval = 2 * time.Second
+	// leaseCandidates is the number of routers that claim the lease on orders early: all of
+	// them would have to fail at once.
+	leaseCandidates = 5
 	// pruneInterval is the time between removals of targets that have long been gone.
 	// It only bounds memory.
 	pruneInterval = 10 * time.Second
@@ -218,6 +221,7 @@
 		Log: log, Control: targets, Clock: n.bootClock, Logger: n.log,
 		Holder:              s.VM.Name + "@" + strconv.FormatInt(time.Now().UnixMilli(), 36),
 		TargetsCheckFencing: s.Bounds.TargetsCheckFencing, HandoverInterval: settings.Milliseconds(s.Bounds.HandoverIntervalMs),
+		Candidate: func() bool { return placement.IsChosen(s.VM.Name, n.routerNames(), port.StreamOrders, leaseCandidates) },
 		Targets:   n.engines,
 		OnPaused:  func(id string, d time.Duration) { n.dir.SetPaused(id, n.clock.Now().Add(d)) },
 		OnLoading: func(l port.TargetLoading) { n.fleet.AnnounceLoading(l) },
--- a/internal/app/weights/holder.go
+++ b/internal/app/weights/holder.go
@@ -18,6 +18,9 @@
 	claimJitter = 400 * time.Millisecond
 	// holderHeadStart is how long the other routers leave the lease to its last holder.
 	holderHeadStart = 300 * time.Millisecond
+	// lateClaim is the time after which a router claims the lease that is no candidate: the
+	// rollout of a healthy fleet has ended by then, and half of the bound is left.
+	lateClaim = 5 * time.Second
 	// leaseDivisor makes a claim shorter than the handover interval.
 	leaseDivisor = 2
 	readLimit    = 64 // records per read of the claims
@@ -62,6 +65,9 @@
 	if current, known := m.claims.Current(); known && current.Holder == m.Holder {
 		return 0
 	}
+	if m.Candidate != nil && !m.Candidate() {
+		return lateClaim
+	}
 	spread := time.Duration(xxhash.Sum64String(m.Holder) % uint64(claimJitter))
 	if _, known := m.claims.Current(); !known {
 		return spread
--- a/internal/app/weights/weights.go
+++ b/internal/app/weights/weights.go
@@ -55,6 +55,9 @@
 	// that lost its lease is then harmless, and the next one need not wait for the handover
 	// interval.
 	TargetsCheckFencing bool
+	// Candidate reports whether this router claims the lease early. The others claim it only
+	// when a rollout takes long, which bounds the reads of the claims; nil: all do.
+	Candidate func() bool
 	// Targets returns the engines that are not leaving.
 	Targets func() []Target
 	// OnPaused is called when a target is expected to start no requests for the time pause.
--- a/internal/app/weights/weights_test.go
+++ b/internal/app/weights/weights_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -341,3 +342,40 @@
 		is.Equal(len(announced), 6)
 	})
 }
+
+// countingLog counts the calls of a log.
+type countingLog struct {
+	port.Log
+	calls atomic.Int64
+}
+
+func (l *countingLog) Append(ctx context.Context, stream string, records []port.Record) (port.Offset, error) {
+	l.calls.Add(1)
+	return l.Log.Append(ctx, stream, records)
+}
+
+func (l *countingLog) Read(ctx context.Context, stream string, from port.Offset, limit int, wait time.Duration) (port.Batch, error) {
+	l.calls.Add(1)
+	return l.Log.Read(ctx, stream, from, limit, wait)
+}
+
+// Guards against routers that all read the claims of the lease when weights are named, and
+// against a rollout that never begins because the candidates have failed.
+func TestCandidatesClaimFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(3)
+		m := f.manager("r1")
+		log := &countingLog{Log: f.log}
+		m.Log, m.Candidate = log, func() bool { return false }
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		run(ctx, m)
+		m.SetDesired(model, 2)
+		time.Sleep(lateClaim - time.Millisecond)
+		is.Equal(f.behind(2), 3)
+		is.Equal(log.calls.Load(), int64(0)) // no claim was read or written
+		time.Sleep(10 * time.Second)
+		is.Equal(f.behind(2), 0)
+	})
+}
