gateway: choose readers of cache events from a settled list of routers

Cause: a router that had not found the others yet took itself for the only reader of all caches.

Change: readers are chosen from the list of routers once it has not changed for 2 s, or every 10 s while it keeps changing. A cache that has no place for a reader is asked again after 5 s instead of one.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -119,6 +119,7 @@
 	peers     *grpc.Server
 	// routers holds the names of the routers that may be serving, this one included.
 	routers atomic.Pointer[[]string]
+	readers routerList
 	caches  *cachewatch.Watcher
 	callers *http.Server
 	conns   *callerConns
--- a/cmd/mimosaseam/gatewaypeers.go
+++ b/cmd/mimosaseam/gatewaypeers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/adapter/peergrpc"
@@ -65,6 +66,7 @@
 		n.log.Info("routers", "count", len(names))
 	}
 	n.routers.Store(&names)
+	n.readers.set(n.clock.Now(), slices.Sorted(slices.Values(names)))
 	// Records relayed by other routers are older than those read from the log.
 	leaving := settings.Milliseconds(n.settings.Bounds.LeavingMs)
 	staleness := gatewaysync.TargetsInterval(leaving)
--- a/cmd/mimosaseam/gatewayrecords.go
+++ b/cmd/mimosaseam/gatewayrecords.go
@@ -1,6 +1,10 @@
 package main
 
 import (
+	"slices"
+	"sync"
+	"time"
+
 	"mimosaseam.example/mimosaseam/internal/app/weights"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/port"
@@ -60,10 +64,10 @@
 	if c == nil {
 		return nil
 	}
-	routers := n.routerNames()
+	routers := n.readers.settled(n.clock.Now())
 	var out []string
 	add := func(address string, readers int) {
-		if placement.IsChosen(n.settings.VM.Name, routers, address, readers) {
+		if (routers != nil || readers <= 0) && placement.IsChosen(n.settings.VM.Name, routers, address, readers) {
 			out = append(out, address)
 		}
 	}
@@ -80,6 +84,44 @@
 	return out
 }
 
+const (
+	// settleTime is how long the list of routers must be unchanged before the readers of
+	// cache events are chosen from it. While routers start together, each knows another
+	// part of them, and all together would ask each cache.
+	settleTime = 2 * time.Second
+	// maxSettleTime bounds the use of an older list while routers come and go.
+	maxSettleTime = 10 * time.Second
+)
+
+// routerList is the list of routers from which the readers of cache events are chosen.
+type routerList struct {
+	mu      sync.Mutex
+	newest  []string
+	changed time.Time
+	// used is the last settled list, nil before the first.
+	used   []string
+	usedAt time.Time
+}
+
+// set stores the newest list.
+func (l *routerList) set(now time.Time, names []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !slices.Equal(l.newest, names) {
+		l.newest, l.changed = names, now
+	}
+}
+
+// settled returns the list to choose from, nil if none has settled yet.
+func (l *routerList) settled(now time.Time) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.changed) >= settleTime || l.used != nil && now.Sub(l.usedAt) >= maxSettleTime {
+		l.used, l.usedAt = l.newest, now
+	}
+	return l.used
+}
+
 // assumedRouters is the assumed number of routers until others are discovered, so
 // that the bounds they share hold while all start at the same time.
 const assumedRouters = 16
--- a/internal/app/cachewatch/cachewatch.go
+++ b/internal/app/cachewatch/cachewatch.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -23,6 +24,9 @@
 	readPause = 150 * time.Millisecond
 	// failurePause is the mean pause after a failed read.
 	failurePause = time.Second
+	// limitedPause is the mean pause after a read for which the cache had no place: other
+	// routers read it, with a list of routers that differs from this one's.
+	limitedPause = 5 * time.Second
 	// listInterval is the time between two reads of the list of caches.
 	listInterval = 500 * time.Millisecond
 )
@@ -82,7 +86,11 @@
 				w.Logger.Info("cache events lost", "target", address, "error", err.Error())
 			}
 			lost = true
-			next = time.Duration((0.5 + rand.Float64()) * float64(failurePause))
+			pause := failurePause
+			if limited := (*port.RateLimitedError)(nil); errors.As(err, &limited) {
+				pause = limitedPause
+			}
+			next = time.Duration((0.5 + rand.Float64()) * float64(pause))
 		default:
 			if lost {
 				w.Logger.Info("cache events regained", "target", address, "gap", events.Lost)
