adapters: the product's own door under broken, late and endless responses

Cause: the own door's clients of engines and services had three of the faults that the gateway had. A status below 100, above 599 or 101 was relayed to callers. A late copy of a response on a connection in use again was taken for the next one: the protocol has no id in responses. A caller that never finished a body with a length held its connection for good, since the read deadline was cleared before net/http read the rest.

Targets may echo X-Attempt-Id; a response with another one is refused and its connection closed. The stand-ins echo it; from targets that do not, a copy still can't be told apart, except on an idle connection, which net/http closes. The read deadline stays after a failed read.

--- a/cmd/mimosaseam/brokenanswers_test.go
+++ b/cmd/mimosaseam/brokenanswers_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -73,7 +71,7 @@
 		},
 		"silent after the head": func(c *platformtest.RawConn, r *http.Request) {
 			c.Send(platformtest.Head(r, "200 OK", "Content-Length: 100"))
-			waitClosed(c)
+			c.WaitClosed()
 		},
 		"head without end": func(c *platformtest.RawConn, r *http.Request) { c.Send("HTTP/1.1 200 "); c.Repeat("OK OK OK OK ") },
 		"header lines without end": func(c *platformtest.RawConn, r *http.Request) {
@@ -97,9 +95,9 @@
 		},
 		"body without end, one byte at times": func(c *platformtest.RawConn, r *http.Request) {
 			c.Send(platformtest.Head(r, "200 OK", "Connection: close"))
-			trickle(c, "x")
+			c.Trickle("x")
 		},
-		"head without end, one byte at times": func(c *platformtest.RawConn, _ *http.Request) { trickle(c, "H") },
+		"head without end, one byte at times": func(c *platformtest.RawConn, _ *http.Request) { c.Trickle("H") },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -119,24 +117,3 @@
 		})
 	}
 }
-
-// waitClosed waits until the router closes the connection.
-func waitClosed(c *platformtest.RawConn) { _, _ = io.Copy(io.Discard, c.Conn) }
-
-// trickle sends text now and then until the router closes the connection.
-func trickle(c *platformtest.RawConn, text string) {
-	closed := make(chan struct{})
-	go func() {
-		waitClosed(c)
-		close(closed)
-	}()
-	ticker := time.NewTicker(20 * time.Millisecond)
-	defer ticker.Stop()
-	for c.Send(text) {
-		select {
-		case <-closed:
-			return
-		case <-ticker.C:
-		}
-	}
-}
--- a/cmd/mimosaseam/endlessanswers_test.go
+++ b/cmd/mimosaseam/endlessanswers_test.go
@@ -16,7 +16,7 @@
 	for name, answer := range map[string]func(c *platformtest.RawConn, r *http.Request){
 		"refusal whose body trickles": func(c *platformtest.RawConn, r *http.Request) {
 			c.Send(platformtest.Head(r, "503 Full", platformtest.NotRunField, "Transfer-Encoding: chunked"))
-			trickle(c, "1\r\nx\r\n")
+			c.Trickle("1\r\nx\r\n")
 		},
 		"refusal whose body never ends": func(c *platformtest.RawConn, r *http.Request) {
 			c.Send(platformtest.Head(r, "503 Full", platformtest.NotRunField, "Connection: close"))
@@ -24,7 +24,7 @@
 		},
 		"failure whose body trickles": func(c *platformtest.RawConn, r *http.Request) {
 			c.Send(platformtest.Head(r, "500 Failed", "Transfer-Encoding: chunked"))
-			trickle(c, "1\r\nx\r\n")
+			c.Trickle("1\r\nx\r\n")
 		},
 		"failure whose body never ends": func(c *platformtest.RawConn, r *http.Request) {
 			c.Send(platformtest.Head(r, "500 Failed", "Connection: close"))
@@ -32,7 +32,7 @@
 		},
 		"success whose body trickles": func(c *platformtest.RawConn, r *http.Request) {
 			c.Send(platformtest.Head(r, "200 OK", "Connection: close"))
-			trickle(c, "x")
+			c.Trickle("x")
 		},
 		"head without end": func(c *platformtest.RawConn, _ *http.Request) { c.Send("HTTP/1.1 200 "); c.Repeat("OK OK OK OK ") },
 	} {
--- a/cmd/mimosaseam/slowstreams_test.go
+++ b/cmd/mimosaseam/slowstreams_test.go
@@ -38,12 +38,12 @@
 				c.Send(string(b))
 			}
 		}, true},
-		"one byte now and then, never an event": {"/brief/", func(c *platformtest.RawConn, r *http.Request) { c.Send(stream(r) + "data: "); trickle(c, "x") }, false},
-		"comments, never an event":              {"/brief/", func(c *platformtest.RawConn, r *http.Request) { c.Send(stream(r)); trickle(c, ": alive\n\n") }, false},
-		"empty lines, never an event":           {"/brief/", func(c *platformtest.RawConn, r *http.Request) { c.Send(stream(r)); trickle(c, "\n") }, false},
+		"one byte now and then, never an event": {"/brief/", func(c *platformtest.RawConn, r *http.Request) { c.Send(stream(r) + "data: "); c.Trickle("x") }, false},
+		"comments, never an event":              {"/brief/", func(c *platformtest.RawConn, r *http.Request) { c.Send(stream(r)); c.Trickle(": alive\n\n") }, false},
+		"empty lines, never an event":           {"/brief/", func(c *platformtest.RawConn, r *http.Request) { c.Send(stream(r)); c.Trickle("\n") }, false},
 		"one event, then comments": {"/brief/", func(c *platformtest.RawConn, r *http.Request) {
 			c.Send(stream(r) + event(1))
-			trickle(c, ": alive\n\n")
+			c.Trickle(": alive\n\n")
 		}, false},
 		"an event line without end": {"/brief/", func(c *platformtest.RawConn, r *http.Request) {
 			c.Send(stream(r) + "data: ")
--- a/cmd/mimosaseam/stop_test.go
+++ b/cmd/mimosaseam/stop_test.go
@@ -158,7 +158,7 @@
 		case strings.HasPrefix(r.URL.Path, "/book/wait"):
 			time.Sleep(late)
 		case strings.HasPrefix(r.URL.Path, "/book/never"):
-			waitClosed(c)
+			c.WaitClosed()
 			return false
 		case strings.HasPrefix(r.URL.Path, "/brief/"):
 			c.Send(platformtest.Head(r, "200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"))
--- a/internal/adapter/callerhttp/decode.go
+++ b/internal/adapter/callerhttp/decode.go
@@ -140,10 +140,11 @@
 func (x *exchange) readBody() ([]byte, bool) {
 	_ = x.rc.SetReadDeadline(time.Now().Add(x.s.Limits.BodyTimeout))
 	data, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, x.s.Limits.BodyBytes))
-	// Without a read deadline, background reads of the server still detect that the
-	// caller disconnects, but no longer time out.
-	_ = x.rc.SetReadDeadline(time.Time{})
 	if err == nil {
+		// Without a read deadline, background reads of the server still detect that the
+		// caller disconnects, but no longer time out. After a failure the deadline stays:
+		// the server reads the rest of the body before it closes the connection.
+		_ = x.rc.SetReadDeadline(time.Time{})
 		return data, true
 	}
 	status, message := http.StatusBadRequest, "the body could not be read"
--- a/internal/adapter/callerhttp/server_test.go
+++ b/internal/adapter/callerhttp/server_test.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -337,3 +338,25 @@
 		}
 	})
 }
+
+// Guards against a caller that never finishes its body and holds its connection for good.
+func TestUnfinishedBodyIsCutOff(t *testing.T) {
+	for name, body := range map[string]string{
+		"length": "Content-Length: 100\r\n\r\n{\"model\"",
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n8\r\n{\"model\"\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := serve(t, &fakeRouter{}, Limits{BodyTimeout: 100 * time.Millisecond}, io.Discard)
+			conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+			is.NoErr(err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+secret+"\r\n"+body)
+			is.NoErr(err)
+			is.NoErr(conn.SetReadDeadline(time.Now().Add(20 * time.Second))) // it is closed long before
+			text, err := io.ReadAll(conn)
+			is.NoErr(err) // the router has closed the connection
+			is.True(strings.HasPrefix(string(text), "HTTP/1.1 400 "))
+		})
+	}
+}
--- a/internal/adapter/enginehttp/generate.go
+++ b/internal/adapter/enginehttp/generate.go
@@ -39,6 +39,10 @@
 	if err != nil {
 		return nil, attemptFailure(address, err)
 	}
+	if httpconn.OfAnotherAttempt(response, g.AttemptID) {
+		_ = response.Body.Close() // closes the connection, since it was not read
+		return nil, &port.UnknownOutcomeError{Peer: address, Cause: httpconn.ErrAnotherAttempt}
+	}
 	if response.StatusCode == http.StatusOK && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		return newStream(address, response, cancel, c.maxEvent), nil
 	}
--- a/internal/adapter/httpconn/pool.go
+++ b/internal/adapter/httpconn/pool.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/propagation"
 
 	"mimosaseam.example/mimosaseam/internal/port"
@@ -31,10 +32,16 @@
 	// have about 100 bytes, and larger bodies are written past the buffer, so
 	// net/http's 4 KiB would only add to the memory of each open stream.
 	bufferBytes = 1 << 10
+	// maxStatus is the largest status code of HTTP.
+	maxStatus = 599
 	// maxRetryAfter bounds the Retry-After that a target may request.
 	maxRetryAfter = 10 * time.Minute
 )
 
+// ErrInvalidStatus means that a status code is none of a final response. Handlers of
+// net/http panic on some, and relay bytes of any kind after 101.
+var ErrInvalidStatus = eris.New("the status of the response is invalid")
+
 // Options configures a Pool.
 type Options struct {
 	// Transport is copied and used as given, except that compression, HTTP/2
@@ -148,6 +155,11 @@
 		}
 		propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(request.Header))
 		response, err := transport.RoundTrip(request)
+		if err == nil && (response.StatusCode < http.StatusOK || response.StatusCode > maxStatus) {
+			// A body that was not read closes its connection.
+			_ = response.Body.Close()
+			return nil, &Failure{Cause: ErrInvalidStatus}
+		}
 		if err == nil {
 			return response, nil
 		}
--- a/internal/adapter/servicehttp/client.go
+++ b/internal/adapter/servicehttp/client.go
@@ -81,6 +81,11 @@
 		cancel()
 		return port.Reply{}, callFailure(address, err)
 	}
+	if httpconn.OfAnotherAttempt(response, call.AttemptID) {
+		_ = response.Body.Close() // closes the connection, since it was not read
+		cancel()
+		return port.Reply{}, &port.UnknownOutcomeError{Peer: address, Cause: httpconn.ErrAnotherAttempt}
+	}
 	if response.StatusCode >= 400 && response.Header.Get("X-Not-Run") == "true" {
 		_ = response.Body.Close()
 		cancel()
--- a/internal/standin/apprunner/apprunner.go
+++ b/internal/standin/apprunner/apprunner.go
@@ -152,6 +152,7 @@
 	if conntrack.Silent(r.Context()) {
 		hang(r.Context())
 	}
+	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_, _ = w.Write(response)
--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -56,6 +56,7 @@
 		writeError(w, refused.status, refused.kind, refused.message)
 		return
 	}
+	w.Header().Set("X-Attempt-Id", a.run.AttemptID)
 	w.Header().Set("X-Incarnation", a.run.Incarnation)
 	w.Header().Set("X-Weights-Version", a.run.WeightsVersion)
 	w.Header().Set("Content-Type", "text/event-stream")
