gatewaysync: verify the configuration often enough for transfers

Cause: cached parts are fetched from other engines only within 2 s of the last verification of the operator's stream.

Change: a read waits 0.8 s.

Test: TestVerificationStaysFresh.

--- a/internal/app/gatewaysync/gatewaysync.go
+++ b/internal/app/gatewaysync/gatewaysync.go
@@ -16,9 +16,11 @@
 
 const (
 	// operatorWait is how long a read of the operator's stream waits for new records.
-	// Each response verifies the configuration; keys must be verified several times
-	// within the 5 s after which a revoked key must not be served.
-	operatorWait = 1200 * time.Millisecond
+	// An empty response verifies only the time of the question, so the last verification
+	// is up to twice as old. Keys must be verified several times within the 5 s after
+	// which a revoked key must not be served, and the transfer of cached prompt parts
+	// ends 2 s after the last verification.
+	operatorWait = 800 * time.Millisecond
 	// maxTargetsInterval is the upper bound of the time between two reads of the targets'
 	// entries. readsPerLeavingBound is the number of reads within the time after which a
 	// leaving target must get no more requests.
--- a/internal/app/gatewaysync/gatewaysync_test.go
+++ b/internal/app/gatewaysync/gatewaysync_test.go
@@ -320,3 +320,25 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a configuration whose last verification is often too old for what depends
+// on it: cached prompt parts are transferred only within 2 s of it.
+func TestVerificationStaysFresh(t *testing.T) {
+	const maxAge = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &fakeLog{}
+		log.add("a", "1")
+		f := newRecorder(log, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Run(ctx) }()
+		<-time.After(time.Second)
+		for range 1000 {
+			<-time.After(20 * time.Millisecond)
+			_, age := f.state()
+			is.True(age < maxAge)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
