weights: leave a rollout that makes progress to its holder

Cause: routers that are no candidates for the lease read its claims 5 s after weights were named, whether another router was giving orders or not.

Change: the 5 s count from the last time at which the number of outdated engines fell.

Test: TestProgressKeepsOthersFromClaiming (all routers read without the change).

--- a/internal/app/weights/holder.go
+++ b/internal/app/weights/holder.go
@@ -18,8 +18,8 @@
 	claimJitter = 400 * time.Millisecond
 	// holderHeadStart is how long the other routers leave the lease to its last holder.
 	holderHeadStart = 300 * time.Millisecond
-	// lateClaim is the time after which a router claims the lease that is no candidate: the
-	// rollout of a healthy fleet has ended by then, and half of the bound is left.
+	// lateClaim is the time without progress of a rollout after which a router claims the
+	// lease that is no candidate: all candidates seem to have failed.
 	lateClaim = 5 * time.Second
 	// leaseDivisor makes a claim shorter than the handover interval.
 	leaseDivisor = 2
@@ -39,7 +39,7 @@
 		}
 		return m.heldFor(m.Clock.Now()) > 0
 	}
-	if now.Before(announced.Add(m.claimDelay())) || !m.leaseFree(now) {
+	if now.Before(announced.Add(m.claimDelay(announced))) || !m.leaseFree(now) {
 		return false
 	}
 	if err := m.readClaims(ctx); err != nil {
@@ -61,12 +61,12 @@
 }
 
 // claimDelay returns how long this router leaves the claim to others.
-func (m *Manager) claimDelay() time.Duration {
+func (m *Manager) claimDelay(announced time.Time) time.Duration {
 	if current, known := m.claims.Current(); known && current.Holder == m.Holder {
 		return 0
 	}
 	if m.Candidate != nil && !m.Candidate() {
-		return lateClaim
+		return lateClaim + max(0, m.progressed.Sub(announced))
 	}
 	spread := time.Duration(xxhash.Sum64String(m.Holder) % uint64(claimJitter))
 	if _, known := m.claims.Current(); !known {
--- a/internal/app/weights/weights.go
+++ b/internal/app/weights/weights.go
@@ -89,6 +89,10 @@
 	claims   lease.State
 	next     port.Offset
 	observed time.Time // when the current claim was read
+	// outdated is the number of outdated targets at the last step, and progressed when it
+	// last fell: another router gives orders.
+	outdated   int
+	progressed time.Time
 }
 
 // New returns a manager.
@@ -163,7 +167,12 @@
 func (m *Manager) step(ctx context.Context) bool {
 	desired, announced := m.desiredVersions()
 	targets := m.rolloutTargets()
-	if !rollout.AnyOutdated(targets, desired) {
+	outdated := rollout.CountOutdated(targets, desired)
+	if outdated < m.outdated {
+		m.progressed = m.Clock.Now()
+	}
+	m.outdated = outdated
+	if outdated == 0 {
 		return false
 	}
 	due := rollout.NextTargets(targets, desired, m.Clock.Now().Sub(announced) > lateAfter)
--- a/internal/app/weights/weights_test.go
+++ b/internal/app/weights/weights_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -379,3 +380,34 @@
 		is.Equal(f.behind(2), 0)
 	})
 }
+
+// Guards against all routers that read the claims of a lease whose holder is at work, only
+// because the rollout takes long.
+func TestProgressKeepsOthersFromClaiming(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(10)
+		holder, other := f.manager("r1"), f.manager("r2")
+		log := &countingLog{Log: f.log}
+		other.Log, other.Candidate = log, func() bool { return false }
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		run(ctx, holder)
+		run(ctx, other)
+		holder.SetDesired(model, 2)
+		other.SetDesired(model, 2)
+		for joined := range 4 { // more engines with the older weights, past lateClaim
+			time.Sleep(3 * time.Second)
+			f.mu.Lock()
+			for i := range 10 {
+				id := fmt.Sprint("new", joined, i)
+				f.engines[id] = &engine{target: Target{ID: id, Address: id, Incarnation: "1", Model: model, Version: 1}}
+			}
+			f.mu.Unlock()
+			is.Equal(f.behind(2), 10)
+		}
+		time.Sleep(3 * time.Second)
+		is.Equal(f.behind(2), 0)
+		is.Equal(log.calls.Load(), int64(0))
+	})
+}
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -65,14 +65,14 @@
 	return out
 }
 
-// AnyOutdated reports whether any target serves an older version than desired.
-func AnyOutdated(targets []Target, desired map[string]int) bool {
+// CountOutdated returns the number of targets that serve an older version than desired.
+func CountOutdated(targets []Target, desired map[string]int) (n int) {
 	for _, t := range targets {
 		if t.Version < desired[t.Model] {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // VersionRequirement is the requirement of a request on the weights version of its
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -67,11 +67,11 @@
 }
 
 // Guards against a lease that is claimed when no target needs an order.
-func TestAnyOutdated(t *testing.T) {
+func TestCountOutdated(t *testing.T) {
 	is := is.New(t)
-	is.True(AnyOutdated(engines(2, 1), map[string]int{"m": 2}))
-	is.True(!AnyOutdated(engines(2, 3), map[string]int{"m": 2}))
-	is.True(!AnyOutdated(engines(1), nil))
+	is.Equal(CountOutdated(engines(2, 1), map[string]int{"m": 2}), 1)
+	is.Equal(CountOutdated(engines(2, 3), map[string]int{"m": 2}), 0)
+	is.Equal(CountOutdated(engines(1), nil), 0)
 }
 
 // Guards against outdated weights whose time limit is extended because newer ones are
