measure: show why shared parts of prompts are read again

The line "sent" now names the shared parts of the prompt; the report follows which engine must have which part for which weights, and counts the tokens that are prefilled again by reason: weights being replaced, still computed elsewhere, elsewhere and not known (or dropped), elsewhere and not fetched. It also lists the ten routers with the worst share on time, which stays legible with hundreds of them. A line that is too long is counted once.

Tests: TestReasonsForReadingAgain, TestSharedPartsAreLogged, TestLongLineIsSkippedOnce.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -109,7 +109,7 @@
 		attrs = append(attrs, slog.Float64("failure_share", share))
 	}
 	if x.engine != nil {
-		attrs = append(attrs, slog.String("session", x.session()), slog.Int("prompt_tokens", x.r.PromptTokens),
+		attrs = append(attrs, slog.String("session", x.session()), slog.String("shared", x.sharedParts()), slog.Int("prompt_tokens", x.r.PromptTokens),
 			slog.Int("cached_tokens", x.score.CachedTokens), slog.Int("elsewhere_tokens", x.cachedElsewhere),
 			slog.Float64("queue_ms", x.score.QueueMs), slog.Float64("prefill_ms", x.score.PrefillMs),
 			slog.Float64("link_ms", x.score.LinkMs),
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -254,6 +255,20 @@
 	return ""
 }
 
+// sharedParts lists the segments of the prompt that other requests may share, as
+// ID:TOKENS in their order.
+func (x *exchange) sharedParts() string {
+	var out []byte
+	for _, s := range x.r.Prompt[:max(0, len(x.r.Prompt)-1)] {
+		if len(out) > 0 {
+			out = append(out, ' ')
+		}
+		out = append(append(out, s.ID...), ':')
+		out = strconv.AppendInt(out, int64(s.Tokens), 10)
+	}
+	return string(out)
+}
+
 // attrs returns log attributes with the inputs of the request's decisions.
 func (x *exchange) attrs() []slog.Attr {
 	out := []slog.Attr{slog.String("route", x.route.Name), slog.String("service", x.service), slog.Float64("objective_ms", ms(x.route.Objective)),
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -420,3 +420,16 @@
 		})
 	}
 }
+
+// Guards against log lines that lack the parts of a prompt by which a report finds out what
+// was prefilled again.
+func TestSharedPartsAreLogged(t *testing.T) {
+	is := is.New(t)
+	for want, prompt := range map[string][]port.Segment{
+		"":          nil,
+		"a:600":     {{ID: "a", Tokens: 600}, {ID: "own", Tokens: 9}},
+		"a:600 b:5": {{ID: "a", Tokens: 600}, {ID: "b", Tokens: 5}, {ID: "own", Tokens: 9}},
+	} {
+		is.Equal((&exchange{r: &Request{Prompt: prompt}}).sharedParts(), want)
+	}
+}
--- a/internal/bench/day/day_test.go
+++ b/internal/bench/day/day_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -60,3 +61,44 @@
 	_, err = Read(strings.NewReader("nothing\n"))
 	is.Equal(err, ErrNoRequests)
 }
+
+// Guards against reasons that are mixed up, refused attempts that count as cached, and
+// parts that count as read again although no engine had them.
+func TestReasonsForReadingAgain(t *testing.T) {
+	is := is.New(t)
+	at := func(ms int, rest string) string {
+		return fmt.Sprintf(`{"time":"2026-01-01T00:00:%02d.%03dZ","vm":"v",%s}`+"\n", ms/1000, ms%1000, rest)
+	}
+	sent := func(ms int, request, target string, weights int, more string) string {
+		return at(ms, fmt.Sprintf(`"msg":"sent","request":%q,"target":%q,"weights":%d,"shared":"p:1000 q:300","prompt_tokens":1500,"prefill_ms":50%s`, request, target, weights, more))
+	}
+	end := func(ms int, request string) string {
+		return at(ms, fmt.Sprintf(`"msg":"answered","request":%q,"route":"r","objective_ms":100,"first_event_ms":60`, request))
+	}
+	text := at(0, `"msg":"weights named","version":1`) +
+		sent(100, "r1", "t1", 1, "") + end(900, "r1") + // first
+		sent(120, "r2", "t2", 1, "") + end(900, "r2") + // t1 still computes it
+		sent(1000, "r3", "t1", 1, "") + end(1900, "r3") + // cached there
+		sent(1100, "r4", "t3", 1, `,"elsewhere_tokens":1000,"fetch_from":"t1"`) + end(1900, "r4") + // q only
+		sent(1200, "r5", "t4", 1, `,"elsewhere_tokens":1300`) + end(1900, "r5") + // not fetched
+		sent(1300, "r6", "t5", 1, "") + at(1310, `"msg":"repeated","request":"r6","why":"target t5 did not run the attempt: overloaded"`) +
+		sent(1320, "r6", "t1", 1, "") + end(1900, "r6") + // refused, then cached
+		at(2000, `"msg":"weights named","version":2`) +
+		sent(2100, "r7", "t6", 1, "") + end(2900, "r7") + // replaced
+		sent(2200, "r8", "t1", 2, "") + end(2900, "r8") + // first under the new weights
+		sent(30000, "r9", "t9", 1, "") + end(30900, "r9") // long after its last use
+	r, err := Read(strings.NewReader(text))
+	is.NoErr(err)
+	is.Equal(r.Rereads, map[Reread]int{RereadUnfinished: 1300, RereadUnknown: 300, RereadNotFetched: 1300, RereadOutdated: 1300})
+	is.Equal(r.Routers["v"].Requests, 9)
+}
+
+// Guards against a long line that is counted more than once, or hides the next one.
+func TestLongLineIsSkippedOnce(t *testing.T) {
+	is := is.New(t)
+	long := `{"msg":"` + strings.Repeat("x", 3*maxLineBytes) + `"}` + "\n"
+	r, err := Read(strings.NewReader(long + lines))
+	is.NoErr(err)
+	is.Equal(r.Skipped, 2) // and the malformed one
+	is.Equal(r.Attempts, 4)
+}
--- a/internal/bench/day/read.go
+++ b/internal/bench/day/read.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -29,17 +30,36 @@
 	Request          string    `json:"request"`
 	Route            string    `json:"route"`
 	Account          string    `json:"account"`
-	Outcome          string    `json:"outcome"`
-	FirstEventMs     float64   `json:"first_event_ms"`
-	ObjectiveMs      float64   `json:"objective_ms"`
-	QueuedMs         float64   `json:"queued_ms"`
-	PromptTokens     int       `json:"prompt_tokens"`
-	CachedTokens     int       `json:"cached_tokens"`
-	ElsewhereTokens  int       `json:"elsewhere_tokens"`
-	FetchFrom        string    `json:"fetch_from"`
-	QueueMs          float64   `json:"queue_ms"`
-	PrefillMs        float64   `json:"prefill_ms"`
-	LinkMs           float64   `json:"link_ms"`
+	Target           string    `json:"target"`
+	Why              string    `json:"why"`
+	Version          int       `json:"version"`
+	Weights          version   `json:"weights"`
+	// Shared lists the parts of the prompt that requests may share, as ID:TOKENS.
+	Shared          string  `json:"shared"`
+	Outcome         string  `json:"outcome"`
+	FirstEventMs    float64 `json:"first_event_ms"`
+	ObjectiveMs     float64 `json:"objective_ms"`
+	QueuedMs        float64 `json:"queued_ms"`
+	PromptTokens    int     `json:"prompt_tokens"`
+	CachedTokens    int     `json:"cached_tokens"`
+	ElsewhereTokens int     `json:"elsewhere_tokens"`
+	FetchFrom       string  `json:"fetch_from"`
+	QueueMs         float64 `json:"queue_ms"`
+	PrefillMs       float64 `json:"prefill_ms"`
+	LinkMs          float64 `json:"link_ms"`
+}
+
+// version is a weights version. Lines about targets have the versions of all models in
+// its place, which the report does not use.
+type version int
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (v *version) UnmarshalJSON(text []byte) error {
+	n, err := strconv.Atoi(string(text))
+	if err == nil {
+		*v = version(n)
+	}
+	return nil
 }
 
 // Messages of the gateway's log lines that the report uses.
@@ -50,20 +70,30 @@
 	messageNotAnswered = "not answered"
 	messageRepeated    = "repeated"
 	messageOrder       = "order"
+	messageNamed       = "weights named"
+	messageCrashed     = "target crashed"
 )
 
+// notRunText is part of the reason of a refusal.
+const notRunText = "did not run the attempt"
+
 // Read reads log lines of any number of routers. It ignores text before the first brace
 // of a line and lines without a brace. Lines with invalid JSON or without a message, and
 // those longer than maxLineBytes, are skipped and counted in the report.
 func Read(r io.Reader) (*Report, error) {
 	b := newBuilder()
 	in := bufio.NewReaderSize(r, maxLineBytes)
+	tooLong := false
 	for {
 		text, err := in.ReadSlice('\n')
 		if errors.Is(err, bufio.ErrBufferFull) {
-			b.report.Skipped++
+			tooLong = true
 			continue
 		}
+		if tooLong { // its last part
+			b.report.Skipped++
+			tooLong, text = false, nil
+		}
 		if at := bytes.IndexByte(text, '{'); at >= 0 {
 			var l logLine
 			if json.Unmarshal(text[at:], &l) != nil || l.Message == "" {
--- a/internal/bench/day/report.go
+++ b/internal/bench/day/report.go
@@ -62,6 +62,10 @@
 	Retries  int                  `json:"repeats"`
 	Orders   int                  `json:"orders"`
 	Skipped  int                  `json:"skipped_lines"`
+	// Rereads counts the tokens of shared prompt parts that were prefilled again, by
+	// reason. Routers holds the outcomes by router.
+	Rereads map[Reread]int       `json:"prefilled_again"`
+	Routers map[string]*Outcomes `json:"routers"`
 }
 
 // Second holds the outcomes of requests that ended in one second of the day.
@@ -77,15 +81,17 @@
 	sent    map[string]logLine
 	ttfts   map[string][]float64
 	seconds map[int64]*Second
+	rereads *rereads
 }
 
 func newBuilder() *builder {
 	return &builder{report: &Report{Routes: map[string]*Outcomes{}, Accounts: map[string]*Outcomes{}, Zones: map[string]*Outcomes{},
-		Parts: map[string]*Parts{}}, zones: map[string]string{}, sent: map[string]logLine{}, ttfts: map[string][]float64{},
+		Parts: map[string]*Parts{}, Routers: map[string]*Outcomes{}}, rereads: newRereads(), zones: map[string]string{}, sent: map[string]logLine{}, ttfts: map[string][]float64{},
 		seconds: map[int64]*Second{}}
 }
 
 func (b *builder) add(l logLine) {
+	b.rereads.add(l)
 	switch l.Message {
 	case messageStarting:
 		b.zones[l.VM] = l.AvailabilityZone
@@ -126,7 +132,7 @@
 		b.seconds[second] = &Second{At: time.Unix(second, 0).UTC()}
 	}
 	for _, o := range []*Outcomes{outcomesOf(b.report.Routes, l.Route), outcomesOf(b.report.Accounts, l.Account),
-		outcomesOf(b.report.Zones, b.zones[l.VM]), &b.seconds[second].Outcomes} {
+		outcomesOf(b.report.Zones, b.zones[l.VM]), outcomesOf(b.report.Routers, l.VM), &b.seconds[second].Outcomes} {
 		o.count(l)
 	}
 	sent, engine := b.sent[l.Request]
@@ -187,6 +193,7 @@
 }
 
 func (b *builder) finish() {
+	b.report.Rereads = b.rereads.tokens()
 	for route, p := range b.report.Parts {
 		n := float64(p.Responses)
 		for _, v := range []*float64{&p.QueuedMs, &p.WaitMs, &p.PrefillMs, &p.LinkMs, &p.TTFTMs} {
--- a/internal/bench/day/write.go
+++ b/internal/bench/day/write.go
@@ -1,6 +1,7 @@
 package day
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"maps"
@@ -24,7 +25,7 @@
 	for _, group := range []struct {
 		name string
 		of   map[string]*Outcomes
-	}{{"route", r.Routes}, {"client account", r.Accounts}, {"availability zone", r.Zones}} {
+	}{{"route", r.Routes}, {"client account", r.Accounts}, {"availability zone", r.Zones}, {"router with the worst share on time", r.worstRouters()}} {
 		fmt.Fprintf(w, "%s\trequests\ton time\tlate\trefused\tfailed\tbroken off\tleft\tnot allowed\ton time of allowed\t\n", group.name)
 		for _, name := range slices.Sorted(maps.Keys(group.of)) {
 			o := group.of[name]
@@ -42,10 +43,33 @@
 	t := r.Tokens
 	fmt.Fprintf(w, "\nprompt tokens\tread\tcached\tfetched\tread again\twasted\t\n%d\t%d\t%d\t%d\t%d\t%d\t\n",
 		t.Prompt, t.Prefilled(), t.Cached, t.Fetched, t.Recomputed, t.Wasted)
+	fmt.Fprintln(w, "\ntokens of shared parts read again\ttokens\tshare of read\t")
+	for _, reason := range []Reread{RereadOutdated, RereadUnfinished, RereadUnknown, RereadNotFetched} {
+		fmt.Fprintf(w, "%s\t%d\t%.3f\t\n", reason, r.Rereads[reason], float64(r.Rereads[reason])/float64(max(1, t.Prefilled())))
+	}
 	fmt.Fprintf(w, "\nsends\trepeats\torders\tlines not understood\t\n%d\t%d\t%d\t%d\t\n", r.Attempts, r.Retries, r.Orders, r.Skipped)
 	return eris.Wrap(w.Flush(), "write report")
 }
 
+// maxRouters bounds the routers in the table: a fleet has hundreds.
+const maxRouters = 10
+
+// worstRouters returns the routers with the smallest share of requests on time.
+func (r *Report) worstRouters() map[string]*Outcomes {
+	share := func(name string) float64 {
+		o := r.Routers[name]
+		return float64(o.OnTime) / float64(max(1, o.Requests-o.NotAllowed))
+	}
+	names := slices.SortedFunc(maps.Keys(r.Routers), func(a, b string) int {
+		return cmp.Or(cmp.Compare(share(a), share(b)), cmp.Compare(a, b))
+	})
+	worst := map[string]*Outcomes{}
+	for _, name := range names[:min(maxRouters, len(names))] {
+		worst[name] = r.Routers[name]
+	}
+	return worst
+}
+
 // WritePlot writes an SVG chart of the outcomes per second.
 func (r *Report) WritePlot(path string) error {
 	chart := plot.New()
