fleet: read the list of routers less often, and again soon after a start

Routers that start together are not on each other's first list, and met only with the second, 5 s later.

Change: two reads in 3 s for the whole fleet, and a second read about 1 s after the first.

Test: TestListPollsOfAFleetAreBounded.

--- a/cmd/mimosaseam/gatewaypeers.go
+++ b/cmd/mimosaseam/gatewaypeers.go
@@ -19,9 +19,9 @@
 const (
 	// routersInterval is the mean time between reads of the routers' entries.
 	routersInterval = 5 * time.Second
-	// routersIntervalPerRouter bounds the reads of all routers to two a second. A router
-	// that starts is made known by its own exchanges.
-	routersIntervalPerRouter = 500 * time.Millisecond
+	// routersIntervalPerRouter bounds the reads of all routers to two in 3 s. A router that
+	// starts is made known by its own exchanges.
+	routersIntervalPerRouter = 1500 * time.Millisecond
 	// pullLimit bounds the records taken from a peer: one configuration and one
 	// version for each model.
 	pullLimit = 1000
--- a/internal/adapter/servicehttp/faults_test.go
+++ b/internal/adapter/servicehttp/faults_test.go
@@ -70,9 +70,12 @@
 		"head without end":                func(c *rawhttp.Conn) { c.Send("HTTP/1.1 200 "); c.Repeat("OK OK ") },
 		"header lines without end":        func(c *rawhttp.Conn) { c.Send("HTTP/1.1 200 OK\r\n"); c.Repeat("X-More: of this\r\n") },
 		"informational heads without end": func(c *rawhttp.Conn) { c.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n") },
-		"body without end":                func(c *rawhttp.Conn) { c.Send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"); c.Repeat(strings.Repeat("x", 1<<10)) },
-		"body that trickles":              func(c *rawhttp.Conn) { c.Send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"); c.Trickle("x") },
-		"head that trickles":              func(c *rawhttp.Conn) { c.Trickle("H") },
+		"body without end": func(c *rawhttp.Conn) {
+			c.Send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+			c.Repeat(strings.Repeat("x", 1<<10))
+		},
+		"body that trickles": func(c *rawhttp.Conn) { c.Send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"); c.Trickle("x") },
+		"head that trickles": func(c *rawhttp.Conn) { c.Trickle("H") },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/app/fleet/loop.go
+++ b/internal/app/fleet/loop.go
@@ -238,11 +238,18 @@
 	}
 }
 
+// startInterval is the mean time between the first two polls of the VM list.
+const startInterval = time.Second
+
 func (f *Fleet) listLoop(ctx context.Context) {
-	for {
+	for first := true; ; {
 		wait := listRetry
 		if f.poll(ctx) == nil {
 			wait = f.pollInterval()
+			if first {
+				// Routers that start together are not on each other's first list.
+				wait, first = min(wait, startInterval), false
+			}
 		}
 		if ctxtime.Sleep(ctx, wait/2+f.random(wait)) != nil {
 			return
--- a/internal/app/fleet/readers_test.go
+++ b/internal/app/fleet/readers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -69,3 +71,18 @@
 		})
 	}
 }
+
+// Guards against a fleet whose polls of the VM list grow with its size, and against routers
+// that start together and wait for a whole interval until they know each other.
+func TestListPollsOfAFleetAreBounded(t *testing.T) {
+	is := is.New(t)
+	f := New(Options{Self: port.Member{Name: "r0"}, Logger: slog.New(slog.DiscardHandler), ListInterval: 5 * time.Second,
+		ListIntervalPerRouter: 1500 * time.Millisecond})
+	is.Equal(f.pollInterval(), 5*time.Second)
+	var members []port.Member
+	for i := range 99 {
+		members = append(members, port.Member{Name: fmt.Sprint("r", i+1), Address: fmt.Sprint("a:", i), Incarnation: 1})
+	}
+	f.merge(time.Now(), port.PeerExchange{From: members[0], Gossip: port.Gossip{Members: members}})
+	is.Equal(f.pollInterval(), 150*time.Second)
+}
