Mend faults noticed earlier: a failed proxy, forgotten routers, unread fields

harness.NewProxy returned a proxy that could not be closed beside its error; routers whose start failed midway were not stopped; ObservePeerInFlight raised the number of routers above the one that ObserveRouters had set; two fields were never read. Test: TestObservedNumberOfRoutersHolds.

--- a/internal/app/completions/attempt.go
+++ b/internal/app/completions/attempt.go
@@ -35,7 +35,6 @@
 	progressTimeout time.Duration
 	probing         bool
 	extensions      int
-	opened          bool
 	delivered       bool
 	chunks          int // delivered by this attempt
 	incarnation     port.Incarnation
--- a/internal/app/completions/completion.go
+++ b/internal/app/completions/completion.go
@@ -247,7 +247,6 @@
 // handleOpened records the incarnation and weights version that the engine sent
 // with the response headers, and abandons the attempt if the weights are wrong.
 func (c *completion) handleOpened(ctx context.Context, a *attempt, s port.ChunkStream) error {
-	a.opened = true
 	a.incarnation, a.weights = s.Incarnation(), s.WeightsVersion()
 	c.mayHaveRun = true
 	c.r.Targets.Observe(a.target.Address, a.incarnation, a.weights, coldStart(c.plan.pool))
--- a/internal/core/placement/policy.go
+++ b/internal/core/placement/policy.go
@@ -35,6 +35,8 @@
 	byID     []*targetState
 	peers    map[string]*peerState
 	routers  int
+	// routersObserved is set by ObserveRouters.
+	routersObserved bool
 	// pools is keyed by the hash of the scope.
 	pools    map[uint64]poolStats
 	retained retention
@@ -71,7 +73,6 @@
 	slots         float64
 	cacheBlocks   float64
 	prefillPerSec float64
-	blockTokens   int
 }
 
 // New returns a Policy without any learned state.
@@ -89,7 +90,7 @@
 func (p *Policy) ObserveRouters(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.routers = max(1, n)
+	p.routers, p.routersObserved = max(1, n), true
 }
 
 // ObserveLoad processes a load report, which may lag behind the actual load.
@@ -131,7 +132,9 @@
 		p.target(target).peerInFlight += inFlight[target]
 	}
 	p.peers[peer] = state
-	p.routers = max(p.routers, len(p.peers)+1)
+	if !p.routersObserved {
+		p.routers = max(p.routers, len(p.peers)+1)
+	}
 }
 
 // removePeerCounts subtracts the counts of a peer. A target that was replaced in
--- a/internal/core/placement/policy_test.go
+++ b/internal/core/placement/policy_test.go
@@ -321,3 +321,15 @@
 	}
 	is.Equal(p.Rank(start, q, targets)[0].Target, home) // no other target retains it either
 }
+
+// Guards against a number of routers that grows with late reports of routers that have
+// left, although the number is known.
+func TestObservedNumberOfRoutersHolds(t *testing.T) {
+	is := is.New(t)
+	p := New(Settings{Seed: 1})
+	p.ObservePeerInFlight(start, "r1", map[string]int{"t00": 1})
+	is.Equal(p.routers, 2)
+	p.ObserveRouters(1)
+	p.ObservePeerInFlight(start, "r2", map[string]int{"t00": 1})
+	is.Equal(p.routers, 1)
+}
--- a/internal/core/placement/rank.go
+++ b/internal/core/placement/rank.go
@@ -119,7 +119,7 @@
 }
 
 func (p *Policy) recordPool(seed uint64, req Request, targets []Target) {
-	s := poolStats{targets: len(targets), blockTokens: req.BlockTokens}
+	s := poolStats{targets: len(targets)}
 	for i := range targets {
 		s.slots += float64(targets[i].Slots)
 		s.cacheBlocks += float64(targets[i].CacheBlocks)
--- a/internal/harness/proxy.go
+++ b/internal/harness/proxy.go
@@ -89,7 +89,10 @@
 func NewProxy(target string) (*Proxy, error) {
 	p := &Proxy{target: target, conns: map[*connection]bool{}, address: "127.0.0.1:0"}
 	p.changed = sync.NewCond(&p.mu)
-	return p, p.Up()
+	if err := p.Up(); err != nil {
+		return nil, err
+	}
+	return p, nil
 }
 
 // Address returns the address that clients connect to.
@@ -111,6 +114,9 @@
 // Down refuses new connections and closes the open ones, like a server that
 // has exited.
 func (p *Proxy) Down() {
+	if p == nil {
+		return // it was never started
+	}
 	p.mu.Lock()
 	_ = p.listener.Close()
 	conns := p.openConns()
--- a/internal/harness/system.go
+++ b/internal/harness/system.go
@@ -161,6 +161,7 @@
 	for i := range s.Options.Routers {
 		r := &Router{SettingsFile: filepath.Join(s.Dir, "router-"+strconv.Itoa(i+1)+".jsonc"),
 			callerAddress: s.port(i, 0), AdminURL: "http://" + s.port(i, 1), PeerAddress: s.port(i, 2)}
+		s.Routers = append(s.Routers, r) // Close stops what of it has been started
 		if r.LogProxy, err = NewProxy(s.Log.Direct); err != nil {
 			return err
 		}
@@ -173,7 +174,6 @@
 		if r.Process, err = s.startRouter(i, r.SettingsFile); err != nil {
 			return err
 		}
-		s.Routers = append(s.Routers, r)
 	}
 	for _, r := range s.Routers {
 		if err := s.AwaitReady(ctx, r); err != nil {
@@ -344,7 +344,9 @@
 // Close kills every process and stops every proxy.
 func (s *System) Close() {
 	for _, r := range s.Routers {
-		r.Process.Kill()
+		if r.Process != nil {
+			r.Process.Kill()
+		}
 		r.Proxy.Down()
 		r.LogProxy.Down()
 	}
