gateway: take no requests late in a planned stop

Cause: with its own shutdown, the router no longer told net/http to end connections after their response.

Test: TestStopUnderLoad sends another request on each connection (it was taken and answered 200 before).

--- a/cmd/mimosaseam/callerconns.go
+++ b/cmd/mimosaseam/callerconns.go
@@ -118,6 +118,12 @@
 	}
 	switch state {
 	case http.StateIdle:
+		if l.stopping.Load() {
+			// The next request belongs to another router. One that has already been sent
+			// crosses the end of the connection and was not read.
+			_ = c.Close() // an error means that the caller has already closed it
+			return
+		}
 		c.begun.Store(false)
 		c.timer = time.AfterFunc(l.idleLimit(), func() { l.closeIdle(c) })
 	case http.StateClosed, http.StateHijacked:
--- a/cmd/mimosaseam/stop_test.go
+++ b/cmd/mimosaseam/stop_test.go
@@ -145,7 +145,8 @@
 }
 
 // Guards against a planned stop that cuts off a request, in whatever state SIGTERM finds
-// it, and against one that does not end by itself.
+// it, against one that takes requests for which it may have no time, and against one that
+// does not end by itself.
 func TestStopUnderLoad(t *testing.T) {
 	const (
 		stopS = 9
@@ -216,6 +217,11 @@
 			if status != r.status || !complete {
 				t.Errorf("%s: status %d, complete %v, body %q", r.name, status, complete, body)
 			}
+			// A request that follows on the connection is not taken and then cut off.
+			conns[i].write(requestHead("next", "/book/wait", 0))
+			if status, body, _ := conns[i].answer(); status != 0 && status != http.StatusServiceUnavailable {
+				t.Errorf("%s, then another: status %d, body %q", r.name, status, body)
+			}
 		})
 	}
 	// A connection that arrives while the load balancer may still send some.
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -80,6 +80,9 @@
 // version of the configuration.
 func (g *Gateway) plan(r *Request, sink Sink) (*exchange, error) {
 	c := g.config.Load()
+	if g.refusing.Load() {
+		return nil, &Failure{Kind: KindRefused, RetryAfter: jitter(shortRetryAfter), Cause: ErrStopping}
+	}
 	if c == nil {
 		return nil, &Failure{Kind: KindRefused, RetryAfter: jitter(shortRetryAfter), Cause: ErrNoConfiguration}
 	}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -162,6 +162,7 @@
 	endRequests context.CancelCauseFunc
 	open        atomic.Int64
 	draining    atomic.Bool
+	refusing    atomic.Bool
 }
 
 // New returns a gateway without a configuration.
@@ -232,6 +233,9 @@
 // are served.
 func (g *Gateway) BeginDrain() { g.draining.Store(true) }
 
+// StopAdmitting makes the router refuse requests that arrive from now on.
+func (g *Gateway) StopAdmitting() { g.refusing.Store(true) }
+
 // EndRequests ends the requests in progress and those that still arrive: at the end of a
 // shutdown, an answer that is true serves a client better than a closed connection.
 func (g *Gateway) EndRequests() { g.endRequests(ErrStopping) }
