gateway: never serve a request on a connection that is being closed

Cause: whether a request had begun was noted after the read of its bytes had returned.

Change: a read returns bytes only if the connection was not closed as idle, decided under one lock.

Test: TestIdleConnectionIsClosedOrServed.

--- a/cmd/mimosaseam/callerconns.go
+++ b/cmd/mimosaseam/callerconns.go
@@ -45,22 +45,60 @@
 type callerConn struct {
 	net.Conn
 	opened time.Time
-	// begun is set once bytes of a request have arrived, until the request has ended.
-	begun atomic.Bool
-	// used is set with the first byte.
-	used  atomic.Bool
+	// timer closes an idle connection; nil: a request is in progress, or none has come
+	// yet. It is guarded by the mutex of callerConns.
 	timer *time.Timer
+
+	mu sync.Mutex
+	// begun is set once bytes of a request have arrived, until the request has ended,
+	// used with the first byte, and closed by whoever closes the connection because no
+	// request has begun.
+	begun, used, closed bool
 }
 
+// Read implements net.Conn. Either a byte that it returns keeps the connection from being
+// closed as idle, or the connection is closed and it returns none: a request is never served
+// on a connection that has been closed.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.begun.Store(true)
-		c.used.Store(true)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
 	}
+	c.begun, c.used = true, true
 	return n, err
 }
 
+// closeUnlessBegun closes the connection unless a request has begun to arrive, and reports
+// whether it did.
+func (c *callerConn) closeUnlessBegun() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.begun {
+		return false
+	}
+	c.closed = true
+	_ = c.Close() // an error means that the caller has already closed it
+	return true
+}
+
+// endRequest records that the connection waits for the next request.
+func (c *callerConn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun = false
+}
+
+func (c *callerConn) isUsed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used
+}
+
 func newCallerConns(idleLimit func() time.Duration) *callerConns {
 	return &callerConns{idleLimit: idleLimit, closed: make(chan struct{}), open: map[*callerConn]struct{}{}}
 }
@@ -118,13 +156,13 @@
 	}
 	switch state {
 	case http.StateIdle:
+		c.endRequest()
 		if l.stopping.Load() {
 			// The next request belongs to another router. One that has already been sent
 			// crosses the end of the connection and was not read.
-			_ = c.Close() // an error means that the caller has already closed it
+			c.closeUnlessBegun()
 			return
 		}
-		c.begun.Store(false)
 		c.timer = time.AfterFunc(l.idleLimit(), func() { l.closeIdle(c) })
 	case http.StateClosed, http.StateHijacked:
 		delete(l.open, c)
@@ -134,8 +172,8 @@
 func (l *callerConns) closeIdle(c *callerConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.timer != nil && !c.begun.Load() {
-		_ = c.Close() // an error means that the caller has already closed it
+	if c.timer != nil {
+		c.closeUnlessBegun()
 	}
 }
 
@@ -145,9 +183,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.open {
-		idle := c.timer != nil || !c.used.Load() && c.opened.Before(since)
-		if idle && !c.begun.Load() {
-			_ = c.Close() // an error means that the caller has already closed it
+		idle := c.timer != nil || !c.isUsed() && c.opened.Before(since)
+		if idle && c.closeUnlessBegun() {
 			delete(l.open, c)
 			continue
 		}
