limits: bound the evaluations of waiting requests

Cause: every 20 ms the first waiting request of each client account was evaluated, which ranks all targets.

Change: a poll pauses 20 ms for each four accounts that wait, so that 200 evaluations a second are made at most, and those of new requests.

Test: TestEvaluationsOfWaitingRequestsAreBounded.

--- a/internal/core/limits/controller.go
+++ b/internal/core/limits/controller.go
@@ -179,7 +179,7 @@
 		})
 		if w == nil {
 			if p.gated {
-				p.blockedUntil = now.Add(gatePollInterval)
+				p.blockedUntil = now.Add(gatePollPause(len(p.backlogged)))
 			}
 			return
 		}
--- a/internal/core/limits/gate.go
+++ b/internal/core/limits/gate.go
@@ -7,6 +7,17 @@
 // It is short compared with every latency objective.
 const gatePollInterval = 20 * time.Millisecond
 
+// evaluationsPerPoll is the number of gates that one poll may evaluate at the interval
+// above. Each evaluation ranks the targets.
+const evaluationsPerPoll = 4
+
+// gatePollPause returns the time until the queue is evaluated again. It bounds the
+// evaluations per second: under overload the queues of many accounts wait, and time spent
+// on looking at them is missing for the requests that run.
+func gatePollPause(accounts int) time.Duration {
+	return gatePollInterval * time.Duration(max(1, (accounts+evaluationsPerPoll-1)/evaluationsPerPoll))
+}
+
 // Gate describes a request of a pool whose capacity is limited by time instead of
 // slots, because its targets prefill prompts one after the other. Under overload it
 // holds requests back in the router, where they can still be reordered or refused;
--- a/internal/core/limits/gate_test.go
+++ b/internal/core/limits/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -161,3 +162,34 @@
 		is.True(time.Since(start) <= 1100*time.Millisecond)
 	})
 }
+
+// Guards against a router whose time goes into looking at waiting requests while many client
+// accounts have some, and against a request that waits although its target has room again.
+func TestEvaluationsOfWaitingRequestsAreBounded(t *testing.T) {
+	const accounts, busy = 80, time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := NewController(port.SystemClock{}, SingleRouter{})
+		start := time.Now()
+		var evaluations atomic.Int64
+		delay := func() time.Duration {
+			evaluations.Add(1)
+			return max(0, busy-time.Since(start))
+		}
+		var all sync.WaitGroup
+		for i := range accounts {
+			all.Go(func() {
+				p, err := c.Acquire(t.Context(), Request{Account: string(rune('a' + i)), Weight: 1, Pool: "p", Deadline: start.Add(time.Minute),
+					Gate: &Gate{Delay: delay, Servers: 1}})
+				is.NoErr(err)
+				p.MarkStarted()
+				p.Release()
+			})
+		}
+		time.Sleep(busy)
+		// Each request is evaluated when it arrives; after that, polls are bounded.
+		is.True(evaluations.Load() <= 3*accounts+int64(busy/gatePollInterval)*evaluationsPerPoll)
+		all.Wait()
+		is.True(time.Since(start) <= busy+accounts/evaluationsPerPoll*gatePollInterval)
+	})
+}
