--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -279,6 +279,7 @@
 			g.circuits.Failure(now, t.ID, retry.AttemptFailed)
 			return
 		}
+		x.crashed = true
 		if g.CrashTracker.Crashed(now, t.Address, string(t.Incarnation())) {
 			g.Log.Info("target crashed", "target", t.ID, "request", x.r.ID)
 		}
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -61,6 +61,8 @@
 	queued  time.Duration
 	// held is a target's error response that was held back for a retry.
 	held *bufferedResponse
+	// crashed is set once a target crashed under the request.
+	crashed bool
 	// minWeights is the oldest weights version on which the request may begin, 0: any.
 	minWeights int
 	// expectWeights is the weights version that the target must serve, 0: any.
@@ -277,6 +279,9 @@
 	out := []slog.Attr{slog.String("route", x.route.Name), slog.String("service", x.service), slog.Float64("objective_ms", ms(x.route.Objective)),
 		slog.String("target", x.lastTarget), slog.Int("sends", x.attempts), slog.Int("runs", x.history.PossibleRuns),
 		slog.Int("refusals", x.history.Refusals)}
+	if x.crashed {
+		out = append(out, slog.String("fingerprint", strconv.FormatUint(uint64(x.fingerprint), 16)))
+	}
 	if x.account != nil {
 		out = append(out, slog.String("account", x.account.Name))
 	}
