gateway: quarantine prompt segments that crash engines

Cause: suspicion was tied to the whole request (account, path, body). Requests that are all different were never seen in two crashes, so nothing was quarantined; and each router saw only its own share.

Change: a SegmentTracker keeps, for each crash that a refused connection proves, the segments of the requests that had not begun their answers. Routers exchange this and the clearances by answers that begin later. The most specific segment that several crashes have in common is quarantined on every router; crashes that it explains count against no other segment.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -189,16 +189,26 @@
 	n.log = slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: n.level})).With("vm", s.VM.Name)
 	pool := httpconn.New(httpconn.Options{Transport: targetTransport()})
 	targets, log := platform.NewTargets(pool, n.clock), platform.NewLog(s.Log.Address, pool)
-	crashTracker := retry.NewCrashTracker()
-	n.buildGateway(targets, crashTracker, metrics)
+	crashTracker, segmentTracker := retry.NewCrashTracker(), retry.NewSegmentTracker()
+	segmentTracker.OnChange(func(c retry.SegmentChange) { logSegmentChange(n.log, c) })
+	n.buildGateway(targets, crashTracker, segmentTracker, metrics)
 	n.buildWeights(targets, log)
 	n.buildFollowers(targets, log)
-	n.joinPeers(log, crashTracker)
+	n.joinPeers(log, crashTracker, segmentTracker)
 	n.buildServers()
 	return n
 }
 
-func (n *gatewayNode) buildGateway(targets *platform.Targets, crashTracker *retry.CrashTracker, metrics gateway.Metrics) {
+// logSegmentChange logs that requests with a prompt segment are refused, or no longer are.
+func logSegmentChange(log *slog.Logger, c retry.SegmentChange) {
+	text := "segment released"
+	if c.Quarantined {
+		text = "segment quarantined"
+	}
+	log.Warn(text, "segment_hash", c.Segment.String(), "crashes", c.Crashes, "requests", c.Requests)
+}
+
+func (n *gatewayNode) buildGateway(targets *platform.Targets, crashTracker *retry.CrashTracker, segmentTracker *retry.SegmentTracker, metrics gateway.Metrics) {
 	vm := n.settings.VM
 	if n.placer = baseline.New(n.settings.Policy, rand.Uint64(), 1); n.placer == nil {
 		n.placer = placement.New(placement.Settings{Region: vm.Region, AvailabilityZone: vm.AvailabilityZone})
@@ -212,7 +222,7 @@
 		DesiredVersion:  func(model string) (int, time.Time) { return n.weights.Desired(model) },
 		MinVersion:      func(model string, within time.Duration) int { return n.weights.MinVersion(model, within) },
 		AnnouncePrefill: func(target string, tokens int) { n.fleet.AnnouncePrefill(target, tokens) },
-		CrashTracker:    crashTracker, WeightsField: platform.WeightsVersionField,
+		CrashTracker:    crashTracker, SegmentTracker: segmentTracker, WeightsField: platform.WeightsVersionField,
 	})
 }
 
--- a/cmd/mimosaseam/gatewaypeers.go
+++ b/cmd/mimosaseam/gatewaypeers.go
@@ -28,8 +28,9 @@
 )
 
 // joinPeers wires the exchange between routers: membership, fingerprints of
-// requests that crash targets, and the operator's latest records.
-func (n *gatewayNode) joinPeers(log registry.Log, crashTracker *retry.CrashTracker) {
+// requests and evidence against prompt segments that crash targets, and the
+// operator's latest records.
+func (n *gatewayNode) joinPeers(log registry.Log, crashTracker *retry.CrashTracker, segmentTracker *retry.SegmentTracker) {
 	s := n.settings
 	n.registry = registry.New(log, port.VM{Name: s.VM.Name, Address: s.Peers.Address, Region: s.VM.Region,
 		AvailabilityZone: s.VM.AvailabilityZone}, n.log)
@@ -44,12 +45,16 @@
 			OnStarted: func(target string, tokens int) {
 				n.placer.ObservePeerRequest(n.clock.Now(), target, tokens, n.gateway.PrefillRate(target))
 			},
-			OnLoading:      func(l port.TargetLoading) { n.gateway.ObserveLoading(l) },
-			OnFingerprints: func(values []string) { crashTracker.Receive(time.Now(), values) },
-			OnRouters:      func(others []membership.Router) { n.setRouters(others) },
+			OnLoading: func(l port.TargetLoading) { n.gateway.ObserveLoading(l) },
+			OnFingerprints: func(values []string) {
+				crashTracker.Receive(n.clock.Now(), values)
+				segmentTracker.Receive(n.clock.Now(), values)
+			},
+			OnRouters: func(others []membership.Router) { n.setRouters(others) },
 		},
 	})
 	crashTracker.SetReport(n.fleet.ReportFingerprint)
+	segmentTracker.SetReport(n.fleet.ReportFingerprint)
 	crashTracker.SetArbiter(n.fleet)
 	n.peers = peergrpc.NewServer(n.fleet, nil, n.log)
 }
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -42,7 +42,7 @@
 		attribute.String("target", t.ID), attribute.String("attempt_id", id)))
 	defer span.End()
 	x.attempts++
-	x.sentAt = start
+	x.sentAt, x.currentAttempt, x.answering = start, id, false
 	if x.tried[t.ID] {
 		// A late copy of the target's response to the earlier attempt carries the
 		// same id.
@@ -255,6 +255,7 @@
 		g.circuits.Ended(t.ID)
 	}
 	g.CrashTracker.Ended(t.Address, id)
+	g.SegmentTracker.Ended(t.Address, id, err == nil && rating == ratingGood)
 	g.Directory.end(t.ID, took, rating)
 	if x.engine != nil {
 		g.Placer.Finished(now, x.placementRequest, t.Address, t.Incarnation(), cached)
@@ -275,7 +276,8 @@
 	if x.engine != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
-		if _, err := g.Control.Status(ctx, t.Address, t.ID); err == nil {
+		_, err := g.Control.Status(ctx, t.Address, t.ID)
+		if err == nil {
 			g.circuits.Failure(now, t.ID, retry.AttemptFailed)
 			return
 		}
@@ -283,12 +285,22 @@
 		if g.CrashTracker.Crashed(now, t.Address, string(t.Incarnation())) {
 			g.Log.Info("target crashed", "target", t.ID, "request", x.r.ID)
 		}
+		if port.ProvesRestart(err) {
+			x.recordCrashEvidence(now, t)
+		}
 		g.circuits.Failure(now, t.ID, retry.TargetDown)
 		return
 	}
 	g.circuits.Failure(now, t.ID, retry.AttemptFailed)
 }
 
+// recordCrashEvidence records which prompt segments were on the crashed target.
+func (x *exchange) recordCrashEvidence(now time.Time, t Target) {
+	if n, first := x.g.SegmentTracker.Crashed(now, t.Address, string(t.Incarnation())); first {
+		x.g.Log.Info("crash evidence", "target", t.ID, "requests_not_begun", n)
+	}
+}
+
 // relayBuffered relays a response after reading it whole, or its first maxBufferedBytes
 // if it is larger.
 func (x *exchange) relayBuffered(ctx context.Context, t Target, a port.ForwardResponse) (retrypolicy.Outcome, error) {
@@ -407,6 +419,10 @@
 
 func (x *exchange) observeFirstEvent(t Target) {
 	now := x.g.Clock.Now()
+	if !x.answering {
+		x.answering = true
+		x.g.SegmentTracker.Answering(now, t.Address, x.currentAttempt)
+	}
 	if x.firstEvent == 0 {
 		x.firstEvent = now.Sub(x.r.Received)
 		x.g.Metrics.Observe(MetricFirstEvent, x.firstEvent)
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -39,6 +39,9 @@
 	maxWait := max(minTargetWait, time.Duration(targetWaitShare*float64(x.route.Objective)))
 	start := x.g.Clock.Now()
 	for {
+		if err := x.checkQuarantine(); err != nil {
+			return Target{}, err
+		}
 		if t, ok := x.best(x.g.Clock.Now()); ok {
 			x.g.Metrics.Observe(MetricPlacement, x.g.Clock.Now().Sub(start))
 			return t, nil
@@ -65,6 +68,7 @@
 	for _, i := range k.order {
 		t := k.targets[i]
 		if x.g.CrashTracker.Start(now, x.fingerprint, t.Address, x.attemptID()) {
+			x.g.SegmentTracker.Started(now, t.Address, x.attemptID(), x.fingerprint, x.segments)
 			return t, true
 		}
 	}
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -32,7 +32,9 @@
 	scope            string
 	placementRequest placement.Request
 	fingerprint      retry.Fingerprint
-	deadline         time.Time
+	// segments are the prompt segments that other requests may share.
+	segments []retry.SegmentHash
+	deadline time.Time
 
 	history  retrypolicy.History
 	sequence stream.SequenceChecker
@@ -43,12 +45,16 @@
 	tried     map[string]bool
 	attempts  int
 	// sentAt is the start of the last attempt, zero once its first event arrived.
-	sentAt     time.Time
-	lastTarget string
-	lastCause  error
-	firstEvent time.Duration
-	score      placement.Score
-	scores     []placement.Score
+	sentAt time.Time
+	// currentAttempt is the id of the last attempt. answering is set once its first event
+	// arrived.
+	currentAttempt string
+	answering      bool
+	lastTarget     string
+	lastCause      error
+	firstEvent     time.Duration
+	score          placement.Score
+	scores         []placement.Score
 	// cachedElsewhere is the largest number of prompt tokens that another cache holds.
 	cachedElsewhere int
 	// fetchFrom and saveTo are the caches between which the last attempt transferred
@@ -112,10 +118,19 @@
 	}
 	x.setDeadline()
 	x.setPlacement()
-	if g.CrashTracker.Quarantined(g.Clock.Now(), x.fingerprint) {
-		return x, &Failure{Kind: KindCrashesTargets}
+	return x, x.checkQuarantine()
+}
+
+// checkQuarantine fails if the request, or a segment of its prompt, crashes targets.
+func (x *exchange) checkQuarantine() error {
+	now := x.g.Clock.Now()
+	if x.g.CrashTracker.Quarantined(now, x.fingerprint) {
+		return &Failure{Kind: KindCrashesTargets}
+	}
+	if i, found := x.g.SegmentTracker.Quarantined(now, x.segments); found {
+		return &Failure{Kind: KindCrashesTargets, Cause: &CrashingSegmentError{Segment: x.r.Prompt[i].ID}}
 	}
-	return x, nil
+	return nil
 }
 
 // rejection returns the client error only if the configuration was verified recently.
@@ -151,6 +166,9 @@
 	if x.engine == nil {
 		return
 	}
+	for _, s := range x.shared() {
+		x.segments = append(x.segments, retry.SegmentHashOf(s.ID))
+	}
 	scope := port.Scope{ClientAccount: x.scope, Model: x.r.Model}
 	x.placementRequest = placement.Request{Scope: scope, Blocks: placement.PartBlocks(scope, x.r.Prompt),
 		BlockTokens: placement.PartBlockTokens, PromptTokens: x.r.PromptTokens,
@@ -252,19 +270,21 @@
 }
 
 // session returns the id of the longest prompt prefix that is shared with other requests.
-// That is the last segment but one, because the last is the request's own.
 func (x *exchange) session() string {
-	if n := len(x.r.Prompt); n > 1 {
-		return x.r.Prompt[n-2].ID
+	if shared := x.shared(); len(shared) > 0 {
+		return shared[len(shared)-1].ID
 	}
 	return ""
 }
 
-// sharedParts lists the segments of the prompt that other requests may share, as
-// ID:TOKENS in their order.
+// shared returns the segments of the prompt that other requests may share: all but the
+// last, which is the request's own.
+func (x *exchange) shared() []port.Segment { return x.r.Prompt[:max(0, len(x.r.Prompt)-1)] }
+
+// sharedParts lists the shared segments as ID:TOKENS in their order.
 func (x *exchange) sharedParts() string {
 	var out []byte
-	for _, s := range x.r.Prompt[:max(0, len(x.r.Prompt)-1)] {
+	for _, s := range x.shared() {
 		if len(out) > 0 {
 			out = append(out, ' ')
 		}
--- a/internal/app/gateway/failure.go
+++ b/internal/app/gateway/failure.go
@@ -31,7 +31,8 @@
 	KindInvalid
 	// KindIncomplete: the client did not send the whole request in time.
 	KindIncomplete
-	// KindCrashesTargets: the request crashes the targets that run it.
+	// KindCrashesTargets: the request, or a segment of its prompt, crashes the targets that
+	// run it.
 	KindCrashesTargets
 )
 
@@ -77,6 +78,11 @@
 	return &Failure{Kind: KindUnknown, Cause: err}
 }
 
+// CrashingSegmentError means that the prompt has a segment that crashes targets.
+type CrashingSegmentError struct{ Segment string }
+
+func (e *CrashingSegmentError) Error() string { return "prompt segment " + e.Segment }
+
 // Causes of failures.
 var (
 	ErrNoConfiguration = eris.New("no configuration is in force yet")
--- a/internal/app/gateway/fake_test.go
+++ b/internal/app/gateway/fake_test.go
@@ -38,6 +38,8 @@
 	status   error
 	// always holds the reply of each target, by address, once replies is used up.
 	always map[string]reply
+	// react gives the reply to an attempt if it is set.
+	react func(address string, a port.Forward) reply
 }
 
 func (f *fakeTargets) Forward(ctx context.Context, address string, a port.Forward) (port.ForwardResponse, error) {
@@ -49,6 +51,9 @@
 	} else if own, set := f.always[address]; set {
 		r = own
 	}
+	if f.react != nil {
+		r = f.react(address, a)
+	}
 	f.mu.Unlock()
 	if r.silent {
 		<-ctx.Done()
@@ -136,7 +141,7 @@
 	targets := &fakeTargets{replies: replies}
 	dir := NewDirectory(log, clock, placer, LeavingGrace(2500*time.Millisecond, 800*time.Millisecond))
 	g := New(Deps{Forwarder: targets, Control: targets, Placer: placer, Directory: dir, CacheContents: placement.NewCacheIndex(), Clock: clock, BootClock: clock, Log: log,
-		Metrics: noMetrics{}, Routers: func() int { return 1 }, CrashTracker: retry.NewCrashTracker(),
+		Metrics: noMetrics{}, Routers: func() int { return 1 }, CrashTracker: retry.NewCrashTracker(), SegmentTracker: retry.NewSegmentTracker(),
 		Settings: Settings{KeyRevocationBound: 5 * time.Second, ConfigurationBound: 2 * time.Second, RetryRatio: 0.2, RetryAllowance: 50,
 			RetryWindow: 10 * time.Second, WeightsBound: 8 * time.Second}})
 	for _, id := range []string{"d1", "d2", "d3"} {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -137,6 +137,8 @@
 	// CrashTracker tracks requests that crash targets. The owner of the Gateway exchanges
 	// its state with the other routers.
 	CrashTracker *retry.CrashTracker
+	// SegmentTracker tracks prompt segments that crash targets, likewise.
+	SegmentTracker *retry.SegmentTracker
 	// WeightsField is the field of events that reports a change of weights.
 	WeightsField string
 }
--- a/internal/app/gateway/serve_bench_test.go
+++ b/internal/app/gateway/serve_bench_test.go
@@ -24,7 +24,7 @@
 	placer, targets := placement.New(placement.Settings{}), &fakeTargets{always: map[string]reply{}}
 	dir := NewDirectory(log, clock, placer, time.Second)
 	g := New(Deps{Forwarder: targets, Control: targets, Placer: placer, Directory: dir, CacheContents: placement.NewCacheIndex(), Clock: clock,
-		BootClock: clock, Log: log, Metrics: noMetrics{}, Routers: func() int { return 6 }, CrashTracker: retry.NewCrashTracker(),
+		BootClock: clock, Log: log, Metrics: noMetrics{}, Routers: func() int { return 6 }, CrashTracker: retry.NewCrashTracker(), SegmentTracker: retry.NewSegmentTracker(),
 		Settings: Settings{KeyRevocationBound: time.Hour, ConfigurationBound: time.Hour, RetryRatio: 0.2, RetryAllowance: 50,
 			RetryWindow: 10 * time.Second, WeightsBound: 8 * time.Second}})
 	for i := range 12 {
--- /dev/null
+++ b/internal/core/retry/segments_test.go
@@ -0,0 +1,261 @@
+package retry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// segmentFleet is a set of routers that exchange their evidence at once.
+type segmentFleet struct {
+	routers  []*SegmentTracker
+	now      time.Time
+	attempts int
+	crashes  int
+}
+
+func newSegmentFleet(n int) *segmentFleet {
+	f := &segmentFleet{now: t0}
+	for i := range n {
+		r := NewSegmentTracker()
+		r.SetReport(func(value string) {
+			for j, peer := range f.routers {
+				if j != i {
+					peer.Receive(f.now, []string{value})
+				}
+			}
+		})
+		f.routers = append(f.routers, r)
+	}
+	return f
+}
+
+// start runs a request on a target by the next router in turn.
+func (f *segmentFleet) start(target string, request Fingerprint, segments ...SegmentHash) (end func(complete bool)) {
+	f.attempts++
+	r, id := f.routers[f.attempts%len(f.routers)], fmt.Sprint(f.attempts)
+	r.Started(f.now, target, id, request, segments)
+	return func(complete bool) {
+		if complete {
+			f.now = f.now.Add(time.Millisecond)
+			r.Answering(f.now, target, id)
+		}
+		r.Ended(target, id, complete)
+	}
+}
+
+// crash lets a target crash with these prompts on it, each of another request but the
+// first if request is set. The next crash comes when this one has settled.
+func (f *segmentFleet) crash(request Fingerprint, prompts ...[]SegmentHash) {
+	f.crashes++
+	target := fmt.Sprint("e", f.crashes)
+	var ends []func(bool)
+	for i, p := range prompts {
+		fp := request
+		if i > 0 || fp == 0 {
+			fp = Fingerprint(1000 + f.attempts)
+		}
+		ends = append(ends, f.start(target, fp, p...))
+	}
+	for _, r := range f.routers {
+		r.Crashed(f.now, target, "1")
+		r.Crashed(f.now, target, "1") // each broken response reports the crash
+	}
+	for _, end := range ends {
+		end(false)
+	}
+	f.now = f.now.Add(settleTime)
+}
+
+func (f *segmentFleet) answer(segments ...SegmentHash) {
+	f.attempts++
+	f.start("sound", Fingerprint(1000+f.attempts), segments...)(true)
+}
+
+// quarantined returns the quarantined ones of the segments 1 to 9, the same on all routers.
+func (f *segmentFleet) quarantined(is *is.I) []SegmentHash {
+	is.Helper()
+	var out []SegmentHash
+	for s := SegmentHash(1); s <= 9; s++ {
+		_, first := f.routers[0].Quarantined(f.now, []SegmentHash{s})
+		for _, r := range f.routers {
+			_, found := r.Quarantined(f.now, []SegmentHash{s})
+			is.Equal(found, first)
+		}
+		if first {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (f *segmentFleet) evaluate() {
+	for _, r := range f.routers {
+		r.Quarantined(f.now, nil)
+	}
+}
+
+func prompt(segments ...SegmentHash) []SegmentHash { return segments }
+
+// Guards against different requests that crash one target after the other because they
+// share a prompt segment, and against a quarantine of the segments around it.
+func TestSegmentThatCrashesTargetsIsQuarantined(t *testing.T) {
+	cases := map[string]struct {
+		steps func(f *segmentFleet)
+		want  []SegmentHash
+	}{
+		"last shared segment": {func(f *segmentFleet) {
+			for i := range SegmentHash(3) {
+				f.crash(0, prompt(1, 2, 3), prompt(1, 10+i), prompt(20+i))
+			}
+		}, []SegmentHash{3}},
+		"first segment": {func(f *segmentFleet) {
+			for i := range SegmentHash(3) {
+				f.crash(0, prompt(1, 10+i, 20+i))
+			}
+		}, []SegmentHash{1}},
+		"first segment, mostly with the same second one": {func(f *segmentFleet) {
+			for range 3 {
+				f.crash(0, prompt(1, 2))
+			}
+			f.crash(0, prompt(1, 12))
+			f.crash(0, prompt(1, 13))
+		}, []SegmentHash{1, 2}},
+		"two at once": {func(f *segmentFleet) {
+			for i := range SegmentHash(3) {
+				f.crash(0, prompt(1, 2), prompt(1, 10+i))
+				f.answer(1, 20)
+				f.crash(0, prompt(1, 5, 6), prompt(1, 13+i))
+				f.answer(1, 5)
+			}
+		}, []SegmentHash{2, 6}},
+		"two that share crashes": {func(f *segmentFleet) {
+			f.crash(0, prompt(1))
+			f.crash(0, prompt(1), prompt(2))
+			f.crash(0, prompt(1), prompt(2))
+			f.evaluate()
+			f.crash(0, prompt(2), prompt(3))
+			f.crash(0, prompt(2))
+			f.crash(0, prompt(2))
+		}, []SegmentHash{1, 2}},
+		"both on each crashed target": {func(f *segmentFleet) {
+			for range 3 {
+				f.crash(0, prompt(1, 2), prompt(4, 5))
+			}
+			f.crash(0, prompt(4, 5))
+		}, []SegmentHash{5}},
+		"cannot be told apart": {func(f *segmentFleet) {
+			for range ambiguousCrashes - 1 {
+				f.crash(0, prompt(1, 2), prompt(4, 5))
+			}
+		}, nil},
+		"answers begin on it": {func(f *segmentFleet) {
+			for range 4 {
+				f.crash(0, prompt(1, 2))
+				f.answer(1, 2)
+			}
+		}, nil},
+		"one request repeated": {func(f *segmentFleet) {
+			for range 8 {
+				f.crash(77, prompt(1, 2))
+			}
+		}, nil},
+		"two requests repeated": {func(f *segmentFleet) {
+			for i := range ambiguousCrashes {
+				f.crash(Fingerprint(77+i%2), prompt(1, 2))
+			}
+		}, []SegmentHash{2}},
+		"one request repeated beside others": {func(f *segmentFleet) {
+			for range 3 {
+				f.crash(77, prompt(4, 5), prompt(1))
+			}
+		}, nil},
+		"two crashes": {func(f *segmentFleet) {
+			f.crash(0, prompt(1, 2))
+			f.crash(0, prompt(1, 2), prompt(1, 2))
+		}, nil},
+		"answer after the quarantine": {func(f *segmentFleet) {
+			end := func(bool) {}
+			for range 3 {
+				f.crash(0, prompt(1, 2))
+				f.now = f.now.Add(time.Millisecond)
+				end = f.start("sound", 5, 1, 2)
+			}
+			f.evaluate()
+			end(true)
+		}, nil},
+		"expired": {func(f *segmentFleet) {
+			for range 3 {
+				f.crash(0, prompt(1, 2))
+			}
+			f.now = f.now.Add(quarantineTTL)
+		}, nil},
+	}
+	for name, c := range cases {
+		for _, routers := range []int{1, 7} {
+			t.Run(fmt.Sprint(name, ", ", routers, " routers"), func(t *testing.T) {
+				is := is.New(t)
+				f := newSegmentFleet(routers)
+				c.steps(f)
+				is.Equal(f.quarantined(is), c.want)
+			})
+		}
+	}
+}
+
+// Guards against a segment that counts as the cause of a crash although its answer had begun.
+func TestSegmentsOfBegunAnswersAreNoSuspects(t *testing.T) {
+	is := is.New(t)
+	r := NewSegmentTracker()
+	now := t0
+	for i := range 5 {
+		target := fmt.Sprint(i)
+		r.Started(now, target, "begun", Fingerprint(i), prompt(1))
+		r.Answering(now, target, "begun")
+		now = now.Add(startTime)
+		r.Started(now, target, "waiting", Fingerprint(10+i), prompt(2))
+		n, first := r.Crashed(now, target, "1")
+		is.True(first)
+		is.Equal(n, 1)
+		r.Ended(target, "begun", false)
+		r.Ended(target, "waiting", false)
+	}
+	now = now.Add(settleTime)
+	_, found := r.Quarantined(now, prompt(1))
+	is.True(!found)
+	index, found := r.Quarantined(now, prompt(9, 2))
+	is.True(found)
+	is.Equal(index, 1)
+}
+
+// Guards against a quarantine before all routers have reported their evidence.
+func TestCrashesCountOnceSettled(t *testing.T) {
+	is := is.New(t)
+	f := newSegmentFleet(1)
+	for range 3 {
+		f.crash(0, prompt(1, 2))
+	}
+	f.now = f.now.Add(-time.Millisecond)
+	is.Equal(f.quarantined(is), nil)
+	f.now = f.now.Add(time.Millisecond)
+	is.Equal(f.quarantined(is), []SegmentHash{2})
+}
+
+// Guards against evidence of peers that is decoded wrongly, grows without bound or causes
+// a panic.
+func TestReceiveSegmentEvidence(t *testing.T) {
+	is := is.New(t)
+	r := NewSegmentTracker()
+	r.Receive(t0, []string{"", ".", "c", "c.1", "c.1.2.", "c.x.2.3", "c.1.x.3", "c.1.2.x", "c.1.2.3.4", "e.1", "e.x.1", "e.1.x", "s.1.a"})
+	is.Equal(len(r.crashes), 0)
+	for i := range 10 * maxSegmentCrashes {
+		r.Receive(t0, []string{fmt.Sprintf("c.%x.%x.5,6", i, i), fmt.Sprintf("e.%x.7", i)})
+		r.Receive(t0, []string{fmt.Sprintf("c.1.%x.%x", i, i)})
+	}
+	is.True(len(r.crashes) <= maxSegmentCrashes)
+	for _, c := range r.crashes {
+		is.True(len(c.requests) <= maxCrashRequests)
+	}
+}
--- a/internal/port/failure.go
+++ b/internal/port/failure.go
@@ -1,7 +1,9 @@
 package port
 
 import (
+	"errors"
 	"strconv"
+	"syscall"
 	"time"
 )
 
@@ -78,6 +80,14 @@
 	Cause error
 }
 
+// ProvesRestart reports whether the failure of a status request shows that the target's
+// process has ended: its address refuses connections or belongs to another incarnation. A
+// timeout may be the network's.
+func ProvesRestart(err error) bool {
+	var e *NotRunError
+	return errors.As(err, &e) && (e.Reason == NotRunIncarnationChanged || errors.Is(e.Cause, syscall.ECONNREFUSED))
+}
+
 func (e *NotRunError) Error() string {
 	return "target " + e.Target + " did not run the attempt: " + string(e.Reason) + causeText(e.Cause)
 }
