gateway: probe a target after a failure over a new connection

Callers of a second segment waited for its quarantine while an innocent one was suspected instead.

Cause: the status request after a failure took a pooled connection, which a crash breaks too. Its end proves no crash, so the router that had sent the crashing request reported no evidence, and the other routers found the segments of their own requests in common.

Test: TestRequestsWithACrashingSegmentAreRefused with a stand-in whose pooled connections break; failed before.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -274,7 +274,8 @@
 func (x *exchange) probeAfterFailure(now time.Time, t Target) {
 	g := x.g
 	if x.engine != nil {
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		// A crash also breaks the pooled connections, which then prove nothing more.
+		ctx, cancel := context.WithTimeout(port.WithFreshConnection(context.Background()), probeTimeout)
 		defer cancel()
 		_, err := g.Control.Status(ctx, t.Address, t.ID)
 		if err == nil {
--- a/internal/app/gateway/fake_test.go
+++ b/internal/app/gateway/fake_test.go
@@ -74,9 +74,13 @@
 
 func (f *fakeTargets) Order(context.Context, string, port.WeightsOrder) error { return nil }
 
-func (f *fakeTargets) Status(context.Context, string, string) (port.TargetStatus, error) {
+// Status fails like a broken pooled connection of a crashed target unless it uses a new one.
+func (f *fakeTargets) Status(ctx context.Context, address, _ string) (port.TargetStatus, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.status != nil && !port.FreshConnectionRequested(ctx) {
+		return port.TargetStatus{}, &port.UnknownOutcomeError{Peer: address, Cause: io.EOF}
+	}
 	return port.TargetStatus{}, f.status
 }
 
