membership: let new crash evidence replace the oldest

Cause: the memory of exchanged evidence holds 1,024 values and dropped new ones while it was full. With evidence of segments, a series of engine crashes fills it within its lifetime of 15 minutes, and a later crashing request would go unannounced. Found by reading, not seen in a run.

Change: the oldest value makes room. A value that is older than all that are kept is refused, or full routers would send it to and fro. TestNewFingerprintsReplaceTheOldest failed before.

--- a/internal/core/membership/target_state.go
+++ b/internal/core/membership/target_state.go
@@ -12,7 +12,8 @@
 	MarkTTL = 15 * time.Minute
 	// FingerprintTTL is how long a fingerprint is retained after it was reported.
 	FingerprintTTL = 15 * time.Minute
-	// maxFingerprints bounds the memory; a few a day are expected.
+	// maxFingerprints bounds the memory. A few requests a day are expected, and some ten
+	// values for each crash of an engine.
 	maxFingerprints = 1024
 	// maxMarks bounds the memory; it is over twice the targets of an
 	// availability zone at full scale (5,100 targets in 9 zones).
@@ -149,7 +150,7 @@
 // apply merges a fingerprint.
 func (s *fingerprints) apply(now time.Time, in port.Fingerprint) {
 	_, known := s.reportedAt[in.Value]
-	if known || in.Value == "" || in.Age < 0 || in.Age > FingerprintTTL || len(s.reportedAt) >= maxFingerprints {
+	if known || in.Value == "" || in.Age < 0 || in.Age > FingerprintTTL || !s.makeRoom(now.Add(-in.Age)) {
 		return
 	}
 	s.reportedAt[in.Value] = now.Add(-in.Age)
@@ -157,6 +158,32 @@
 	s.urgent.add(in.Value)
 }
 
+// makeRoom removes the oldest value if there is no room. It returns false if a value
+// reported at that time would be the oldest: it would be sent to and fro without end
+// between routers that remove it again.
+func (s *fingerprints) makeRoom(reportedAt time.Time) bool {
+	if len(s.reportedAt) < maxFingerprints {
+		return true
+	}
+	oldest, first := "", reportedAt
+	for value, at := range s.reportedAt {
+		if at.Before(first) {
+			oldest, first = value, at
+		}
+	}
+	if oldest == "" {
+		return false
+	}
+	s.remove(oldest)
+	return true
+}
+
+func (s *fingerprints) remove(value string) {
+	delete(s.reportedAt, value)
+	s.updates.drop(value)
+	s.urgent.drop(value)
+}
+
 func (s *fingerprints) export(now time.Time, value string) port.Fingerprint {
 	return port.Fingerprint{Value: value, Age: now.Sub(s.reportedAt[value])}
 }
@@ -164,9 +191,7 @@
 func (s *fingerprints) expire(now time.Time) {
 	for value, reportedAt := range s.reportedAt {
 		if now.Sub(reportedAt) > FingerprintTTL {
-			delete(s.reportedAt, value)
-			s.updates.drop(value)
-			s.urgent.drop(value)
+			s.remove(value)
 		}
 	}
 }
