gateway: a stream that ends with its connection before its first event has failed

Callers of a stream got an empty complete answer when an engine died after the head of an answer without a length or chunks: the end of the connection is the end of such an answer.

Cause: the framing was not looked at when a stream ended. A stream with its own framing may be empty; one that ends with its connection and has no event looks like the end of its engine. It now counts as an answer that was lost, is resumed where the route allows it, and its target is probed.

Looked at and sound before: streams that close within an event or after a line, resets, plain answers of any size, refusals. TestAnswersThatEndWithTheirConnection plays them over sockets; two of its ten cases failed before ("stream, no event", "resumable, closed without event"). The product's own door ends streams by a marker (TestBrokenStreamsNeverComplete), so it is not affected.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -371,6 +371,9 @@
 			if failed := x.deliver(a, batch); failed != nil {
 				return retrypolicy.Unknown, failed
 			}
+			if errors.Is(err, io.EOF) && a.EndsWithConnection && !x.history.Delivered {
+				return retrypolicy.Unknown, ErrEmptyStream
+			}
 			if errors.Is(err, io.EOF) {
 				x.commit(a, x.contentLength(a))
 				return 0, nil
--- a/internal/app/gateway/failure.go
+++ b/internal/app/gateway/failure.go
@@ -92,6 +92,7 @@
 	ErrUnresponsive    = eris.New("the target stopped responding")
 	ErrRouteTimeout    = eris.New("the route's timeout or the client's deadline has passed")
 	ErrStopping        = eris.New("the router is stopping")
+	ErrEmptyStream     = eris.New("the stream ended with its connection before its first event")
 	ErrPanic           = eris.New("an unexpected error, logged as panic")
 )
 
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -85,6 +85,9 @@
 	Weights int
 	// Closing is set when the target closes the connection, as leaving targets do.
 	Closing bool
+	// EndsWithConnection is set for a body without a framing of its own: its end and the
+	// end of its target look alike.
+	EndsWithConnection bool
 }
 
 // Forwarder forwards requests to targets by their address (host:port).
