completions: quarantine prompt sections that crash engines

The same cause at the product's own door: prompts that are all different but share a section on which engines die were quarantined one by one, each after two crashes.

Change: the door feeds the same SegmentTracker. A crash counts as evidence if the engine refuses connections or is back as another incarnation.

--- a/cmd/mimosaseam/servenode.go
+++ b/cmd/mimosaseam/servenode.go
@@ -51,24 +51,25 @@
 	started  time.Time
 	holder   string
 
-	platform     platformClients
-	engine       *enginehttp.Client
-	service      *servicehttp.Client
-	peers        *peergrpc.Client
-	peerCreds    credentials.TransportCredentials
-	config       *configsync.Sync
-	ledger       *atmostonce.Service
-	placer       *placement.Policy
-	targets      *completions.Targets
-	crashTracker *retry.CrashTracker
-	shares       *shares.Shares
-	vms          *cachedVMList
-	fleet        *fleet.Fleet
-	orders       *orders.Manager
-	observer     *observe.Observer
-	followers    []*follow.Follower
-	router       *completions.Router
-	callers      *callerhttp.Server
+	platform       platformClients
+	engine         *enginehttp.Client
+	service        *servicehttp.Client
+	peers          *peergrpc.Client
+	peerCreds      credentials.TransportCredentials
+	config         *configsync.Sync
+	ledger         *atmostonce.Service
+	placer         *placement.Policy
+	targets        *completions.Targets
+	crashTracker   *retry.CrashTracker
+	segmentTracker *retry.SegmentTracker
+	shares         *shares.Shares
+	vms            *cachedVMList
+	fleet          *fleet.Fleet
+	orders         *orders.Manager
+	observer       *observe.Observer
+	followers      []*follow.Follower
+	router         *completions.Router
+	callers        *callerhttp.Server
 
 	// pendingFingerprints holds crash fingerprints that are not in the log yet.
 	pendingFingerprints chan string
@@ -91,6 +92,9 @@
 	n.metrics = telemetry.NewMetrics("mimosaseam", "mimosaseam_durations")
 	n.crashTracker = retry.NewCrashTracker()
 	n.crashTracker.SetReport(n.reportFingerprint)
+	n.segmentTracker = retry.NewSegmentTracker()
+	n.segmentTracker.SetReport(n.reportFingerprint)
+	n.segmentTracker.OnChange(func(c retry.SegmentChange) { logSegmentChange(n.log, c) })
 	var err error
 	if n.traces, err = telemetry.StartTraces(ctx, s.Telemetry, s.VM); err != nil {
 		return nil, err
@@ -170,7 +174,7 @@
 func (n *serveNode) buildServing() {
 	n.router = completions.New(completions.Deps{
 		Engine: n.engine, Service: n.service, Placer: n.placer, Runner: n.ledger, Source: n.config,
-		Targets: n.targets, Shares: n.shares, CrashTracker: n.crashTracker,
+		Targets: n.targets, Shares: n.shares, CrashTracker: n.crashTracker, SegmentTracker: n.segmentTracker,
 		Logger: n.log, Tracer: n.traces.Tracer, Metrics: n.metrics,
 	})
 	c := n.settings.Callers
@@ -245,8 +249,12 @@
 	n.offsets[peer] = max(n.offsets[peer], offset)
 }
 
-// receiveFingerprints merges crash fingerprints reported by peers.
-func (n *serveNode) receiveFingerprints(values []string) { n.crashTracker.Receive(time.Now(), values) }
+// receiveFingerprints merges crash fingerprints and evidence against prompt segments
+// reported by peers.
+func (n *serveNode) receiveFingerprints(values []string) {
+	n.crashTracker.Receive(time.Now(), values)
+	n.segmentTracker.Receive(time.Now(), values)
+}
 
 // refreshLeaving updates the set of leaving targets, which get no new requests.
 func (n *serveNode) refreshLeaving() {
--- a/internal/app/completions/attempt.go
+++ b/internal/app/completions/attempt.go
@@ -36,6 +36,7 @@
 	probing         bool
 	extensions      int
 	delivered       bool
+	complete        bool
 	chunks          int // delivered by this attempt
 	incarnation     port.Incarnation
 	weights         string
@@ -66,6 +67,7 @@
 	c.active = append(c.active, a)
 	c.tried[t.Address] = true
 	r.limits.StartTarget(t.Address)
+	r.SegmentTracker.Started(now, t.Address, a.id, c.fingerprint, c.segments)
 	r.circuits.Started(now, t.Address)
 	r.Placer.Started(now, c.plan.placement, t.Address)
 	r.Metrics.Add(MetricAttempts, 1)
@@ -133,6 +135,7 @@
 	a.span.End()
 	r.limits.EndTarget(a.target.Address)
 	r.CrashTracker.Ended(a.target.Address, a.id)
+	r.SegmentTracker.Ended(a.target.Address, a.id, a.complete)
 	r.Placer.Finished(r.Clock.Now(), c.plan.placement, a.target.Address, a.incarnation, cachedTokens)
 }
 
--- a/internal/app/completions/completion.go
+++ b/internal/app/completions/completion.go
@@ -26,6 +26,7 @@
 	sink        Sink
 	permit      *limits.Permit
 	fingerprint retry.Fingerprint
+	segments    []retry.SegmentHash
 
 	asm    stream.Assembler
 	events chan attemptEvent
@@ -100,7 +101,7 @@
 	return &completion{r: r, plan: p, req: req, sink: sink, startedAt: r.Clock.Now(),
 		events: make(chan attemptEvent), probes: make(chan *probeResult, 2),
 		tried: map[string]bool{}, weights: p.placement.Scope.WeightsVersion,
-		fingerprint: retry.FingerprintOf(req.Account.String(), req.Model, req.Prompt),
+		fingerprint: retry.FingerprintOf(req.Account.String(), req.Model, req.Prompt), segments: retry.PrefixSegments(req.Prompt),
 		quarantines: r.CrashTracker.NextQuarantine()}, nil
 }
 
@@ -131,7 +132,7 @@
 // acquire waits for a permit to run. After a success, release must be called.
 func (c *completion) acquire(ctx context.Context) (err error) {
 	r, p := c.r, c.plan
-	if r.CrashTracker.Quarantined(r.Clock.Now(), c.fingerprint) {
+	if r.quarantined(r.Clock.Now(), c.filter()) {
 		return ErrQuarantined
 	}
 	if c.permit, err = r.admit(ctx, p, p.placement.PromptTokens, c.req.MaxTokens); err != nil {
@@ -210,7 +211,7 @@
 }
 
 func (c *completion) filter() filter {
-	return filter{tried: c.tried, fingerprint: c.fingerprint, weights: c.weights}
+	return filter{tried: c.tried, fingerprint: c.fingerprint, segments: c.segments, weights: c.weights}
 }
 
 func (c *completion) handleEvent(ctx context.Context, e *attemptEvent) (done bool, err error) {
@@ -280,6 +281,7 @@
 	now := c.r.Clock.Now()
 	if !a.delivered {
 		a.delivered = true
+		c.r.SegmentTracker.Answering(now, a.target.Address, a.id)
 		c.r.Placer.FirstToken(now, c.plan.placement, a.target.Address, now.Sub(a.started))
 		c.r.circuits.Success(a.target.Address)
 		for _, other := range append([]*attempt(nil), c.active...) {
@@ -317,6 +319,7 @@
 		c.r.Metrics.Add(MetricCachedTokens, int64(cached))
 	}
 	c.r.CrashTracker.Clear(c.fingerprint, true)
+	a.complete = true
 	c.endAttempt(a, cached)
 	return true, nil
 }
@@ -329,7 +332,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	if c.r.CrashTracker.Quarantined(c.r.Clock.Now(), c.fingerprint) {
+	if c.r.quarantined(c.r.Clock.Now(), c.filter()) {
 		return eris.Wrap(ErrQuarantined, logText(cause))
 	}
 	if action == actionFail {
--- a/internal/app/completions/crash_test.go
+++ b/internal/app/completions/crash_test.go
@@ -55,7 +55,7 @@
 			crashCtx, inc := f.attemptContext(address)
 			s := newStream(ctx, g)
 			s.inc, s.interval = inc, 10*time.Millisecond
-			if strings.HasPrefix(g.Prompt, poison) {
+			if strings.Contains(g.Prompt, poison) {
 				time.AfterFunc(35*time.Millisecond, func() { f.crash(address) })
 			}
 			return &crashableStream{fakeStream: s, crashCtx: crashCtx}, nil
@@ -181,3 +181,30 @@
 		is.Equal(fleet.crashes, 2)
 	})
 }
+
+// Guards against different prompts that crash engine after engine because they share a
+// section, and against refusing prompts that share only the beginning.
+func TestPromptsWithACrashingSectionAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := &crashFleet{incarnations: map[string]int{}, cancels: map[string]context.CancelFunc{}}
+		b := newTestRouter(t, nil)
+		fleet.install(b.engine)
+		intro, bad := strings.Repeat("intro ", 400), strings.Repeat(poison+" ", 300)
+		served := 0
+		for i := range 40 {
+			_, err := b.complete(t.Context(), fmt.Sprint(intro, bad, "question ", i), 20, &textSink{})
+			if i > 10 {
+				is.Equal(failure(t, err).Kind, KindCrashSuspect)
+				is.Equal(failure(t, err).Outcome, OutcomeNotRun)
+			}
+			time.Sleep(time.Second)
+			if _, err := b.complete(t.Context(), fmt.Sprint(intro, "dossier ", i), 20, &textSink{}); err == nil {
+				served++
+			}
+			time.Sleep(time.Second)
+		}
+		is.True(fleet.crashes <= 6) // three prompts, each on two engines
+		is.Equal(served, 40)
+	})
+}
--- a/internal/app/completions/explain.go
+++ b/internal/app/completions/explain.go
@@ -17,10 +17,10 @@
 	}
 	now := r.Clock.Now()
 	f := filter{weights: p.placement.Scope.WeightsVersion,
-		fingerprint: retry.FingerprintOf(req.Account.String(), req.Model, req.Prompt)}
+		fingerprint: retry.FingerprintOf(req.Account.String(), req.Model, req.Prompt), segments: retry.PrefixSegments(req.Prompt)}
 	ranked := r.rank(now, p, f)
 	e := Explanation{Route: p.routeRef.String(), Pool: p.poolRef.String(), WeightsVersion: f.weights,
-		PromptTokens: p.placement.PromptTokens, Excluded: ranked.reasons(), Refused: r.CrashTracker.Quarantined(now, f.fingerprint)}
+		PromptTokens: p.placement.PromptTokens, Excluded: ranked.reasons(), Refused: r.quarantined(now, f)}
 	for _, s := range ranked.scores {
 		e.Candidates = append(e.Candidates, Candidate{Target: ranked.target(s.Target).Name, Reason: s.Reason, CostMs: s.CostMs,
 			QueueMs: s.QueueMs, PrefillMs: s.PrefillMs, LinkMs: s.LinkMs, ColdMs: s.ColdMs,
--- a/internal/app/completions/health.go
+++ b/internal/app/completions/health.go
@@ -15,7 +15,9 @@
 
 // health is the result of probing a target over a fresh connection.
 type health struct {
-	reachable   bool
+	reachable bool
+	// ended is set if the probe shows that the target's process has ended.
+	ended       bool
 	incarnation port.Incarnation
 	weights     string
 	// waiting is set if requests are queued on the target or all its slots are in
@@ -60,7 +62,7 @@
 
 func healthOf(report port.LoadReport, err error) health {
 	if err != nil {
-		return health{}
+		return health{ended: port.ProvesRestart(err)}
 	}
 	return health{reachable: true, incarnation: report.Incarnation, weights: report.WeightsVersion,
 		waiting: report.Waiting > 0 || report.Slots > 0 && report.Running >= report.Slots}
@@ -104,6 +106,11 @@
 	if (crashed || h.restarted(prior)) && r.CrashTracker.Crashed(now, t.Address, string(prior)) {
 		r.Metrics.Add(MetricCrashes, 1)
 	}
+	if h.ended || h.restarted(prior) {
+		if n, first := r.SegmentTracker.Crashed(now, t.Address, string(prior)); first {
+			r.Logger.Info("crash evidence", "target", t.Name, "requests_not_begun", n)
+		}
+	}
 	if h.reachable {
 		r.Targets.Observe(t.Address, h.incarnation, h.weights, coldStart(pool))
 	}
--- a/internal/app/completions/loop.go
+++ b/internal/app/completions/loop.go
@@ -59,7 +59,7 @@
 		c.hedge(ctx)
 	case wakeQuarantine:
 		c.quarantines = c.r.CrashTracker.NextQuarantine()
-		if c.r.CrashTracker.Quarantined(c.r.Clock.Now(), c.fingerprint) {
+		if c.r.quarantined(c.r.Clock.Now(), c.filter()) {
 			return false, ErrQuarantined
 		}
 	case wakeDone:
--- a/internal/app/completions/place.go
+++ b/internal/app/completions/place.go
@@ -29,6 +29,7 @@
 type filter struct {
 	tried       map[string]bool
 	fingerprint retry.Fingerprint
+	segments    []retry.SegmentHash
 	weights     string
 }
 
@@ -194,7 +195,7 @@
 	start := r.Clock.Now()
 	for {
 		now := r.Clock.Now()
-		if r.CrashTracker.Quarantined(now, f.fingerprint) {
+		if r.quarantined(now, f) {
 			return claim{}, ErrQuarantined
 		}
 		ranked := r.rank(now, p, f)
@@ -214,6 +215,15 @@
 	}
 }
 
+// quarantined reports whether the request, or a segment of its prompt, crashes targets.
+func (r *Router) quarantined(now time.Time, f filter) bool {
+	if r.CrashTracker.Quarantined(now, f.fingerprint) {
+		return true
+	}
+	_, found := r.SegmentTracker.Quarantined(now, f.segments)
+	return found
+}
+
 // anyFull reports whether a target is excluded only for its concurrency limit.
 func anyFull(excluded map[string]string) bool {
 	for _, reason := range excluded {
--- a/internal/app/completions/router.go
+++ b/internal/app/completions/router.go
@@ -67,6 +67,8 @@
 	// CrashTracker defaults to an empty one. The owner of the Router exchanges its
 	// state with peers through its Export and Merge methods.
 	CrashTracker *retry.CrashTracker
+	// SegmentTracker defaults to an empty one, likewise.
+	SegmentTracker *retry.SegmentTracker
 	// Logger, Tracer and Metrics discard everything by default.
 	Logger  *slog.Logger
 	Tracer  trace.Tracer
@@ -118,6 +120,9 @@
 	if d.CrashTracker == nil {
 		d.CrashTracker = retry.NewCrashTracker()
 	}
+	if d.SegmentTracker == nil {
+		d.SegmentTracker = retry.NewSegmentTracker()
+	}
 	return &Router{Deps: d, limits: limits.NewController(d.Clock, d.Shares),
 		circuits: retry.NewCircuits(), budgets: map[config.Ref]*retry.Budget{}}
 }
