gateway: keep to the rate of requests that a target names

Cause: the field was not read, and the limit is one for all routers: a router that keeps it for itself would send as many times too much as there are routers.

Change: limits.TargetRates lets a few routers, chosen alike by all, share a target's rate: one for each request per second and four more, each with a token bucket; the others pass over the target. A router that learns a rate, a change or its end tells its neighbours, which pass on what is new to them; the age of the news orders it, so no clocks are compared. If the rates of all targets leave no room in time, a request is refused at once with the time until there is some.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -222,6 +222,8 @@
 		DesiredVersion:  func(model string) (int, time.Time) { return n.weights.Desired(model) },
 		MinVersion:      func(model string, within time.Duration) int { return n.weights.MinVersion(model, within) },
 		AnnouncePrefill: func(target string, tokens int) { n.fleet.AnnouncePrefill(target, tokens) },
+		AnnounceRate:    func(r port.TargetRate) { n.fleet.AnnounceRate(r) },
+		IsChosen:        func(key string, count int) bool { return placement.IsChosen(vm.Name, n.routerNames(), key, count) },
 		CrashTracker:    crashTracker, SegmentTracker: segmentTracker, WeightsField: platform.WeightsVersionField,
 	})
 }
--- a/cmd/mimosaseam/gatewaypeers.go
+++ b/cmd/mimosaseam/gatewaypeers.go
@@ -45,6 +45,7 @@
 			OnStarted: func(target string, tokens int) {
 				n.placer.ObservePeerRequest(n.clock.Now(), target, tokens, n.gateway.PrefillRate(target))
 			},
+			OnRate:    func(r port.TargetRate) { n.gateway.ObserveRate(r) },
 			OnLoading: func(l port.TargetLoading) { n.gateway.ObserveLoading(l) },
 			OnFingerprints: func(values []string) {
 				crashTracker.Receive(n.clock.Now(), values)
--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -132,6 +132,15 @@
 	return err
 }
 
+// Rate implements port.RateNotifier.
+func (c *Client) Rate(ctx context.Context, address string, r port.TargetRate) error {
+	in := &peerv1.RateRequest{Target: string(r.Target), PerSecond: r.PerSecond, AgeMs: uint32(max(r.Age, 0) / time.Millisecond)}
+	_, err := call(ctx, c, address, func(ctx context.Context, p peerv1.PeerClient) (*peerv1.RateResponse, error) {
+		return p.Rate(ctx, in)
+	})
+	return err
+}
+
 // Reserve implements port.ReservationPeer.
 func (c *Client) Reserve(ctx context.Context, address, target string, fingerprint uint64, release bool) (bool, error) {
 	out, err := call(ctx, c, address, func(ctx context.Context, p peerv1.PeerClient) (*peerv1.ReserveResponse, error) {
--- a/internal/adapter/peergrpc/notify_test.go
+++ b/internal/adapter/peergrpc/notify_test.go
@@ -18,12 +18,15 @@
 	target  string
 	tokens  int
 	loading port.TargetLoading
+	rate    port.TargetRate
 }
 
 func (h *peerHandler) HandleStarted(target string, tokens int) { h.target, h.tokens = target, tokens }
 
 func (h *peerHandler) HandleLoading(l port.TargetLoading) { h.loading = l }
 
+func (h *peerHandler) HandleRate(r port.TargetRate) { h.rate = r }
+
 func (h *peerHandler) HandleReserve(target string, fingerprint uint64, release bool) bool {
 	return target == "t1" && fingerprint == 7 && !release
 }
@@ -88,6 +91,22 @@
 	is.NoErr(c.Loading(t.Context(), older, port.TargetLoading{Target: "t1"}))
 }
 
+// Guards against rates of targets that are lost or changed on the way, and calls that fail
+// on a router of an earlier version.
+func TestRateReachesPeers(t *testing.T) {
+	is := is.New(t)
+	c := NewClient(nil)
+	defer c.Close()
+	h := &peerHandler{handler: &handler{}}
+	address, _ := serve(t, h, nil)
+	for _, r := range []port.TargetRate{{Target: "t1@1", PerSecond: 2.3, Age: 40 * time.Millisecond}, {Target: "t1@1"}} {
+		is.NoErr(c.Rate(t.Context(), address, r))
+		is.Equal(h.rate, r)
+	}
+	older, _ := serve(t, &handler{}, nil)
+	is.NoErr(c.Rate(t.Context(), older, port.TargetRate{Target: "t1@1"}))
+}
+
 // panickingHandler panics in HandlePullRecords.
 type panickingHandler struct{ *handler }
 
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -157,6 +157,14 @@
 	return &peerv1.LoadingResponse{}, nil
 }
 
+func (s *server) Rate(_ context.Context, in *peerv1.RateRequest) (*peerv1.RateResponse, error) {
+	if h, ok := s.handler.(port.RateHandler); ok {
+		h.HandleRate(port.TargetRate{Target: port.Incarnation(in.GetTarget()), PerSecond: in.GetPerSecond(),
+			Age: time.Duration(in.GetAgeMs()) * time.Millisecond})
+	}
+	return &peerv1.RateResponse{}, nil
+}
+
 func (s *server) Reserve(_ context.Context, in *peerv1.ReserveRequest) (*peerv1.ReserveResponse, error) {
 	h, ok := s.handler.(port.ReservationHandler)
 	return &peerv1.ReserveResponse{Granted: !ok || h.HandleReserve(in.GetTarget(), in.GetFingerprint(), in.GetRelease())}, nil
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -83,6 +83,8 @@
 	// OnLoading is called for a target that loads new weights, or has loaded them,
 	// on the order of a peer.
 	OnLoading func(l port.TargetLoading)
+	// OnRate is called for the rate of a target that a peer announces.
+	OnRate func(r port.TargetRate)
 	// OnConfigOffset receives the config offset that a peer has applied.
 	OnConfigOffset func(peer string, offset port.Offset)
 }
--- a/internal/app/fleet/prefill.go
+++ b/internal/app/fleet/prefill.go
@@ -40,6 +40,18 @@
 	})
 }
 
+// AnnounceRate announces the rate of a target to the neighbours, which pass on what is new
+// to them. It does not wait for responses.
+func (f *Fleet) AnnounceRate(r port.TargetRate) {
+	peer, ok := f.o.Peer.(port.RateNotifier)
+	if !ok {
+		return
+	}
+	f.sendToNeighbours("rate of "+string(r.Target), func(ctx context.Context, address string) error {
+		return peer.Rate(ctx, address, r)
+	})
+}
+
 func (f *Fleet) sendToNeighbours(what string, send func(ctx context.Context, address string) error) {
 	f.mu.Lock()
 	neighbours := f.view.Neighbours()
@@ -81,3 +93,10 @@
 		on(l)
 	}
 }
+
+// HandleRate implements port.RateHandler.
+func (f *Fleet) HandleRate(r port.TargetRate) {
+	if on := f.o.Callbacks.OnRate; on != nil {
+		on(r)
+	}
+}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -71,8 +71,10 @@
 	}()
 	response, err := g.Forwarder.Forward(ctx, t.Address, x.forward(t))
 	if err != nil {
+		x.observeRefusedRate(t, start, err)
 		return x.classifyError(ctx, t, err)
 	}
+	x.observeRate(t, start, response.RequestsPerSecond, response.Status)
 	defer response.Body.Close()
 	status = response.Status
 	g.Directory.observeHeaders(t.ID, x.r.Model, response)
@@ -108,6 +110,9 @@
 	if share := t.Reliability.FailureShare(x.g.Clock.Now()); share > 0 {
 		attrs = append(attrs, slog.Float64("failure_share", share))
 	}
+	if limit := x.g.rates.PerSecond(string(t.Incarnation())); limit > 0 {
+		attrs = append(attrs, slog.Float64("limit_per_s", limit))
+	}
 	if x.engine != nil {
 		attrs = append(attrs, slog.String("session", x.session()), slog.String("shared", x.sharedParts()), slog.Int("prompt_tokens", x.r.PromptTokens),
 			slog.Int("cached_tokens", x.score.CachedTokens), slog.Int("elsewhere_tokens", x.cachedElsewhere),
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -47,7 +48,8 @@
 			return t, nil
 		}
 		wait()
-		if x.g.Clock.Now().Sub(start) >= maxWait {
+		if waited := x.g.Clock.Now().Sub(start); waited >= maxWait || x.rateWait >= maxWait-waited {
+			x.retryAfter = max(x.retryAfter, min(x.rateWait, longRetryAfter))
 			return Target{}, errors.Join(ErrNoTarget, x.lastCause)
 		}
 		if err := ctxtime.Sleep(ctx, targetPollInterval); err != nil {
@@ -67,10 +69,14 @@
 	}
 	for _, i := range k.order {
 		t := k.targets[i]
+		if !x.g.rates.Take(now, string(t.Incarnation())) {
+			continue
+		}
 		if x.g.CrashTracker.Start(now, x.fingerprint, t.Address, x.attemptID()) {
 			x.g.SegmentTracker.Started(now, t.Address, x.attemptID(), x.fingerprint, x.segments)
 			return t, true
 		}
+		x.g.rates.Return(string(t.Incarnation()))
 	}
 	return Target{}, false
 }
@@ -80,7 +86,9 @@
 func (x *exchange) usable(now time.Time, probe bool) []Target {
 	unusable := x.g.circuits.Unusable(now)
 	var untried, tried []Target
-	for _, t := range x.eligible(x.g.Directory.Service(x.service)) {
+	eligible := x.eligible(x.g.Directory.Service(x.service))
+	limited, wait := 0, never
+	for _, t := range eligible {
 		if _, out := unusable[t.ID]; out {
 			if probe && x.g.circuits.ClaimProbe(now, t.ID) {
 				// The next real request is the probe: connecting to a target that is gone
@@ -92,18 +100,29 @@
 		if now.Before(t.PausedUntil) {
 			continue
 		}
+		if rateWait := x.g.rates.Wait(now, string(t.Incarnation())); rateWait > 0 {
+			limited, wait = limited+1, min(wait, rateWait)
+			continue
+		}
 		if x.tried[t.ID] {
 			tried = append(tried, t)
 		} else {
 			untried = append(untried, t)
 		}
 	}
+	x.rateWait = 0
+	if limited > 0 && limited == len(eligible) {
+		x.rateWait = wait
+	}
 	if len(untried) == 0 {
 		return tried
 	}
 	return untried
 }
 
+// never is longer than any wait.
+const never = time.Duration(math.MaxInt64)
+
 // eligible leaves out engines whose weights are older than the bound allows, and sets the
 // versions that the attempt requires.
 func (x *exchange) eligible(targets []Target) []Target {
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -67,6 +67,8 @@
 	queued  time.Duration
 	// held is a target's error response that was held back for a retry.
 	held *bufferedResponse
+	// rateWait is the time until a target may be used if their rates keep all from use, else 0.
+	rateWait time.Duration
 	// crashed is set once a target crashed under the request.
 	crashed bool
 	// minWeights is the oldest weights version on which the request may begin, 0: any.
--- a/internal/app/gateway/fake_test.go
+++ b/internal/app/gateway/fake_test.go
@@ -28,6 +28,8 @@
 	broken bool
 	// silent waits until the attempt is cancelled.
 	silent bool
+	// rate is the number of requests per second that the target names, 0: none.
+	rate float64
 }
 
 // fakeTargets gives the replies to attempts in the order of their arrival.
@@ -69,7 +71,7 @@
 	if r.broken {
 		body = io.MultiReader(body, brokenReader{})
 	}
-	return port.ForwardResponse{Status: r.status, Header: http.Header{}, Body: io.NopCloser(body), Length: -1}, nil
+	return port.ForwardResponse{Status: r.status, Header: http.Header{}, Body: io.NopCloser(body), Length: -1, RequestsPerSecond: r.rate}, nil
 }
 
 func (f *fakeTargets) Order(context.Context, string, port.WeightsOrder) error { return nil }
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -134,6 +134,11 @@
 	// AnnouncePrefill announces a request with a long prefill to the other routers; nil:
 	// it is not announced.
 	AnnouncePrefill func(target string, tokens int)
+	// AnnounceRate announces the rate that a target named to the other routers; nil: it is
+	// not announced.
+	AnnounceRate func(r port.TargetRate)
+	// IsChosen reports whether this router is one of the n that serve a key; nil: always.
+	IsChosen func(key string, n int) bool
 	// CrashTracker tracks requests that crash targets. The owner of the Gateway exchanges
 	// its state with the other routers.
 	CrashTracker *retry.CrashTracker
@@ -150,6 +155,7 @@
 	config          atomic.Pointer[gatewayconfig.Configuration]
 	circuits        *retry.Circuits
 	limits          *limits.Controller
+	rates           *limits.TargetRates
 
 	mu            sync.Mutex
 	freshness     gatewayconfig.Freshness
@@ -172,7 +178,10 @@
 	if d.Tracer == nil {
 		d.Tracer = noop.NewTracerProvider().Tracer("")
 	}
-	g := &Gateway{Deps: d, circuits: retry.NewCircuits(), limits: limits.NewController(d.Clock, routerCount{d.Routers}), retryLimiters: map[string]*retry.RetryLimiter{}, meanOccupancyMs: map[string]float64{},
+	if d.IsChosen == nil {
+		d.IsChosen = func(string, int) bool { return true }
+	}
+	g := &Gateway{Deps: d, rates: limits.NewTargetRates(limits.Fleet{Count: d.Routers, Chosen: d.IsChosen}), circuits: retry.NewCircuits(), limits: limits.NewController(d.Clock, routerCount{d.Routers}), retryLimiters: map[string]*retry.RetryLimiter{}, meanOccupancyMs: map[string]float64{},
 		prefillRates: map[string]placement.PrefillRate{}}
 	g.running, g.endRequests = context.WithCancelCause(context.Background())
 	g.SetSettings(d.Settings)
--- /dev/null
+++ b/internal/app/gateway/rates.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/core/limits"
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// observeRate records the rate that the target named in its response to a request sent at
+// the time. Only a response that is no failure shows that it names none any more.
+func (x *exchange) observeRate(t Target, sent time.Time, perSecond float64, status int) {
+	if perSecond <= 0 && status >= http.StatusInternalServerError {
+		return
+	}
+	g, now := x.g, x.g.Clock.Now()
+	change := g.rates.Observe(now, sent, string(t.Incarnation()), perSecond)
+	g.applyRateChange(change, port.TargetRate{Target: t.Incarnation(), PerSecond: perSecond}, "response")
+}
+
+// observeRefusedRate records the rate that the target named with a refusal.
+func (x *exchange) observeRefusedRate(t Target, sent time.Time, err error) {
+	var refused *port.NotRunError
+	if errors.As(err, &refused) && refused.RequestsPerSecond > 0 && refused.Reason != port.NotRunIncarnationChanged {
+		x.observeRate(t, sent, refused.RequestsPerSecond, http.StatusServiceUnavailable)
+	}
+}
+
+// ObserveRate records the rate of a target that a peer announced.
+func (g *Gateway) ObserveRate(r port.TargetRate) {
+	g.applyRateChange(g.rates.ObservePeer(g.Clock.Now(), string(r.Target), r.PerSecond, r.Age), r, "router")
+}
+
+func (g *Gateway) applyRateChange(change limits.RateChange, r port.TargetRate, source string) {
+	if change.Changed {
+		g.Log.Info("target limit", "target", string(r.Target), "per_second", r.PerSecond, "source", source, "age_ms", ms(r.Age))
+	}
+	if change.Announce && g.AnnounceRate != nil {
+		g.AnnounceRate(r)
+	}
+}
--- a/internal/port/failure.go
+++ b/internal/port/failure.go
@@ -76,8 +76,11 @@
 	Reason     NotRunReason
 	RetryAfter time.Duration
 	// Load is the load that the target reported with its refusal, nil if it did not.
-	Load  *LoadReport
-	Cause error
+	Load *LoadReport
+	// RequestsPerSecond is the rate that the target named with its refusal, 0 if it named
+	// none.
+	RequestsPerSecond float64
+	Cause             error
 }
 
 // ProvesRestart reports whether the failure of a status request shows that the target's
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -83,6 +83,9 @@
 	// Weights is the weights version that serves the request, 0 when the target
 	// reports none.
 	Weights int
+	// RequestsPerSecond is the rate that the target takes from all routers together, 0
+	// when it names none.
+	RequestsPerSecond float64
 	// Closing is set when the target closes the connection, as leaving targets do.
 	Closing bool
 	// EndsWithConnection is set for a body without a framing of its own: its end and the
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -148,6 +148,26 @@
 	HandleLoading(l TargetLoading)
 }
 
+// TargetRate is the rate of requests that a target takes from all routers together.
+type TargetRate struct {
+	// Target is the incarnation of the target.
+	Target Incarnation
+	// PerSecond is 0 if the target names no rate.
+	PerSecond float64
+	// Age is the time since the target said so.
+	Age time.Duration
+}
+
+// RateNotifier notifies other routers of the rates of targets.
+type RateNotifier interface {
+	Rate(ctx context.Context, address string, r TargetRate) error
+}
+
+// RateHandler handles the notifications of a RateNotifier; a PeerHandler may implement it.
+type RateHandler interface {
+	HandleRate(r TargetRate)
+}
+
 // PrefillNotifier notifies other routers immediately of requests sent to targets.
 type PrefillNotifier interface {
 	// Started reports that a request was sent to the target, which needs to prefill
