gateway: keep the targets of each service in order

Each ranking walked all targets in a map and sorted those of its service, and built the same cache scope for each of them. The order is now made when a target comes or goes.

BenchmarkServe256Engines, median of three beside other load: 0.49 ms, 208 KB, 419 allocations to 0.30 ms, 194 KB, 141. BenchmarkServeStream20: 0.076 to 0.064 ms, 152 to 139 allocations.

--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -163,10 +163,14 @@
 	byAddress := make(map[string]int, len(targets))
 	request := x.placementRequest
 	request.KnownCachedTokens = make(map[string]int, len(targets))
+	scope, weights := "", -1
 	for i, t := range targets {
 		byAddress[t.Address] = i
 		candidates[i] = x.placementTarget(t)
-		if tokens, known := x.g.CacheContents.CachedTokens(now, t.Address, x.cacheScope(t), x.r.Prompt); known {
+		if version := t.Weights[x.r.Model]; version != weights {
+			scope, weights = x.cacheScope(t), version // mostly the same for all
+		}
+		if tokens, known := x.g.CacheContents.CachedTokens(now, t.Address, scope, x.r.Prompt); known {
 			request.KnownCachedTokens[t.Address] = tokens
 		}
 	}
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -73,6 +73,9 @@
 
 	mu      sync.Mutex
 	targets map[string]*Target
+	// byService holds the targets of each service in the order of their ids; nil: it must
+	// be made again.
+	byService map[string][]*Target
 }
 
 // LeavingGrace returns how long a target may be used after it was first seen leaving, so
@@ -123,7 +126,7 @@
 		d.log.Info("target", "target", e.ID, "address", e.Address, "service", e.Service, "availability_zone", e.AvailabilityZone,
 			"leaving", e.Leaving, "born", e.StartedAt, "weights", e.Weights)
 	}
-	d.targets[e.ID] = t
+	d.targets[e.ID], d.byService = t, nil
 }
 
 // mergeWeights merges the weights versions reported by one incarnation of a target.
@@ -189,6 +192,7 @@
 	for id, t := range d.targets {
 		if t.Removed && t.InFlight == 0 && now.Sub(t.LeavingSince) > removedRetention {
 			delete(d.targets, id)
+			d.byService = nil
 		}
 	}
 }
@@ -200,24 +204,40 @@
 	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var staying, leaving []*Target
-	for _, t := range d.targets {
-		switch {
-		case t.Service != service:
-		case t.LeavingSince.IsZero():
-			staying = append(staying, t)
-		case now.Sub(t.LeavingSince) < d.grace:
-			leaving = append(leaving, t)
+	all := d.sorted()[service]
+	out := make([]Target, 0, len(all))
+	for _, t := range all {
+		if t.LeavingSince.IsZero() {
+			out = append(out, *t)
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	for _, t := range all {
+		if now.Sub(t.LeavingSince) < d.grace {
+			out = append(out, *t)
 		}
 	}
-	if len(staying) == 0 {
-		staying = leaving
+	return out
+}
+
+// sorted returns the targets by service, in the order of their ids. Ranking asks for them
+// with every request, and they rarely change.
+func (d *Directory) sorted() map[string][]*Target {
+	if d.byService == nil {
+		d.byService = map[string][]*Target{}
+		for _, t := range d.targets {
+			d.byService[t.Service] = append(d.byService[t.Service], t)
+		}
+		for _, targets := range d.byService {
+			slices.SortFunc(targets, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
+		}
 	}
-	return sortedCopies(staying)
+	return d.byService
 }
 
-// sortedCopies returns copies of the targets in the order of their ids. It sorts the
-// pointers, because it runs for every request and targets are large.
+// sortedCopies returns copies of the targets in the order of their ids.
 func sortedCopies(targets []*Target) []Target {
 	slices.SortFunc(targets, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
 	out := make([]Target, len(targets))
