retry: count crashes of one moment once against a segment

Requests were refused (500) for a fraction of a second although nothing was wrong with them: when several engines end together, the segment that most requests share is on each of them, in three crashes under three requests.

Change: crashes less than 0.2 s apart are one piece of evidence. "three targets lost at once" in TestSegmentThatCrashesTargetsIsQuarantined failed before.

--- a/internal/core/retry/segments.go
+++ b/internal/core/retry/segments.go
@@ -30,6 +30,10 @@
 	// told apart are all quarantined, and after which one request less is enough, and
 	// one unexplained crash less for a segment that others explained in part.
 	ambiguousCrashes = 5
+	// minCrashGap is the time between crashes that count as different ones: several targets
+	// that end at once have another cause, such as a lost rack, and a segment that many
+	// requests share is on each of them.
+	minCrashGap = 200 * time.Millisecond
 	// settleTime is the time after which a crash counts. By then, the reports of the
 	// other routers about it have arrived.
 	settleTime = 500 * time.Millisecond
@@ -45,8 +49,6 @@
 // crashSet is a set of indices of crashes.
 type crashSet uint64
 
-func (s crashSet) len() int { return bits.OnesCount64(uint64(s)) }
-
 // segmentAttempt is a running attempt of a request.
 type segmentAttempt struct {
 	request  Fingerprint
@@ -332,6 +334,7 @@
 
 // evidence is an index of crashes by segment.
 type evidence struct {
+	at       [maxSegmentCrashes]time.Time
 	crashes  map[SegmentHash]crashSet
 	requests map[SegmentHash]map[Fingerprint][]SegmentHash
 }
@@ -339,6 +342,7 @@
 func newEvidence(crashes []*segmentCrash) evidence {
 	e := evidence{crashes: map[SegmentHash]crashSet{}, requests: map[SegmentHash]map[Fingerprint][]SegmentHash{}}
 	for i, c := range crashes {
+		e.at[i] = c.at
 		for request, segments := range c.requests {
 			for _, s := range segments {
 				if !c.candidates[s] {
@@ -355,6 +359,17 @@
 	return e
 }
 
+// count returns the number of crashes in the set that are not of one moment.
+func (e evidence) count(set crashSet) int {
+	n, last := 0, time.Time{}
+	for ; set != 0; set &= set - 1 {
+		if at := e.at[bits.TrailingZeros64(uint64(set))]; n == 0 || at.Sub(last) >= minCrashGap {
+			n, last = n+1, at
+		}
+	}
+	return n
+}
+
 // quarantine returns the segments that explain the crashes. A segment that was quarantined
 // before stays so while it alone explains a crash: among segments that crash targets at the
 // same time, new evidence changes which one explains most.
@@ -363,13 +378,13 @@
 	explained := crashSet(0)
 	add := func(s SegmentHash) {
 		explained |= e.crashes[s]
-		out[s] = SegmentStats{Crashes: e.crashes[s].len(), Requests: len(e.requests[s])}
+		out[s] = SegmentStats{Crashes: e.count(e.crashes[s]), Requests: len(e.requests[s])}
 	}
 	for s, found := e.next(explained); found; s, found = e.next(explained) {
 		add(s)
 	}
 	for s := range before {
-		if e.crashes[s].len() >= minSegmentCrashes && e.crashes[s]&^explained != 0 {
+		if e.count(e.crashes[s]) >= minSegmentCrashes && e.crashes[s]&^explained != 0 {
 			add(s)
 		}
 	}
@@ -396,7 +411,7 @@
 		if other == s || !covers && !slices.Contains(suspects, other) || e.follows(s, other) {
 			continue
 		}
-		if e.follows(other, s) || covers && unexplained.len() < ambiguousCrashes {
+		if e.follows(other, s) || covers && e.count(unexplained) < ambiguousCrashes {
 			return true
 		}
 	}
@@ -406,10 +421,10 @@
 // suspects returns the segments with enough unexplained crashes, most crashes first.
 func (e evidence) suspects(explained crashSet) []SegmentHash {
 	var out []SegmentHash
-	count := func(s SegmentHash) int { return (e.crashes[s] &^ explained).len() }
+	count := func(s SegmentHash) int { return e.count(e.crashes[s] &^ explained) }
 	for s, crashes := range e.crashes {
 		spare := 0
-		if crashes.len() >= ambiguousCrashes {
+		if e.count(crashes) >= ambiguousCrashes {
 			spare = 1
 		}
 		if count(s) >= minSegmentCrashes-spare && len(e.requests[s]) >= minSegmentRequests-spare {
--- a/internal/core/retry/segments_test.go
+++ b/internal/core/retry/segments_test.go
@@ -172,6 +172,13 @@
 				f.crash(77, prompt(4, 5), prompt(1))
 			}
 		}, nil},
+		"three targets lost at once": {func(f *segmentFleet) {
+			for range 3 {
+				f.crash(0, prompt(1, 2), prompt(1, 2))
+				f.now = f.now.Add(-settleTime)
+			}
+			f.now = f.now.Add(settleTime)
+		}, nil},
 		"two crashes": {func(f *segmentFleet) {
 			f.crash(0, prompt(1, 2))
 			f.crash(0, prompt(1, 2), prompt(1, 2))
