--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"slices"
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/balance"
+	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/rollout"
 	"mimosaseam.example/mimosaseam/internal/ctxtime"
@@ -87,7 +87,7 @@
 	unusable := x.g.circuits.Unusable(now)
 	eligible := x.eligible(x.g.Directory.Service(x.service))
 	untried, tried := eligible[:0], []Target(nil) // filtered in place: targets are large
-	count, limited, wait := len(eligible), 0, never
+	count, limited, wait := len(eligible), 0, limits.Never
 	for i := range eligible {
 		t := &eligible[i]
 		if _, out := unusable[t.ID]; out {
@@ -121,9 +121,6 @@
 	return untried
 }
 
-// never is longer than any wait.
-const never = time.Duration(math.MaxInt64)
-
 // eligible leaves out engines whose weights are older than the bound allows, and sets the
 // versions that the attempt requires.
 func (x *exchange) eligible(targets []Target) []Target {
--- a/internal/core/limits/targetrate.go
+++ b/internal/core/limits/targetrate.go
@@ -169,8 +169,8 @@
 	r.refilled = now
 }
 
-// never is the wait of a router that does not share a target's rate.
-const never = time.Duration(math.MaxInt64)
+// Never is the wait of a router that does not share a target's rate.
+const Never = time.Duration(math.MaxInt64)
 
 // Wait returns the time until this router may send a request to the target: 0 if it may
 // now, and the maximum if other routers share the target's rate.
@@ -184,7 +184,7 @@
 	t.refill(now, target, r)
 	switch {
 	case !r.chosen:
-		return never
+		return Never
 	case r.tokens >= 1:
 		return 0
 	}
--- a/internal/core/limits/targetrate_test.go
+++ b/internal/core/limits/targetrate_test.go
@@ -106,7 +106,7 @@
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	r.Observe(now, now, "t", 5)
 	now = now.Add(time.Minute)
-	is.Equal(r.Wait(now, "t"), never)
+	is.Equal(r.Wait(now, "t"), Never)
 	is.True(!r.Take(now, "t"))
 	chosen, now = true, now.Add(time.Minute)
 	is.True(!r.Take(now, "t"))
