gateway: take no new requests once their time in a planned stop is short

Callers' streams were cut at the end of a planned stop although they had been sent long after it began.

Cause (the smaller part): after the listener is closed, a router went on taking requests for a second, on connections that were new then. A request that began to arrive 3 to 3.5 s after SIGTERM had less time than one that is sent before the load balancer has turned to others.

Change: requests whose first byte arrives more than 0.3 s after the end of new connections are refused (503, not run). Requests that had begun to arrive are still served.

Test: TestStopUnderLoad, a connection opened 0.1 s before the end and used 0.6 s after it: cut at the end before, 503 at once now.

--- a/cmd/mimosaseam/callerconns.go
+++ b/cmd/mimosaseam/callerconns.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -17,6 +18,9 @@
 	// newConnTimeout is how long a new connection without a first byte is kept open during
 	// a shutdown.
 	newConnTimeout = time.Second
+	// lastRequests is how long after the end of new connections a request may begin to
+	// arrive and still be taken: longer than one is on its way on a usable link.
+	lastRequests = 300 * time.Millisecond
 	// drainPollInterval is the time between two looks at the open connections during a
 	// shutdown.
 	drainPollInterval = 20 * time.Millisecond
@@ -50,6 +54,8 @@
 	timer *time.Timer
 
 	mu sync.Mutex
+	// begunAt is when the first byte of the last request arrived.
+	begunAt time.Time
 	// begun is set once bytes of a request have arrived, until the request has ended,
 	// used with the first byte, and closed by whoever closes the connection because no
 	// request has begun.
@@ -69,6 +75,9 @@
 	if c.closed {
 		return 0, net.ErrClosed
 	}
+	if !c.begun {
+		c.begunAt = time.Now()
+	}
 	c.begun, c.used = true, true
 	return n, err
 }
@@ -93,6 +102,25 @@
 	c.begun = false
 }
 
+// connKey is the key of a request's callerConn in its context.
+type connKey struct{}
+
+// withConn is the ConnContext of the callers' server.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// begunAt returns when the first byte of the request with the context arrived.
+func begunAt(ctx context.Context) time.Time {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok {
+		return time.Time{}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.begunAt
+}
+
 func (c *callerConn) isUsed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -254,8 +254,8 @@
 
 func (n *gatewayNode) buildServers() {
 	n.conns = newCallerConns(n.idleLimit)
-	n.callers = &http.Server{Handler: &platform.Ingress{Gateway: n.gateway, Clock: n.clock}, ReadHeaderTimeout: headerTimeout,
-		ConnState: n.conns.onStateChange, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
+	n.callers = &http.Server{Handler: &platform.Ingress{Gateway: n.gateway, Clock: n.clock, BegunAt: begunAt}, ReadHeaderTimeout: headerTimeout,
+		ConnState: n.conns.onStateChange, ConnContext: withConn, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
 	n.ready = &http.Server{Handler: platform.ReadyHandler(n.gateway.Ready), ReadHeaderTimeout: headerTimeout}
 	n.metrics = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout}
 }
--- a/cmd/mimosaseam/gatewaystop.go
+++ b/cmd/mimosaseam/gatewaystop.go
@@ -11,8 +11,8 @@
 
 // shutDown first turns unready for the load balancer and announces the stop to peers. Once
 // no new connections are expected, it waits until the open requests have ended, those whose
-// first byte has arrived included. Requests that arrive later are refused: they might not end
-// in time. The ones that remain shortly before the end are answered with what is true of them.
+// first byte has arrived included. Requests that begin to arrive later are refused: they might
+// not end in time. The ones that remain shortly before the end are answered with what is true of them.
 func (n *gatewayNode) shutDown(ctx context.Context, received os.Signal) {
 	end := time.Now().Add(settings.Seconds(n.settings.Bounds.StopS) - exitMargin)
 	n.gateway.BeginDrain()
@@ -25,7 +25,10 @@
 		n.log.Warn("shutdown delay interrupted", "error", err.Error())
 	}
 	n.conns.StopAccepting()
-	n.awaitConnections(ctx, time.Now().Add(newConnTimeout))
+	stopped := time.Now()
+	n.awaitConnections(ctx, stopped.Add(lastRequests))
+	n.gateway.StopAdmittingNew()
+	n.awaitConnections(ctx, stopped.Add(newConnTimeout))
 	n.gateway.StopAdmitting()
 	n.awaitConnections(ctx, end.Add(-finalAnswers))
 	if open := n.gateway.OpenRequests(); open > 0 {
--- a/cmd/mimosaseam/stop_test.go
+++ b/cmd/mimosaseam/stop_test.go
@@ -231,6 +231,13 @@
 	status, _, complete := last.answer()
 	is.Equal(status, http.StatusOK)
 	is.True(complete)
+	// One that arrives then, with a request for which there may be no time.
+	time.Sleep(time.Until(stop.Add(leaveDelay - 100*time.Millisecond)))
+	last = p.dial()
+	time.Sleep(time.Until(stop.Add(late - 100*time.Millisecond)))
+	last.write(requestHead("x", "/book/never", 0))
+	status, _, _ = last.answer()
+	is.Equal(status, http.StatusServiceUnavailable)
 	done.Wait()
 	is.NoErr(p.cmd.Wait()) // exit code 0: nothing failed on the way
 	text, err := os.ReadFile(p.output.Name())
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -90,7 +90,7 @@
 // version of the configuration.
 func (g *Gateway) plan(r *Request, sink Sink) (*exchange, error) {
 	c := g.config.Load()
-	if g.refusing.Load() {
+	if g.refuses(r) {
 		return nil, &Failure{Kind: KindRefused, RetryAfter: jitter(shortRetryAfter), Cause: ErrStopping}
 	}
 	if c == nil {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -70,7 +70,9 @@
 	Prompt          []port.Segment
 	PromptTokens    int
 	MaxOutputTokens int
-	Received        time.Time
+	// Begun is when the first byte of the request arrived, Received when it was complete
+	// but for its body. Begun may be zero.
+	Begun, Received time.Time
 }
 
 // Sink receives the response to one request.
@@ -171,6 +173,8 @@
 	open        atomic.Int64
 	draining    atomic.Bool
 	refusing    atomic.Bool
+	// admitBegunBefore is set by StopAdmittingNew.
+	admitBegunBefore atomic.Pointer[time.Time]
 }
 
 // New returns a gateway without a configuration.
@@ -244,9 +248,21 @@
 // are served.
 func (g *Gateway) BeginDrain() { g.draining.Store(true) }
 
-// StopAdmitting makes the router refuse requests that arrive from now on.
+// StopAdmittingNew makes the router refuse requests that begin to arrive from now on, for
+// which there may be no time. Those that have begun are served.
+func (g *Gateway) StopAdmittingNew() {
+	now := time.Now()
+	g.admitBegunBefore.Store(&now)
+}
+
+// StopAdmitting makes the router refuse all requests that are complete from now on.
 func (g *Gateway) StopAdmitting() { g.refusing.Store(true) }
 
+func (g *Gateway) refuses(r *Request) bool {
+	limit := g.admitBegunBefore.Load()
+	return g.refusing.Load() || limit != nil && r.Begun.After(*limit)
+}
+
 // EndRequests ends the requests in progress and those that still arrive: at the end of a
 // shutdown, an answer that is true serves a client better than a closed connection.
 func (g *Gateway) EndRequests() { g.endRequests(ErrStopping) }
