retry: end the quarantine of a segment when its evidence expires

Requests with a quarantined segment would have been refused for longer than the hour that is promised: the evidence was evaluated only when it changed or a crash settled, so it expired only with the next crash. Found by reading. "expired after the quarantine" in TestSegmentThatCrashesTargetsIsQuarantined failed before.

--- a/internal/core/retry/segments.go
+++ b/internal/core/retry/segments.go
@@ -99,9 +99,10 @@
 	running     map[string]map[string]*segmentAttempt // target -> attempt
 	crashes     []*segmentCrash                       // oldest first
 	quarantined map[SegmentHash]SegmentStats
-	// dirty is set when the evidence has changed. Crashes settle at nextSettle, zero: none.
+	// dirty is set when the evidence has changed. At nextChange, zero: never, a crash settles
+	// or expires.
 	dirty      bool
-	nextSettle time.Time
+	nextChange time.Time
 
 	report         func(value string)
 	onChange       func(SegmentChange)
@@ -186,7 +187,7 @@
 	defer t.notify()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.dirty || !t.nextSettle.IsZero() && !now.Before(t.nextSettle) {
+	if t.dirty || !t.nextChange.IsZero() && !now.Before(t.nextChange) {
 		t.evaluate(now)
 	}
 	if len(t.quarantined) == 0 {
@@ -296,6 +297,16 @@
 	})
 }
 
+// nextChange returns when the crash settles or may expire.
+func (c *segmentCrash) nextChange(now time.Time) time.Time {
+	for _, after := range []time.Duration{settleTime, suspectTTL} {
+		if at := c.at.Add(after); now.Before(at) {
+			return at
+		}
+	}
+	return c.at.Add(quarantineTTL)
+}
+
 // evaluate derives the quarantined segments from the evidence.
 func (t *SegmentTracker) evaluate(now time.Time) {
 	t.expire(now)
@@ -306,13 +317,14 @@
 			}
 		}
 	}
-	t.dirty, t.nextSettle = false, time.Time{}
+	t.dirty, t.nextChange = false, time.Time{}
 	var settled []*segmentCrash
 	for _, c := range t.crashes {
-		if at := c.at.Add(settleTime); !now.Before(at) {
+		if !now.Before(c.at.Add(settleTime)) {
 			settled = append(settled, c)
-		} else if t.nextSettle.IsZero() || at.Before(t.nextSettle) {
-			t.nextSettle = at
+		}
+		if at := c.nextChange(now); t.nextChange.IsZero() || at.Before(t.nextChange) {
+			t.nextChange = at
 		}
 	}
 	t.setQuarantined(newEvidence(settled).quarantine(t.quarantined))
--- a/internal/core/retry/segments_test.go
+++ b/internal/core/retry/segments_test.go
@@ -193,6 +193,13 @@
 			f.evaluate()
 			end(true)
 		}, nil},
+		"expired after the quarantine": {func(f *segmentFleet) {
+			for range 3 {
+				f.crash(0, prompt(1, 2))
+			}
+			f.evaluate()
+			f.now = f.now.Add(quarantineTTL)
+		}, nil},
 		"expired": {func(f *segmentFleet) {
 			for range 3 {
 				f.crash(0, prompt(1, 2))
