limits: let a rate that is not named again end after ten minutes

A router that does not share a target's rate passes the target over until it hears that the rate has ended. Such news can be lost, as messages between routers are dropped under load, and nothing else would have told it. Found by reading. TestRateEndsWithoutNews failed before. No effect in the first ten minutes.

--- a/internal/core/limits/targetrate.go
+++ b/internal/core/limits/targetrate.go
@@ -21,7 +21,8 @@
 	announcedChange = 0.2
 	// maxPeerRate is above the rate of any target.
 	maxPeerRate = 1e9
-	// rateTTL is how long a rate is retained that no router has heard of again.
+	// rateTTL is how long a rate holds that is not named again. A router that does not use
+	// the target may have missed the news of the rate's end.
 	rateTTL = 10 * time.Minute
 )
 
@@ -169,6 +170,15 @@
 	r.refilled = now
 }
 
+// current returns the rate that holds for the target, nil if there is none.
+func (t *TargetRates) current(now time.Time, target string) *targetRate {
+	r := t.rates[target]
+	if r == nil || r.perSecond == 0 || now.Sub(r.observed) >= rateTTL {
+		return nil
+	}
+	return r
+}
+
 // Never is the wait of a router that does not share a target's rate.
 const Never = time.Duration(math.MaxInt64)
 
@@ -177,8 +187,8 @@
 func (t *TargetRates) Wait(now time.Time, target string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.rates[target]
-	if r == nil || r.perSecond == 0 {
+	r := t.current(now, target)
+	if r == nil {
 		return 0
 	}
 	t.refill(now, target, r)
@@ -195,8 +205,8 @@
 func (t *TargetRates) Take(now time.Time, target string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.rates[target]
-	if r == nil || r.perSecond == 0 {
+	r := t.current(now, target)
+	if r == nil {
 		return true
 	}
 	t.refill(now, target, r)
--- a/internal/core/limits/targetrate_test.go
+++ b/internal/core/limits/targetrate_test.go
@@ -114,3 +114,15 @@
 	now = now.Add(2 * time.Second)
 	is.True(r.Take(now, "t"))
 }
+
+// Guards against a target that a router never uses again because the news of its rate's
+// end was lost.
+func TestRateEndsWithoutNews(t *testing.T) {
+	is := is.New(t)
+	r := NewTargetRates(Fleet{Count: func() int { return 295 }, Chosen: func(string, int) bool { return false }})
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	r.Observe(now, now, "t", 5)
+	is.True(!r.Take(now.Add(rateTTL-time.Second), "t"))
+	is.Equal(r.Wait(now.Add(rateTTL), "t"), time.Duration(0))
+	is.True(r.Take(now.Add(rateTTL), "t"))
+}
