gateway: log when the steps of a planned stop ran

The hypotheses on late requests in a stop differ in when the process noticed the signal and when it carried out each step; neither was logged. 'no new connections' and 'requests ended at the shutdown deadline' now carry the time since the signal and the open requests.

--- a/cmd/mimosaseam/gatewaystop.go
+++ b/cmd/mimosaseam/gatewaystop.go
@@ -28,13 +28,14 @@
 	}
 	n.conns.StopAccepting()
 	stopped := time.Now()
+	n.log.Info("no new connections", "since_signal_ms", time.Since(started).Milliseconds(), "open", n.gateway.OpenRequests())
 	n.awaitConnections(ctx, stopped.Add(lastRequests))
 	n.gateway.StopAdmittingNew()
 	n.awaitConnections(ctx, stopped.Add(newConnTimeout))
 	n.gateway.StopAdmitting()
 	n.awaitConnections(ctx, end.Add(-finalAnswers))
 	if open := n.gateway.OpenRequests(); open > 0 {
-		n.log.Warn("requests ended at the shutdown deadline", "open", open)
+		n.log.Warn("requests ended at the shutdown deadline", "since_signal_ms", time.Since(started).Milliseconds(), "open", open)
 	}
 	n.gateway.EndRequests()
 	n.awaitConnections(ctx, end)
