gateway: begin no request that a planned stop would cut

Callers saw: in a planned stop, a stream that the router had taken 2 to 3 s after SIGTERM ended in its middle at 7 s. Most of them would have ended whole on another router.

Cause: the stop looked at when a request arrived, never at how long it would run, and refused requests only once a goroutine had walked through the steps of the stop. Requests that waited in the queue, or whose body came slowly, began at any time until the final answers.

Change: core/shutdown fixes the timetable when the signal is noticed and decides for each request, immediately before its first send: it must end by its deadline, or within the duration that nine of ten latest requests of its route needed, before the final answers; one that arrives after the new connections has only its deadline. The gateway asks it for each first send, so that the steps of the stop need not run on time. Repeats of a request that may have run go on.

--- a/cmd/mimosaseam/stop_test.go
+++ b/cmd/mimosaseam/stop_test.go
@@ -259,3 +259,55 @@
 	is.True(strings.Contains(string(text), `"msg":"stopped"`))
 	is.True(!strings.Contains(string(text), "panic"))
 }
+
+// Guards against a planned stop that begins streams which it then cuts off.
+func TestStopRefusesStreamsThatItWouldCut(t *testing.T) {
+	const (
+		stopS = 5
+		// usual is how long the streams of the route run, samples the number of them that
+		// the router has seen.
+		usualMs, samples = 2000, 24
+		// late leaves less than that until the final answers.
+		late = leaveDelay - 200*time.Millisecond
+	)
+	is := is.New(t)
+	engine := newRawTarget(t, "e9", "m", func(c *platformtest.RawConn, r *http.Request, _ int) bool {
+		c.Send(platformtest.Head(r, "200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked") + "f\r\nid: 1\ndata: x\n\n\r\n")
+		if strings.HasPrefix(r.URL.Path, "/brief/long") {
+			c.WaitClosed()
+			return false
+		}
+		pause(usualMs)
+		return c.Send("0\r\n\r\n")
+	})
+	p := startGatewayProcess(t, stopS, 60_000, nil, []*platformtest.RawTarget{engine})
+	var calls sync.WaitGroup
+	for i := range samples {
+		calls.Go(func() {
+			c := p.dial()
+			c.write(requestHead(fmt.Sprint("u", i), "/brief/", 0))
+			if status, _, complete := c.answer(); status != http.StatusOK || !complete {
+				t.Errorf("before the stop: status %d, complete %v", status, complete)
+			}
+		})
+	}
+	calls.Wait()
+	is.NoErr(p.cmd.Process.Signal(syscall.SIGTERM))
+	stop := time.Now()
+	for name, r := range map[string]struct {
+		at     time.Duration
+		path   string
+		status int
+	}{"enough time": {late / 4, "/brief/", 200}, "too little time": {late, "/brief/long", 503}} {
+		calls.Go(func() {
+			pause(int(time.Until(stop.Add(r.at)).Milliseconds()))
+			c := p.dial()
+			c.write(requestHead(name[:1], r.path, 0))
+			if status, body, complete := c.answer(); status != r.status || !complete {
+				t.Errorf("%s: status %d, complete %v, body %q", name, status, complete, body)
+			}
+		})
+	}
+	calls.Wait()
+	is.NoErr(p.cmd.Wait())
+}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -41,6 +41,9 @@
 	ctx, span := g.Tracer.Start(ctx, "attempt", trace.WithAttributes(
 		attribute.String("target", t.ID), attribute.String("attempt_id", id)))
 	defer span.End()
+	if x.attempts == 0 {
+		x.begunAt = start
+	}
 	x.attempts++
 	x.sentAt, x.currentAttempt, x.answering = start, id, false
 	if x.tried[t.ID] {
@@ -113,6 +116,9 @@
 	if limit := x.g.rates.PerSecond(string(t.Incarnation())); limit > 0 {
 		attrs = append(attrs, slog.Float64("limit_per_s", limit))
 	}
+	if s := x.g.stop.Load(); s != nil {
+		attrs = append(attrs, slog.Float64("stop_left_ms", ms(s.FinalAnswers.Sub(x.g.Clock.Now()))))
+	}
 	if x.engine != nil {
 		attrs = append(attrs, slog.String("session", x.session()), slog.String("shared", x.sharedParts()), slog.Int("prompt_tokens", x.r.PromptTokens),
 			slog.Int("cached_tokens", x.score.CachedTokens), slog.Int("elsewhere_tokens", x.cachedElsewhere),
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/core/retrypolicy"
+	"mimosaseam.example/mimosaseam/internal/core/shutdown"
 	"mimosaseam.example/mimosaseam/internal/core/stream"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
@@ -44,6 +45,8 @@
 	relaying  atomic.Bool
 	tried     map[string]bool
 	attempts  int
+	// begunAt is the start of the first attempt.
+	begunAt time.Time
 	// sentAt is the start of the last attempt, zero once its first event arrived.
 	sentAt time.Time
 	// currentAttempt is the id of the last attempt. answering is set once its first event
@@ -90,9 +93,6 @@
 // version of the configuration.
 func (g *Gateway) plan(r *Request, sink Sink) (*exchange, error) {
 	c := g.config.Load()
-	if g.refuses(r) {
-		return nil, &Failure{Kind: KindRefused, RetryAfter: jitter(shortRetryAfter), Cause: ErrStopping}
-	}
 	if c == nil {
 		return nil, &Failure{Kind: KindRefused, RetryAfter: jitter(shortRetryAfter), Cause: ErrNoConfiguration}
 	}
@@ -199,6 +199,9 @@
 		defer permit.Release()
 	}
 	for {
+		if !x.fitsStop() {
+			return x.giveUp(ctx, retrypolicy.NotRun, ErrStopping)
+		}
 		t, err := x.choose(ctx, started)
 		if err != nil {
 			return x.giveUp(ctx, retrypolicy.NotRun, err)
@@ -222,6 +225,16 @@
 	}
 }
 
+// fitsStop reports whether the request may begin to run before a planned stop. One that
+// may have begun is not refused any more.
+func (x *exchange) fitsStop() bool {
+	s := x.g.stop.Load()
+	if s == nil || x.history.PossibleRuns > 0 {
+		return true
+	}
+	return s.Admits(x.g.Clock.Now(), shutdown.Request{Arrived: x.r.Begun, Deadline: x.deadline, Duration: x.g.durations.Expected(x.route.Name)})
+}
+
 // notAdmitted refuses a request that cannot be served in time, with the time until the
 // queue has drained as retry time.
 func (x *exchange) notAdmitted(ctx context.Context, err error) error {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
+	"mimosaseam.example/mimosaseam/internal/core/shutdown"
 	"mimosaseam.example/mimosaseam/internal/panics"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
@@ -171,10 +172,9 @@
 	running     context.Context
 	endRequests context.CancelCauseFunc
 	open        atomic.Int64
-	draining    atomic.Bool
-	refusing    atomic.Bool
-	// admitBegunBefore is set by StopAdmittingNew.
-	admitBegunBefore atomic.Pointer[time.Time]
+	// stop is the schedule of the planned stop, nil before it.
+	stop      atomic.Pointer[shutdown.Schedule]
+	durations *shutdown.Durations
 }
 
 // New returns a gateway without a configuration.
@@ -186,7 +186,7 @@
 		d.IsChosen = func(string, int) bool { return true }
 	}
 	g := &Gateway{Deps: d, rates: limits.NewTargetRates(limits.Fleet{Count: d.Routers, Chosen: d.IsChosen}), circuits: retry.NewCircuits(), limits: limits.NewController(d.Clock, routerCount{d.Routers}), retryLimiters: map[string]*retry.RetryLimiter{}, meanOccupancyMs: map[string]float64{},
-		prefillRates: map[string]placement.PrefillRate{}}
+		prefillRates: map[string]placement.PrefillRate{}, durations: shutdown.NewDurations()}
 	g.running, g.endRequests = context.WithCancelCause(context.Background())
 	g.SetSettings(d.Settings)
 	return g
@@ -232,7 +232,7 @@
 func (g *Gateway) Ready() (bool, string) {
 	c := g.config.Load()
 	switch {
-	case g.draining.Load():
+	case g.Draining():
 		return false, "stopping"
 	case c == nil:
 		return false, "no configuration"
@@ -244,31 +244,16 @@
 	return true, ""
 }
 
-// BeginDrain makes the router report that it is not ready. Requests that still arrive
-// are served.
-func (g *Gateway) BeginDrain() { g.draining.Store(true) }
-
-// StopAdmittingNew makes the router refuse requests that begin to arrive from now on, for
-// which there may be no time. Those that have begun are served.
-func (g *Gateway) StopAdmittingNew() {
-	now := time.Now()
-	g.admitBegunBefore.Store(&now)
-}
-
-// StopAdmitting makes the router refuse all requests that are complete from now on.
-func (g *Gateway) StopAdmitting() { g.refusing.Store(true) }
-
-func (g *Gateway) refuses(r *Request) bool {
-	limit := g.admitBegunBefore.Load()
-	return g.refusing.Load() || limit != nil && r.Begun.After(*limit)
-}
+// BeginStop begins a planned stop: the router reports that it is not ready. Requests that
+// still arrive are served unless the schedule leaves too little time.
+func (g *Gateway) BeginStop(s shutdown.Schedule) { g.stop.Store(&s) }
 
 // EndRequests ends the requests in progress and those that still arrive: at the end of a
 // shutdown, an answer that is true serves a client better than a closed connection.
 func (g *Gateway) EndRequests() { g.endRequests(ErrStopping) }
 
 // Draining reports whether a shutdown has begun.
-func (g *Gateway) Draining() bool { return g.draining.Load() }
+func (g *Gateway) Draining() bool { return g.stop.Load() != nil }
 
 // OpenRequests returns the number of requests in progress.
 func (g *Gateway) OpenRequests() int { return int(g.open.Load()) }
@@ -383,6 +368,7 @@
 	}
 	switch {
 	case err == nil:
+		g.durations.Observe(x.route.Name, g.Clock.Now().Sub(x.begunAt))
 		g.Metrics.Add(MetricAnswered, 1)
 		g.Metrics.Observe(MetricAnswer, took)
 		g.Log.LogAttrs(ctx, slog.LevelInfo, "answered", attrs...)
--- /dev/null
+++ b/internal/core/shutdown/shutdown_test.go
@@ -0,0 +1,101 @@
+package shutdown
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the property tests unless a flag sets another one.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+const second = time.Second
+
+var timing = Timing{Connections: 2500 * time.Millisecond, Arrivals: 2800 * time.Millisecond, FinalAnswers: 7 * second, End: 7300 * time.Millisecond}
+
+// Guards against a stop that begins requests which it then cuts off.
+func TestAdmits(t *testing.T) {
+	signal := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return signal.Add(time.Duration(s * float64(second))) }
+	cases := map[string]struct {
+		now, arrived, deadline float64
+		expected               time.Duration
+		want                   bool
+	}{
+		"arrived before the stop":                      {0.1, -5, 60, 4 * second, true},
+		"arrived before the stop, queued too long":     {3.5, -1, 60, 4 * second, false},
+		"body complete late, short":                    {6, 1, 60, second / 2, true},
+		"body complete late, unknown duration":         {4.5, 1, 60, 0, false},
+		"unknown duration, early":                      {1, 1, 60, 0, true},
+		"long stream, early":                           {1, 1, 60, 5 * second, true},
+		"long stream, late":                            {2.2, 2.2, 60, 5 * second, false},
+		"long route, deadline within the stop":         {2.2, 2.2, 6.9, 9 * second, true},
+		"last arrival, deadline within the stop":       {2.7, 2.7, 3.7, second / 10, true},
+		"last arrival, deadline after the stop":        {2.7, 2.7, 17, second / 10, false},
+		"arrived too late, deadline within the stop":   {2.9, 2.9, 3.1, second / 10, false},
+		"after the final answers":                      {7, 1, 7, second / 10, false},
+		"read late by a starved process":               {3.4, 3.4, 18, 2 * second, false},
+		"arrived in time, begun late, deadline within": {6.5, 2.4, 6.9, 9 * second, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := NewSchedule(signal, timing)
+			is.New(t).Equal(s.Admits(at(c.now), Request{Arrived: at(c.arrived), Deadline: at(c.deadline), Duration: c.expected}), c.want)
+		})
+	}
+}
+
+// Guards against steps out of order when the stop may take less time than they do, and
+// against a request that may run beyond the final answers.
+func TestScheduleOfAnyLength(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := func(name string) time.Duration {
+			return time.Duration(rapid.IntRange(0, 10_000).Draw(rt, name)) * time.Millisecond
+		}
+		signal := time.Unix(1000, 0)
+		s := NewSchedule(signal, Timing{Connections: d("connections"), Arrivals: d("arrivals"), FinalAnswers: d("final"), End: d("end")})
+		steps := []time.Time{signal, s.ConnectionsUntil, s.ArrivalsUntil, s.FinalAnswers, s.End}
+		for i := range steps[1:] {
+			if steps[i+1].Before(steps[i]) {
+				rt.Fatalf("step %d at %v, the one before at %v", i+1, steps[i+1], steps[i])
+			}
+		}
+		now := signal.Add(d("now"))
+		r := Request{Arrived: signal.Add(d("arrived") - second), Deadline: now.Add(d("deadline")), Duration: d("duration")}
+		end := r.Deadline
+		if r.Duration > 0 && now.Add(r.Duration).Before(end) {
+			end = now.Add(r.Duration)
+		}
+		if s.Admits(now, r) && (r.Arrived.After(s.ArrivalsUntil) || r.Duration > 0 && end.After(s.FinalAnswers)) {
+			rt.Fatalf("admitted at %v until %v, final answers at %v", now, end, s.FinalAnswers)
+		}
+	})
+}
+
+// Guards against a prediction from too few, old or unusual requests.
+func TestExpectedDurations(t *testing.T) {
+	is := is.New(t)
+	d := NewDurations()
+	is.Equal(d.Expected("r"), time.Duration(0))
+	for i := range minDurationSamples {
+		is.Equal(d.Expected("r"), time.Duration(0))
+		d.Observe("r", time.Duration(i+1)*second)
+	}
+	is.Equal(d.Expected("r"), 18*second) // 9 of 10 took no longer
+	is.Equal(d.Expected("other"), time.Duration(0))
+	for range durationSamples {
+		d.Observe("r", second)
+	}
+	is.Equal(d.Expected("r"), second)
+	for i := range 2 * maxRoutes {
+		d.Observe(string(rune(i)), second)
+	}
+	is.True(len(d.routes) <= maxRoutes)
+}
