gateway: let callers of a stopping router come back at once

Requests refused by a stopping router got a Retry-After of 0.15 to 0.45 s, which is meant for a router that starts or a full target. Another router takes the request at once, and now more of them are refused in a stop: the wait is 25 to 75 ms.

--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -200,7 +200,7 @@
 	}
 	for {
 		if !x.fitsStop() {
-			return x.giveUp(ctx, retrypolicy.NotRun, ErrStopping)
+			return &Failure{Kind: KindRefused, RetryAfter: jitter(stoppingRetryAfter), Cause: ErrStopping}
 		}
 		t, err := x.choose(ctx, started)
 		if err != nil {
@@ -250,6 +250,8 @@
 const (
 	// shortRetryAfter covers the start of a router or the busy backoff of a target.
 	shortRetryAfter = 300 * time.Millisecond
+	// stoppingRetryAfter is short: another router takes the request at once.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// longRetryAfter covers the failed readiness checks after which the load balancer
 	// sends clients to routers that can reach the log.
 	longRetryAfter = 2 * time.Second
