serve: answer requests that a planned stop ends, begin none that it would cut

Change: the stop follows the same schedule (core/shutdown), counted from the signal. Before a first attempt it is asked whether the request can end in time. At the final answers, open requests end with what is true of them: not run, or may have run; a stream with its error event.

--- a/cmd/mimosaseam/serve.go
+++ b/cmd/mimosaseam/serve.go
@@ -19,6 +19,7 @@
 	"mimosaseam.example/mimosaseam/internal/adapter/adminhttp"
 	"mimosaseam.example/mimosaseam/internal/adapter/peergrpc"
 	"mimosaseam.example/mimosaseam/internal/adapter/telemetry"
+	"mimosaseam.example/mimosaseam/internal/core/shutdown"
 	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/panics"
 	"mimosaseam.example/mimosaseam/internal/settings"
@@ -182,12 +183,17 @@
 
 // shutDown makes the router unready immediately, announces the stop to its peers,
 // drains open requests, flushes outcomes to the log, and hands over the hot-prefix
-// summary.
+// summary. Requests that are open after the drain timeout are answered with what is true
+// of them.
 func (n *serveNode) shutDown(ctx context.Context, received os.Signal) {
+	unready := time.Duration(n.settings.Shutdown.UnreadyMs) * time.Millisecond
+	final := unready + time.Duration(n.settings.Shutdown.DrainTimeoutS)*time.Second
+	schedule := shutdown.NewSchedule(time.Now(), shutdown.Timing{Connections: unready, Arrivals: unready, FinalAnswers: final, End: final + finalAnswers})
 	n.log.Info("stopping", "signal", received.String())
 	n.mu.Lock()
 	n.draining = true
 	n.mu.Unlock()
+	n.router.BeginStop(schedule)
 	step := func(name string, timeout time.Duration, do func(context.Context) error) {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
@@ -196,9 +202,12 @@
 		}
 	}
 	step("leave", leaveTimeout, n.fleet.Leave)
-	_ = ctxtime.Sleep(ctx, time.Duration(n.settings.Shutdown.UnreadyMs)*time.Millisecond)
+	// The load balancer knows from the beginning on, however long the announcement takes.
+	_ = ctxtime.Sleep(ctx, time.Until(schedule.ConnectionsUntil))
 	n.router.BeginDrain()
-	step("drain", time.Duration(n.settings.Shutdown.DrainTimeoutS)*time.Second, n.router.WaitDrained)
+	step("drain", time.Until(schedule.FinalAnswers), n.router.WaitDrained)
+	n.router.EndRequests()
+	step("final answers", time.Until(schedule.End), n.router.WaitDrained)
 	step("flush", flushTimeout, n.ledger.Flush)
 	step("handoff", leaveTimeout, n.fleet.Handoff)
 }
--- a/internal/app/completions/completion.go
+++ b/internal/app/completions/completion.go
@@ -113,8 +113,13 @@
 		return c.toFailure(ctx, err)
 	}
 	defer c.release()
+	if !c.r.fitsStop(c.plan) {
+		return drainingFailure()
+	}
+	started := c.r.Clock.Now()
 	err := c.run(ctx)
 	if err == nil {
+		c.r.durations.Observe(c.plan.routeRef.String(), c.r.Clock.Now().Sub(started))
 		return nil
 	}
 	c.r.CrashTracker.Publish(c.r.Clock.Now(), c.fingerprint)
@@ -126,7 +131,12 @@
 //
 //go:noinline
 func (c *completion) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, c.plan.deadline.Sub(c.r.Clock.Now()))
+	ctx, cancel := context.WithTimeout(ctx, c.plan.deadline.Sub(c.r.Clock.Now()))
+	ctx, release := c.r.untilStopped(ctx)
+	return ctx, func() {
+		release()
+		cancel()
+	}
 }
 
 // acquire waits for a permit to run. After a success, release must be called.
--- a/internal/app/completions/failure.go
+++ b/internal/app/completions/failure.go
@@ -66,6 +66,9 @@
 // ErrNotDraining means that WaitDrained was called before BeginDrain.
 var ErrNotDraining = eris.New("the router is not draining")
 
+// ErrStopping ends requests for which a planned stop leaves no time.
+var ErrStopping = eris.New("the router is stopping")
+
 // ErrQuarantined means that the request is rejected because it crashed targets.
 var ErrQuarantined = eris.New("requests like this one crashed the targets that ran them")
 
@@ -173,6 +176,10 @@
 		f.Kind, f.Message = KindCrashSuspect, ErrQuarantined.Error()
 	case errors.As(err, &disconnected):
 		f.Kind, f.Message = KindCanceled, "the caller left"
+	case errors.Is(context.Cause(ctx), ErrStopping) && mayHaveRun:
+		f.Kind, f.Message = KindUnavailable, "this router has stopped, the request may have run"
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		return drainingFailure()
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, context.DeadlineExceeded):
 		f.Kind, f.Message = KindDeadline, "the deadline passed"
 	case errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, context.Canceled):
--- a/internal/app/completions/router.go
+++ b/internal/app/completions/router.go
@@ -13,6 +13,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -23,6 +24,7 @@
 	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
+	"mimosaseam.example/mimosaseam/internal/core/shutdown"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -89,6 +91,12 @@
 	freshConns freshConns
 	views      viewCache
 	requests   requestTracker
+	// running ends with EndRequests.
+	running     context.Context
+	endRequests context.CancelCauseFunc
+	// stop is the schedule of the planned stop, nil before it.
+	stop      atomic.Pointer[shutdown.Schedule]
+	durations *shutdown.Durations
 
 	budgetsMu sync.Mutex
 	budgets   map[config.Ref]*retry.Budget
@@ -123,8 +131,10 @@
 	if d.SegmentTracker == nil {
 		d.SegmentTracker = retry.NewSegmentTracker()
 	}
-	return &Router{Deps: d, limits: limits.NewController(d.Clock, d.Shares),
-		circuits: retry.NewCircuits(), budgets: map[config.Ref]*retry.Budget{}}
+	r := &Router{Deps: d, limits: limits.NewController(d.Clock, d.Shares),
+		circuits: retry.NewCircuits(), budgets: map[config.Ref]*retry.Budget{}, durations: shutdown.NewDurations()}
+	r.running, r.endRequests = context.WithCancelCause(context.Background())
+	return r
 }
 
 // budget returns the retry budget shared by all extra attempts of the route.
@@ -207,6 +217,29 @@
 	}
 }
 
+// BeginStop begins a planned stop. Requests that still arrive are served unless the
+// schedule leaves too little time.
+func (r *Router) BeginStop(s shutdown.Schedule) { r.stop.Store(&s) }
+
+// EndRequests ends the open requests and those that still arrive with what is true of them.
+func (r *Router) EndRequests() { r.endRequests(ErrStopping) }
+
+// untilStopped returns a context that also ends with EndRequests.
+func (r *Router) untilStopped(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, end := context.WithCancelCause(ctx)
+	release := context.AfterFunc(r.running, func() { end(ErrStopping) })
+	return ctx, func() {
+		release()
+		end(nil)
+	}
+}
+
+// fitsStop reports whether a request of the plan may begin to run before a planned stop.
+func (r *Router) fitsStop(p *plan) bool {
+	s := r.stop.Load()
+	return s == nil || s.Admits(r.Clock.Now(), shutdown.Request{Deadline: p.deadline, Duration: r.durations.Expected(p.routeRef.String())})
+}
+
 // budgetReserve is the retry budget that a route has regardless of its traffic, in
 // attempts: enough to retry all requests of one crashed target that runs more
 // requests than it has slots.
--- a/internal/app/completions/service.go
+++ b/internal/app/completions/service.go
@@ -66,6 +66,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.deadline.Sub(r.Clock.Now()))
 	defer cancel()
+	ctx, release := r.untilStopped(ctx)
+	defer release()
 	c := &call{r: r, plan: p, req: req, tried: map[string]bool{},
 		fingerprint: retry.FingerprintOf(req.Account.String(), "service", req.Route, req.Method, req.Path, string(req.Body))}
 	permit, err := r.admit(ctx, p, 0, 0)
@@ -73,7 +75,13 @@
 		return ServiceReply{}, c.toFailure(ctx, err)
 	}
 	defer permit.Release()
+	if !r.fitsStop(p) {
+		f := drainingFailure()
+		f.Outcome = req.outcomeBeforeLedger()
+		return ServiceReply{}, f
+	}
 	r.budget(p.routeRef).Earn(r.Clock.Now(), p.route.RetryBudgetPercent, budgetReserve(p.pool))
+	started := r.Clock.Now()
 	var reply ServiceReply
 	if p.route.Repeat == config.RepeatNever {
 		reply, err = c.runOnce(ctx)
@@ -84,6 +92,7 @@
 		r.CrashTracker.Publish(r.Clock.Now(), c.fingerprint)
 		return ServiceReply{}, c.toFailure(ctx, err)
 	}
+	r.durations.Observe(p.routeRef.String(), r.Clock.Now().Sub(started))
 	return reply, nil
 }
 
@@ -113,6 +122,8 @@
 func (c *call) runOnce(ctx context.Context) (ServiceReply, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.plan.deadline.Sub(c.r.Clock.Now()))
 	defer cancel()
+	ctx, release := c.r.untilStopped(ctx)
+	defer release()
 	out, err := c.r.Runner.Run(ctx, atmostonce.Request{
 		Key: atmostonce.Key{ClientAccount: c.req.Account.String(), Value: c.req.IdempotencyKey,
 			CreatedAt: c.req.KeyCreated},
