callerhttp: refuse keys with 503 while no client account is known

Seen once: TestMatrix "configuration, before it is applied/freeze and resume" beside other test runs (load average 30 to 70) ended with idempotent work is not lost: request-1: lost: status 401 The request went to a router without fault. It was not seen in four runs of the cell alone. By reading: a router that has read the end of an empty log is ready and turns each key away with 401, for good, while another router has the accounts already; the gateway's door refuses with 503 then.

Change: a router without any client account refuses with 503, not run, and Retry-After. The harness waits until each router has applied the configuration. No check changes.

TestKeysBeforeTheConfiguration on the code before: 401 != 503.

--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -153,7 +153,8 @@
 // read small, because every open stream holds them.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) (x *exchange, ok bool) {
 	x = &exchange{s: s, w: w, r: r, rc: http.NewResponseController(w), id: requestID(r), started: s.Clock.Now()}
-	account, ok := s.keys.account(s.Source.Current(), r.Header.Get("Authorization"))
+	snapshot := s.Source.Current()
+	account, ok := s.keys.account(snapshot, r.Header.Get("Authorization"))
 	ctx := r.Context()
 	if ok {
 		// Traces of unauthenticated callers are not continued, because their
@@ -163,6 +164,11 @@
 	ctx, x.span = s.Tracer.Start(ctx, "accept", trace.WithAttributes(attribute.String("request_id", x.id)))
 	x.r = r.WithContext(ctx)
 	w.Header().Set("X-Request-Id", x.id)
+	if !ok && (snapshot == nil || len(snapshot.Accounts) == 0) {
+		// The key may be valid: this router knows none yet.
+		x.refuse(http.StatusServiceUnavailable, string(completions.KindUnavailable), "no client account is configured on this router yet", time.Second)
+		return x, false
+	}
 	if !ok {
 		x.refuse(http.StatusUnauthorized, "unauthorized", "the API key is missing or unknown", 0)
 		return x, false
--- a/internal/adapter/callerhttp/server_test.go
+++ b/internal/adapter/callerhttp/server_test.go
@@ -167,6 +167,22 @@
 	is.True(!strings.Contains(body, "one"))
 }
 
+// Guards against a router that rejects valid keys for good before it knows the configuration.
+func TestKeysBeforeTheConfiguration(t *testing.T) {
+	for name, snapshot := range map[string]*config.Snapshot{"none": nil, "without accounts": {Applied: 1}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			srv := httptest.NewServer(New(Deps{Router: &fakeRouter{}, Source: fixedSource{snapshot}}))
+			defer srv.Close()
+			res, body, err := fetch(t, request(t, http.MethodPost, srv.URL+"/v1/completions", `{}`))
+			is.NoErr(err)
+			is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+			is.Equal(res.Header.Get("Retry-After"), "1")
+			is.True(strings.Contains(body, `"outcome":"not_run"`))
+		})
+	}
+}
+
 // Guards against refusals without a type, a correct outcome or Retry-After, and
 // against API keys and prompts in the log.
 func TestRefusals(t *testing.T) {
--- a/internal/harness/system.go
+++ b/internal/harness/system.go
@@ -256,8 +256,29 @@
 	if _, err := s.put(ctx, "system", s.systemKey, team); err != nil {
 		return err
 	}
-	_, err = s.PutConfig(ctx, s.bundle(), "--wait", "--router", s.Routers[0].AdminURL)
-	return err
+	if _, err = s.PutConfig(ctx, s.bundle(), "--wait", "--router", s.Routers[0].AdminURL); err != nil {
+		return err
+	}
+	return s.awaitConfig(ctx)
+}
+
+// awaitConfig waits until all routers have applied what the first one has: routers that it
+// has not discovered yet are not part of its answer to --wait.
+func (s *System) awaitConfig(ctx context.Context) error {
+	first, err := s.Routers[0].Status(ctx)
+	if err != nil {
+		return err
+	}
+	for _, r := range s.Routers[1:] {
+		err := Poll(ctx, ReadyTimeout, func() bool {
+			status, err := r.Status(ctx)
+			return err == nil && status.ConfigOffset >= first.ConfigOffset
+		})
+		if err != nil {
+			return &StartError{Component: r.Name, Cause: err, Log: r.Tail()}
+		}
+	}
+	return nil
 }
 
 // PutConfig publishes configuration values of the team by path and returns the output
