shutdown: predict durations from successful and open requests

In a stop of 3 s or less, a route without samples was refused from the signal on.

Change: only attempts that ended with success count; open requests count as long as they have run; the duration of an unknown route is at most half of the time until the final answers.

--- a/internal/app/completions/completion.go
+++ b/internal/app/completions/completion.go
@@ -113,13 +113,13 @@
 		return c.toFailure(ctx, err)
 	}
 	defer c.release()
-	if !c.r.fitsStop(c.plan) {
-		return drainingFailure()
+	if err := c.r.checkStop(c.plan); err != nil {
+		return c.toFailure(ctx, err)
 	}
-	started := c.r.Clock.Now()
+	running := c.r.durations.Start(c.plan.routeRef.String(), c.r.Clock.Now())
 	err := c.run(ctx)
+	c.r.durations.End(running, c.r.Clock.Now(), err == nil)
 	if err == nil {
-		c.r.durations.Observe(c.plan.routeRef.String(), c.r.Clock.Now().Sub(started))
 		return nil
 	}
 	c.r.CrashTracker.Publish(c.r.Clock.Now(), c.fingerprint)
--- a/internal/app/completions/failure.go
+++ b/internal/app/completions/failure.go
@@ -176,9 +176,9 @@
 		f.Kind, f.Message = KindCrashSuspect, ErrQuarantined.Error()
 	case errors.As(err, &disconnected):
 		f.Kind, f.Message = KindCanceled, "the caller left"
-	case errors.Is(context.Cause(ctx), ErrStopping) && mayHaveRun:
+	case stopped(ctx, err) && mayHaveRun:
 		f.Kind, f.Message = KindUnavailable, "this router has stopped, the request may have run"
-	case errors.Is(context.Cause(ctx), ErrStopping):
+	case stopped(ctx, err):
 		return drainingFailure()
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, context.DeadlineExceeded):
 		f.Kind, f.Message = KindDeadline, "the deadline passed"
@@ -191,6 +191,11 @@
 	return f
 }
 
+// stopped reports whether a planned stop ended the request.
+func stopped(ctx context.Context, err error) bool {
+	return errors.Is(err, ErrStopping) || errors.Is(context.Cause(ctx), ErrStopping)
+}
+
 func refusalKind(reason limits.Reason) (Kind, string) {
 	switch reason {
 	case limits.ReasonRequestRate, limits.ReasonPromptRate, limits.ReasonOutputRate, limits.ReasonConcurrency:
--- a/internal/app/completions/plan.go
+++ b/internal/app/completions/plan.go
@@ -19,8 +19,10 @@
 	route      config.Route
 	poolRef    config.Ref
 	pool       config.Pool
-	deadline   time.Time
-	placement  placement.Request
+	// arrived is when the request was read.
+	arrived   time.Time
+	deadline  time.Time
+	placement placement.Request
 }
 
 // planRoute returns a plan for the first route of the account that match accepts.
@@ -49,6 +51,7 @@
 // setDeadline sets the earlier of the route's timeout and the deadline requested by
 // the caller.
 func (p *plan) setDeadline(now, requested time.Time) {
+	p.arrived = now
 	p.deadline = now.Add(time.Duration(p.route.TimeoutMs) * time.Millisecond)
 	if !requested.IsZero() && requested.Before(p.deadline) {
 		p.deadline = requested
--- a/internal/app/completions/router.go
+++ b/internal/app/completions/router.go
@@ -234,10 +234,14 @@
 	}
 }
 
-// fitsStop reports whether a request of the plan may begin to run before a planned stop.
-func (r *Router) fitsStop(p *plan) bool {
-	s := r.stop.Load()
-	return s == nil || s.Admits(r.Clock.Now(), shutdown.Request{Deadline: p.deadline, Duration: r.durations.Expected(p.routeRef.String())})
+// checkStop fails with ErrStopping if a planned stop leaves too little time for a request
+// that has not begun to run.
+func (r *Router) checkStop(p *plan) error {
+	s, now := r.stop.Load(), r.Clock.Now()
+	if s == nil || s.Admits(now, shutdown.Request{Arrived: p.arrived, Deadline: p.deadline, Duration: r.durations.Expected(p.routeRef.String(), now)}) {
+		return nil
+	}
+	return ErrStopping
 }
 
 // budgetReserve is the retry budget that a route has regardless of its traffic, in
--- a/internal/app/completions/service.go
+++ b/internal/app/completions/service.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net/http"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -75,13 +76,10 @@
 		return ServiceReply{}, c.toFailure(ctx, err)
 	}
 	defer permit.Release()
-	if !r.fitsStop(p) {
-		f := drainingFailure()
-		f.Outcome = req.outcomeBeforeLedger()
-		return ServiceReply{}, f
+	if err := r.checkStop(p); err != nil {
+		return ServiceReply{}, c.toFailure(ctx, err)
 	}
 	r.budget(p.routeRef).Earn(r.Clock.Now(), p.route.RetryBudgetPercent, budgetReserve(p.pool))
-	started := r.Clock.Now()
 	var reply ServiceReply
 	if p.route.Repeat == config.RepeatNever {
 		reply, err = c.runOnce(ctx)
@@ -92,7 +90,6 @@
 		r.CrashTracker.Publish(r.Clock.Now(), c.fingerprint)
 		return ServiceReply{}, c.toFailure(ctx, err)
 	}
-	r.durations.Observe(p.routeRef.String(), r.Clock.Now().Sub(started))
 	return reply, nil
 }
 
@@ -216,7 +213,9 @@
 	r.Placer.Started(now, c.plan.placement, t.Address)
 	r.Metrics.Add(MetricAttempts, 1)
 	defer func() { r.Placer.Finished(r.Clock.Now(), c.plan.placement, t.Address, t.Incarnation, -1) }()
+	running := r.durations.Start(c.plan.routeRef.String(), now)
 	reply, err := c.sendWithTimeout(ctx, t, id)
+	r.durations.End(running, r.Clock.Now(), err == nil && reply.Status < http.StatusMultipleChoices)
 	var stalled *StalledError
 	switch {
 	case errors.As(err, &stalled):
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -41,9 +41,6 @@
 	ctx, span := g.Tracer.Start(ctx, "attempt", trace.WithAttributes(
 		attribute.String("target", t.ID), attribute.String("attempt_id", id)))
 	defer span.End()
-	if x.attempts == 0 {
-		x.begunAt = start
-	}
 	x.attempts++
 	x.sentAt, x.currentAttempt, x.answering = start, id, false
 	if x.tried[t.ID] {
@@ -70,6 +67,7 @@
 	status := 0
 	defer func() {
 		stop()
+		x.succeeded = err == nil && status < http.StatusMultipleChoices
 		x.finishAttempt(ctx, t, id, start, outcome, err, x.rateTarget(ctx, start, status, outcome, err))
 	}()
 	response, err := g.Forwarder.Forward(ctx, t.Address, x.forward(t))
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -45,8 +45,10 @@
 	relaying  atomic.Bool
 	tried     map[string]bool
 	attempts  int
-	// begunAt is the start of the first attempt.
-	begunAt time.Time
+	// running is set from the first attempt on. succeeded is set once a target has
+	// answered with success.
+	running   *shutdown.Running
+	succeeded bool
 	// sentAt is the start of the last attempt, zero once its first event arrived.
 	sentAt time.Time
 	// currentAttempt is the id of the last attempt. answering is set once its first event
@@ -200,12 +202,16 @@
 	}
 	for {
 		if !x.fitsStop() {
-			return &Failure{Kind: KindRefused, RetryAfter: jitter(stoppingRetryAfter), Cause: ErrStopping}
+			return x.refuseStopping()
 		}
 		t, err := x.choose(ctx, started)
 		if err != nil {
 			return x.giveUp(ctx, retrypolicy.NotRun, err)
 		}
+		if x.running == nil {
+			x.running = x.g.durations.Start(x.route.Name, x.g.Clock.Now())
+			defer func() { x.g.durations.End(x.running, x.g.Clock.Now(), x.succeeded) }()
+		}
 		outcome, err := x.attempt(ctx, t, started)
 		if err == nil {
 			return nil
@@ -232,7 +238,11 @@
 	if s == nil || x.history.PossibleRuns > 0 {
 		return true
 	}
-	return s.Admits(x.g.Clock.Now(), shutdown.Request{Arrived: x.r.Begun, Deadline: x.deadline, Duration: x.g.durations.Expected(x.route.Name)})
+	return s.Admits(x.g.Clock.Now(), shutdown.Request{Arrived: x.r.Begun, Deadline: x.deadline, Duration: x.g.durations.Expected(x.route.Name, x.g.Clock.Now())})
+}
+
+func (x *exchange) refuseStopping() error {
+	return &Failure{Kind: KindRefused, RetryAfter: jitter(stoppingRetryAfter), Cause: ErrStopping}
 }
 
 // notAdmitted refuses a request that cannot be served in time, with the time until the
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -368,7 +368,6 @@
 	}
 	switch {
 	case err == nil:
-		g.durations.Observe(x.route.Name, g.Clock.Now().Sub(x.begunAt))
 		g.Metrics.Add(MetricAnswered, 1)
 		g.Metrics.Observe(MetricAnswer, took)
 		g.Log.LogAttrs(ctx, slog.LevelInfo, "answered", attrs...)
--- a/internal/core/shutdown/durations.go
+++ b/internal/core/shutdown/durations.go
@@ -24,17 +24,24 @@
 	routes map[string]*samples
 }
 
-// samples is a ring of the latest durations.
+// samples holds the latest durations of a route, as a ring, and its open requests.
 type samples struct {
 	latest []time.Duration
 	next   int
+	open   map[*Running]struct{}
+}
+
+// Running is one request that runs.
+type Running struct {
+	route   *samples
+	started time.Time
 }
 
 // NewDurations returns predictions without samples.
 func NewDurations() *Durations { return &Durations{routes: map[string]*samples{}} }
 
-// Observe records that a request of the route ran for a time and ended well.
-func (d *Durations) Observe(route string, took time.Duration) {
+// Start records that a request of the route begins to run. End must be called.
+func (d *Durations) Start(route string, now time.Time) *Running {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.routes[route]
@@ -42,9 +49,24 @@
 		if len(d.routes) >= maxRoutes {
 			clear(d.routes) // configurations have replaced most of them
 		}
-		s = &samples{}
+		s = &samples{open: map[*Running]struct{}{}}
 		d.routes[route] = s
 	}
+	r := &Running{route: s, started: now}
+	s.open[r] = struct{}{}
+	return r
+}
+
+// End records that the request has ended. Only the durations of successful ones count.
+func (d *Durations) End(r *Running, now time.Time, success bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := r.route
+	delete(s.open, r)
+	if !success {
+		return
+	}
+	took := now.Sub(r.started)
 	if len(s.latest) < durationSamples {
 		s.latest = append(s.latest, took)
 		return
@@ -53,8 +75,10 @@
 	s.next = (s.next + 1) % durationSamples
 }
 
-// Expected returns how long a request of the route is expected to run; 0: unknown.
-func (d *Durations) Expected(route string) time.Duration {
+// Expected returns how long a request of the route is expected to run; 0: unknown. Open
+// requests count as long as they have run: those of a young router that have ended are the
+// short ones.
+func (d *Durations) Expected(route string, now time.Time) time.Duration {
 	d.mu.Lock()
 	s := d.routes[route]
 	if s == nil || len(s.latest) < minDurationSamples {
@@ -62,6 +86,9 @@
 		return 0
 	}
 	sorted := slices.Clone(s.latest)
+	for r := range s.open {
+		sorted = append(sorted, now.Sub(r.started))
+	}
 	d.mu.Unlock()
 	slices.Sort(sorted)
 	return max(1, sorted[int(predictedShare*float64(len(sorted)-1))])
--- a/internal/core/shutdown/shutdown.go
+++ b/internal/core/shutdown/shutdown.go
@@ -6,6 +6,8 @@
 // Schedule is the timetable of a planned stop. Its times are fixed when the stop begins:
 // what is refused does not depend on how soon the steps of the stop are carried out.
 type Schedule struct {
+	// Signal is when the stop began.
+	Signal time.Time
 	// PredictedUntil is the last arrival of requests that begin because they are expected
 	// to end in time. It leaves a margin for a signal that is noticed late.
 	PredictedUntil time.Time
@@ -30,11 +32,12 @@
 	final := min(t.FinalAnswers, t.End)
 	arrivals := min(t.Arrivals, final)
 	connections := min(t.Connections, arrivals)
-	return Schedule{PredictedUntil: signal.Add(min(t.Predicted, connections)), ConnectionsUntil: signal.Add(connections), ArrivalsUntil: signal.Add(arrivals),
+	return Schedule{Signal: signal, PredictedUntil: signal.Add(min(t.Predicted, connections)), ConnectionsUntil: signal.Add(connections), ArrivalsUntil: signal.Add(arrivals),
 		FinalAnswers: signal.Add(final), End: signal.Add(t.End)}
 }
 
-// unknownDuration is the assumed duration of requests whose route has too few samples.
+// unknownDuration is the assumed duration of requests whose route has too few samples, at
+// most half of the time until the final answers.
 const unknownDuration = 3 * time.Second
 
 // Request is what is known of a request that has not begun to run.
@@ -61,7 +64,7 @@
 	}
 	expected := r.Duration
 	if expected <= 0 {
-		expected = unknownDuration
+		expected = min(unknownDuration, s.FinalAnswers.Sub(s.Signal)/2)
 	}
 	return !now.Add(expected).After(s.FinalAnswers)
 }
