gateway, serve: ask the schedule of a stop before the queue and each attempt

Change: both doors ask before the queue too; the product's door asks before each attempt as long as the request has not run, with the time at which the request arrived. A call that the stop ends is no longer logged as one that its caller gave up.

TestStopIsAskedBeforeEachAttempt without the question before the attempt: unavailable != draining.

--- a/internal/app/atmostonce/run.go
+++ b/internal/app/atmostonce/run.go
@@ -68,6 +68,8 @@
 	switch {
 	case ctx.Err() == nil:
 		return ErrStopped
+	case !errors.Is(ctx.Err(), context.DeadlineExceeded) && !errors.Is(context.Cause(ctx), context.Canceled):
+		return context.Cause(ctx) // the owner of the call has ended it
 	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return ErrCallerDisconnected
 	case c.decision == ledger.Lost:
--- a/internal/app/completions/completion.go
+++ b/internal/app/completions/completion.go
@@ -113,9 +113,6 @@
 		return c.toFailure(ctx, err)
 	}
 	defer c.release()
-	if err := c.r.checkStop(c.plan); err != nil {
-		return c.toFailure(ctx, err)
-	}
 	running := c.r.durations.Start(c.plan.routeRef.String(), c.r.Clock.Now())
 	err := c.run(ctx)
 	c.r.durations.End(running, c.r.Clock.Now(), err == nil)
@@ -145,6 +142,9 @@
 	if r.quarantined(r.Clock.Now(), c.filter()) {
 		return ErrQuarantined
 	}
+	if err := r.checkStop(p); err != nil {
+		return err
+	}
 	if c.permit, err = r.admit(ctx, p, p.placement.PromptTokens, c.req.MaxTokens); err != nil {
 		return err
 	}
@@ -208,6 +208,11 @@
 
 // startNext places and starts the next attempt.
 func (c *completion) startNext(ctx context.Context) error {
+	if !c.mayHaveRun {
+		if err := c.r.checkStop(c.plan); err != nil {
+			return err
+		}
+	}
 	wait := maxPlacementWait
 	if c.asm.Chunks() > 0 {
 		wait = maxResumeWait
--- a/internal/app/completions/service.go
+++ b/internal/app/completions/service.go
@@ -71,14 +71,14 @@
 	defer release()
 	c := &call{r: r, plan: p, req: req, tried: map[string]bool{},
 		fingerprint: retry.FingerprintOf(req.Account.String(), "service", req.Route, req.Method, req.Path, string(req.Body))}
+	if err := r.checkStop(p); err != nil {
+		return ServiceReply{}, c.toFailure(ctx, err)
+	}
 	permit, err := r.admit(ctx, p, 0, 0)
 	if err != nil {
 		return ServiceReply{}, c.toFailure(ctx, err)
 	}
 	defer permit.Release()
-	if err := r.checkStop(p); err != nil {
-		return ServiceReply{}, c.toFailure(ctx, err)
-	}
 	r.budget(p.routeRef).Earn(r.Clock.Now(), p.route.RetryBudgetPercent, budgetReserve(p.pool))
 	var reply ServiceReply
 	if p.route.Repeat == config.RepeatNever {
@@ -173,6 +173,11 @@
 // retried only if retryUnknown is set.
 func (c *call) runAttempts(ctx context.Context, newID func() string, retryUnknown bool) (ServiceReply, error) {
 	for {
+		if !c.mayHaveRun {
+			if err := c.r.checkStop(c.plan); err != nil {
+				return ServiceReply{}, err
+			}
+		}
 		chosen, err := c.r.claimTarget(ctx, c.plan, filter{tried: c.tried, fingerprint: c.fingerprint}, newID(), maxPlacementWait)
 		if err != nil {
 			return ServiceReply{}, err
--- a/internal/app/completions/stop_test.go
+++ b/internal/app/completions/stop_test.go
@@ -76,3 +76,27 @@
 		})
 	}
 }
+
+// Guards against a repeat of a request that has not run, begun without time for it.
+func TestStopIsAskedBeforeEachAttempt(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, is *is.I, b *testRouter) {
+		refuse := func(context.Context, port.Generation) (port.ChunkStream, error) {
+			time.Sleep(1200 * time.Millisecond)
+			return nil, &port.NotRunError{Reason: port.NotRunOverloaded}
+		}
+		for _, e := range []string{"e1", "e2", "e3"} {
+			b.engine.scripts[e] = refuse
+		}
+		now := time.Now()
+		for range 30 {
+			b.durations.End(b.durations.Start("kabelgang/read", now), now.Add(time.Second), true)
+		}
+		b.BeginStop(shutdown.NewSchedule(now, shutdown.Timing{FinalAnswers: 2 * time.Second, End: 2 * time.Second}))
+		// It arrived before the stop.
+		_, err := b.complete(t.Context(), "p", 4, &textSink{})
+		f := failure(t, err)
+		is.Equal(f.Kind, KindDraining)
+		is.Equal(f.Outcome, OutcomeNotRun)
+		is.Equal(len(b.engine.addresses()), 1)
+	})
+}
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -188,6 +188,9 @@
 	defer context.AfterFunc(x.g.running, func() { end(context.Cause(x.g.running)) })()
 	defer context.AfterFunc(ctx, x.sink.Expire)()
 	x.g.retryLimiter(x.service).CountRequest(x.g.Clock.Now())
+	if !x.fitsStop() {
+		return x.refuseStopping()
+	}
 	permit, err := x.admit(ctx)
 	if err != nil {
 		return x.notAdmitted(ctx, err)
