gateway: accept the connections that wait when a stop closes the listener

Change: the stop goes on until an accept has waited without a connection; a deadline that passed while connections were waiting is extended.

TestWaitingConnectionsAreAccepted on the code before: 0 != 1.

--- a/cmd/mimosaseam/callerconns.go
+++ b/cmd/mimosaseam/callerconns.go
@@ -40,6 +40,8 @@
 	stopping atomic.Bool
 	closed   chan struct{}
 	closing  sync.Once
+	// drained is set once no connection waits to be accepted any more.
+	drained atomic.Bool
 
 	mu   sync.Mutex
 	open map[*callerConn]struct{}
@@ -133,11 +135,16 @@
 
 // Accept implements net.Listener. After StopAccepting it waits for Close.
 func (l *callerConns) Accept() (net.Conn, error) {
+	begun := time.Now()
 	c, err := l.Listener.Accept()
 	if err != nil && l.stopping.Load() {
+		if errors.Is(err, os.ErrDeadlineExceeded) && time.Since(begun) < backlogTimeout/2 && l.extendDeadline() {
+			return l.Accept() // it may have ended while connections were waiting
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			_ = l.Listener.Close() // the backlog is empty
 		}
+		l.drained.Store(true)
 		<-l.closed
 		return nil, net.ErrClosed
 	}
@@ -154,12 +161,17 @@
 // StopAccepting accepts the connections that are waiting and then closes the listener.
 func (l *callerConns) StopAccepting() {
 	l.stopping.Store(true)
-	deadline, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
-	if !ok || deadline.SetDeadline(time.Now().Add(backlogTimeout)) != nil {
+	if !l.extendDeadline() {
 		_ = l.Listener.Close() // without a deadline, the backlog is lost
 	}
 }
 
+// extendDeadline lets the listener accept for backlogTimeout from now on.
+func (l *callerConns) extendDeadline() bool {
+	deadline, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	return ok && deadline.SetDeadline(time.Now().Add(backlogTimeout)) == nil
+}
+
 // Close implements net.Listener.
 func (l *callerConns) Close() error {
 	l.closing.Do(func() { close(l.closed) })
@@ -206,7 +218,8 @@
 }
 
 // CloseIdle closes the connections that wait for a request, except new ones that were
-// opened since the time, and returns the number of the others.
+// opened since the time, and returns the number of the others. Those that may still wait
+// to be accepted count as one.
 func (l *callerConns) CloseIdle(since time.Time) (left int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -218,5 +231,8 @@
 		}
 		left++
 	}
+	if l.stopping.Load() && !l.drained.Load() {
+		left++
+	}
 	return left
 }
