gateway, serve: notice SIGTERM from the start on

Found by a review of the incident, older than it: the handler of SIGTERM was set in a goroutine that starts after the listeners are open. A signal before that killed the process, with the connections that it had taken.

Change: the signals are caught before anything listens.

TestStopWhileStarting (eight processes) on the code before, GOMAXPROCS=1: "the router ended with signal: terminated" in two of three runs.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -130,6 +130,7 @@
 }
 
 func serveGateway(file string, s settings.Gateway) error {
+	signals := notifyStop()
 	debug.SetMemoryLimit(int64(heapFraction * s.Limits.MemoryMB * (1 << 20)))
 	out := telemetry.NewBoundedWriter(os.Stdout)
 	defer out.Close()
@@ -171,7 +172,7 @@
 		loops[s.Name] = s.Run
 	}
 	addLoops(ctx, cancel, &group, n.log, loops)
-	addSignal(ctx, cancel, &group, n.shutDown)
+	addSignal(ctx, cancel, &group, signals, n.shutDown)
 	err = group.Run()
 	closing, cancelClosing := context.WithTimeout(context.Background(), exitMargin/2)
 	defer cancelClosing()
--- a/cmd/mimosaseam/serve.go
+++ b/cmd/mimosaseam/serve.go
@@ -62,6 +62,7 @@
 	logger := telemetry.Logger(os.Stderr, s.Telemetry, s.VM)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	signals := notifyStop()
 	n, err := newServeNode(ctx, s, logger)
 	if err != nil {
 		return err
@@ -71,7 +72,7 @@
 		return err
 	}
 	n.addLoops(ctx, cancel, &group)
-	addSignal(ctx, cancel, &group, n.shutDown)
+	addSignal(ctx, cancel, &group, signals, n.shutDown)
 	logger.Info("starting", "version", version, "callers", s.Callers.Address, "admin", s.Admin.Address, "peers", s.Peers.Address)
 	err = group.Run()
 	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
@@ -165,11 +166,17 @@
 	}
 }
 
-// addSignal ends the group after SIGTERM or SIGINT and a graceful shutdown.
-func addSignal(ctx context.Context, cancel context.CancelFunc, group *run.Group, shutDown func(context.Context, os.Signal)) {
+// notifyStop returns a channel of the signals that begin a planned stop. It must be called
+// before the router listens: a signal that is not awaited kills the process.
+func notifyStop() chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	return signals
+}
+
+// addSignal ends the group after a signal and a graceful shutdown.
+func addSignal(ctx context.Context, cancel context.CancelFunc, group *run.Group, signals chan os.Signal, shutDown func(context.Context, os.Signal)) {
 	group.Add(func() error {
-		signals := make(chan os.Signal, 1)
-		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 		defer signal.Stop(signals)
 		select {
 		case <-ctx.Done():
--- a/cmd/mimosaseam/stop_test.go
+++ b/cmd/mimosaseam/stop_test.go
@@ -45,8 +45,23 @@
 }
 
 // startGatewayProcess starts a router whose shutdown may take stopS seconds, with the
-// configuration of ConfigureKinds and the targets.
+// configuration of ConfigureKinds and the targets, and waits until it is ready.
 func startGatewayProcess(t *testing.T, stopS, timeoutMs int, services, engines []*platformtest.RawTarget) *gatewayProcess {
+	t.Helper()
+	p := launchGatewayProcess(t, stopS, timeoutMs, services, engines)
+	p.await("ready", func() bool {
+		r, err := http.Get("http://" + p.ready + platformtest.ReadyPath)
+		if err != nil {
+			return false
+		}
+		defer r.Body.Close()
+		return r.StatusCode == http.StatusOK
+	})
+	return p
+}
+
+// launchGatewayProcess is startGatewayProcess without the wait.
+func launchGatewayProcess(t *testing.T, stopS, timeoutMs int, services, engines []*platformtest.RawTarget) *gatewayProcess {
 	t.Helper()
 	p := &gatewayProcess{t: t, log: platformtest.NewLog(), callers: freeAddress(t), ready: freeAddress(t)}
 	logServer := httptest.NewServer(p.log)
@@ -81,14 +96,6 @@
 		_ = p.cmd.Process.Kill() // it may have ended
 		_ = output.Close()
 	})
-	p.await("ready", func() bool {
-		r, err := http.Get("http://" + p.ready + platformtest.ReadyPath)
-		if err != nil {
-			return false
-		}
-		defer r.Body.Close()
-		return r.StatusCode == http.StatusOK
-	})
 	return p
 }
 
@@ -116,7 +123,7 @@
 
 func (p *gatewayProcess) await(what string, is func() bool) {
 	p.t.Helper()
-	for end := time.Now().Add(stateTimeout); !is(); pause(20) {
+	for end := time.Now().Add(stateTimeout); !is(); pause(5) {
 		if time.Now().After(end) {
 			text, _ := os.ReadFile(p.output.Name()) // for the message only
 			p.t.Fatalf("not reached: %s\n%s", what, text)
@@ -311,3 +318,28 @@
 	calls.Wait()
 	is.NoErr(p.cmd.Wait())
 }
+
+// Guards against a router that SIGTERM kills while it starts, with the connections that it
+// has already taken.
+func TestStopWhileStarting(t *testing.T) {
+	const tries = 8
+	var stops sync.WaitGroup
+	for range tries {
+		p := launchGatewayProcess(t, 2, 1000, nil, nil)
+		p.await("listening", func() bool {
+			c, err := net.Dial("tcp", p.callers)
+			if err != nil {
+				return false
+			}
+			t.Cleanup(func() { _ = c.Close() }) // it may be closed
+			return true
+		})
+		is.New(t).NoErr(p.cmd.Process.Signal(syscall.SIGTERM))
+		stops.Go(func() {
+			if err := p.cmd.Wait(); err != nil {
+				t.Errorf("the router ended with %v", err)
+			}
+		})
+	}
+	stops.Wait()
+}
