gateway: a target that says that it leaves gets no more requests

A target that ends while the log is away, or before its entry is read, got requests until its process ended; those were cut off or refused.

Cause: only the entry of a target said that it leaves. The header Server-Leaving of its responses was passed on and not read. Two faults beside it in the same state: an entry that went from leaving to ready counted as ready again at its second reading, as a log restored from a copy shows it, and a new incarnation under the same id inherited the leaving of the one before.

Change: core/targetstate holds what an incarnation has said of itself. The adapter decodes the header once, for answers, failures and refusals; 421 from another target at the address says nothing. The statement is the same state as the entry's and the earlier of the two begins the grace. It ends with the incarnation, not with an older copy of the entry, and is kept for 10 minutes once the entry is gone. A ranking is checked against it once more before the request is sent, so a queued request that had chosen this target takes another one. Status reads and orders are not held back.

Why it works: all ways of a client's request to a target go through Directory.Service and Directory.accepts, and both read one field.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -71,10 +71,11 @@
 	}()
 	response, err := g.Forwarder.Forward(ctx, t.Address, x.forward(t))
 	if err != nil {
-		x.observeRefusedRate(t, start, err)
+		x.observeRefusal(t, start, err)
 		return x.classifyError(ctx, t, err)
 	}
 	x.observeRate(t, start, response.RequestsPerSecond, response.Status)
+	g.Directory.observeStatement(t.ID, t.Incarnation(), x.r.ID, response.Statement)
 	defer response.Body.Close()
 	status = response.Status
 	g.Directory.observeHeaders(t.ID, x.r.Model, response)
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -69,7 +69,7 @@
 	}
 	for _, i := range k.order {
 		t := k.targets[i]
-		if !x.g.rates.Take(now, string(t.Incarnation())) {
+		if !x.g.Directory.accepts(&t) || !x.g.rates.Take(now, string(t.Incarnation())) {
 			continue
 		}
 		if x.g.CrashTracker.Start(now, x.fingerprint, t.Address, x.attemptID()) {
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -10,6 +10,7 @@
 
 	"mimosaseam.example/mimosaseam/internal/core/balance"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/targetstate"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -18,6 +19,9 @@
 	requestTransit = 500 * time.Millisecond
 	// removedRetention is how long a removed target is retained.
 	removedRetention = 30 * time.Second
+	// leavingRetention is how long a removed target is retained that has said that it
+	// leaves: an older copy of its entry may come back and say otherwise.
+	leavingRetention = 10 * time.Minute
 	// busyBackoff is how long a target is skipped after it refused a request for lack of
 	// capacity or because its weights changed.
 	busyBackoff = 150 * time.Millisecond
@@ -37,8 +41,11 @@
 	// incarnation is kept because formatting it for each target of each ranking takes
 	// more time than the rest of the loop.
 	incarnation port.Incarnation
-	// LeavingSince is when the target was first seen leaving; zero: it is not leaving.
+	// LeavingSince is when the target was first seen leaving or lost its entry; zero: it is
+	// not leaving.
 	LeavingSince time.Time
+	// statements are what this incarnation has said of itself.
+	statements targetstate.Statements
 	// Removed is set when the target's entry is gone.
 	Removed bool
 	// PausedUntil is the time until which a weights order keeps the target from starting
@@ -117,9 +124,13 @@
 		d.placer.DropCache(e.Address)
 	}
 	t.ColdUntil = now.Add(e.ColdRemaining)
-	if !e.Leaving && (old == nil || !old.Leaving) {
+	if e.Leaving {
+		t.statements.Leave(now)
+	}
+	switch {
+	case !t.statements.Leaving():
 		t.LeavingSince = time.Time{}
-	} else if t.LeavingSince.IsZero() {
+	case t.LeavingSince.IsZero():
 		t.LeavingSince = now
 	}
 	if old == nil || old.Leaving != e.Leaving || old.Incarnation() != e.Incarnation() || old.Removed {
@@ -190,7 +201,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, t := range d.targets {
-		if t.Removed && t.InFlight == 0 && now.Sub(t.LeavingSince) > removedRetention {
+		retention := removedRetention
+		if t.statements.Leaving() {
+			retention = leavingRetention
+		}
+		if t.Removed && t.InFlight == 0 && now.Sub(t.LeavingSince) > retention {
 			delete(d.targets, id)
 			d.byService = nil
 		}
@@ -215,7 +230,7 @@
 		return out
 	}
 	for _, t := range all {
-		if now.Sub(t.LeavingSince) < d.grace {
+		if d.mayUse(now, t) {
 			out = append(out, *t)
 		}
 	}
@@ -357,3 +372,36 @@
 		d.onWeightsChange(t, before)
 	})
 }
+
+// observeStatement records what an incarnation of a target said of itself in its response to
+// a request.
+func (d *Directory) observeStatement(id string, incarnation port.Incarnation, request string, s port.TargetStatement) {
+	now := d.clock.Now()
+	d.update(id, func(t *Target) {
+		if t.incarnation != incarnation {
+			return
+		}
+		if s.Leaving && t.statements.Leave(now) {
+			if t.LeavingSince.IsZero() {
+				t.LeavingSince = now
+			}
+			d.log.Info("target leaving", "target", string(incarnation), "request", request, "entry_leaving", t.Leaving, "entry_removed", t.Removed,
+				"in_flight", t.InFlight)
+		}
+	})
+}
+
+// accepts reports whether a target may still get a request that was ranked with this copy of
+// its state.
+func (d *Directory) accepts(ranked *Target) bool {
+	now := d.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.targets[ranked.ID]
+	return t != nil && t.incarnation == ranked.incarnation && t.LeavingSince.Equal(ranked.LeavingSince) && d.mayUse(now, t)
+}
+
+// mayUse reports whether a target is not leaving, or still within the grace period.
+func (d *Directory) mayUse(now time.Time, t *Target) bool {
+	return t.LeavingSince.IsZero() || now.Sub(t.LeavingSince) < d.grace
+}
--- a/internal/app/gateway/fake_test.go
+++ b/internal/app/gateway/fake_test.go
@@ -30,6 +30,8 @@
 	silent bool
 	// rate is the number of requests per second that the target names, 0: none.
 	rate float64
+	// says is what the target says of itself.
+	says port.TargetStatement
 }
 
 // fakeTargets gives the replies to attempts in the order of their arrival.
@@ -71,7 +73,7 @@
 	if r.broken {
 		body = io.MultiReader(body, brokenReader{})
 	}
-	return port.ForwardResponse{Status: r.status, Header: http.Header{}, Body: io.NopCloser(body), Length: -1, RequestsPerSecond: r.rate}, nil
+	return port.ForwardResponse{Status: r.status, Header: http.Header{}, Body: io.NopCloser(body), Length: -1, RequestsPerSecond: r.rate, Statement: r.says}, nil
 }
 
 func (f *fakeTargets) Order(context.Context, string, port.WeightsOrder) error { return nil }
--- a/internal/app/gateway/rates.go
+++ b/internal/app/gateway/rates.go
@@ -20,12 +20,17 @@
 	g.applyRateChange(change, port.TargetRate{Target: t.Incarnation(), PerSecond: perSecond}, "response")
 }
 
-// observeRefusedRate records the rate that the target named with a refusal.
-func (x *exchange) observeRefusedRate(t Target, sent time.Time, err error) {
+// observeRefusal records what the target said of itself with a refusal. Another target at
+// its address says nothing of it.
+func (x *exchange) observeRefusal(t Target, sent time.Time, err error) {
 	var refused *port.NotRunError
-	if errors.As(err, &refused) && refused.RequestsPerSecond > 0 && refused.Reason != port.NotRunIncarnationChanged {
+	if !errors.As(err, &refused) || refused.Reason == port.NotRunIncarnationChanged {
+		return
+	}
+	if refused.RequestsPerSecond > 0 {
 		x.observeRate(t, sent, refused.RequestsPerSecond, http.StatusServiceUnavailable)
 	}
+	x.g.Directory.observeStatement(t.ID, t.Incarnation(), x.r.ID, refused.Statement)
 }
 
 // ObserveRate records the rate of a target that a peer announced.
--- a/internal/port/failure.go
+++ b/internal/port/failure.go
@@ -80,7 +80,9 @@
 	// RequestsPerSecond is the rate that the target named with its refusal, 0 if it named
 	// none.
 	RequestsPerSecond float64
-	Cause             error
+	// Statement is what the target said of itself with its refusal.
+	Statement TargetStatement
+	Cause     error
 }
 
 // ProvesRestart reports whether the failure of a status request shows that the target's
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -71,6 +71,12 @@
 	ResumeAfter string
 }
 
+// TargetStatement is what a target says of itself in a response.
+type TargetStatement struct {
+	// Leaving is set when the target is about to end and wants no new requests.
+	Leaving bool
+}
+
 // ForwardResponse is a target's response; the receiver reads and closes Body.
 type ForwardResponse struct {
 	Status int
@@ -86,6 +92,7 @@
 	// RequestsPerSecond is the rate that the target takes from all routers together, 0
 	// when it names none.
 	RequestsPerSecond float64
+	Statement         TargetStatement
 	// Closing is set when the target closes the connection, as leaving targets do.
 	Closing bool
 	// EndsWithConnection is set for a body without a framing of its own: its end and the
