gateway: send a target nothing before the end of the wait that it named

A target that turned a request away with 503 and Retry-After got further requests of the same router 150 ms later. Clients that were refused by several targets were told the longest of their waits, or ten minutes when one named NaN or more; and came back from half of that time on.

Cause: Retry-After was read as advice to the client and not as what the target wants of this router.

Ranking leaves such a target out, a request that was ranked before is checked once more before it is sent, and an error response is not held back, nor an attempt given up, for others that all wait. While all targets of a request wait it is refused at once, with the time until the first of them takes requests and up to half as much again (300 ms at least). A request that may have run, or a stream in progress, cannot be refused: it is held for the usual short time.

Why it works: between the wait's beginning and its end no request passes Directory.accepts.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -198,7 +198,9 @@
 		case port.NotRunWeightsChanged:
 			x.g.circuits.SetBusy(t.ID, now.Add(busyBackoff))
 		default:
-			x.retryAfter = max(x.retryAfter, refused.RetryAfter)
+			if refused.Statement.Wait == 0 {
+				x.retryAfter = max(x.retryAfter, refused.RetryAfter)
+			}
 			x.g.circuits.SetBusy(t.ID, now.Add(busyBackoff))
 			if full := refused.Load != nil && (refused.Load.Waiting > 0 || refused.Load.Running >= refused.Load.Slots); !full && x.outdated(t) {
 				// A target that refuses requests while it has free slots loads the
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -9,6 +9,7 @@
 	"mimosaseam.example/mimosaseam/internal/core/balance"
 	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/retrypolicy"
 	"mimosaseam.example/mimosaseam/internal/core/rollout"
 	"mimosaseam.example/mimosaseam/internal/ctxtime"
 )
@@ -48,8 +49,10 @@
 			return t, nil
 		}
 		wait()
-		if waited := x.g.Clock.Now().Sub(start); waited >= maxWait || x.rateWait >= maxWait-waited {
-			x.retryAfter = max(x.retryAfter, min(x.rateWait, longRetryAfter))
+		if waited := x.g.Clock.Now().Sub(start); waited >= maxWait || x.blocked.wait >= maxWait-waited || x.blocked.stated && x.refusable() {
+			if !x.blocked.stated {
+				x.retryAfter = max(x.retryAfter, min(x.blocked.wait, longRetryAfter))
+			}
 			return Target{}, errors.Join(ErrNoTarget, x.lastCause)
 		}
 		if err := ctxtime.Sleep(ctx, targetPollInterval); err != nil {
@@ -58,6 +61,19 @@
 	}
 }
 
+// refusable reports whether the client can be told that the request has not run.
+func (x *exchange) refusable() bool {
+	return !x.committed && retrypolicy.ChooseFinalAction(x.history, retrypolicy.NotRun) == retrypolicy.Refuse
+}
+
+// block is what keeps all targets of a request from use: waits that they named, and rates.
+type block struct {
+	// wait is the time until the first of them may be used, 0 if not all are kept from use.
+	wait time.Duration
+	// stated is set if the wait is one that the target named.
+	stated bool
+}
+
 // best returns the highest-ranked target that may run the request's fingerprint.
 func (x *exchange) best(now time.Time) (Target, bool) {
 	k := x.ranking
@@ -87,9 +103,15 @@
 	unusable := x.g.circuits.Unusable(now)
 	eligible := x.eligible(x.g.Directory.Service(x.service))
 	untried, tried := eligible[:0], []Target(nil) // filtered in place: targets are large
-	count, limited, wait := len(eligible), 0, limits.Never
+	count, blocked, first := len(eligible), 0, block{wait: limits.Never}
 	for i := range eligible {
 		t := &eligible[i]
+		if left := t.statements.WaitLeft(now); left > 0 {
+			if blocked++; left < first.wait {
+				first = block{left, true}
+			}
+			continue
+		}
 		if _, out := unusable[t.ID]; out {
 			if probe && x.g.circuits.ClaimProbe(now, t.ID) {
 				// The next real request is the probe: connecting to a target that is gone
@@ -102,7 +124,9 @@
 			continue
 		}
 		if rateWait := x.g.rates.Wait(now, string(t.Incarnation())); rateWait > 0 {
-			limited, wait = limited+1, min(wait, rateWait)
+			if blocked++; rateWait < first.wait {
+				first = block{rateWait, false}
+			}
 			continue
 		}
 		if x.tried[t.ID] {
@@ -111,9 +135,9 @@
 			untried = append(untried, *t)
 		}
 	}
-	x.rateWait = 0
-	if limited > 0 && limited == count {
-		x.rateWait = wait
+	x.blocked = block{}
+	if blocked > 0 && blocked == count {
+		x.blocked = first
 	}
 	if len(untried) == 0 {
 		return tried
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -388,6 +388,9 @@
 			d.log.Info("target leaving", "target", string(incarnation), "request", request, "entry_leaving", t.Leaving, "entry_removed", t.Removed,
 				"in_flight", t.InFlight)
 		}
+		if t.statements.Wait(now, s.Wait) {
+			d.log.Info("target wait", "target", string(incarnation), "request", request, "wait_ms", ms(s.Wait), "in_flight", t.InFlight)
+		}
 	})
 }
 
@@ -398,7 +401,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := d.targets[ranked.ID]
-	return t != nil && t.incarnation == ranked.incarnation && t.LeavingSince.Equal(ranked.LeavingSince) && d.mayUse(now, t)
+	return t != nil && t.incarnation == ranked.incarnation && t.LeavingSince.Equal(ranked.LeavingSince) && d.mayUse(now, t) &&
+		t.statements.WaitLeft(now) == 0
 }
 
 // mayUse reports whether a target is not leaving, or still within the grace period.
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -67,8 +67,8 @@
 	queued  time.Duration
 	// held is a target's error response that was held back for a retry.
 	held *bufferedResponse
-	// rateWait is the time until a target may be used if their rates keep all from use, else 0.
-	rateWait time.Duration
+	// blocked is what kept all targets from use when they were last looked at.
+	blocked block
 	// crashed is set once a target crashed under the request.
 	crashed bool
 	// minWeights is the oldest weights version on which the request may begin, 0: any.
@@ -248,6 +248,19 @@
 	return time.Duration((0.5 + rand.Float64()) * float64(wait))
 }
 
+// refusedRetryAfter returns the time after which a refused client should come back. While all
+// targets wait, that is when the first of them takes requests, spread so that the clients do
+// not come together.
+func (x *exchange) refusedRetryAfter() time.Duration {
+	x.usable(x.g.Clock.Now(), false)
+	if !x.blocked.stated {
+		return jitter(max(x.retryAfter, shortRetryAfter))
+	}
+	wait := x.blocked.wait
+	spread := max(wait/2, shortRetryAfter)
+	return max(wait+time.Duration(rand.Float64()*float64(spread)), jitter(x.retryAfter))
+}
+
 // giveUp decides the final response or failure.
 func (x *exchange) giveUp(ctx context.Context, last retrypolicy.Outcome, cause error) error {
 	f := &Failure{Cause: cause, RetryAfter: jitter(max(x.retryAfter, shortRetryAfter))}
@@ -262,7 +275,7 @@
 	case retrypolicy.ChooseFinalAction(x.history, last) == retrypolicy.Abort || x.committed:
 		f.Kind = KindAborted
 	case retrypolicy.ChooseFinalAction(x.history, last) == retrypolicy.Refuse:
-		f.Kind = KindRefused
+		f.Kind, f.RetryAfter = KindRefused, x.refusedRetryAfter()
 	case ctx.Err() != nil:
 		f.Kind = KindTimeout
 	default:
--- a/internal/app/gateway/liveness.go
+++ b/internal/app/gateway/liveness.go
@@ -73,10 +73,11 @@
 	return err != nil && ctx.Err() == nil || ctx.Err() == context.DeadlineExceeded
 }
 
-// hasOther reports whether the service has a target that is not excluded.
+// hasOther reports whether the service has a target that is not excluded and takes requests.
 func (d *Directory) hasOther(service string, excluded map[string]bool) bool {
+	now := d.clock.Now()
 	for _, t := range d.Service(service) {
-		if !excluded[t.ID] {
+		if !excluded[t.ID] && t.statements.WaitLeft(now) == 0 {
 			return true
 		}
 	}
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -75,6 +75,9 @@
 type TargetStatement struct {
 	// Leaving is set when the target is about to end and wants no new requests.
 	Leaving bool
+	// Wait is the time for which the target wants no requests from this router, 0 when it
+	// names none.
+	Wait time.Duration
 }
 
 // ForwardResponse is a target's response; the receiver reads and closes Body.
