--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -72,10 +72,11 @@
 	}()
 	response, err := g.Forwarder.Forward(ctx, t.Address, x.forward(t))
 	if err != nil {
-		x.observeRefusedRate(t, start, err)
+		x.observeRefusal(t, start, err)
 		return x.classifyError(ctx, t, err)
 	}
 	x.observeRate(t, start, response.RequestsPerSecond, response.Status)
+	g.Directory.observeStatement(t.ID, t.Incarnation(), x.r.ID, response.Statement)
 	defer response.Body.Close()
 	status = response.Status
 	g.Directory.observeHeaders(t.ID, x.r.Model, response)
@@ -201,7 +202,9 @@
 		case port.NotRunWeightsChanged:
 			x.g.circuits.SetBusy(t.ID, now.Add(busyBackoff))
 		default:
-			x.retryAfter = max(x.retryAfter, refused.RetryAfter)
+			if refused.Statement.Wait == 0 {
+				x.retryAfter = max(x.retryAfter, refused.RetryAfter)
+			}
 			x.g.circuits.SetBusy(t.ID, now.Add(busyBackoff))
 			if full := refused.Load != nil && (refused.Load.Waiting > 0 || refused.Load.Running >= refused.Load.Slots); !full && x.outdated(t) {
 				// A target that refuses requests while it has free slots loads the
