registry: ignore entries that no router wrote under its own name

Callers see: nothing directly; the shares of bounds were divided by too many routers, and an entry under another key could name an address for a router that has not been reached yet.

Cause: any entry with an address counted as a router, whatever its key, name and role. Entries that cannot be decoded were left out before.

Change: the name must be the key, which is how each router writes its entry, and the role that of a router.

Evidence: on the code before

--- FAIL: TestOddEntriesAreNoRouters/name_of_another_router --- FAIL: TestOddEntriesAreNoRouters/no_name --- FAIL: TestOddEntriesAreNoRouters/another_role

The other six cases passed before, too.

--- a/internal/app/registry/registry.go
+++ b/internal/app/registry/registry.go
@@ -71,7 +71,8 @@
 	}
 }
 
-// List implements port.VMList. Entries that cannot be decoded are left out.
+// List implements port.VMList. Entries that cannot be decoded, or that no router has written
+// under its own name, are left out.
 func (r *Registry) List(ctx context.Context) (port.VMSnapshot, error) {
 	batch, err := r.log.Newest(ctx, port.StreamRouters)
 	if err != nil {
@@ -80,8 +81,8 @@
 	var out port.VMSnapshot
 	for _, record := range batch.Records {
 		var vm port.VM
-		if err := json.Unmarshal(record.Value, &vm); err != nil || vm.Address == "" {
-			r.logger.Info("router entry not decoded", "key", record.Key)
+		if err := json.Unmarshal(record.Value, &vm); err != nil || vm.Address == "" || vm.Name != record.Key || vm.Role != port.RoleRouter {
+			r.logger.Info("router entry not usable", "key", record.Key)
 			continue
 		}
 		out.VMs = append(out.VMs, vm)
--- a/internal/app/registry/registry_test.go
+++ b/internal/app/registry/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -71,3 +72,28 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against an odd entry of another writer that hides the routers from each other, or
+// counts as one of them.
+func TestOddEntriesAreNoRouters(t *testing.T) {
+	router := `{"name":"r2","role":"router","address":"10.0.0.2:1","state":"live"}`
+	for name, text := range map[string]string{
+		"nested deeply":          strings.Repeat("[", 200_000),
+		"invalid UTF-8":          "\xff\xfe",
+		"wrong types":            strings.Replace(router, `"r2"`, "7", 1),
+		"a large number":         strings.Replace(router, `"live"`, "1e999999", 1),
+		"no address":             strings.Replace(router, "10.0.0.2:1", "", 1),
+		"name of another router": strings.Replace(router, "r2", "r1", 1),
+		"no name":                strings.Replace(router, "r2", "", 1),
+		"another role":           strings.Replace(router, `"router"`, `"engine"`, 1),
+		"null":                   "null",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			log := &fakeLog{values: map[string][]byte{"odd": []byte(text), "r2": []byte(router)}}
+			list, err := New(log, port.VM{Name: "r1"}, slog.New(slog.DiscardHandler)).List(t.Context())
+			is.NoErr(err)
+			is.Equal(list.VMs, []port.VM{{Name: "r2", Address: "10.0.0.2:1", Role: port.RoleRouter, State: port.VMLive}})
+		})
+	}
+}
