platformhttp: read the VM list although an entry is odd

Callers see: requests to targets that are leaving, and routers that do not find each other. One entry with a field of another type, or nested more deeply than encoding/json decodes, made every read of the VM list fail as long as it was listed, on all routers.

Cause: the list was decoded as one value, and an error in any entry is one of the whole.

Change: the list is read by its tokens. An entry that describes no VM is left out.

--- a/internal/adapter/platformhttp/stores.go
+++ b/internal/adapter/platformhttp/stores.go
@@ -20,15 +20,19 @@
 func (v *VMList) List(ctx context.Context) (out port.VMSnapshot, err error) {
 	ctx, span := v.caller.tracer.Start(ctx, "platform list VMs", trace.WithSpanKind(trace.SpanKindClient))
 	defer func() { endSpan(span, err) }()
-	resp, err := v.caller.doJSON(ctx, request{method: http.MethodGet, path: "/v1/vms"}, nil, &out)
+	resp, err := v.caller.do(ctx, request{method: http.MethodGet, path: "/v1/vms"})
 	if err == nil {
 		err = v.caller.checkStatus(resp)
 	}
+	if err != nil {
+		return port.VMSnapshot{}, err
+	}
+	out, err = decodeVMList(resp.body)
 	if err == nil && out.AsOf.IsZero() {
-		err = v.caller.unknown(ErrInvalidResponse)
+		err = ErrInvalidResponse
 	}
 	if err != nil {
-		return port.VMSnapshot{}, err
+		return port.VMSnapshot{}, v.caller.unknown(err)
 	}
 	return out, nil
 }
