--- a/cmd/mimosaseam/oddentries_test.go
+++ b/cmd/mimosaseam/oddentries_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -17,22 +19,23 @@
 // Guards against one odd entry in the list of targets that ends the router, stops it from
 // following the list, or takes requests.
 func TestOddEntriesAreHarmless(t *testing.T) {
+	is := is.New(t)
+	sound := newRawTarget(t, "d8", "", soundAnswer)
+	s := newFaultGateway(t, []*platformtest.RawTarget{sound}, nil)
 	for name, text := range platformtest.OddEntries() {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			sound := newRawTarget(t, "d8", "", soundAnswer)
-			s := newFaultGateway(t, []*platformtest.RawTarget{sound}, nil)
-			s.log.PutEntry("odd", []byte(text))
-			s.followsTheList("d9")
-			for _, target := range s.node.dir.All() {
-				is.True(target.ID == "d8" || target.ID == "d9")
-			}
-			status, body, complete := s.call("r1", "/book/")
-			is.Equal(status, http.StatusOK)
-			is.Equal(body, "own")
-			is.True(complete)
-		})
+		s.log.PutEntry(strings.ReplaceAll(name, " ", "-"), []byte(text))
+	}
+	s.followsTheList("d9")
+	for _, target := range s.node.dir.All() {
+		if target.ID != "d8" && target.ID != "d9" {
+			t.Error("a target:", target.ID)
+		}
+	}
+	for i := range 4 {
+		status, body, complete := s.call(fmt.Sprint("r", i), "/book/")
+		is.Equal(status, http.StatusOK)
+		is.Equal(body, "own")
+		is.True(complete)
 	}
 }
 
@@ -54,22 +57,31 @@
 // Guards against a target that is lost for good because another writer once wrote an odd
 // entry under its id.
 func TestTargetIsBackAfterAnOddEntryUnderItsID(t *testing.T) {
+	sound := newRawTarget(t, "d8", "", soundAnswer)
+	s := newFaultGateway(t, []*platformtest.RawTarget{sound}, nil)
+	id := func(name string) string { return strings.ReplaceAll(name, " ", "-") }
+	put := func() {
+		for name := range platformtest.OddEntries() {
+			target := platformtest.NewTarget(id(name), "")
+			target.Address = sound.Address
+			s.log.PutTarget(target, "desk", false, 1)
+		}
+	}
+	put()
+	s.await("all targets", func() bool { return len(s.node.dir.All()) == 1+len(platformtest.OddEntries()) })
 	for name, text := range platformtest.OddEntries() {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			sound := newRawTarget(t, "d8", "", soundAnswer)
-			s := newFaultGateway(t, []*platformtest.RawTarget{sound}, nil)
-			s.log.PutEntry("d8", []byte(text))
-			s.followsTheList("d9")
-			s.log.PutTarget(sound.Target, "desk", false, 1)
-			s.await("the target", func() bool {
-				for _, target := range s.node.dir.All() {
-					if target.ID == "d8" {
-						return target.Address == sound.Address
-					}
+		s.log.PutEntry(id(name), []byte(text))
+	}
+	s.followsTheList("d9")
+	put()
+	for name := range platformtest.OddEntries() {
+		s.await(name, func() bool {
+			for _, target := range s.node.dir.All() {
+				if target.ID == id(name) {
+					return target.Address == sound.Address
 				}
-				return false
-			})
+			}
+			return false
 		})
 	}
 }
