gateway: continue a stream with its events only

Callers see: the text of an error, at times a page or the whole head of another answer, in the middle of their stream, and streams that ended as complete though they had broken off. It happened when a stream had begun, broke off and the next target answered with any status but 200, with another type or with nothing, and when a target wrote something else than events into its stream.

Cause: an answer was judged by its status before it was known whether a part of another one had been relayed; all but a 200 was relayed as a whole and ended the request as served. A 200 was taken for the rest of the stream whatever it held, and an empty one for its end. The reader of events passed on any lines up to a blank one. It also took the end of a line of exactly 2 KiB for a blank line, since it looked at the last part that it had read and not at the line.

Change: once a part was relayed, only a 200 of type text/event-stream, or without a type, may follow; it must place itself in the stream by a numbered event before it ends or brings an event without a number. A line that is no comment and no field of an event is a failure; names of fields that are not known are accepted if they are spelled like the known ones. Such an attempt has failed: the stream is resumed at another target where the route allows it, else the connection is cut.

Not told apart: an error text that a target sends as an event of its own, with the next number. A stream that broke off behind its last event and before its end is now cut, where an empty answer to its resumption completed it before; the caller, who has all of it, may resume it.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -81,6 +82,10 @@
 	if response.Closing {
 		g.Log.Debug("target closes connections", "target", t.ID)
 	}
+	if x.committed && !isEventStream(response) {
+		// Only events may follow what the client has received.
+		return retrypolicy.Failed, errors.Join(ErrNotContinued, &port.BadRequestError{Peer: t.ID, Status: response.Status})
+	}
 	if response.Status >= http.StatusInternalServerError && x.canRetryElsewhere() {
 		return x.holdFailure(ctx, t, response)
 	}
@@ -366,7 +371,8 @@
 func (x *exchange) relayEvents(ctx context.Context, t Target, a port.ForwardResponse) (retrypolicy.Outcome, error) {
 	events := stream.NewEventReader(a.Body, x.g.WeightsField)
 	var batch []byte
-	resumed := x.history.Delivered
+	_, resumed := x.sequence.Last()
+	continued := !resumed // by an event whose place in the stream is known
 	for {
 		e, err := events.Next()
 		x.g.Directory.recordActivity(t.ID)
@@ -379,12 +385,19 @@
 			if errors.Is(err, io.EOF) && a.EndsWithConnection && !x.history.Delivered {
 				return retrypolicy.Unknown, ErrEmptyStream
 			}
+			if errors.Is(err, io.EOF) && !continued {
+				return retrypolicy.Unknown, ErrNotContinued
+			}
 			if errors.Is(err, io.EOF) {
 				x.commit(a, x.contentLength(a))
 				return 0, nil
 			}
 			return retrypolicy.Unknown, x.markUnresponsive(ctx, err)
 		}
+		continued = continued || e.HasID
+		if !continued && e.HasContent {
+			return retrypolicy.Unknown, ErrNotContinued
+		}
 		fresh, err := x.sequence.Accept(e, resumed)
 		resumed = resumed && !fresh && err == nil
 		if err != nil {
@@ -404,6 +417,17 @@
 	}
 }
 
+// isEventStream reports whether a response may continue a stream. One without a type is
+// judged by its events.
+func isEventStream(a port.ForwardResponse) bool {
+	if a.Status != http.StatusOK {
+		return false
+	}
+	contentType := a.Header.Get("Content-Type")
+	media, _, err := mime.ParseMediaType(contentType)
+	return contentType == "" || err == nil && media == "text/event-stream"
+}
+
 // deliver writes complete events to the client.
 func (x *exchange) deliver(a port.ForwardResponse, events []byte) error {
 	if len(events) == 0 {
--- a/internal/app/gateway/failure.go
+++ b/internal/app/gateway/failure.go
@@ -93,6 +93,7 @@
 	ErrRouteTimeout    = eris.New("the route's timeout or the client's deadline has passed")
 	ErrStopping        = eris.New("the router is stopping")
 	ErrEmptyStream     = eris.New("the stream ended with its connection before its first event")
+	ErrNotContinued    = eris.New("the response does not continue the stream that has begun")
 	ErrPanic           = eris.New("an unexpected error, logged as panic")
 )
 
--- a/internal/app/gateway/fake_test.go
+++ b/internal/app/gateway/fake_test.go
@@ -30,6 +30,8 @@
 	silent bool
 	// rate is the number of requests per second that the target names, 0: none.
 	rate float64
+	// contentType is the type of the body, empty: none.
+	contentType string
 }
 
 // fakeTargets gives the replies to attempts in the order of their arrival.
@@ -71,7 +73,11 @@
 	if r.broken {
 		body = io.MultiReader(body, brokenReader{})
 	}
-	return port.ForwardResponse{Status: r.status, Header: http.Header{}, Body: io.NopCloser(body), Length: -1, RequestsPerSecond: r.rate}, nil
+	header := http.Header{}
+	if r.contentType != "" {
+		header.Set("Content-Type", r.contentType)
+	}
+	return port.ForwardResponse{Status: r.status, Header: header, Body: io.NopCloser(body), Length: -1, RequestsPerSecond: r.rate}, nil
 }
 
 func (f *fakeTargets) Order(context.Context, string, port.WeightsOrder) error { return nil }
--- a/internal/app/gateway/stream_test.go
+++ b/internal/app/gateway/stream_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -64,3 +66,26 @@
 		is.Equal(len(w.targets.sent()), 1)
 	})
 }
+
+// Guards against a stream that has begun and goes on with another answer than events, or ends
+// as complete with it.
+func TestStreamIsContinuedByEventsOnly(t *testing.T) {
+	for _, status := range []int{200, 201, 202, 204, 206, 299, 300, 301, 304, 308, 400, 401, 403, 404, 409, 410, 413, 418, 422, 499, 500, 501, 502, 503, 504, 599} {
+		for _, contentType := range []string{"", "text/event-stream", "text/event-stream; charset=utf-8", "text/plain", "text/html", "application/json", ";"} {
+			for _, body := range []string{"", event2, "error\n\n", "event: error\ndata: overloaded\n\n"} {
+				isSound := status == http.StatusOK && body == event2 && (contentType == "" || strings.HasPrefix(contentType, "text/event-stream"))
+				synctest.Test(t, func(t *testing.T) {
+					w := newTestGateway(t, reply{status: http.StatusOK, body: event1, broken: true}, reply{status: status, contentType: contentType, body: body})
+					out, err := w.send(t.Context(), "check")
+					name := fmt.Sprintf("status %d, type %q, body %q", status, contentType, body)
+					switch {
+					case isSound && (err != nil || out.body.String() != event1+event2):
+						t.Error(name, "not continued", err)
+					case !isSound && (failureOf(err).Kind != KindAborted || out.body.String() != event1):
+						t.Errorf("%s: relayed %q, %v", name, out.body.String(), err)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/core/stream/events.go
+++ b/internal/core/stream/events.go
@@ -12,8 +12,14 @@
 // maxEventBytes is the maximum size of one event, larger than any that engines send.
 const maxEventBytes = 256 << 10
 
-// ErrEventTooLarge means that an event exceeds maxEventBytes.
-var ErrEventTooLarge = eris.New("stream event exceeds the maximum size")
+// Errors of malformed streams.
+var (
+	// ErrEventTooLarge means that an event exceeds maxEventBytes.
+	ErrEventTooLarge = eris.New("stream event exceeds the maximum size")
+	// ErrNotEvent means that a line is no field of an event, such as a line of an error
+	// page or of the head of another response.
+	ErrNotEvent = eris.New("the stream holds a line that is no field of an event")
+)
 
 // SequenceError reports a gap between the ids of two events.
 type SequenceError struct {
@@ -35,6 +41,8 @@
 	// WatchedValue is the value of the field that the reader watches, empty if the
 	// event doesn't have it.
 	WatchedValue string
+	// HasContent is set if the event has other fields than these two; comments are none.
+	HasContent bool
 }
 
 // EventReader reads complete events from an event stream.
@@ -43,8 +51,12 @@
 	// watchedPrefix is the name of the watched field, followed by a colon.
 	watchedPrefix []byte
 	event         []byte
+	// begun is set once the first line was read, which may begin with a byte order mark.
+	begun bool
 }
 
+var byteOrderMark = []byte("\ufeff")
+
 // NewEventReader returns an EventReader that reports the value of the field named
 // watched as WatchedValue.
 func NewEventReader(r io.Reader, watched string) *EventReader {
@@ -59,9 +71,9 @@
 func (e *EventReader) Next() (Event, error) {
 	e.event = e.event[:0]
 	var out Event
-	for {
-		line, err := e.r.ReadSlice('\n')
-		e.event = append(e.event, line...)
+	for start := 0; ; {
+		part, err := e.r.ReadSlice('\n')
+		e.event = append(e.event, part...)
 		if len(e.event) > maxEventBytes {
 			return Event{}, ErrEventTooLarge
 		}
@@ -74,18 +86,47 @@
 		if err != nil {
 			return Event{}, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(e.event[start:], "\r\n")
+		start = len(e.event)
+		if !e.begun {
+			text = bytes.TrimPrefix(text, byteOrderMark)
+			e.begun = true
+		}
 		if len(text) == 0 {
 			out.Bytes = e.event
 			return out, nil
 		}
+		if !isField(text) {
+			return Event{}, ErrNotEvent
+		}
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			id, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
 			out.ID, out.HasID = id, err == nil
 		} else if value, ok := bytes.CutPrefix(text, e.watchedPrefix); ok {
 			out.WatchedValue = string(bytes.TrimSpace(value))
+		} else if text[0] != ':' {
+			out.HasContent = true
+		}
+	}
+}
+
+// isField reports whether a line is a comment or a field of an event. Names of fields that
+// are not known are accepted if they are spelled like the known ones, as extensions are.
+func isField(line []byte) bool {
+	name, _, hasValue := bytes.Cut(line, []byte(":"))
+	if !hasValue {
+		switch string(name) {
+		case "data", "event", "id", "retry":
+			return true
+		}
+		return false
+	}
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
 		}
 	}
+	return true
 }
 
 // SequenceChecker checks that event ids increase across all attempts of one response.
--- a/internal/core/stream/events_test.go
+++ b/internal/core/stream/events_test.go
@@ -23,6 +23,14 @@
 		"cut in a line":     {"id: 1\ndata: a\n\nid: 2\nda", []string{"id: 1\ndata: a\n\n"}, io.ErrUnexpectedEOF},
 		"cut before a line": {"id: 1\ndata: a\n\nid: 2\n", []string{"id: 1\ndata: a\n\n"}, io.ErrUnexpectedEOF},
 		"none":              {"", nil, io.EOF},
+		"line of 2 KiB":     {"data: " + strings.Repeat("x", 2<<10-6) + "\n\n" + "id: 2\n\n", []string{"data: " + strings.Repeat("x", 2<<10-6) + "\n\n", "id: 2\n\n"}, io.EOF},
+		"byte order mark":   {"\ufeffid: 1\n\n", []string{"\ufeffid: 1\n\n"}, io.EOF},
+		"other fields":      {"x-new_2: a\ndata\nid\n: comment\n:\n\n", []string{"x-new_2: a\ndata\nid\n: comment\n:\n\n"}, io.EOF},
+		"head":              {"id: 1\n\nHTTP/1.1 503 Full\r\n\r\n", []string{"id: 1\n\n"}, ErrNotEvent},
+		"page":              {"<p>Error: 500</p>\n\n", nil, ErrNotEvent},
+		"JSON":              {"{\"error\": 1}\n\n", nil, ErrNotEvent},
+		"message":           {"id: 1\noverloaded\n\n", nil, ErrNotEvent},
+		"second mark":       {"id: 1\n\n\ufeffid: 2\n\n", []string{"id: 1\n\n"}, ErrNotEvent},
 		"too large":         {strings.Repeat("data: x", maxEventBytes/7+1), nil, ErrEventTooLarge},
 	}
 	for name, c := range cases {
