gateway: add nothing to a response that cannot be taken up elsewhere

Callers see: a large answer that broke off, followed by the whole answer of a second target, as one complete answer; or a stream that starts anew behind events without ids.

Cause: an idempotent request, or a resumable stream, was repeated after a lost answer whether or not a part of it had been relayed. A repeat may follow a part only if its place can be named, and only numbered events can be; answers over 256 KiB are relayed as they arrive.

Change: once something was relayed whose place cannot be named, a request is not repeated, and its connection is cut. Comments of a stream do not count.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -326,6 +326,7 @@
 	}
 	x.firstEvent = x.g.Clock.Now().Sub(x.r.Received)
 	x.commit(a, length)
+	x.unplaced = true
 	if len(body) > 0 {
 		if err := x.sink.Write(body); err != nil {
 			return retrypolicy.Unknown, &Failure{Kind: KindClientGone, Cause: err}
@@ -398,6 +399,7 @@
 		if !continued && e.HasContent {
 			return retrypolicy.Unknown, ErrNotContinued
 		}
+		x.unplaced = x.unplaced || e.HasContent && !e.HasID
 		fresh, err := x.sequence.Accept(e, resumed)
 		resumed = resumed && !fresh && err == nil
 		if err != nil {
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -42,8 +42,11 @@
 	// copy for watchLiveness.
 	committed bool
 	relaying  atomic.Bool
-	tried     map[string]bool
-	attempts  int
+	// unplaced is set once something was relayed whose place in the response cannot be named
+	// to another target: nothing may follow it.
+	unplaced bool
+	tried    map[string]bool
+	attempts int
 	// sentAt is the start of the last attempt, zero once its first event arrived.
 	sentAt time.Time
 	// currentAttempt is the id of the last attempt. answering is set once its first event
@@ -209,7 +212,7 @@
 		}
 		x.history.Add(outcome)
 		x.lastCause = err
-		if ctx.Err() != nil || !retrypolicy.MayRetry(x.route, x.history, outcome) {
+		if ctx.Err() != nil || x.unplaced || !retrypolicy.MayRetry(x.route, x.history, outcome) {
 			return x.giveUp(ctx, outcome, err)
 		}
 		if !x.g.spendRetryBudget(x.service) {
--- a/internal/app/gateway/stream_test.go
+++ b/internal/app/gateway/stream_test.go
@@ -89,3 +89,30 @@
 		}
 	}
 }
+
+// Guards against a stream that is started anew behind what cannot be taken up elsewhere, and
+// against one that is given up though nothing but comments was relayed.
+func TestStreamWithoutIDsIsNotStartedAnew(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, second, want string
+		complete            bool
+	}{
+		"events without ids":   {"data: a\n\n", "data: a\n\ndata: b\n\n", "data: a\n\n", false},
+		"marker after events":  {event1 + "data: [DONE]\n\n", event2, event1 + "data: [DONE]\n\n", false},
+		"comments":             {": alive\n\n", event1 + event2, ": alive\n\n" + event1 + event2, true},
+		"comments, then none":  {": alive\n\n", "data: a\n\n", ": alive\n\ndata: a\n\n", true},
+		"comments and events":  {": alive\n\n" + event1, ": alive\n\n" + event2, ": alive\n\n" + event1 + ": alive\n\n" + event2, true},
+		"last events repeated": {event1 + event2, event1 + event2, event1 + event2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newTestGateway(t, reply{status: http.StatusOK, body: c.first, broken: true}, reply{status: http.StatusOK, body: c.second})
+				out, err := w.send(t.Context(), "check")
+				is.Equal(out.body.String(), c.want)
+				is.Equal(err == nil, c.complete)
+				is.True(err == nil || failureOf(err).Kind == KindAborted)
+			})
+		})
+	}
+}
