completions: a refused resumption breaks the stream

Callers see: at the end of a stream that had begun, an error that calls their request invalid and quotes the text with which a second engine refused to go on.

Cause: a refusal as a bad request ended the request with the engine's message whether or not a part had been delivered.

Change: such a stream has broken off, as after any other failure.

Evidence: on the code before

--- FAIL: TestRefusedResumptionBreaksTheStream/bad_request not true: f.Kind == KindBroken || f.Kind == KindDeadline

The other five forms passed before.

--- a/internal/app/completions/completion.go
+++ b/internal/app/completions/completion.go
@@ -387,7 +387,8 @@
 	if !errors.As(err, &f) {
 		f = failureFromError(ctx, err, c.mayHaveRun)
 	}
-	if c.asm.Chunks() > 0 && f.Kind == KindUnavailable {
+	if c.asm.Chunks() > 0 && (f.Kind == KindUnavailable || f.Kind == KindInvalid) {
+		// A target that refuses the rest does not make the request invalid.
 		f.Kind, f.Message = KindBroken, "the response broke off and could not be resumed"
 	}
 	return f
--- a/internal/app/completions/completion_test.go
+++ b/internal/app/completions/completion_test.go
@@ -124,6 +124,36 @@
 	})
 }
 
+// Guards against the text of a target's refusal at the end of a stream that had begun, and
+// against a caller that is told there that its request is not valid.
+func TestRefusedResumptionBreaksTheStream(t *testing.T) {
+	for name, refusal := range map[string]error{
+		"bad request":   &port.BadRequestError{Peer: "e2", Status: 400, Message: "the engine's text"},
+		"limited":       &port.RateLimitedError{Peer: "e2"},
+		"not run":       &port.NotRunError{Target: "e2", Reason: port.NotRunOverloaded},
+		"unavailable":   &port.UnavailableError{Peer: "e2"},
+		"unknown":       &port.UnknownOutcomeError{Peer: "e2"},
+		"broken stream": &port.BrokenStreamError{Target: "e2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, nil, func(t *testing.T, is *is.I, b *testRouter) {
+				b.engine.scripts["e1"] = func(ctx context.Context, g port.Generation) (port.ChunkStream, error) {
+					return breakAfter(3-g.ResumeFrom, &port.BrokenStreamError{})(ctx, g)
+				}
+				refuse := func(context.Context, port.Generation) (port.ChunkStream, error) { return nil, refusal }
+				b.engine.scripts["e2"], b.engine.scripts["e3"] = refuse, refuse
+				sink := &textSink{}
+				_, err := b.complete(t.Context(), "p", 6, sink)
+				f := failure(t, err)
+				is.True(f.Kind == KindBroken || f.Kind == KindDeadline)
+				is.Equal(f.Outcome, OutcomeMayHaveRun)
+				is.True(!strings.Contains(f.Message, "the engine's text"))
+				is.Equal(sink.text.String(), fullText("p", 3))
+			})
+		})
+	}
+}
+
 // Guards against the outcome "not run" for a request that may have run, and the
 // reverse.
 func TestOutcomeOfRefusals(t *testing.T) {
