httpconn: use no connection again that has carried a refusal

Callers see, at the product's own interface: an attempt, a call or an order that a target carries out counts as refused, and a request runs at a second target, after a faulty target wrote an earlier refusal once more on a kept connection.

Cause: responses of engines and services need not name their attempt, so that only the connection tells them apart, and connections were used again after refusals.

Change: a connection that has carried a refusal of an engine or of a service is closed unless another request has it already, and takes no further one: the first write of one fails, nothing of it is sent, and it is sent on a new connection. The gateway keeps its connections: its targets name the request.

Evidence: on the code before 120 of 120 cases of TestCopyOfARefusalIsNotTaken for engines (attempts, orders, imports, cancels, load reports; six statuses; with the earlier attempt and without) and 12 of 24 for services failed:

err: target 127.0.0.1:34157 did not run the attempt: declared err: target T did not run the attempt: overloaded

Where the earlier attempt was named, they failed with an unknown outcome; now the request is answered. All pass now. Calls that must run at most once had connections of their own before. Not covered: a copy on a connection other than that of the refusal, and one taken at the instant of the refusal, where targets do not name attempts. A refusal costs a new connection.

--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -92,6 +92,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if response.StatusCode >= http.StatusBadRequest {
+		defer httpconn.Retire(response)
+	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, c.maxBody+1))
 	if err == nil && int64(len(data)) > c.maxBody {
--- a/internal/adapter/enginehttp/generate.go
+++ b/internal/adapter/enginehttp/generate.go
@@ -46,6 +46,7 @@
 	if response.StatusCode == http.StatusOK && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		return newStream(address, response, cancel, c.maxEvent), nil
 	}
+	defer httpconn.Retire(response)
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusOK {
 		return nil, &port.UnknownOutcomeError{Peer: address, Cause: ErrNotEventStream}
--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -19,6 +19,10 @@
 	mu      sync.Mutex
 	written int64
 	sealed  bool
+	// uses counts the requests to which the connection was assigned.
+	uses int
+	// retired is set once no further request may be written.
+	retired bool
 }
 
 func (c *countedConn) Write(p []byte) (int, error) {
@@ -32,12 +36,6 @@
 	return n, err
 }
 
-func (c *countedConn) count() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.written
-}
-
 // seal blocks further writes and returns the number of bytes written. The
 // transport may still be about to write when it reports a failure.
 func (c *countedConn) seal() int64 {
@@ -47,10 +45,34 @@
 	return c.written
 }
 
+// use assigns the connection to a request and returns the number of the use and of the bytes
+// written before. A retired connection fails the request's first write, so that nothing of it
+// is sent.
+func (c *countedConn) use() (number int, before int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.uses++
+	c.sealed = c.sealed || c.retired
+	return c.uses, c.written
+}
+
+// retire keeps later requests from the connection, and closes it unless one has it already.
+func (c *countedConn) retire(number int) {
+	c.mu.Lock()
+	c.retired = true
+	unused := c.uses == number
+	c.sealed = c.sealed || unused
+	c.mu.Unlock()
+	if unused {
+		_ = c.Close() // nothing more is sent in any case
+	}
+}
+
 // connUse is the connection assigned to a request, with its byte count at that time.
 type connUse struct {
 	conn   *countedConn
 	before int64
+	number int
 	reused bool
 }
 
@@ -75,7 +97,8 @@
 	}
 	u := &connUse{reused: info.Reused}
 	if counted, ok := raw.(*countedConn); ok {
-		u.conn, u.before = counted, counted.count()
+		u.conn = counted
+		u.number, u.before = counted.use()
 	}
 	t.last.Store(u)
 }
--- a/internal/adapter/httpconn/pool.go
+++ b/internal/adapter/httpconn/pool.go
@@ -161,6 +161,7 @@
 			return nil, &Failure{Cause: ErrInvalidStatus}
 		}
 		if err == nil {
+			response.Body = &responseBody{ReadCloser: response.Body, use: tracker.last.Load()}
 			return response, nil
 		}
 		nothing, reused := tracker.nothingSent()
--- a/internal/adapter/servicehttp/client.go
+++ b/internal/adapter/servicehttp/client.go
@@ -88,6 +88,7 @@
 	}
 	if response.StatusCode >= 400 && response.Header.Get("X-Not-Run") == "true" {
 		_ = response.Body.Close()
+		httpconn.Retire(response)
 		cancel()
 		return port.Reply{}, &port.NotRunError{
 			Target: address, Reason: port.NotRunDeclared, RetryAfter: c.pool.RetryAfter(response.Header),
