--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -43,8 +43,11 @@
 	// copy for watchLiveness.
 	committed bool
 	relaying  atomic.Bool
-	tried     map[string]bool
-	attempts  int
+	// unplaced is set once something was relayed whose place in the response cannot be named
+	// to another target: nothing may follow it.
+	unplaced bool
+	tried    map[string]bool
+	attempts int
 	// running is set from the first attempt on. succeeded is set once a target has
 	// answered with success.
 	running   *shutdown.Running
@@ -221,7 +224,7 @@
 		}
 		x.history.Add(outcome)
 		x.lastCause = err
-		if ctx.Err() != nil || !retrypolicy.MayRetry(x.route, x.history, outcome) {
+		if ctx.Err() != nil || x.unplaced || !retrypolicy.MayRetry(x.route, x.history, outcome) {
 			return x.giveUp(ctx, outcome, err)
 		}
 		if !x.g.spendRetryBudget(x.service) {
--- a/internal/app/gateway/fake_test.go
+++ b/internal/app/gateway/fake_test.go
@@ -32,6 +32,8 @@
 	rate float64
 	// says is what the target says of itself.
 	says port.TargetStatement
+	// contentType is the type of the body, empty: none.
+	contentType string
 }
 
 // fakeTargets gives the replies to attempts in the order of their arrival.
@@ -73,7 +75,11 @@
 	if r.broken {
 		body = io.MultiReader(body, brokenReader{})
 	}
-	return port.ForwardResponse{Status: r.status, Header: http.Header{}, Body: io.NopCloser(body), Length: -1, RequestsPerSecond: r.rate, Statement: r.says}, nil
+	header := http.Header{}
+	if r.contentType != "" {
+		header.Set("Content-Type", r.contentType)
+	}
+	return port.ForwardResponse{Status: r.status, Header: header, Body: io.NopCloser(body), Length: -1, RequestsPerSecond: r.rate, Statement: r.says}, nil
 }
 
 func (f *fakeTargets) Order(context.Context, string, port.WeightsOrder) error { return nil }
