platform: positions of a restored log belong to another history

Routers that had read further than the log now reached could not claim the lease again, so that weights were not rolled out and requests for the new weights were refused. A router that read late missed a record, of a configuration or a target, that had taken the place of one it knew.

Cause: a position in the log was taken for the identity of a record and for an order over all time. A restored log gives positions out again; only the history named in its responses tells. A read from beyond the end was answered with an oldest position below the reader's own, which readClaims takes for a failure and repeats.

Change: port.Offset holds the history above the position, so that offsets, and fencing tokens made of them, rise over all histories. Offsets between routers need no change: they compare as before.

--- a/internal/app/follow/follow_test.go
+++ b/internal/app/follow/follow_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -67,3 +68,38 @@
 		<-done
 	})
 }
+
+// Guards against a follower that skips or repeats records because the log returned from an
+// older copy.
+func TestFollowReadsARestoredLogFromItsStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := portfake.NewLog(portfake.LogOptions{})
+		appendIDs := func(ids ...string) {
+			for _, id := range ids {
+				_, err := log.Append(t.Context(), "s", []port.Record{{ID: id}})
+				is.NoErr(err)
+			}
+		}
+		appendIDs("a")
+		copied := log.Now()
+		appendIDs("b", "c")
+		var read []string
+		f := &Follower{Log: log, Stream: "s", Logger: slog.New(slog.DiscardHandler), Handle: func(r port.Record) { read = append(read, r.ID) }}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Run(ctx) }()
+		synctest.Wait()
+		is.Equal(read, []string{"a", "b", "c"})
+		log.Restore(copied)
+		appendIDs("d", "e", "f")
+		<-time.After(time.Second)
+		synctest.Wait()
+		is.Equal(read, []string{"a", "b", "c", "a", "d", "e", "f"})
+		oldest, next, err := Bounds(t.Context(), log, "s")
+		is.NoErr(err)
+		is.Equal(oldest, port.OffsetAt(1, 1))
+		is.Equal(next, port.OffsetAt(1, 5))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/app/gatewaysync/gatewaysync_test.go
+++ b/internal/app/gatewaysync/gatewaysync_test.go
@@ -22,10 +22,14 @@
 	records []port.KeyedRecord
 	// expired is the number of oldest records that are no longer retained.
 	expired int
+	history port.History
 	down    bool
 	newest  int
 }
 
+// offset returns the offset of the record with index i.
+func (l *fakeLog) offset(i int) port.Offset { return port.OffsetAt(l.history, uint64(i+1)) }
+
 func (l *fakeLog) add(key, value string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -50,7 +54,7 @@
 			delete(last, r.Key)
 		}
 	}
-	out := port.KeyedBatch{Next: port.Offset(len(l.records) + 1)}
+	out := port.KeyedBatch{Next: l.offset(len(l.records))}
 	for _, r := range last {
 		out.Records = append(out.Records, r)
 	}
@@ -61,14 +65,14 @@
 	end := time.Now().Add(wait)
 	for {
 		l.mu.Lock()
-		down, next := l.down, port.Offset(len(l.records)+1)
-		if !down && int(from) <= l.expired {
+		down, next := l.down, l.offset(len(l.records))
+		if oldest := l.offset(l.expired); !down && from < oldest {
 			l.mu.Unlock()
-			return port.KeyedBatch{}, &port.ExpiredError{Stream: stream, From: from, Oldest: port.Offset(l.expired + 1)}
+			return port.KeyedBatch{}, &port.ExpiredError{Stream: stream, From: from, Oldest: oldest}
 		}
 		var records []port.KeyedRecord
 		if !down {
-			records = append(records, l.records[from-1:]...)
+			records = append(records, l.records[from.Position()-1:]...)
 		}
 		l.mu.Unlock()
 		if down {
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -173,7 +173,8 @@
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context, stream string) (KeyedBatch, error)
 	// Changes returns the records starting at from and waits at most wait for the
-	// first. It fails with an ExpiredError when they are no longer retained.
+	// first. It fails with an ExpiredError when they are no longer retained, or from is of
+	// an earlier history of the log.
 	Changes(ctx context.Context, stream string, from Offset, wait time.Duration) (KeyedBatch, error)
 }
 
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -8,10 +8,37 @@
 	"time"
 )
 
-// Offset is the position of a record in one stream of the platform log.
-// Offsets start at 1 and are dense; 0 means "before the first record".
+// History numbers the histories of the platform log. It rises whenever the log returns
+// from a copy of an earlier moment: the records since then are lost, and their positions
+// are given to others.
+type History uint64
+
+// positionBits is the number of bits of an Offset that hold the position. Offsets stay
+// below 2^53, which JSON parsers with floating-point numbers need, for 8,191 histories.
+const positionBits = 40
+
+// MaxHistory is the largest history that an Offset can hold.
+const MaxHistory History = 1<<(64-positionBits) - 1
+
+// Offset is the position of a record in one stream of the platform log, together with the
+// history of the log in which it was read. Offsets order by history, then by position.
+// Within a history they start at position 1 and are dense; position 0 means "before the
+// first record". In the first history, 0, an Offset equals its position.
 type Offset uint64
 
+// OffsetAt returns the offset of a position in a history.
+func OffsetAt(h History, position uint64) Offset { return Offset(h)<<positionBits | Offset(position) }
+
+// History returns the history in which the offset was read.
+func (o Offset) History() History { return History(o >> positionBits) }
+
+// Position returns the position in the stream.
+func (o Offset) Position() uint64 { return uint64(o & (1<<positionBits - 1)) }
+
+// IsStart reports whether the offset asks for the first retained record, in whichever
+// history the log is.
+func (o Offset) IsStart() bool { return o <= 1 }
+
 // Names of the streams that mimosaseam writes to the platform log.
 const (
 	StreamConfig = "config"
@@ -54,7 +81,7 @@
 	Append(ctx context.Context, stream string, records []Record) (Offset, error)
 	// Read returns at most limit records starting at from and waits at most wait
 	// for the first. It fails with an ExpiredError when from is older than the
-	// oldest retained record.
+	// oldest retained record, or of an earlier history of the log.
 	Read(ctx context.Context, stream string, from Offset, limit int, wait time.Duration) (Batch, error)
 }
 
--- a/internal/port/portfake/log.go
+++ b/internal/port/portfake/log.go
@@ -58,17 +58,21 @@
 
 	mu      sync.Mutex
 	streams map[string]*stream
+	history port.History
 	faults  Faults
 	// changed is closed and replaced when records or faults change.
 	changed chan struct{}
 }
 
 type stream struct {
-	// records holds the offsets oldest, oldest+1, ... in order.
+	// records holds the positions oldest, oldest+1, ... in order.
 	records []port.Record
 	oldest  port.Offset
 }
 
+// Moment is the position of the next record of each stream at one moment.
+type Moment map[string]port.Offset
+
 func (s *stream) next() port.Offset { return s.oldest + port.Offset(len(s.records)) }
 
 // NewLog returns an empty log.
@@ -106,6 +110,42 @@
 	s.oldest += n
 }
 
+// Now returns the current moment, for Restore.
+func (l *Log) Now() Moment {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := Moment{}
+	for name, s := range l.streams {
+		m[name] = s.next()
+	}
+	return m
+}
+
+// Restore loses all records since the moment and begins a new history.
+func (l *Log) Restore(to Moment) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.history++
+	for name, s := range l.streams {
+		end := max(to[name], 1)
+		s.oldest = min(s.oldest, end)
+		s.records = s.records[:min(int(end-s.oldest), len(s.records))]
+	}
+	l.wake()
+}
+
+// History returns the current history.
+func (l *Log) History() port.History {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.history
+}
+
+// offset returns the offset of a position in the current history.
+func (l *Log) offset(position port.Offset) port.Offset {
+	return port.OffsetAt(l.history, position.Position())
+}
+
 // Append implements port.Log.
 func (l *Log) Append(ctx context.Context, name string, records []port.Record) (port.Offset, error) {
 	if err := l.delay(ctx); err != nil {
@@ -126,7 +166,7 @@
 		l.faults.LoseBeforeEffect--
 		return 0, &port.UnknownOutcomeError{Peer: peerName}
 	}
-	first := l.write(name, records)
+	first := l.offset(l.write(name, records))
 	if l.faults.LoseAfterEffect > 0 {
 		l.faults.LoseAfterEffect--
 		return 0, &port.UnknownOutcomeError{Peer: peerName}
@@ -173,14 +213,18 @@
 	}
 	s := l.stream(name)
 	l.dropExpired(s)
-	if from < s.oldest {
-		return port.Batch{}, nil, &port.ExpiredError{Stream: name, From: from, Oldest: s.oldest}
+	changed := !from.IsStart() && from.History() != l.history
+	position := port.Offset(from.Position())
+	if changed || position < s.oldest {
+		return port.Batch{}, nil, &port.ExpiredError{Stream: name, From: from, Oldest: l.offset(s.oldest)}
 	}
-	b := port.Batch{Next: from, Oldest: s.oldest}
-	if from < s.next() {
-		rest := s.records[from-s.oldest:]
-		b.Records = append(b.Records, rest[:min(limit, len(rest))]...)
-		b.Next = from + port.Offset(len(b.Records))
+	b := port.Batch{Next: l.offset(position), Oldest: l.offset(s.oldest)}
+	if position < s.next() {
+		for _, r := range s.records[position-s.oldest:][:min(limit, int(s.next()-position))] {
+			r.Offset = l.offset(r.Offset)
+			b.Records = append(b.Records, r)
+		}
+		b.Next = l.offset(position + port.Offset(len(b.Records)))
 	}
 	return b, l.changed, nil
 }
