weights: a lease ends with the history of its claim

What callers see: after the log returned from an older copy, a router went on giving orders under a lease whose claim was gone. Another could hold a newer one meanwhile; where targets check no fencing tokens, their orders are then within the handover interval.

Cause: the lease was held by time alone, and a claim that the log had lost was no reason to wait for anybody.

Change: the holder compares the history of its claim with the newest that any response of the log has named, directly before each order, and gives the lease up at the next step. Where targets check no fencing tokens, no router claims until the holder of a lost claim has been unable to give orders for the handover interval, counted from when this router first saw the history. Where they check them, the next token is higher and there is no wait. One line, "log history changed", tells of it.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -231,7 +231,7 @@
 func (n *gatewayNode) buildWeights(targets *platform.Targets, log *platform.Log) {
 	s := n.settings
 	n.weights = weights.New(weights.Deps{
-		Log: log, Control: targets, Clock: n.bootClock, Logger: n.log,
+		Log: log, History: log.History, Control: targets, Clock: n.bootClock, Logger: n.log,
 		Holder:              s.VM.Name + "@" + strconv.FormatInt(time.Now().UnixMilli(), 36),
 		TargetsCheckFencing: s.Bounds.TargetsCheckFencing, HandoverInterval: settings.Milliseconds(s.Bounds.HandoverIntervalMs),
 		Candidate: func() bool { return placement.IsChosen(s.VM.Name, n.routerNames(), port.StreamOrders, leaseCandidates) },
--- a/internal/app/weights/holder.go
+++ b/internal/app/weights/holder.go
@@ -53,6 +53,21 @@
 	return m.heldFor(m.Clock.Now()) > 0
 }
 
+// followHistory gives up a lease of an earlier history of the log: another router may hold
+// one of the newest.
+func (m *Manager) followHistory() {
+	if m.History == nil || m.History() == m.logHistory {
+		return
+	}
+	old := m.logHistory
+	m.logHistory, m.restored = m.History(), m.Clock.Now()
+	held := m.heldFor(m.restored) > 0
+	m.setHeld(0, time.Time{})
+	if old > 0 || held { // otherwise the first response of the log told it
+		m.Logger.Warn("log history changed", "stream", port.StreamOrders, "old", old, "new", m.logHistory, "lease_given_up", held)
+	}
+}
+
 // heldFor returns the remaining time of this router's lease.
 func (m *Manager) heldFor(now time.Time) time.Duration {
 	m.mu.Lock()
@@ -77,8 +92,12 @@
 
 // leaseFree reports whether the current claim has expired. Where targets do not check
 // fencing tokens, its holder must also have been unable to give orders for the handover
-// interval.
+// interval, and so must the holder of a claim that a restored log has lost.
 func (m *Manager) leaseFree(now time.Time) bool {
+	if !m.TargetsCheckFencing && !m.restored.IsZero() &&
+		now.Before(lease.ClaimableAt(m.restored, m.ttl()).Add(m.HandoverInterval)) {
+		return false
+	}
 	current, known := m.claims.Current()
 	if !known || current.Holder == m.Holder {
 		return true
@@ -153,6 +172,9 @@
 func (m *Manager) fencingToken(now time.Time) (port.Offset, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.History != nil && m.History() != m.token.History() {
+		return m.token, false
+	}
 	return m.token, now.Before(m.heldUntil)
 }
 
--- a/internal/app/weights/restored_test.go
+++ b/internal/app/weights/restored_test.go
@@ -80,3 +80,64 @@
 		synctest.Wait()
 	})
 }
+
+// managerOf returns a manager that learns of histories from the log.
+func (f *fleet) managerOf(holder string) *Manager {
+	m := f.manager(holder)
+	m.History = f.log.History
+	return m
+}
+
+// Guards against an order under a lease that a restored log has lost.
+func TestLeaseEndsWithItsHistory(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	m := f.managerOf("A")
+	m.claim(t.Context())
+	_, held := m.fencingToken(time.Now())
+	is.True(held)
+	f.log.Restore(f.log.Now())
+	sent := m.send(t.Context(), f.engines["a"].target, &pending{version: 2})
+	is.True(!sent)
+	is.Equal(len(f.engines["a"].orders), 0)
+	m.followHistory()
+	is.Equal(m.heldFor(time.Now()) > 0, false)
+}
+
+// Guards against orders of two holders within the handover interval where targets check no
+// fencing tokens: the claim of the first is lost, and it does not know yet.
+func TestRestoredLogIsNoHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(9)
+		empty := f.log.Now()
+		first, cancelFirst := context.WithCancel(t.Context())
+		a, b := f.manager("A"), f.managerOf("B") // A hears of no history
+		a.SetDesired(model, 2)
+		run(first, a)
+		time.Sleep(600 * time.Millisecond)
+		f.log.Restore(empty)
+		rest, cancel := context.WithCancel(t.Context())
+		b.SetDesired(model, 2)
+		run(rest, b)
+		time.Sleep(500 * time.Millisecond)
+		cancelFirst()
+		time.Sleep(15 * time.Second)
+		is.Equal(f.behind(2), 0)
+		var lastA, firstB time.Time
+		for _, e := range f.engines {
+			for _, o := range e.orders {
+				if o.holder == "A" && o.at.After(lastA) {
+					lastA = o.at
+				}
+				if o.holder == "B" && (firstB.IsZero() || o.at.Before(firstB)) {
+					firstB = o.at
+				}
+			}
+		}
+		is.True(!lastA.IsZero() && !firstB.IsZero())
+		is.True(firstB.Sub(lastA) >= handoverInterval)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/app/weights/weights.go
+++ b/internal/app/weights/weights.go
@@ -41,7 +41,9 @@
 
 // Deps are the dependencies of a Manager.
 type Deps struct {
-	Log     port.Log
+	Log port.Log
+	// History returns the newest history of the log that is known; nil: there is only one.
+	History func() port.History
 	Control port.WeightsControl
 	// Clock also counts the time for which the VM was suspended.
 	Clock  port.Clock
@@ -89,6 +91,10 @@
 	claims   lease.State
 	next     port.Offset
 	observed time.Time // when the current claim was read
+	// logHistory is the newest known one, and restored when it was first seen: zero in the
+	// first history, in which no claim was ever lost.
+	logHistory port.History
+	restored   time.Time
 	// outdated is the number of outdated targets at the last step, and progressed when it
 	// last fell: another router gives orders.
 	outdated   int
@@ -165,6 +171,7 @@
 
 // step starts the orders that are due and reports whether a rollout is in progress.
 func (m *Manager) step(ctx context.Context) bool {
+	m.followHistory()
 	desired, announced := m.desiredVersions()
 	targets := m.rolloutTargets()
 	outdated := rollout.CountOutdated(targets, desired)
