gatewaysync: values of a restored log do not replace newer known ones

What callers see: after the log returned from an older copy, a router that started, or was served by another, got an older configuration than one that had been in force; a configuration counted as verified though the log held an older one, so that a key revoked meanwhile could be accepted for longer than its bound; targets that had left were used again until they were read as gone.

Cause: what a full load returned was taken for the newest. It replaced what the follower knew and served to other routers, and was verified at once.

Change: the follower keeps the revision of each value, which its writer counts and the log cannot take back (the version of a configuration or of weights; start time and sequence number of a target). Between histories a value replaces the known one only with a higher revision; removed keys keep theirs for 5 minutes. The known values are verified only when the log holds each of them again in its newest history, and are served to others with the age of their last verification. A router that loads in a restored log first asks other routers for newer values and applies them, without verifying. Within a history the order of the log decides as before. Each change of history is one line, "log history changed", with what was applied and what is awaited.

Evidence, on the follower as it was: TestFollowerReadsARestoredLogAgain: map[config:v 2 weights:w 7] != map[config:v 3 weights:w 7] TestOlderConfigurationIsNotVerified: v 1 != v 2 TestStartingRouterLearnsOfLostRecordsFromAPeer: v 1 != v 2 TestRemovedTargetsStayRemovedAfterARestore: map[back:ready 1 gone:ready 1 leaving:ready 1] != map[back: gone: leaving:leaving 2] TestValuesNeverGoBack: c went back from 2 to 1 The first of them needs the histories of offsets too.

--- a/internal/app/gatewaysync/gatewaysync.go
+++ b/internal/app/gatewaysync/gatewaysync.go
@@ -50,6 +50,10 @@
 	// each one says something new. Such values are neither applied nor served to others:
 	// targets rewrite their entries every second or so.
 	Unchanged func(older, newer []byte) bool
+	// Revision returns the revision of a value; ok is false for a value that has none. After
+	// the log returned from an older copy, values of older revisions than the known one are
+	// ignored. nil: no value has one.
+	Revision func(key string, value []byte) (r port.Revision, ok bool)
 	// OnVerified is called with a time at which the applied records were the newest.
 	OnVerified func(at time.Time)
 
@@ -148,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	f.apply(batch, at)
+	f.apply(received{KeyedBatch: batch}, at)
 	return nil
 }
 
@@ -158,72 +162,58 @@
 	if err != nil {
 		return err
 	}
-	f.mu.Lock()
-	f.newest, f.since = nil, batch.Next
-	f.mu.Unlock()
-	f.apply(batch, at)
+	keys := map[string]bool{}
+	for _, r := range batch.Records {
+		keys[r.Key] = true
+	}
+	f.forget(keys, batch.Next)
+	f.applyRecords(received{KeyedBatch: batch}, "log")
+	if batch.Next.History() > 0 {
+		// The copy from which the log returned may lack what other routers have read.
+		f.readNewerFromPeers(ctx)
+	}
+	f.verify(at)
 	if f.Reset != nil {
-		keys := map[string]bool{}
-		for _, r := range batch.Records {
-			keys[r.Key] = true
-		}
 		f.Reset(keys)
 	}
 	f.loaded = true
 	return nil
 }
 
-func (f *Follower) apply(batch port.KeyedBatch, at time.Time) {
-	batch.Records = f.changes(batch.Records)
-	for _, r := range batch.Records {
-		f.Apply(r)
-	}
-	f.retain(batch, at)
-	if f.OnVerified != nil {
-		f.OnVerified(at)
-	}
+// apply applies records that were the newest at a time.
+func (f *Follower) apply(batch received, at time.Time) {
+	f.applyRecords(batch, batch.source())
+	f.verify(at)
 }
 
-// changes returns the records that say something new.
-func (f *Follower) changes(records []port.KeyedRecord) []port.KeyedRecord {
-	if f.Unchanged == nil {
-		return records
+func (f *Follower) applyRecords(batch received, source string) {
+	older, newer := f.offset(), batch.Next
+	batch.Records = f.accept(batch)
+	for _, r := range batch.Records {
+		f.Apply(r)
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []port.KeyedRecord
-	latest := map[string][]byte{} // of the keys in out
-	for _, r := range records {
-		old, known := latest[r.Key]
-		if !known {
-			old = f.newest[r.Key].value
-		}
-		if r.Value != nil && old != nil && f.Unchanged(old, r.Value) {
-			continue
-		}
-		latest[r.Key] = r.Value
-		out = append(out, r)
+	if older.History() == newer.History() || older == 0 {
+		return
 	}
-	return out
+	f.Logger.Warn("log history changed", "stream", f.Name, "old", older.History(), "new", newer.History(),
+		"old_position", older.Position(), "position", newer.Position(), "from", source,
+		"applied", len(batch.Records), "awaited", f.awaited())
 }
 
-// retain stores the newest records to serve them to other routers.
-func (f *Follower) retain(batch port.KeyedBatch, at time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.next = batch.Next
-	if f.Peers == nil && f.Relay == nil {
+// verify records that the known values were the newest at a time, unless the log lacks one
+// of them: its writer then writes again, and possibly more than this router knows of.
+func (f *Follower) verify(at time.Time) {
+	if len(f.awaited()) > 0 {
 		return
 	}
-	if f.newest == nil {
-		f.newest = map[string]retained{}
-	}
-	for _, r := range batch.Records {
-		f.newest[r.Key] = retained{value: r.Value, offset: batch.Next - 1}
-	}
+	f.mu.Lock()
 	if at.After(f.verified) {
 		f.verified = at
 	}
+	f.mu.Unlock()
+	if f.OnVerified != nil {
+		f.OnVerified(at)
+	}
 }
 
 // readFromPeers applies the newest records of other routers while this router cannot read
@@ -250,6 +240,21 @@
 	f.apply(batch, at.Add(-best.Age))
 }
 
+// readNewerFromPeers applies the values of other routers that are newer than those of the
+// log, but continues to read the log where it was.
+func (f *Follower) readNewerFromPeers(ctx context.Context) {
+	if f.Peers == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	for _, b := range f.Peers(ctx, f.Name, 0) {
+		batch := fromPeer(b)
+		batch.Next = f.offset()
+		f.applyRecords(batch, "peer")
+	}
+}
+
 func (f *Follower) offset() port.Offset {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/app/gatewaysync/relay.go
+++ b/internal/app/gatewaysync/relay.go
@@ -67,23 +67,3 @@
 	f.apply(fromPeer(b), at.Add(-b.Age))
 	return true
 }
-
-// fromPeer converts a peer's response to keyed records; an empty value removes the key.
-func fromPeer(b port.Batch) port.KeyedBatch {
-	out := port.KeyedBatch{Next: b.Next}
-	for _, r := range b.Records {
-		record := port.KeyedRecord{Key: r.ID}
-		if len(r.Data) > 0 {
-			record.Value = r.Data
-		}
-		out.Records = append(out.Records, record)
-	}
-	return out
-}
-
-// retained is the newest record of a key, to be served to other routers.
-type retained struct {
-	value []byte
-	// offset is at least the record's offset.
-	offset port.Offset
-}
--- /dev/null
+++ b/internal/app/gatewaysync/retained.go
@@ -0,0 +1,152 @@
+package gatewaysync
+
+import (
+	"slices"
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/port"
+)
+
+// removedRetention is how long the revision of a removed value is kept, to recognize the
+// value if the log returns from an older copy.
+const removedRetention = 5 * time.Minute
+
+// retained is the newest known value of a key.
+type retained struct {
+	// value is nil when the key was removed.
+	value []byte
+	// offset is at least that of the record, by which other routers are served.
+	offset port.Offset
+	// history is the newest one in which the log held the value.
+	history port.History
+	// revision is that of the value, or of the last one before the key was removed.
+	revision    port.Revision
+	hasRevision bool
+	removedAt   time.Time
+}
+
+// received is a batch of the log, or of another router.
+type received struct {
+	port.KeyedBatch
+	// offsets holds those of a peer's records, which may be of older histories than the
+	// batch; nil for a batch of the log.
+	offsets map[string]port.Offset
+}
+
+func (b received) source() string {
+	if b.offsets != nil {
+		return "peer"
+	}
+	return "log"
+}
+
+// offset returns an offset that is at least that of the key's record.
+func (b received) offset(key string) port.Offset {
+	if offset, ok := b.offsets[key]; ok {
+		return offset
+	}
+	return b.Next - 1
+}
+
+// fromPeer converts a peer's response to keyed records; an empty value removes the key.
+func fromPeer(b port.Batch) received {
+	out := received{KeyedBatch: port.KeyedBatch{Next: b.Next}, offsets: map[string]port.Offset{}}
+	for _, r := range b.Records {
+		record := port.KeyedRecord{Key: r.ID}
+		if len(r.Data) > 0 {
+			record.Value = r.Data
+		}
+		out.Records = append(out.Records, record)
+		out.offsets[r.ID] = r.Offset
+	}
+	return out
+}
+
+// accept stores the records of a batch that say something new, to serve them to other
+// routers, and returns them.
+func (f *Follower) accept(batch received) []port.KeyedRecord {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next = batch.Next
+	if f.newest == nil {
+		f.newest = map[string]retained{}
+	}
+	var out []port.KeyedRecord
+	for _, r := range batch.Records {
+		known, isKnown := f.newest[r.Key]
+		next := f.retain(r, known, batch.offset(r.Key))
+		if isKnown && !supersedes(next, known) {
+			if known.value != nil && known.revision == next.revision && next.history > known.history {
+				// The log holds the known value again. Other routers learn it by the offset.
+				known.history, known.offset = next.history, next.offset
+				f.newest[r.Key] = known
+			}
+			continue
+		}
+		if r.Value != nil && known.value != nil && f.Unchanged != nil && f.Unchanged(known.value, r.Value) {
+			known.history, known.revision, known.hasRevision = next.history, next.revision, next.hasRevision
+			f.newest[r.Key] = known
+			continue
+		}
+		f.newest[r.Key] = next
+		out = append(out, r)
+	}
+	return out
+}
+
+// retain returns the entry of a record whose key has the known entry.
+func (f *Follower) retain(r port.KeyedRecord, known retained, offset port.Offset) retained {
+	next := retained{value: r.Value, offset: offset, history: offset.History()}
+	switch {
+	case r.Value == nil:
+		next.revision, next.hasRevision, next.removedAt = known.revision, known.hasRevision, f.Clock.Now()
+	case f.Revision != nil:
+		next.revision, next.hasRevision = f.Revision(r.Key, r.Value)
+	}
+	return next
+}
+
+// supersedes reports whether an entry replaces the known one. Within a history the order of
+// the log decides; between histories only the revision tells, and without one the history.
+func supersedes(next, known retained) bool {
+	switch {
+	case next.history == known.history:
+		return true
+	case next.value != nil && next.hasRevision && known.hasRevision:
+		return next.revision.Compare(known.revision) > 0
+	default:
+		return next.history > known.history
+	}
+}
+
+// forget drops what a full load does not confirm: all keys but those that it returned. Where
+// no key is ever removed, known values stay.
+func (f *Follower) forget(keys map[string]bool, next port.Offset) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.since = next
+	now := f.Clock.Now()
+	for key, known := range f.newest {
+		isRecent := known.value == nil && now.Sub(known.removedAt) < removedRetention
+		if f.Reset != nil && !keys[key] && !isRecent {
+			delete(f.newest, key)
+		}
+	}
+}
+
+// awaited returns the keys whose known value the log does not hold in its current history.
+func (f *Follower) awaited() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.Reset != nil {
+		return nil // what the log lacks is gone
+	}
+	var out []string
+	for key, known := range f.newest {
+		if known.value != nil && known.hasRevision && known.history < f.next.History() {
+			out = append(out, key)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -1,6 +1,7 @@
 package port
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -168,6 +169,18 @@
 	Next    Offset
 }
 
+// Revision orders the values that the writer of a key has written, whatever the log
+// retains of them.
+type Revision struct {
+	// Epoch rises when the writer starts anew, Number with each value.
+	Epoch, Number int64
+}
+
+// Compare returns a negative number if r is older than other, 0 if they are equal.
+func (r Revision) Compare(other Revision) int {
+	return cmp.Or(cmp.Compare(r.Epoch, other.Epoch), cmp.Compare(r.Number, other.Number))
+}
+
 // KeyedLog reads keyed streams of the platform's log.
 type KeyedLog interface {
 	// Newest returns the newest record of each key.
