registry: write a router's entry again after a restore of the log

What callers see: a router that had started some seconds before the log returned from an older copy was no longer listed. Routers that started later did not find it by the list, only by the exchanges of others.

Cause: the entry was written once, at the start, and taken to be there for good.

Change: the entry is written again whenever a response of the log names a newer history. The writes of all routers are spread over about a second.

Evidence: TestEntryIsWrittenAgainAfterARestore failed before: 0 != 1.

--- a/internal/app/registry/registry.go
+++ b/internal/app/registry/registry.go
@@ -18,6 +18,9 @@
 const (
 	// retryBase is the mean pause after a failed write of the entry.
 	retryBase = 500 * time.Millisecond
+	// historyInterval is the mean time between two checks whether the log has lost the entry.
+	// It also spreads the writes of all routers after a restore.
+	historyInterval = time.Second
 	// removeTimeout bounds the removal of the entry at a planned shutdown.
 	removeTimeout = time.Second
 )
@@ -26,6 +29,8 @@
 type Log interface {
 	port.KeyedLog
 	port.KeyedWriter
+	// History returns the newest history of the log that is known.
+	History() port.History
 }
 
 // Registry implements port.VMList for routers.
@@ -41,25 +46,43 @@
 	return &Registry{log: log, self: self, logger: logger}
 }
 
-// Run writes the router's entry and returns when the context ends. The write is
-// idempotent, so that it is also retried after an unknown outcome.
+// Run writes the router's entry until the context ends: once, and again whenever the log
+// returned from an older copy, which may lack it.
 func (r *Registry) Run(ctx context.Context) error {
 	text, err := json.Marshal(r.self)
 	if err != nil {
 		return eris.Wrap(err, "encode router entry")
 	}
+	for {
+		history := r.log.History()
+		if err := r.write(ctx, text); err != nil {
+			return err
+		}
+		if history == 0 { // known from the first response on
+			history = r.log.History()
+		}
+		for r.log.History() == history {
+			if err := ctxtime.Sleep(ctx, time.Duration((0.5+rand.Float64())*float64(historyInterval))); err != nil {
+				return err
+			}
+		}
+		r.logger.Warn("log history changed", "stream", port.StreamRouters, "old", history, "new", r.log.History())
+	}
+}
+
+// write writes the entry and returns when it is written or the context ends. The write is
+// idempotent, so that it is also retried after an unknown outcome.
+func (r *Registry) write(ctx context.Context, text []byte) error {
 	for {
 		err := r.log.Put(ctx, port.StreamRouters, r.self.Name, text)
 		if err == nil {
-			break
+			return nil
 		}
 		r.logger.Info("router entry not written", "error", err.Error())
 		if err := ctxtime.Sleep(ctx, time.Duration((0.5+rand.Float64())*float64(retryBase))); err != nil {
 			return err
 		}
 	}
-	<-ctx.Done()
-	return ctx.Err()
 }
 
 // Remove removes the router's entry.
--- a/internal/app/registry/registry_test.go
+++ b/internal/app/registry/registry_test.go
@@ -15,9 +15,16 @@
 
 // fakeLog is an in-memory keyed log that fails the first writes.
 type fakeLog struct {
-	mu     sync.Mutex
-	values map[string][]byte
-	fail   int
+	mu      sync.Mutex
+	values  map[string][]byte
+	history port.History
+	fail    int
+}
+
+func (m *fakeLog) History() port.History {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.history
 }
 
 func (m *fakeLog) Put(_ context.Context, _, key string, value []byte) error {
@@ -71,3 +78,26 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a router that others no longer find because the log returned from a copy
+// without its entry.
+func TestEntryIsWrittenAgainAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &fakeLog{values: map[string][]byte{}}
+		r := New(log, port.VM{Name: "r1", Address: "10.0.0.1:1"}, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = r.Run(ctx) }()
+		for range 2 {
+			<-time.After(5 * time.Second)
+			list, err := r.List(t.Context())
+			is.NoErr(err)
+			is.Equal(len(list.VMs), 1)
+			log.mu.Lock()
+			log.values, log.history, log.fail = map[string][]byte{}, log.history+1, 2
+			log.mu.Unlock()
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
