gatewaysync: the first read after an outage of the log does not wait

What callers see: keys are refused (503) while the configuration is not verified. After an outage of the log it stayed unverified for up to a whole long poll (0.8 s) longer than the log was away.

Cause: the first read that succeeds was a long poll. While nothing changes it is answered at the end of its wait, and only then is the configuration verified.

Change: while the log counts as lost, reads do not wait. That is one more call per stream and outage.

Evidence: TestVerifiedAtOnceAfterAnOutage failed before: not true: age <= 2*failurePause

--- a/internal/app/gatewaysync/relay.go
+++ b/internal/app/gatewaysync/relay.go
@@ -28,8 +28,12 @@
 // ok is false if this router is one of those readers.
 type Relay func(ctx context.Context, stream string, from port.Offset) (b port.Batch, ok bool, err error)
 
-// wait returns how long the next read waits for new records.
+// wait returns how long the next read waits for new records. The first one after an outage
+// does not: until it is answered, nothing is verified.
 func (f *Follower) wait() time.Duration {
+	if f.logLost {
+		return 0
+	}
 	if f.HasFollowers != nil && f.HasFollowers() {
 		return min(f.Wait, readerWait)
 	}
--- a/internal/app/gatewaysync/restored_test.go
+++ b/internal/app/gatewaysync/restored_test.go
@@ -87,6 +87,27 @@
 	})
 }
 
+// Guards against a router that stays unverified for a whole long poll after an outage.
+func TestVerifiedAtOnceAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &fakeLog{}
+		log.add("config", "v 1")
+		f := newRevised(log)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Run(ctx) }()
+		<-time.After(time.Second)
+		log.setDown(true)
+		<-time.After(3 * time.Second)
+		log.setDown(false)
+		<-time.After(2 * failurePause)
+		_, age := f.state()
+		is.True(age <= 2*failurePause)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against a configuration that counts as the newest while the restored log holds an
 // older one, and against an older one that is applied or served.
 func TestOlderConfigurationIsNotVerified(t *testing.T) {
