--- a/internal/app/gatewaysync/relay.go
+++ b/internal/app/gatewaysync/relay.go
@@ -28,8 +28,12 @@
 // ok is false if this router is one of those readers.
 type Relay func(ctx context.Context, stream string, from port.Offset) (b port.Batch, ok bool, err error)
 
-// wait returns how long the next read waits for new records.
+// wait returns how long the next read waits for new records. The first one after an outage
+// does not: until it is answered, nothing is verified.
 func (f *Follower) wait() time.Duration {
+	if f.logLost {
+		return 0
+	}
 	if f.HasFollowers != nil && f.HasFollowers() {
 		return min(f.Wait, readerWait)
 	}
@@ -67,23 +71,3 @@
 	f.apply(fromPeer(b), at.Add(-b.Age))
 	return true
 }
-
-// fromPeer converts a peer's response to keyed records; an empty value removes the key.
-func fromPeer(b port.Batch) port.KeyedBatch {
-	out := port.KeyedBatch{Next: b.Next}
-	for _, r := range b.Records {
-		record := port.KeyedRecord{Key: r.ID}
-		if len(r.Data) > 0 {
-			record.Value = r.Data
-		}
-		out.Records = append(out.Records, record)
-	}
-	return out
-}
-
-// retained is the newest record of a key, to be served to other routers.
-type retained struct {
-	value []byte
-	// offset is at least the record's offset.
-	offset port.Offset
-}
