platform: a refusal without its field still says what the target wants

Change: the outcome stays unknown; the cause carries the statement, and the gateway records it as with any response.

--- a/internal/app/gateway/rates.go
+++ b/internal/app/gateway/rates.go
@@ -24,13 +24,20 @@
 // its address says nothing of it.
 func (x *exchange) observeRefusal(t Target, sent time.Time, err error) {
 	var refused *port.NotRunError
-	if !errors.As(err, &refused) || refused.Reason == port.NotRunIncarnationChanged {
+	var unmarked *port.UnmarkedRefusalError
+	perSecond, statement := 0.0, port.TargetStatement{}
+	switch {
+	case errors.As(err, &unmarked):
+		perSecond, statement = unmarked.RequestsPerSecond, unmarked.Statement
+	case errors.As(err, &refused) && refused.Reason != port.NotRunIncarnationChanged:
+		perSecond, statement = refused.RequestsPerSecond, refused.Statement
+	default:
 		return
 	}
-	if refused.RequestsPerSecond > 0 {
-		x.observeRate(t, sent, refused.RequestsPerSecond, http.StatusServiceUnavailable)
+	if perSecond > 0 {
+		x.observeRate(t, sent, perSecond, http.StatusServiceUnavailable)
 	}
-	x.g.Directory.observeStatement(t.ID, t.Incarnation(), x.r.ID, refused.Statement)
+	x.g.Directory.observeStatement(t.ID, t.Incarnation(), x.r.ID, statement)
 }
 
 // ObserveRate records the rate of a target that a peer announced.
--- a/internal/app/gateway/statements_test.go
+++ b/internal/app/gateway/statements_test.go
@@ -145,7 +145,9 @@
 func TestTargetsThatNameAWaitGetNoRequests(t *testing.T) {
 	const wait = 2 * time.Second
 	failure := reply{status: http.StatusServiceUnavailable, says: port.TargetStatement{Wait: wait}}
-	for name, says := range map[string]reply{"refusal": waitingRefusal(wait), "failure": failure} {
+	unmarked := reply{err: &port.UnknownOutcomeError{Peer: "t", Cause: &port.UnmarkedRefusalError{Status: http.StatusServiceUnavailable,
+		Statement: port.TargetStatement{Wait: wait}}}}
+	for name, says := range map[string]reply{"refusal": waitingRefusal(wait), "failure": failure, "unmarked refusal": unmarked} {
 		for _, route := range []string{"book", "look", "check", "brief"} {
 			t.Run(name+" of "+route, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
--- a/internal/port/failure.go
+++ b/internal/port/failure.go
@@ -33,6 +33,19 @@
 
 func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
 
+// UnmarkedRefusalError means that a response has the status of a refusal but does not state
+// that the request did not run. Relayed, its status would state it.
+type UnmarkedRefusalError struct {
+	Status int
+	// RequestsPerSecond and Statement are as in NotRunError.
+	RequestsPerSecond float64
+	Statement         TargetStatement
+}
+
+func (e *UnmarkedRefusalError) Error() string {
+	return "the response has the status of a refusal, " + strconv.Itoa(e.Status) + ", without its field"
+}
+
 // RateLimitedError means that the operation had no effect because of a rate
 // limit, and may be retried after RetryAfter.
 type RateLimitedError struct {
