gatewaysync: await a value that a restore lost for ten seconds at most

Found on reading the change for restored logs: while the log lacks a value that is known here, the configuration is not verified, and after the bound on revocations requests with keys are refused. A writer that never writes its value again, or has deleted it, would keep all of them from being served, on all routers and for good.

Change: ten seconds after the log was first seen in its new history, five times what the targets take to write again, the known values count as the newest that the log has. They stay in force in any case.

TestLostValueIsNotAwaitedForEver without the bound: not true: age < 2*time.Second

--- a/internal/app/gatewaysync/gatewaysync.go
+++ b/internal/app/gatewaysync/gatewaysync.go
@@ -28,6 +28,10 @@
 	readsPerLeavingBound = 3
 	// failurePause is the mean pause after a failed read.
 	failurePause = 150 * time.Millisecond
+	// rewriteTimeout is how long the writers of lost values have to write them again. After
+	// it, the known values count as the newest: a writer that never does must not keep
+	// requests with keys from being served.
+	rewriteTimeout = 10 * time.Second
 	// peerTimeout bounds the read from other routers.
 	peerTimeout = 500 * time.Millisecond
 )
@@ -74,6 +78,8 @@
 	verified time.Time
 	// since is the offset from which on newest includes removed keys.
 	since port.Offset
+	// restoredAt is when the log was first seen in its current history.
+	restoredAt time.Time
 }
 
 // Operator configures the follower for the operator's stream and returns it.
@@ -188,6 +194,11 @@
 
 func (f *Follower) applyRecords(batch received, source string) {
 	older, newer := f.offset(), batch.Next
+	if older.History() != newer.History() {
+		f.mu.Lock()
+		f.restoredAt = f.Clock.Now()
+		f.mu.Unlock()
+	}
 	batch.Records = f.accept(batch)
 	for _, r := range batch.Records {
 		f.Apply(r)
@@ -203,10 +214,12 @@
 // verify records that the known values were the newest at a time, unless the log lacks one
 // of them: its writer then writes again, and possibly more than this router knows of.
 func (f *Follower) verify(at time.Time) {
-	if len(f.awaited()) > 0 {
+	awaited := f.awaited()
+	f.mu.Lock()
+	if len(awaited) > 0 && f.Clock.Now().Sub(f.restoredAt) < rewriteTimeout {
+		f.mu.Unlock()
 		return
 	}
-	f.mu.Lock()
 	if at.After(f.verified) {
 		f.verified = at
 	}
--- a/internal/app/gatewaysync/restored_test.go
+++ b/internal/app/gatewaysync/restored_test.go
@@ -144,6 +144,32 @@
 	})
 }
 
+// Guards against a router that never serves keys again because a value that a restore lost
+// is not written again.
+func TestLostValueIsNotAwaitedForEver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &fakeLog{}
+		log.add("config", "v 1")
+		f := newRevised(log)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Run(ctx) }()
+		<-time.After(time.Second)
+		log.add("config", "v 2")
+		<-time.After(time.Second)
+		log.restore(1)
+		<-time.After(rewriteTimeout - 2*time.Second)
+		_, age := f.state()
+		is.True(age >= rewriteTimeout-2*time.Second)
+		<-time.After(5 * time.Second)
+		values, age := f.state()
+		is.Equal(values["config"], "v 2")
+		is.True(age < 2*time.Second)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against a router that starts after the restore with an older configuration, though
 // another router knows the newer one.
 func TestStartingRouterLearnsOfLostRecordsFromAPeer(t *testing.T) {
