lease: ignore claims without end

Callers see: old weights, because no router gives orders. A claim of another writer with a duration of years, behind the last record of the stream, kept the lease from all routers; one beyond 292 years overflowed the time for which it holds.

Cause: any positive duration was accepted.

Change: a claim of more than an hour is none. The longest that settings allow is 300 s.

Evidence: on the code before

--- FAIL: TestDecodeRefusesClaimsWithoutEnd <nil> != the record is not a lease claim

--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -15,6 +15,10 @@
 // ErrNotClaim means that a record is not a lease claim.
 var ErrNotClaim = eris.New("the record is not a lease claim")
 
+// maxTTL is far above any lease in use. A longer claim, of another writer, would keep the lease
+// from all routers or overflow.
+const maxTTL = time.Hour
+
 // Claim acquires a lease, or renews it if the holder is unchanged. Each lease has its
 // own log stream.
 type Claim struct {
@@ -39,7 +43,7 @@
 // not a claim.
 func Decode(data []byte) (Claim, error) {
 	var c Claim
-	if err := json.Unmarshal(data, &c); err != nil || c.Holder == "" || c.TTLMs <= 0 {
+	if err := json.Unmarshal(data, &c); err != nil || c.Holder == "" || c.TTLMs <= 0 || c.TTLMs > maxTTL.Milliseconds() {
 		return Claim{}, ErrNotClaim
 	}
 	return c, nil
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -83,3 +83,15 @@
 		is.New(t).Equal(err, ErrNotClaim)
 	}
 }
+
+// Guards against a claim of another writer that keeps the lease from all routers for good, or
+// overflows the time for which it holds.
+func TestDecodeRefusesClaimsWithoutEnd(t *testing.T) {
+	is := is.New(t)
+	for _, ttl := range []string{"3600001", "1000000000000", "9223372036854775807", "-1", "0", "1e300", `"1000"`} {
+		_, err := Decode([]byte(`{"holder":"a","after":0,"ttl_ms":` + ttl + `}`))
+		is.Equal(err, ErrNotClaim)
+	}
+	_, err := Decode([]byte(`{"holder":"a","after":0,"ttl_ms":300000}`))
+	is.NoErr(err)
+}
