harness: report routers and stand-ins that end by themselves

Whoever reads a failed run of the fault matrix or the soak now sees which process ended without having been stopped, its exit status and the end of its output. Until now a stand-in that had gone showed up only as a refused connection to its control address, or not at all if nothing asked it again, and its output was removed with the directory of the test.

The harness remembers that it was asked to end a process; any other exit is a violation of the new invariant "processes run until they are stopped", and accompanies every error that ends a test early.

--- a/internal/faultmatrix/checks_test.go
+++ b/internal/faultmatrix/checks_test.go
@@ -58,6 +58,8 @@
 	leavingRuns []string
 	// orders holds the fencing tokens of the orders that each engine executed.
 	orders map[string][]uint64
+	// unexpectedExits describes the processes that no fault ended.
+	unexpectedExits []string
 	// stepFailures lists failed expectations of the step itself.
 	stepFailures []string
 }
@@ -78,6 +80,7 @@
 	{"accepted configuration in force and never reverts", checkConfig},
 	{"a leaving target gets no new requests", checkLeaving},
 	{"orders run in the sequence of their fencing tokens", checkOrders},
+	{"processes run until they are stopped", func(o *observation) []string { return o.unexpectedExits }},
 	{"expectations of the step", func(o *observation) []string { return o.stepFailures }},
 }
 
--- a/internal/faultmatrix/forged_test.go
+++ b/internal/faultmatrix/forged_test.go
@@ -29,6 +29,7 @@
 		forged          observation
 	}{
 		{"[DONE] without the last chunk", invariants[0].name, observation{streams: with(func(resp *harness.Response) { resp.Text = resp.Text[:4] })}},
+		{"process that ended by itself", "processes run until they are stopped", observation{unexpectedExits: []string{"engine-1"}}},
 		{"chunks out of order", invariants[0].name, observation{streams: with(func(resp *harness.Response) { resp.Gap = true })}},
 		{"error event and [DONE]", invariants[0].name, observation{streams: with(func(resp *harness.Response) { resp.Broken = true })}},
 		{"end without a terminal marker", invariants[0].name, observation{streams: with(func(resp *harness.Response) { resp.Done = false })}},
@@ -57,11 +58,14 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			c.forged.weights = []string{harness.InitialWeightsVersion}
+			found := false
 			for _, i := range invariants {
 				if i.name == c.invariant {
+					found = true
 					is.True(len(i.check(&c.forged)) > 0) // the check must report a violation
 				}
 			}
+			is.True(found)
 		})
 	}
 	t.Run("valid observation", func(t *testing.T) {
--- a/internal/faultmatrix/operations_test.go
+++ b/internal/faultmatrix/operations_test.go
@@ -240,6 +240,7 @@
 		}
 	}
 	env.observed.effects = env.effects()
+	env.observed.unexpectedExits = env.sys.UnexpectedExits()
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	for _, i := range invariants {
--- a/internal/faultmatrix/testenv_test.go
+++ b/internal/faultmatrix/testenv_test.go
@@ -106,7 +106,7 @@
 func (env *testEnv) must(err error) {
 	env.t.Helper()
 	if err != nil {
-		env.t.Fatal(err)
+		env.t.Fatal(err, env.sys.UnexpectedExits())
 	}
 }
 
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -62,6 +63,8 @@
 	LogFile string
 	cmd     *exec.Cmd
 	exited  chan struct{}
+	// ended is set once the harness has asked the process to end.
+	ended atomic.Bool
 }
 
 // StartProcess starts a binary and appends its output to NAME.log in dir.
@@ -95,6 +98,7 @@
 
 // Kill sends SIGKILL and waits until the process has exited.
 func (p *Process) Kill() {
+	p.ended.Store(true)
 	_ = p.cmd.Process.Kill()
 	<-p.exited
 }
@@ -106,7 +110,19 @@
 func (p *Process) Resume() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
 
 // Terminate sends SIGTERM.
-func (p *Process) Terminate() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
+func (p *Process) Terminate() {
+	p.ended.Store(true)
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+}
+
+// UnexpectedExit describes how the process ended if the harness did not end it, and is
+// empty otherwise.
+func (p *Process) UnexpectedExit() string {
+	if p.Running() || p.ended.Load() {
+		return ""
+	}
+	return p.Name + " ended by itself, " + p.cmd.ProcessState.String() + ": " + p.Tail()
+}
 
 // Exited returns a channel that is closed when the process has exited.
 func (p *Process) Exited() <-chan struct{} { return p.exited }
--- a/internal/harness/system.go
+++ b/internal/harness/system.go
@@ -341,6 +341,37 @@
 	return stdout.String(), nil
 }
 
+// UnexpectedExits describes the routers and stand-ins that the harness did not end.
+func (s *System) UnexpectedExits() []string {
+	var out []string
+	record := func(p *Process) {
+		if p == nil {
+			return // it was not started
+		}
+		if text := p.UnexpectedExit(); text != "" {
+			out = append(out, text)
+		}
+	}
+	for _, r := range s.Routers {
+		record(r.Process)
+	}
+	for _, p := range s.standins() {
+		record(p.Process)
+	}
+	return out
+}
+
+// standins returns the stand-ins that were started.
+func (s *System) standins() []*Standin {
+	var out []*Standin
+	for _, p := range append([]*Standin{s.Log, s.VMs, s.App}, s.Engines...) {
+		if p != nil {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // Close kills every process and stops every proxy.
 func (s *System) Close() {
 	for _, r := range s.Routers {
@@ -350,10 +381,8 @@
 		r.Proxy.Down()
 		r.LogProxy.Down()
 	}
-	for _, p := range append([]*Standin{s.Log, s.VMs, s.App}, s.Engines...) {
-		if p != nil && p.Process != nil {
-			p.Kill()
-		}
+	for _, p := range s.standins() {
+		p.Kill()
 	}
 	if s.OperatorLogProxy != nil {
 		s.OperatorLogProxy.Down()
