callerhttp: send [DONE] and the end of the response in one write

Callers that read a stream to its end no longer get an error for a complete response because the router was killed, or the connection broke, after [DONE]. The marker was flushed on its own; the log line of the request and the end of its span came before the end of the response.

The marker is now left in the server's buffer, and returning from the handler sends it with the last chunk of the body: one write and one system call less for each stream. It leaves after the request's log line instead of before it.

Failed before: TestDoneMarkerAndEndOfResponseAreOneWrite ("server_test.go:206: not true: strings.Contains(last, "data: [DONE]\n\n")").

--- a/internal/adapter/callerhttp/server_test.go
+++ b/internal/adapter/callerhttp/server_test.go
@@ -167,6 +167,47 @@
 	is.True(!strings.Contains(body, "one"))
 }
 
+// writeRecorder records each write to the connections that it accepts.
+type writeRecorder struct {
+	net.Listener
+	mu     sync.Mutex
+	writes []string
+}
+
+type recordedConn struct {
+	net.Conn
+	recorder *writeRecorder
+}
+
+func (l *writeRecorder) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return recordedConn{conn, l}, err
+}
+
+func (c recordedConn) Write(b []byte) (int, error) {
+	c.recorder.mu.Lock()
+	c.recorder.writes = append(c.recorder.writes, string(b))
+	c.recorder.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+// Guards against a router that dies after [DONE], before the end of the response.
+func TestDoneMarkerAndEndOfResponseAreOneWrite(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewUnstartedServer(New(Deps{Router: &fakeRouter{}, Source: source()}))
+	recorder := &writeRecorder{Listener: srv.Listener}
+	srv.Listener = recorder
+	srv.Start()
+	_, body, err := fetch(t, request(t, "POST", srv.URL+"/v1/completions", `{"model":"m","prompt":"one two","stream":true}`))
+	srv.Close()
+	is.NoErr(err)
+	is.True(strings.HasSuffix(body, "data: [DONE]\n\n"))
+	last := recorder.writes[len(recorder.writes)-1]
+	is.True(strings.Contains(last, "data: [DONE]\n\n")) // the end of the response comes with the marker
+	is.True(strings.HasSuffix(last, "\r\n0\r\n\r\n"))
+	is.Equal(len(recorder.writes), 3) // each chunk is written at once
+}
+
 // Guards against refusals without a type, a correct outcome or Retry-After, and
 // against API keys and prompts in the log.
 func TestRefusals(t *testing.T) {
--- a/internal/adapter/callerhttp/sse.go
+++ b/internal/adapter/callerhttp/sse.go
@@ -102,6 +102,14 @@
 	s.x.w.WriteHeader(http.StatusOK)
 }
 
+// end writes the terminal marker. The server sends it together with the end of the
+// response, so that a caller that reads to the end does not see a complete response as
+// broken off.
+func (s *sseSink) end() {
+	s.x.extendWriteDeadline()
+	_, _ = s.x.w.Write([]byte("data: [DONE]\n\n"))
+}
+
 func (s *sseSink) write(b []byte) error {
 	s.x.extendWriteDeadline()
 	if _, err := s.x.w.Write(b); err != nil {
@@ -117,7 +125,7 @@
 	end, err := x.s.Router.Completion(x.r.Context(), *req, sink)
 	switch {
 	case err == nil:
-		_ = sink.write([]byte("data: [DONE]\n\n"))
+		sink.end()
 		x.logCompletion(end)
 	case sink.headerSent:
 		sink.abort(asFailure(err))
