harness: give each system a loopback address of its own for all its ports

Systems that run side by side can no longer reach each other. Stand-ins and proxies listened on free ports of 127.0.0.1; the port of a killed engine is free for any other process at once, while the routers of its system keep trying it. A stand-in of another test that gets the port would run their requests and orders, and the checks of that test would count them as its own.

The stand-ins and proxies now listen on the loopback address that the system's routers already have, on which no other system listens.

Found by reading, while looking for the cause of a refused connection in the soak; it isn't shown to be that cause. Failed before: TestSystemsShareNoAddress ("system_test.go:45: not true: err != nil // the port of the killed stand-in stays closed").

--- a/internal/harness/proxy.go
+++ b/internal/harness/proxy.go
@@ -85,9 +85,9 @@
 	done         chan struct{}
 }
 
-// NewProxy starts a proxy on a free loopback port.
-func NewProxy(target string) (*Proxy, error) {
-	p := &Proxy{target: target, conns: map[*connection]bool{}, address: "127.0.0.1:0"}
+// NewProxy starts a proxy on a free port of the host.
+func NewProxy(host, target string) (*Proxy, error) {
+	p := &Proxy{target: target, conns: map[*connection]bool{}, address: net.JoinHostPort(host, "0")}
 	p.changed = sync.NewCond(&p.mu)
 	if err := p.Up(); err != nil {
 		return nil, err
--- a/internal/harness/system.go
+++ b/internal/harness/system.go
@@ -83,7 +83,8 @@
 var systemCount atomic.Int64
 
 // nextHost returns a separate loopback address for each system, so that the fixed
-// ports of its routers are free.
+// ports of its routers are free and no other system can listen on the port of a process
+// that was killed, whose clients still try to reach it.
 func nextHost() string {
 	pid := os.Getpid()
 	return "127." + strconv.Itoa(1+pid/250%250) + "." + strconv.Itoa(1+pid%250) + "." + strconv.Itoa(1+int(systemCount.Add(1))%250)
@@ -121,12 +122,13 @@
 		}
 		s.Engines = append(s.Engines, e)
 	}
-	s.OperatorLogProxy, err = NewProxy(s.Log.Direct)
+	s.OperatorLogProxy, err = NewProxy(s.host, s.Log.Direct)
 	return err
 }
 
 // startStandin starts one stand-in and reads its address from its first log line.
 func (s *System) startStandin(ctx context.Context, name string, args ...string) (*Standin, error) {
+	args = append([]string{"--address", net.JoinHostPort(s.host, "0")}, args...)
 	p, err := StartProcess(s.Dir, name, filepath.Join(s.BinDir, "standin"), args...)
 	if err != nil {
 		return nil, err
@@ -143,7 +145,7 @@
 		p.Kill()
 		return nil, &StartError{Component: name, Cause: err, Log: p.Tail()}
 	}
-	proxy, err := NewProxy(line.Address)
+	proxy, err := NewProxy(s.host, line.Address)
 	return &Standin{Process: p, Direct: line.Address, Proxy: proxy}, err
 }
 
@@ -162,10 +164,10 @@
 		r := &Router{SettingsFile: filepath.Join(s.Dir, "router-"+strconv.Itoa(i+1)+".jsonc"),
 			callerAddress: s.port(i, 0), AdminURL: "http://" + s.port(i, 1), PeerAddress: s.port(i, 2)}
 		s.Routers = append(s.Routers, r) // Close stops what of it has been started
-		if r.LogProxy, err = NewProxy(s.Log.Direct); err != nil {
+		if r.LogProxy, err = NewProxy(s.host, s.Log.Direct); err != nil {
 			return err
 		}
-		if r.Proxy, err = NewProxy(r.callerAddress); err != nil {
+		if r.Proxy, err = NewProxy(s.host, r.callerAddress); err != nil {
 			return err
 		}
 		if err := s.writeSettings(r.SettingsFile, i, r.LogProxy); err != nil {
