--- a/internal/faultmatrix/checks_test.go
+++ b/internal/faultmatrix/checks_test.go
@@ -58,6 +58,8 @@
 	leavingRuns []string
 	// orders holds the fencing tokens of the orders that each engine executed.
 	orders map[string][]uint64
+	// unexpectedExits describes the processes that no fault ended.
+	unexpectedExits []string
 	// stepFailures lists failed expectations of the step itself.
 	stepFailures []string
 }
@@ -78,6 +80,7 @@
 	{"accepted configuration in force and never reverts", checkConfig},
 	{"a leaving target gets no new requests", checkLeaving},
 	{"orders run in the sequence of their fencing tokens", checkOrders},
+	{"processes run until they are stopped", func(o *observation) []string { return o.unexpectedExits }},
 	{"expectations of the step", func(o *observation) []string { return o.stepFailures }},
 }
 
@@ -91,7 +94,9 @@
 				resp.Text[max(0, len(resp.Text)-80):]))
 		case resp.Done && resp.Broken:
 			violations = append(violations, s.id+": error event and [DONE]")
-		case resp.Done && !resp.IsComplete(s.prompt, s.tokens, o.weights...):
+		case resp.Done && resp.Err != nil && !resp.Interrupted():
+			violations = append(violations, fmt.Sprintf("%s: [DONE], but the response does not end: %v", s.id, resp.Err))
+		case resp.Done && !resp.HasAllText(s.prompt, s.tokens, o.weights...):
 			violations = append(violations, fmt.Sprintf("%s: [DONE] but not the complete text: %d of %d chunks, error %v, text %q", s.id, resp.NextIndex, s.tokens, resp.Err, resp.Text))
 		case resp.Status == 200 && !resp.Done && !resp.Broken && resp.Err == nil:
 			violations = append(violations, s.id+": ended without a terminal marker, an error event or a broken connection")
