gatewaysync: order the records of other routers by their offsets

Found by a review of the restored log: within a history each record replaced the known one, as in the order of the log. A batch of a peer is in no such order: a router that has loaded version 3 and asks a peer that still holds version 2 then served version 2 to the routers behind it, with a position past version 3, so that they counted as verified and never read it.

Change: an entry of the same history replaces the known one only with an offset that is not lower.

--- a/internal/app/gatewaysync/restored_test.go
+++ b/internal/app/gatewaysync/restored_test.go
@@ -144,6 +144,30 @@
 	})
 }
 
+// Guards against a newer value that a router lost to one of a router that lags behind.
+func TestLaggingRouterDoesNotReplaceNewerValues(t *testing.T) {
+	is := is.New(t)
+	log := &fakeLog{}
+	log.add("config", "v 1")
+	log.restore(1)
+	log.add("config", "v 2")
+	lagging, follower := newRevised(log), newRevised(log)
+	for _, f := range []*recorder{lagging, follower} {
+		f.Wait = 0
+		is.NoErr(f.read(t.Context()))
+	}
+	log.add("config", "v 3")
+	started := newRevised(log, lagging)
+	is.NoErr(started.read(t.Context()))
+	follower.Relay = func(ctx context.Context, stream string, from port.Offset) (port.Batch, bool, error) {
+		b, err := started.Records(ctx, stream, from, 0)
+		return b, true, err
+	}
+	is.True(follower.readRelayed(t.Context()))
+	values, _ := follower.state()
+	is.Equal(values["config"], "v 3")
+}
+
 // Guards against a router that never serves keys again because a value that a restore lost
 // is not written again.
 func TestLostValueIsNotAwaitedForEver(t *testing.T) {
--- a/internal/app/gatewaysync/retained.go
+++ b/internal/app/gatewaysync/retained.go
@@ -107,11 +107,12 @@
 }
 
 // supersedes reports whether an entry replaces the known one. Within a history the order of
-// the log decides; between histories only the revision tells, and without one the history.
+// the log decides, also among records of other routers, which lag behind each other. Between
+// histories only the revision tells, and without one the history.
 func supersedes(next, known retained) bool {
 	switch {
 	case next.history == known.history:
-		return true
+		return next.offset >= known.offset
 	case next.value != nil && next.hasRevision && known.hasRevision:
 		return next.revision.Compare(known.revision) > 0
 	default:
