gatewaysync: a revision that is too large keeps values out for no longer than a restore takes

Found by a review of the restored log: the revision of a target's entry was read from entries that name no usable target too (a port of 99999, a start in the far future), and the known revision counted for good after a restore. Such an entry of another writer, the last before a restore, kept the target's own entries from being followed, also that it leaves.

Revisions decide between histories only until the writers have had the time to write again.

--- a/internal/app/gatewaysync/restored_test.go
+++ b/internal/app/gatewaysync/restored_test.go
@@ -168,6 +168,31 @@
 	is.Equal(values["config"], "v 3")
 }
 
+// Guards against an entry with a revision beyond all others that keeps a target's own ones
+// out for good.
+func TestTooLargeRevisionDoesNotOutlastARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &fakeLog{}
+		log.add("a", "ready 5")
+		f := newRevised(log)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Run(ctx) }()
+		<-time.After(time.Second)
+		log.add("a", "odd 9000000000000000000")
+		<-time.After(time.Second)
+		log.restore(1)
+		log.add("a", "leaving 6")
+		<-time.After(rewriteTimeout + time.Second)
+		log.add("a", "leaving 7")
+		<-time.After(time.Second)
+		values, _ := f.state()
+		is.Equal(values["a"], "leaving 7")
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against a router that never serves keys again because a value that a restore lost
 // is not written again.
 func TestLostValueIsNotAwaitedForEver(t *testing.T) {
--- a/internal/app/gatewaysync/retained.go
+++ b/internal/app/gatewaysync/retained.go
@@ -75,7 +75,7 @@
 	for _, r := range batch.Records {
 		known, isKnown := f.newest[r.Key]
 		next := f.retain(r, known, batch.offset(r.Key))
-		if isKnown && !supersedes(next, known) {
+		if isKnown && !supersedes(next, known, f.Clock.Now().Sub(f.restoredAt) < rewriteTimeout) {
 			if known.value != nil && known.revision == next.revision && next.history > known.history {
 				// The log holds the known value again. Other routers learn it by the offset.
 				known.history, known.offset = next.history, next.offset
@@ -108,12 +108,14 @@
 
 // supersedes reports whether an entry replaces the known one. Within a history the order of
 // the log decides, also among records of other routers, which lag behind each other. Between
-// histories only the revision tells, and without one the history.
-func supersedes(next, known retained) bool {
+// histories only the revision tells, and without one the history. Once the writers have had
+// the time to write again, the history tells: a revision that is too large must not keep all
+// later values out.
+func supersedes(next, known retained, isRestoring bool) bool {
 	switch {
 	case next.history == known.history:
 		return next.offset >= known.offset
-	case next.value != nil && next.hasRevision && known.hasRevision:
+	case isRestoring && next.value != nil && next.hasRevision && known.hasRevision:
 		return next.revision.Compare(known.revision) > 0
 	default:
 		return next.history > known.history
