registry: write an entry again only while the router serves, and in each history

Found by a review of the restored log: a stopping router removes its entry, and a restore during its stop wrote it again, for good. And a restore that was seen while the first write was answered counted as the history of that write: the entry was never written again.

Change: Remove ends the writing. The history of a write is the one known before it; in a log that was restored before, a starting router writes twice.

On the code before: TestRemovedEntryIsNotWrittenAgain 1 != 0, TestRestoreDuringTheFirstWrite 0 != 1.

--- a/internal/app/registry/registry.go
+++ b/internal/app/registry/registry.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -38,6 +39,10 @@
 	log    Log
 	self   port.VM
 	logger *slog.Logger
+
+	// mu is held while the entry is written. removed is set once it must not be any more.
+	mu      sync.Mutex
+	removed bool
 }
 
 // New returns a registry for the router.
@@ -53,19 +58,19 @@
 	if err != nil {
 		return eris.Wrap(err, "encode router entry")
 	}
-	for {
-		history := r.log.History()
+	for writes := 1; ; writes++ {
+		history, begun := r.log.History(), time.Now()
 		if err := r.write(ctx, text); err != nil {
 			return err
 		}
-		if history == 0 { // known from the first response on
-			history = r.log.History()
-		}
 		for r.log.History() == history {
 			if err := ctxtime.Sleep(ctx, time.Duration((0.5+rand.Float64())*float64(historyInterval))); err != nil {
 				return err
 			}
 		}
+		if writes == 1 && history == 0 && time.Since(begun) < historyInterval {
+			continue // the response to the write told the history of the log
+		}
 		r.logger.Warn("log history changed", "stream", port.StreamRouters, "old", history, "new", r.log.History())
 	}
 }
@@ -74,7 +79,7 @@
 // idempotent, so that it is also retried after an unknown outcome.
 func (r *Registry) write(ctx context.Context, text []byte) error {
 	for {
-		err := r.log.Put(ctx, port.StreamRouters, r.self.Name, text)
+		err := r.put(ctx, text)
 		if err == nil {
 			return nil
 		}
@@ -85,8 +90,21 @@
 	}
 }
 
-// Remove removes the router's entry.
+// put writes the entry unless it was removed.
+func (r *Registry) put(ctx context.Context, text []byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.removed {
+		return nil
+	}
+	return r.log.Put(ctx, port.StreamRouters, r.self.Name, text)
+}
+
+// Remove removes the router's entry, which is not written again.
 func (r *Registry) Remove(ctx context.Context) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.removed = true
 	ctx, cancel := context.WithTimeout(ctx, removeTimeout)
 	defer cancel()
 	if err := r.log.Put(ctx, port.StreamRouters, r.self.Name, nil); err != nil {
--- a/internal/app/registry/registry_test.go
+++ b/internal/app/registry/registry_test.go
@@ -127,3 +127,56 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a stopping router that is listed again, for good, by a restore during its
+// stop.
+func TestRemovedEntryIsNotWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &fakeLog{values: map[string][]byte{}}
+		r := New(log, port.VM{Name: "r1", Address: "10.0.0.1:1"}, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = r.Run(ctx) }()
+		<-time.After(3 * time.Second)
+		r.Remove(t.Context())
+		log.mu.Lock()
+		log.history++
+		log.mu.Unlock()
+		<-time.After(3 * time.Second)
+		list, err := r.List(t.Context())
+		is.NoErr(err)
+		is.Equal(len(list.VMs), 0)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// restoringLog is restored while the first write is answered.
+type restoringLog struct{ *fakeLog }
+
+func (l restoringLog) Put(ctx context.Context, stream, key string, value []byte) error {
+	err := l.fakeLog.Put(ctx, stream, key, value)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.history == 0 {
+		l.values, l.history = map[string][]byte{}, 1
+	}
+	return err
+}
+
+// Guards against an entry that is not written again because the history changed while it was
+// written.
+func TestRestoreDuringTheFirstWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := New(restoringLog{&fakeLog{values: map[string][]byte{}}}, port.VM{Name: "r1", Address: "10.0.0.1:1"}, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = r.Run(ctx) }()
+		<-time.After(5 * time.Second)
+		list, err := r.List(t.Context())
+		is.NoErr(err)
+		is.Equal(len(list.VMs), 1)
+		cancel()
+		synctest.Wait()
+	})
+}
