gatewaysync: a starting router vouches for a restored log only after others had the time to object

Found by a review of the restored log: all loops of a router start together, so that it usually knows no other router when it loads the log, and took the copy for the newest.

Change: after it has read a restored log as a whole, a router vouches for the configuration once another router has answered, at most 2 s later. It goes on asking for 10 s.

--- a/internal/app/gatewaysync/gatewaysync.go
+++ b/internal/app/gatewaysync/gatewaysync.go
@@ -32,6 +32,10 @@
 	// it, the known values count as the newest: a writer that never does must not keep
 	// requests with keys from being served.
 	rewriteTimeout = 10 * time.Second
+	// confirmTimeout is how long a router that has read a restored log as a whole waits for
+	// another one to say what it knows, and confirmInterval the time between its questions.
+	confirmTimeout  = 2 * time.Second
+	confirmInterval = 200 * time.Millisecond
 	// peerTimeout bounds the read from other routers.
 	peerTimeout = 500 * time.Millisecond
 )
@@ -80,6 +84,9 @@
 	since port.Offset
 	// restoredAt is when the log was first seen in its current history.
 	restoredAt time.Time
+	// unconfirmedSince is when a restored log was read as a whole, zero once another router
+	// has said what it knows: the copy may lack it.
+	unconfirmedSince time.Time
 }
 
 // Operator configures the follower for the operator's stream and returns it.
@@ -158,6 +165,7 @@
 	if err != nil {
 		return err
 	}
+	f.confirm(ctx)
 	f.apply(received{KeyedBatch: batch}, at)
 	return nil
 }
@@ -174,10 +182,10 @@
 	}
 	f.forget(keys, batch.Next)
 	f.applyRecords(received{KeyedBatch: batch}, "log")
-	if batch.Next.History() > 0 {
-		// The copy from which the log returned may lack what other routers have read.
-		f.readNewerFromPeers(ctx)
+	if batch.Next.History() > 0 && f.Peers != nil {
+		f.unconfirmedSince = f.Clock.Now()
 	}
+	f.confirm(ctx)
 	f.verify(at)
 	if f.Reset != nil {
 		f.Reset(keys)
@@ -214,6 +222,9 @@
 // verify records that the known values were the newest at a time, unless the log lacks one
 // of them: its writer then writes again, and possibly more than this router knows of.
 func (f *Follower) verify(at time.Time) {
+	if f.isUnconfirmed() {
+		return
+	}
 	awaited := f.awaited()
 	f.mu.Lock()
 	if len(awaited) > 0 && f.Clock.Now().Sub(f.restoredAt) < rewriteTimeout {
@@ -253,10 +264,20 @@
 	f.apply(batch, at.Add(-best.Age))
 }
 
-// readNewerFromPeers applies the values of other routers that are newer than those of the
-// log, but continues to read the log where it was.
-func (f *Follower) readNewerFromPeers(ctx context.Context) {
-	if f.Peers == nil {
+// isUnconfirmed reports whether other routers may still say that they know newer values.
+func (f *Follower) isUnconfirmed() bool {
+	return !f.unconfirmedSince.IsZero() && f.Clock.Now().Sub(f.unconfirmedSince) < confirmTimeout
+}
+
+// confirm applies the values of other routers that are newer than those of a restored log,
+// but continues to read the log where it was. A starting router knows no others at first, so
+// that it asks again until one has answered or the writers have had the time to write again.
+func (f *Follower) confirm(ctx context.Context) {
+	if f.unconfirmedSince.IsZero() {
+		return
+	}
+	if f.Clock.Now().Sub(f.unconfirmedSince) >= rewriteTimeout {
+		f.unconfirmedSince = time.Time{}
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
@@ -265,6 +286,7 @@
 		batch := fromPeer(b)
 		batch.Next = f.offset()
 		f.applyRecords(batch, "peer")
+		f.unconfirmedSince = time.Time{}
 	}
 }
 
--- a/internal/app/gatewaysync/relay.go
+++ b/internal/app/gatewaysync/relay.go
@@ -34,6 +34,9 @@
 	if f.logLost {
 		return 0
 	}
+	if f.isUnconfirmed() {
+		return min(f.Wait, confirmInterval)
+	}
 	if f.HasFollowers != nil && f.HasFollowers() {
 		return min(f.Wait, readerWait)
 	}
@@ -68,6 +71,7 @@
 		f.Logger.Debug("reading the log instead of a peer", "stream", f.Name, "age_ms", b.Age.Milliseconds(), "next", b.Next)
 		return false
 	}
+	f.confirm(ctx)
 	f.apply(fromPeer(b), at.Add(-b.Age))
 	return true
 }
