faultmatrix: report a bystander's request that ends before its first chunk

Seen once on a busy machine (load average 59 to 64): TestMatrix/completion, before the first chunk, router/slow ran into the test timeout of 20 minutes, since it waited for the first chunk of a request that had ended.

Change: the test goes on when the request ends; the checks report it, since a bystander must be served.

--- a/internal/faultmatrix/steps_test.go
+++ b/internal/faultmatrix/steps_test.go
@@ -151,14 +151,25 @@
 // bystander starts a stream of the other account, which must be complete whatever
 // happens to the request of the step.
 func (env *testEnv) bystander(r *harness.Router) func() harness.Response {
-	started := make(chan struct{})
+	started, ended := make(chan struct{}), make(chan struct{})
 	awaitResponse := env.startCompletion(env.ctx, r, harness.AccountTwo, env.prompt(), bystanderTokens, true, func(n int) {
 		if n == 1 {
 			close(started)
 		}
 	})
-	<-started
-	return awaitResponse
+	var response harness.Response
+	go func() {
+		response = awaitResponse()
+		close(ended)
+	}()
+	select {
+	case <-started:
+	case <-ended: // without a first chunk: the checks report it
+	}
+	return func() harness.Response {
+		<-ended
+		return response
+	}
 }
 
 func (env *testEnv) finishCompletion(s subject, f fault, cancel func(), awaitResponse func() harness.Response, beforeRetry func(), prompt string, poisoned bool) {
