gateway: the liveness check of an attempt reads nothing of the next one

The check that watches an attempt may still run when the attempt has ended, and read the expected time to the first token while the next attempt wrote its own.

Change: the expectation is taken when the attempt begins.

TestLivenessCheckOfAnEarlierAttempt with the race detector on the code before: "WARNING: DATA RACE, attempt.go:56, liveness.go:65".

--- a/internal/app/gateway/liveness.go
+++ b/internal/app/gateway/liveness.go
@@ -28,6 +28,8 @@
 		return func() {}
 	}
 	done := make(chan struct{})
+	// The check may still run when the next attempt replaces the score.
+	expected := time.Duration((x.score.QueueMs + x.score.PrefillMs) * float64(time.Millisecond))
 	go func() {
 		defer panics.Catch(x.g.Log, "liveness check", "request", x.r.ID, "target", t.ID)
 		ticker := time.NewTicker(livenessInterval)
@@ -40,7 +42,7 @@
 			case <-ctx.Done():
 				return
 			case <-ticker.C:
-				if x.g.unresponsive(ctx, x, t, &since) {
+				if x.g.unresponsive(ctx, x, t, expected, &since) {
 					cancel(ErrUnresponsive)
 					return
 				}
@@ -50,9 +52,9 @@
 	return func() { close(done) }
 }
 
-// unresponsive reports whether the target has stopped responding. since is the time of
-// its last activity.
-func (g *Gateway) unresponsive(ctx context.Context, x *exchange, t Target, since *time.Time) bool {
+// unresponsive reports whether the target has stopped responding. expected is the time to
+// the first token that was expected of it, since the time of its last activity.
+func (g *Gateway) unresponsive(ctx context.Context, x *exchange, t Target, expected time.Duration, since *time.Time) bool {
 	now := g.Clock.Now()
 	if x.route.Kind == gatewayconfig.Idempotent {
 		// A response that is being relayed can no longer be retried: it has until the
@@ -62,7 +64,6 @@
 	if active := g.Directory.lastActivity(t.ID); active.After(*since) {
 		*since = active
 	}
-	expected := time.Duration((x.score.QueueMs + x.score.PrefillMs) * float64(time.Millisecond))
 	if now.Sub(*since) < unresponsiveAfter+2*expected {
 		return false
 	}
--- a/internal/app/gateway/stream_test.go
+++ b/internal/app/gateway/stream_test.go
@@ -6,8 +6,11 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
+
+	"mimosaseam.example/mimosaseam/internal/port"
 )
 
 const (
@@ -116,3 +119,22 @@
 		})
 	}
 }
+
+// Guards against a liveness check that reads the state of the next attempt while it is
+// written.
+func TestLivenessCheckOfAnEarlierAttempt(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t)
+	first := true
+	w.targets.react = func(string, port.Forward) reply {
+		if first {
+			first = false
+			<-time.After(3 * livenessInterval)
+			return reply{err: &port.UnknownOutcomeError{Peer: "t"}}
+		}
+		return reply{status: http.StatusOK, body: event1}
+	}
+	out, err := w.send(t.Context(), "check")
+	is.NoErr(err)
+	is.Equal(out.body.String(), event1)
+}
