--- a/internal/adapter/callerhttp/sse.go
+++ b/internal/adapter/callerhttp/sse.go
@@ -107,6 +107,7 @@
 // broken off.
 func (s *sseSink) end() {
 	s.x.extendWriteDeadline()
+	// An error means that the caller has left; the server ends the connection.
 	_, _ = s.x.w.Write([]byte("data: [DONE]\n\n"))
 }
 
--- a/internal/app/registry/registry.go
+++ b/internal/app/registry/registry.go
@@ -69,7 +69,7 @@
 			}
 		}
 		if writes == 1 && history == 0 && time.Since(begun) < historyInterval {
-			continue // the response to the write told the history of the log
+			continue // the first response told the history, which was unknown before
 		}
 		r.logger.Warn("log history changed", "stream", port.StreamRouters, "old", history, "new", r.log.History())
 	}
