--- a/review/.src/standin/engine.go
+++ b/review/.src/standin/engine.go
@@ -36,6 +36,15 @@
 	MadeAt  string
 }
 
+// Order is an order that arrived at an engine.
+type Order struct {
+	At      time.Time
+	Holder  string
+	Token   int
+	Version int
+	Status  int
+}
+
 // Use tells that a request used a part that another request had made.
 type Use struct {
 	At      time.Time
@@ -66,6 +75,9 @@
 	uses     []Use
 	runs     []Run
 	down     bool
+	orders   []Order
+	// IgnoresFences is set for an engine that does not check fencing tokens.
+	IgnoresFences bool
 	// LateOrder, if set, says of an order whether it stays unanswered, and how much later it is
 	// carried out.
 	LateOrder func(version int) (time.Duration, bool)
@@ -296,7 +308,7 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		switch {
-		case o.FencingToken < e.fence:
+		case o.FencingToken < e.fence && !e.IgnoresFences:
 			return http.StatusPreconditionFailed
 		case e.loading, o.Expect != nil && *o.Expect != e.accepted:
 			return http.StatusConflict
@@ -329,7 +341,19 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
-	w.WriteHeader(carryOut())
+	status := carryOut()
+	e.mu.Lock()
+	e.orders = append(e.orders, Order{At: time.Now(), Holder: o.Holder, Token: o.FencingToken, Version: o.Version, Status: status})
+	e.mu.Unlock()
+	e.record.Add("%s: the order of weights %d by %s with fencing token %d gave %d", e.ID, o.Version, o.Holder, o.FencingToken, status)
+	w.WriteHeader(status)
+}
+
+// Orders returns the orders that arrived and were answered.
+func (e *Engine) Orders() []Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Order(nil), e.orders...)
 }
 
 // Crash ends the engine and starts it again under its id after a time: it knows nothing of
--- a/review/.src/standin/router.go
+++ b/review/.src/standin/router.go
@@ -36,8 +36,8 @@
 }
 
 // StartRouter starts target/mimosaseam gateway in the root of the repository, with the
-// settings that the template of the deploy file gives on the small sites.
-func StartRouter(name, zone, store string) (*Router, error) {
+// settings that the template of the deploy file gives on the small sites, or with changed bounds.
+func StartRouter(name, zone, store string, change ...func(bounds map[string]any)) (*Router, error) {
 	folder, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
@@ -51,13 +51,17 @@
 	}
 	r.Front, r.Ready = addresses[0], addresses[1]
 	address := func(a string) map[string]any { return map[string]any{"address": a} }
+	bounds := map[string]any{"key_revoked_ms": RevokeMs, "key_revoked_strict": true, "configuration_ms": ConfigApplyMs, "leaving_ms": 2500,
+		"repeat_ratio": 0.2, "repeat_allowance": 52, "repeat_window_s": 10, "holder_turn_ms": LeaseMs, "targets_check_fencing": true,
+		"weights_ms": 8000, "stop_s": 8}
+	for _, c := range change {
+		c(bounds)
+	}
 	r.settingsValue = map[string]any{
 		"vm":      map[string]any{"name": name, "region": Regions[zone], "availability_zone": zone},
 		"callers": address(addresses[0]), "ready": address(addresses[1]), "peers": address(addresses[2]), "metrics": address(addresses[3]),
 		"regions": Regions, "log": address(store), "limits": map[string]any{"memory_mb": 284},
-		"bounds": map[string]any{"key_revoked_ms": RevokeMs, "key_revoked_strict": true, "configuration_ms": ConfigApplyMs, "leaving_ms": 2500,
-			"repeat_ratio": 0.2, "repeat_allowance": 52, "repeat_window_s": 10, "holder_turn_ms": 3000, "targets_check_fencing": true,
-			"weights_ms": 8000, "stop_s": 8},
+		"bounds": bounds,
 	}
 	text, err := json.MarshalIndent(r.settingsValue, "", "  ")
 	if err != nil {
@@ -87,6 +91,7 @@
 const (
 	RevokeMs      = 5000
 	ConfigApplyMs = 2500
+	LeaseMs       = 3000
 )
 
 // AwaitReady waits until the router is ready and reports whether it is.
--- a/review/.src/standin/store.go
+++ b/review/.src/standin/store.go
@@ -32,10 +32,14 @@
 	mu     sync.Mutex
 	topics map[string]*topic
 	delay  time.Duration
+	// forgotten is the number of times that the history was dropped.
+	forgotten int
 }
 
 type topic struct {
 	records [][]byte
+	// first is the first offset that is kept.
+	first   int
 	changed chan struct{}
 }
 
@@ -58,6 +62,19 @@
 	s.delay = d
 }
 
+// ForgetHistory drops the history of all topics, but for the newest record of each key of a
+// keyed topic, and cuts the reads that wait.
+func (s *Store) ForgetHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.topics {
+		t.first = len(t.records)
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+	s.forgotten++
+}
+
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
 	if t == nil {
@@ -147,20 +164,26 @@
 	if kb, err := strconv.Atoi(q.Get("MaxKb")); err == nil && kb > 0 {
 		limit = kb << 10
 	}
+	s.mu.Lock()
+	forgotten := s.forgotten
+	s.mu.Unlock()
 	timeout := time.After(min(time.Duration(waitMs)*time.Millisecond, maxWait))
 	for waiting := true; ; {
 		s.mu.Lock()
 		t := s.topic(q.Get("Topic"))
-		records, changed := t.records, t.changed
+		records, changed, first, cut := t.records, t.changed, t.first, s.forgotten != forgotten
 		s.mu.Unlock()
-		if from > len(records) {
+		if cut {
+			panic(http.ErrAbortHandler)
+		}
+		if from < first || from > len(records) {
 			w.WriteHeader(http.StatusGone)
-			_ = json.NewEncoder(w).Encode(map[string]int{"First": 0})
+			_ = json.NewEncoder(w).Encode(map[string]int{"First": first})
 			return
 		}
 		if from < len(records) || !waiting {
 			out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
-			out = binary.BigEndian.AppendUint64(out, 0)
+			out = binary.BigEndian.AppendUint64(out, uint64(first))
 			for i, record := range records[from:] {
 				if i > 0 && len(out)+4+len(record) > limit {
 					break
