gatewaysync: a cut response of the log verifies nothing

Cause: a read response holds at most 1,024 KB of records and names the end of the stream in its head. The client dropped the end, and the follower took each response for all that there is: it verified the configuration as of that moment, although later ones were still to be read.

Change: a batch of a keyed stream carries the end that the log named. Only reaching an end verifies, as of the time of the request whose response named it, so that a log that grows faster than it is read still verifies. The rest is read without a pause. What other routers are served keeps the age of the last verification.

--- a/internal/app/gatewaysync/gatewaysync.go
+++ b/internal/app/gatewaysync/gatewaysync.go
@@ -77,6 +77,9 @@
 	next    port.Offset
 	loaded  bool
 	logLost bool
+	// behind is set while responses of the log are cut before the end of the stream. It is
+	// accessed by Run only.
+	behind *backlog
 	// newest and verified are served to other routers.
 	newest   map[string]retained
 	verified time.Time
@@ -89,6 +92,15 @@
 	unconfirmedSince time.Time
 }
 
+// backlog is the part of the stream that a cut response left unread.
+type backlog struct {
+	// end is the end of the stream at the time asked. Once it is reached, the known values
+	// were the newest at that time.
+	end   port.Offset
+	asked time.Time
+	since time.Time
+}
+
 // Operator configures the follower for the operator's stream and returns it.
 func Operator(f *Follower) *Follower {
 	f.Name, f.Wait = port.StreamOperator, operatorWait
@@ -130,6 +142,9 @@
 		} else {
 			f.setLost(false, nil)
 		}
+		if f.behind != nil && !f.logLost {
+			continue // the rest is there already; the log's client limits the calls
+		}
 		if err := ctxtime.Sleep(ctx, pause); err != nil {
 			return err
 		}
@@ -166,10 +181,34 @@
 		return err
 	}
 	f.confirm(ctx)
-	f.apply(received{KeyedBatch: batch}, at)
+	f.applyRecords(received{KeyedBatch: batch}, "log")
+	f.reach(batch, at)
 	return nil
 }
 
+// reach verifies the known values after a response of the log to a request of the given
+// time. A response may be cut: only one that reaches the end of the stream tells the newest
+// values. While the log grows faster than it is read, reaching an end that an earlier
+// response named verifies the time of that one's request.
+func (f *Follower) reach(batch port.KeyedBatch, at time.Time) {
+	if !batch.IsCut() {
+		if f.behind != nil {
+			f.Logger.Info("log read to its end", "stream", f.Name, "next", batch.Next, "ms", f.Clock.Now().Sub(f.behind.since).Milliseconds())
+		}
+		f.behind = nil
+		f.verify(at)
+		return
+	}
+	switch {
+	case f.behind == nil:
+		f.Logger.Info("log response cut", "stream", f.Name, "next", batch.Next, "end", batch.End)
+		f.behind = &backlog{end: batch.End, asked: at, since: f.Clock.Now()}
+	case batch.Next >= f.behind.end:
+		f.verify(f.behind.asked)
+		f.behind.end, f.behind.asked = batch.End, at
+	}
+}
+
 // load reads the newest record of each key.
 func (f *Follower) load(ctx context.Context, at time.Time) error {
 	batch, err := f.Log.Newest(ctx, f.Name)
@@ -180,6 +219,7 @@
 	for _, r := range batch.Records {
 		keys[r.Key] = true
 	}
+	f.behind = nil
 	f.forget(keys, batch.Next)
 	f.applyRecords(received{KeyedBatch: batch}, "log")
 	if batch.Next.History() > 0 && f.Peers != nil {
@@ -259,6 +299,7 @@
 	if best == nil {
 		return
 	}
+	f.behind = nil // the log is read on from where the peer is
 	batch := fromPeer(*best)
 	f.Logger.Info("records from a peer", "stream", f.Name, "records", len(batch.Records), "next", best.Next, "age_ms", best.Age.Milliseconds())
 	f.apply(batch, at.Add(-best.Age))
--- a/internal/app/gatewaysync/gatewaysync_test.go
+++ b/internal/app/gatewaysync/gatewaysync_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/rotisserie/eris"
 
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -25,6 +26,10 @@
 	history port.History
 	down    bool
 	newest  int
+	// limit is the number of records at which a response is cut, 0: none.
+	limit int
+	// latency is the time that a response takes.
+	latency time.Duration
 }
 
 // offset returns the offset of the record with index i.
@@ -54,7 +59,7 @@
 			delete(last, r.Key)
 		}
 	}
-	out := port.KeyedBatch{Next: l.offset(len(l.records))}
+	out := port.KeyedBatch{Next: l.offset(len(l.records)), End: l.offset(len(l.records))}
 	for _, r := range last {
 		out.Records = append(out.Records, r)
 	}
@@ -71,15 +76,21 @@
 			return port.KeyedBatch{}, &port.ExpiredError{Stream: stream, From: from, Oldest: oldest}
 		}
 		var records []port.KeyedRecord
+		newest := next
 		if !down {
 			records = append(records, l.records[from.Position()-1:]...)
 		}
+		if l.limit > 0 && len(records) > l.limit {
+			records, next = records[:l.limit], from+port.Offset(l.limit)
+		}
+		latency := l.latency
 		l.mu.Unlock()
 		if down {
 			return port.KeyedBatch{}, errDown
 		}
 		if len(records) > 0 || !time.Now().Before(end) {
-			return port.KeyedBatch{Records: records, Next: next}, nil
+			_ = ctxtime.Sleep(ctx, latency)
+			return port.KeyedBatch{Records: records, Next: next, End: newest}, nil
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/app/gatewaysync/relay.go
+++ b/internal/app/gatewaysync/relay.go
@@ -72,6 +72,7 @@
 		return false
 	}
 	f.confirm(ctx)
+	f.behind = nil
 	f.apply(fromPeer(b), at.Add(-b.Age))
 	return true
 }
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -177,8 +177,14 @@
 type KeyedBatch struct {
 	Records []KeyedRecord
 	Next    Offset
+	// End is the offset after the newest record of the stream at the time of the read. It is
+	// greater than Next if the response was cut at its size limit.
+	End Offset
 }
 
+// IsCut reports whether the stream held more records than the batch.
+func (b KeyedBatch) IsCut() bool { return b.Next < b.End }
+
 // Revision orders the values that the writer of a key has written, whatever the log
 // retains of them.
 type Revision struct {
@@ -195,8 +201,8 @@
 type KeyedLog interface {
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context, stream string) (KeyedBatch, error)
-	// Changes returns the records starting at from and waits at most wait for the
-	// first. It fails with an ExpiredError when they are no longer retained, or from is of
+	// Changes returns the records starting at from, as many as fit into one response, and
+	// waits at most wait for the first. It fails with an ExpiredError when they are no longer retained, or from is of
 	// an earlier history of the log.
 	Changes(ctx context.Context, stream string, from Offset, wait time.Duration) (KeyedBatch, error)
 }
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -20,6 +20,9 @@
 // MaxHistory is the largest history that an Offset can hold.
 const MaxHistory History = 1<<(64-positionBits) - 1
 
+// MaxPosition is the largest position that an Offset can hold.
+const MaxPosition = 1<<positionBits - 1
+
 // Offset is the position of a record in one stream of the platform log, together with the
 // history of the log in which it was read. Offsets order by history, then by position.
 // Within a history they start at position 1 and are dense; position 0 means "before the
