gatewaysync: a cut response of another router verifies nothing

The records were in no order, so that the offset at which the response was cut skipped those that stood before it in the stream, and the receiver counted the part as all that there was. Relayed records of a large fleet's targets and the records of a peer while the log is away take this way; with them a router would vouch for a configuration, or keep a leaving target, that it never read a later record of.

Change: records carry the offset that the log gave them, responses are ordered by it, and name the end of what the sender knows. The same rule as for the log decides what is verified, so that a part is read on. A part also confirms no restored log to a starting router.

The tests of the client expect the offsets as well.

--- a/internal/adapter/peergrpc/convert.go
+++ b/internal/adapter/peergrpc/convert.go
@@ -104,7 +104,7 @@
 func seconds(d time.Duration) uint32 { return uint32(max(d, 0) / time.Second) }
 
 func toRecords(b port.Batch) *peerv1.PullRecordsResponse {
-	out := &peerv1.PullRecordsResponse{Next: uint64(b.Next), Oldest: uint64(b.Oldest), AgeMs: uint32((b.Age + time.Millisecond - 1) / time.Millisecond)}
+	out := &peerv1.PullRecordsResponse{Next: uint64(b.Next), Oldest: uint64(b.Oldest), End: uint64(b.End), AgeMs: uint32((b.Age + time.Millisecond - 1) / time.Millisecond)}
 	for _, r := range b.Records {
 		out.Records = append(out.Records, &peerv1.Record{
 			Offset: uint64(r.Offset), Id: r.ID, AppendedAtUs: r.AppendedAt.UnixMicro(), Data: r.Data,
@@ -114,7 +114,7 @@
 }
 
 func fromRecords(m *peerv1.PullRecordsResponse) port.Batch {
-	out := port.Batch{Next: port.Offset(m.GetNext()), Oldest: port.Offset(m.GetOldest()),
+	out := port.Batch{Next: port.Offset(m.GetNext()), Oldest: port.Offset(m.GetOldest()), End: port.Offset(m.GetEnd()),
 		Age: time.Duration(m.GetAgeMs()) * time.Millisecond}
 	for _, r := range m.GetRecords() {
 		out.Records = append(out.Records, port.Record{
--- a/internal/adapter/peergrpc/peer_test.go
+++ b/internal/adapter/peergrpc/peer_test.go
@@ -68,7 +68,7 @@
 // an expired offset reported as another failure.
 func TestPullRecords(t *testing.T) {
 	records := func(n, size int) port.Batch {
-		b := port.Batch{Next: port.Offset(n + 1), Oldest: 1}
+		b := port.Batch{Next: port.Offset(n + 1), Oldest: 1, End: port.Offset(n + 1)}
 		for i := range n {
 			b.Records = append(b.Records, port.Record{Offset: port.Offset(i + 1), ID: "id", AppendedAt: now, Data: make([]byte, size)})
 		}
@@ -102,6 +102,7 @@
 			is.NoErr(err)
 			is.Equal(b.Records, c.stored.Records[:c.want])
 			is.Equal(b.Next, port.Offset(c.want+1))
+			is.Equal(b.End, c.stored.End)
 		})
 	}
 }
--- a/internal/app/gatewaysync/cut_test.go
+++ b/internal/app/gatewaysync/cut_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -83,9 +84,8 @@
 			log.add("config", "v "+strconv.Itoa(v+2))
 		}
 		go func() {
-			for v := 200; ctx.Err() == nil; v++ {
+			for v := 200; ctxtime.Sleep(ctx, 12*time.Millisecond) == nil; v++ {
 				log.add("config", "v "+strconv.Itoa(v))
-				<-time.After(12 * time.Millisecond)
 			}
 		}()
 		log.setDown(false)
--- a/internal/app/gatewaysync/gatewaysync.go
+++ b/internal/app/gatewaysync/gatewaysync.go
@@ -3,10 +3,12 @@
 package gatewaysync
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -181,19 +183,24 @@
 		return err
 	}
 	f.confirm(ctx)
-	f.applyRecords(received{KeyedBatch: batch}, "log")
-	f.reach(batch, at)
+	f.apply(batch, "log", at)
 	return nil
 }
 
-// reach verifies the known values after a response of the log to a request of the given
-// time. A response may be cut: only one that reaches the end of the stream tells the newest
-// values. While the log grows faster than it is read, reaching an end that an earlier
-// response named verifies the time of that one's request.
+// apply applies a response to a request whose End was the end of the stream at the given
+// time.
+func (f *Follower) apply(batch port.KeyedBatch, source string, at time.Time) {
+	f.applyRecords(batch, source)
+	f.reach(batch, at)
+}
+
+// reach verifies the known values after a response. A response may be cut: only one that
+// reaches the end of the stream tells the newest values. While the log grows faster than it
+// is read, reaching an end that an earlier response named verifies the time of that one.
 func (f *Follower) reach(batch port.KeyedBatch, at time.Time) {
 	if !batch.IsCut() {
 		if f.behind != nil {
-			f.Logger.Info("log read to its end", "stream", f.Name, "next", batch.Next, "ms", f.Clock.Now().Sub(f.behind.since).Milliseconds())
+			f.Logger.Info("records read to the end", "stream", f.Name, "next", batch.Next, "ms", f.Clock.Now().Sub(f.behind.since).Milliseconds())
 		}
 		f.behind = nil
 		f.verify(at)
@@ -201,7 +208,7 @@
 	}
 	switch {
 	case f.behind == nil:
-		f.Logger.Info("log response cut", "stream", f.Name, "next", batch.Next, "end", batch.End)
+		f.Logger.Info("records cut", "stream", f.Name, "next", batch.Next, "end", batch.End)
 		f.behind = &backlog{end: batch.End, asked: at, since: f.Clock.Now()}
 	case batch.Next >= f.behind.end:
 		f.verify(f.behind.asked)
@@ -221,7 +228,7 @@
 	}
 	f.behind = nil
 	f.forget(keys, batch.Next)
-	f.applyRecords(received{KeyedBatch: batch}, "log")
+	f.applyRecords(batch, "log")
 	if batch.Next.History() > 0 && f.Peers != nil {
 		f.unconfirmedSince = f.Clock.Now()
 	}
@@ -234,18 +241,13 @@
 	return nil
 }
 
-// apply applies records that were the newest at a time.
-func (f *Follower) apply(batch received, at time.Time) {
-	f.applyRecords(batch, batch.source())
-	f.verify(at)
-}
-
-func (f *Follower) applyRecords(batch received, source string) {
+func (f *Follower) applyRecords(batch port.KeyedBatch, source string) {
 	older, newer := f.offset(), batch.Next
 	if older.History() != newer.History() {
 		f.mu.Lock()
 		f.restoredAt = f.Clock.Now()
 		f.mu.Unlock()
+		f.behind = nil // the records up to its end are lost
 	}
 	batch.Records = f.accept(batch)
 	for _, r := range batch.Records {
@@ -299,10 +301,9 @@
 	if best == nil {
 		return
 	}
-	f.behind = nil // the log is read on from where the peer is
 	batch := fromPeer(*best)
 	f.Logger.Info("records from a peer", "stream", f.Name, "records", len(batch.Records), "next", best.Next, "age_ms", best.Age.Milliseconds())
-	f.apply(batch, at.Add(-best.Age))
+	f.apply(batch, "peer", at.Add(-best.Age))
 }
 
 // isUnconfirmed reports whether other routers may still say that they know newer values.
@@ -325,9 +326,12 @@
 	defer cancel()
 	for _, b := range f.Peers(ctx, f.Name, 0) {
 		batch := fromPeer(b)
+		isCut := batch.IsCut()
 		batch.Next = f.offset()
 		f.applyRecords(batch, "peer")
-		f.unconfirmedSince = time.Time{}
+		if !isCut {
+			f.unconfirmedSince = time.Time{}
+		}
 	}
 }
 
@@ -349,11 +353,13 @@
 	if f.Reset != nil && from < f.since {
 		return port.Batch{}, &port.ExpiredError{Stream: stream, From: from, Oldest: f.since}
 	}
-	b := port.Batch{Next: f.next, Age: f.Clock.Now().Sub(f.verified)}
+	b := port.Batch{Next: f.next, End: f.next, Age: f.Clock.Now().Sub(f.verified)}
 	for key, k := range f.newest {
 		if k.offset >= from {
 			b.Records = append(b.Records, port.Record{Offset: k.offset, ID: key, Data: k.value})
 		}
 	}
+	// A response that is cut is continued at the offset of its first missing record.
+	slices.SortFunc(b.Records, func(x, y port.Record) int { return cmp.Compare(x.Offset, y.Offset) })
 	return b, nil
 }
--- a/internal/app/gatewaysync/gatewaysync_test.go
+++ b/internal/app/gatewaysync/gatewaysync_test.go
@@ -53,7 +53,8 @@
 	}
 	l.newest++
 	last := map[string]port.KeyedRecord{}
-	for _, r := range l.records {
+	for i, r := range l.records {
+		r.Offset = l.offset(i)
 		last[r.Key] = r
 		if r.Value == nil {
 			delete(last, r.Key)
@@ -79,6 +80,9 @@
 		newest := next
 		if !down {
 			records = append(records, l.records[from.Position()-1:]...)
+			for i := range records {
+				records[i].Offset = from + port.Offset(i)
+			}
 		}
 		if l.limit > 0 && len(records) > l.limit {
 			records, next = records[:l.limit], from+port.Offset(l.limit)
--- a/internal/app/gatewaysync/relay.go
+++ b/internal/app/gatewaysync/relay.go
@@ -72,7 +72,6 @@
 		return false
 	}
 	f.confirm(ctx)
-	f.behind = nil
-	f.apply(fromPeer(b), at.Add(-b.Age))
+	f.apply(fromPeer(b), "peer", at.Add(-b.Age))
 	return true
 }
--- a/internal/app/gatewaysync/retained.go
+++ b/internal/app/gatewaysync/retained.go
@@ -15,7 +15,7 @@
 type retained struct {
 	// value is nil when the key was removed.
 	value []byte
-	// offset is at least that of the record, by which other routers are served.
+	// offset is that of the record, by which other routers are served.
 	offset port.Offset
 	// history is the newest one in which the log held the value.
 	history port.History
@@ -25,46 +25,22 @@
 	removedAt   time.Time
 }
 
-// received is a batch of the log, or of another router.
-type received struct {
-	port.KeyedBatch
-	// offsets holds those of a peer's records, which may be of older histories than the
-	// batch; nil for a batch of the log.
-	offsets map[string]port.Offset
-}
-
-func (b received) source() string {
-	if b.offsets != nil {
-		return "peer"
-	}
-	return "log"
-}
-
-// offset returns an offset that is at least that of the key's record.
-func (b received) offset(key string) port.Offset {
-	if offset, ok := b.offsets[key]; ok {
-		return offset
-	}
-	return b.Next - 1
-}
-
 // fromPeer converts a peer's response to keyed records; an empty value removes the key.
-func fromPeer(b port.Batch) received {
-	out := received{KeyedBatch: port.KeyedBatch{Next: b.Next}, offsets: map[string]port.Offset{}}
+func fromPeer(b port.Batch) port.KeyedBatch {
+	out := port.KeyedBatch{Next: b.Next, End: b.End}
 	for _, r := range b.Records {
-		record := port.KeyedRecord{Key: r.ID}
+		record := port.KeyedRecord{Offset: r.Offset, Key: r.ID}
 		if len(r.Data) > 0 {
 			record.Value = r.Data
 		}
 		out.Records = append(out.Records, record)
-		out.offsets[r.ID] = r.Offset
 	}
 	return out
 }
 
 // accept stores the records of a batch that say something new, to serve them to other
 // routers, and returns them.
-func (f *Follower) accept(batch received) []port.KeyedRecord {
+func (f *Follower) accept(batch port.KeyedBatch) []port.KeyedRecord {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.next = batch.Next
@@ -74,7 +50,7 @@
 	var out []port.KeyedRecord
 	for _, r := range batch.Records {
 		known, isKnown := f.newest[r.Key]
-		next := f.retain(r, known, batch.offset(r.Key))
+		next := f.retain(r, known)
 		if isKnown && !supersedes(next, known, f.Clock.Now().Sub(f.restoredAt) < rewriteTimeout) {
 			if known.value != nil && known.revision == next.revision && next.history > known.history {
 				// The log holds the known value again. Other routers learn it by the offset.
@@ -95,8 +71,8 @@
 }
 
 // retain returns the entry of a record whose key has the known entry.
-func (f *Follower) retain(r port.KeyedRecord, known retained, offset port.Offset) retained {
-	next := retained{value: r.Value, offset: offset, history: offset.History()}
+func (f *Follower) retain(r port.KeyedRecord, known retained) retained {
+	next := retained{value: r.Value, offset: r.Offset, history: r.Offset.History()}
 	switch {
 	case r.Value == nil:
 		next.revision, next.hasRevision, next.removedAt = known.revision, known.hasRevision, f.Clock.Now()
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -168,7 +168,8 @@
 // KeyedRecord is one record of a keyed stream, which retains the newest record of
 // each key.
 type KeyedRecord struct {
-	Key string
+	Offset Offset
+	Key    string
 	// Value is nil when the key was removed.
 	Value []byte
 }
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -70,6 +70,9 @@
 	Records []Record
 	Next    Offset
 	Oldest  Offset
+	// End is the offset after the newest record of the stream at the time of the read, 0 if
+	// the responder does not say. It is greater than Next if the response was cut.
+	End Offset
 	// Age is how long ago the peer that served the batch last confirmed with the
 	// log that there was no newer record; 0 in batches of the log itself.
 	Age time.Duration
