weights: a cut response does not end the claims of the lease

The log also cuts responses at a size, so that an older claim could count as the one in force, until the router's own claim lost to the newer one.

Change: batches of all logs can name the end of the stream, and port.Batch.ReachesEnd is the one rule for each reader. The own log's responses name no end: there only an empty batch tells, as before.

--- a/internal/app/configsync/follow.go
+++ b/internal/app/configsync/follow.go
@@ -52,9 +52,8 @@
 		return err
 	}
 	s.apply(batch.Records)
-	// Only an empty response marks the end: the log may return fewer records than
-	// requested.
-	atEnd := len(batch.Records) == 0
+	// The log may return fewer records than requested.
+	atEnd := batch.ReachesEnd()
 	s.mu.Lock()
 	s.behind = !atEnd
 	if atEnd {
--- a/internal/app/weights/holder.go
+++ b/internal/app/weights/holder.go
@@ -129,7 +129,7 @@
 			}
 		}
 		m.next = batch.Next
-		if len(batch.Records) < readLimit {
+		if batch.ReachesEnd() {
 			return nil
 		}
 	}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -78,6 +78,10 @@
 	Age time.Duration
 }
 
+// ReachesEnd reports whether the stream held no records after the batch. Of a responder that
+// does not say where the stream ends, only an empty batch tells.
+func (b Batch) ReachesEnd() bool { return len(b.Records) == 0 || b.End > 0 && b.Next >= b.End }
+
 // Log is the platform's append-only log.
 type Log interface {
 	// Append writes the records atomically and returns the offset of the first.
@@ -85,8 +89,8 @@
 	// An UnknownOutcomeError means that the records may have been written: the
 	// caller reads the stream to find out.
 	Append(ctx context.Context, stream string, records []Record) (Offset, error)
-	// Read returns at most limit records starting at from and waits at most wait
-	// for the first. It fails with an ExpiredError when from is older than the
+	// Read returns at most limit records starting at from, as many as fit into one
+	// response, and waits at most wait for the first. It fails with an ExpiredError when from is older than the
 	// oldest retained record, or of an earlier history of the log.
 	Read(ctx context.Context, stream string, from Offset, limit int, wait time.Duration) (Batch, error)
 }
--- a/internal/port/portfake/log.go
+++ b/internal/port/portfake/log.go
@@ -218,7 +218,7 @@
 	if changed || position < s.oldest {
 		return port.Batch{}, nil, &port.ExpiredError{Stream: name, From: from, Oldest: l.offset(s.oldest)}
 	}
-	b := port.Batch{Next: l.offset(position), Oldest: l.offset(s.oldest)}
+	b := port.Batch{Next: l.offset(position), Oldest: l.offset(s.oldest), End: l.offset(s.next())}
 	if position < s.next() {
 		for _, r := range s.records[position-s.oldest:][:min(limit, int(s.next()-position))] {
 			r.Offset = l.offset(r.Offset)
