configsync: a router is ready once it has read all that another one knows

If the next part did not come, and the log was away, it served by an older configuration, with accounts and keys that later records had removed.

Change: it is ready when a response holds nothing new.

On the code before: TestPartOfAPeersRecordsIsNotReady, ready after 2 of 3 records.

--- a/internal/app/configsync/configsync_test.go
+++ b/internal/app/configsync/configsync_test.go
@@ -220,6 +220,46 @@
 	})
 }
 
+// cutPeer answers like another router, one record at a time, until it fails.
+type cutPeer struct {
+	PeerReader
+	answers int
+}
+
+func (p *cutPeer) PullRecords(ctx context.Context, stream string, from port.Offset, _ int) (port.Batch, error) {
+	if p.answers--; p.answers < 0 {
+		return port.Batch{}, &port.UnavailableError{Peer: "router"}
+	}
+	return p.PeerReader.PullRecords(ctx, stream, from, 1)
+}
+
+// Guards against a starting router that serves by an older configuration because it holds
+// only a part of what another router knows.
+func TestPartOfAPeersRecordsIsNotReady(t *testing.T) {
+	for answers, ready := range map[int]bool{2: false, 4: true} {
+		inBubble(t, func(ctx context.Context, is *is.I) {
+			log := portfake.NewLog(portfake.LogOptions{})
+			put(log, addTeam("a"))
+			put(log, change("p1", "a", "/a/pools/p", 0, pool(1)))
+			put(log, change("p2", "a", "/a/pools/p", 2, pool(2)))
+			first := newSync(log, nil, 0.5)
+			run(ctx, first)
+			<-first.Ready()
+			log.SetFaults(portfake.Faults{Outage: true})
+			second := newSync(log, &cutPeer{first, answers}, 0.5)
+			run(ctx, second)
+			<-time.After(time.Second)
+			select {
+			case <-second.Ready():
+				is.True(ready)
+				is.Equal(slots(second), 2)
+			default:
+				is.True(!ready)
+			}
+		})
+	}
+}
+
 // Guards against a configuration that is lost when its records expire, against
 // half of the retention without a snapshot, and against a node whose state is
 // reverted by an older snapshot or corrupted by an invalid one.
--- a/internal/app/configsync/follow.go
+++ b/internal/app/configsync/follow.go
@@ -98,11 +98,10 @@
 			records = records[1:]
 		}
 		s.apply(records)
-		applied := s.Applied()
-		if applied > 0 {
-			s.markReady()
-		}
-		if applied < from {
+		if applied := s.Applied(); applied < from { // the peer knows no more
+			if applied > 0 {
+				s.markReady()
+			}
 			return
 		}
 	}
