gatewayconfig: a cache scope is named after the accounts that share it

Cause: all accounts that are not isolated used one scope per weights version, whose name did not depend on who they are. The accounts that stayed went on in the scope that held what the isolated one had made. The store of kept KV cache and fetches between engines go by the same scope.

Change: the shared scope's name is a hash of the accounts that share it, so that they leave it when one of them is isolated or ends, and return to it only with the same accounts. It needs no memory of earlier configurations: a router that starts later, or that has the configuration from another one, names it alike. The scope is taken from the configuration in force at each attempt, not from that of the request's arrival; an account that has ended shares nothing.

The product's own door gives each account a scope of its own: not touched.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -53,6 +53,8 @@
 	g.Directory.begin(t.ID)
 	g.circuits.Started(start, t.ID)
 	if x.engine != nil {
+		// The account may have been isolated since the request arrived.
+		x.scope = g.config.Load().CacheScope(x.account)
 		x.score = x.scoreOf(t)
 		g.observeOccupancy(x.service, x.score.PrefillMs)
 		x.planTransfers(start, t)
@@ -184,7 +186,7 @@
 	return f
 }
 
-// cacheScope separates KV cache entries by weights version and by isolated account.
+// cacheScope separates KV cache entries by weights version and by the accounts that share them.
 func (x *exchange) cacheScope(t Target) string {
 	if x.engine == nil {
 		return ""
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -29,7 +29,7 @@
 	account *gatewayconfig.ClientAccount
 	service string
 	engine  *gatewayconfig.Engine
-	// scope is the isolated account whose KV cache the request uses; empty: the shared one.
+	// scope is the KV cache scope of the account, without the weights version.
 	scope            string
 	placementRequest placement.Request
 	fingerprint      retry.Fingerprint
@@ -165,10 +165,8 @@
 	account := ""
 	if x.account != nil {
 		account = x.account.Name
-		if x.account.Isolated {
-			x.scope = account
-		}
 	}
+	x.scope = x.config.CacheScope(x.account)
 	x.fingerprint = retry.FingerprintOf(account, x.r.Path, string(x.r.Body))
 	if x.engine == nil {
 		return
--- a/internal/core/gatewayconfig/configuration.go
+++ b/internal/core/gatewayconfig/configuration.go
@@ -113,6 +113,10 @@
 	Limits   Limits
 	// accounts maps keys to accounts; nil if the deployment has no accounts.
 	accounts map[string]*ClientAccount
+	// isolated holds all names of accounts, and whether the account is isolated.
+	isolated map[string]bool
+	// sharedScope is the cache scope of the accounts that are not isolated.
+	sharedScope string
 	// routes holds the routes of each host, longest prefix first.
 	routes map[string][]*Route
 }
@@ -151,6 +155,8 @@
 	if len(d.Accounts) > 0 {
 		c.accounts = map[string]*ClientAccount{}
 	}
+	c.isolated = isolation(d.Accounts)
+	c.sharedScope = sharedScope(c.isolated)
 	for i := range d.Accounts {
 		for _, key := range d.Accounts[i].Keys {
 			c.accounts[key] = &d.Accounts[i].ClientAccount
