gatewayconfig: an empty list of client accounts is a list

Cause: no accounts were kept where the list had no elements, and a request needed a key only where accounts were kept. The decoder did not tell a field that is absent from an empty one.

Change: a configuration that holds the field, if only as [] or null, has client accounts, and a request needs a key of one. Without the field none is needed, as the pages say. It follows from the configuration alone, so a router that starts later does the same. `configuration in force` tells whether keys are needed.

The product's own door knows a caller by the hash of a key alone and refuses where there is none: not touched.

--- a/cmd/mimosaseam/gatewayaccounts_test.go
+++ b/cmd/mimosaseam/gatewayaccounts_test.go
@@ -53,3 +53,26 @@
 	ask("k2", "k1")
 	is.True(slices.Contains(uses()[1:], "one two") || slices.Contains(uses()[1:], "two one"))
 }
+
+// Guards against a router that serves any key, or none, once the last account has ended, also
+// if it starts after that.
+func TestGatewayWithoutAccountsServesNoKey(t *testing.T) {
+	is := is.New(t)
+	s := newTestGateway(t, 60_000)
+	s.await("ready", s.ready)
+	response, _ := s.send("/book/", "k1", "")
+	is.Equal(response.StatusCode, http.StatusOK)
+	s.log.ConfigureAccounts(2)
+	s.await("the configuration", func() bool { return s.node.gateway.Configuration().Version == 2 })
+	refuses := func() {
+		for _, key := range []string{"k1", "never", ""} {
+			response, _ := s.send("/book/", key, "")
+			is.Equal(response.StatusCode, http.StatusUnauthorized)
+		}
+	}
+	refuses()
+	s.start(s.node.file, s.node.settings)
+	s.await("ready", s.ready)
+	refuses()
+	is.Equal(len(s.service.Runs()), 1)
+}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -206,7 +206,7 @@
 		return
 	}
 	g.config.Store(c)
-	g.Log.Info("configuration in force", "version", c.Version, "accounts", c.Accounts(), "isolated", c.IsolatedAccounts(), "shared_scope", c.CacheScope(nil))
+	g.Log.Info("configuration in force", "version", c.Version, "keys_required", c.HasAccounts(), "accounts", c.Accounts(), "isolated", c.IsolatedAccounts(), "shared_scope", c.CacheScope(nil))
 }
 
 // Configuration returns the configuration in force, nil before the first.
--- a/internal/core/gatewayconfig/configuration.go
+++ b/internal/core/gatewayconfig/configuration.go
@@ -111,7 +111,9 @@
 	Version  int64
 	Services map[string]*Service
 	Limits   Limits
-	// accounts maps keys to accounts; nil if the deployment has no accounts.
+	// hasAccounts is set if the deployment has client accounts, even if there is none now.
+	hasAccounts bool
+	// accounts maps keys to accounts.
 	accounts map[string]*ClientAccount
 	// isolated holds all names of accounts, and whether the account is isolated.
 	isolated map[string]bool
@@ -126,8 +128,11 @@
 	Version  int64
 	Routes   []Route
 	Services []Service
-	Accounts []AccountDefinition
-	Limits   Limits
+	// HasAccounts is set if the deployment has client accounts: requests then need a key,
+	// also while there is no account.
+	HasAccounts bool
+	Accounts    []AccountDefinition
+	Limits      Limits
 }
 
 // AccountDefinition is a client account with its keys.
@@ -138,8 +143,8 @@
 
 // New builds a Configuration.
 func New(d Definition) *Configuration {
-	c := &Configuration{Version: d.Version, Limits: d.Limits,
-		Services: map[string]*Service{}, routes: map[string][]*Route{}}
+	c := &Configuration{Version: d.Version, Limits: d.Limits, hasAccounts: d.HasAccounts || len(d.Accounts) > 0,
+		Services: map[string]*Service{}, routes: map[string][]*Route{}, accounts: map[string]*ClientAccount{}}
 	for i := range d.Services {
 		c.Services[d.Services[i].Name] = &d.Services[i]
 	}
@@ -152,9 +157,6 @@
 			return cmp.Compare(len(b.Prefix), len(a.Prefix))
 		})
 	}
-	if len(d.Accounts) > 0 {
-		c.accounts = map[string]*ClientAccount{}
-	}
 	c.isolated = isolation(d.Accounts)
 	c.sharedScope = sharedScope(c.isolated)
 	for i := range d.Accounts {
@@ -177,7 +179,10 @@
 }
 
 // NeedsKey reports whether requests of the route must carry a key.
-func (c *Configuration) NeedsKey(r *Route) bool { return c.accounts != nil && !r.Anonymous }
+func (c *Configuration) NeedsKey(r *Route) bool { return c.hasAccounts && !r.Anonymous }
+
+// HasAccounts reports whether requests need keys, but for anonymous routes.
+func (c *Configuration) HasAccounts() bool { return c.hasAccounts }
 
 // Account returns the account to which the key belongs, nil if there is none.
 func (c *Configuration) Account(key string) *ClientAccount { return c.accounts[key] }
--- a/internal/core/gatewayconfig/configuration_test.go
+++ b/internal/core/gatewayconfig/configuration_test.go
@@ -45,6 +45,8 @@
 	is.True(c.NeedsKey(c.Route("a", "/x/")))
 	is.True(!c.NeedsKey(c.Route("b", "/")))
 	is.True(!New(Definition{}).NeedsKey(&Route{}))
+	is.True(New(Definition{HasAccounts: true}).NeedsKey(&Route{}))
+	is.True(!New(Definition{HasAccounts: true}).NeedsKey(&Route{Anonymous: true}))
 }
 
 // Guards against services that receive requests out of proportion to their weights.
