gatewayconfig: an empty key belongs to no client account

Found while each list that may be empty was looked at, in no play: an account whose list of keys holds an empty text was the account of all requests that carry no key.

Change: empty keys are left out.

On the code before: TestListOfAccountsThatIsEmptyOrAbsent with [""], not true: c.Account("") == nil.

--- a/internal/core/gatewayconfig/configuration.go
+++ b/internal/core/gatewayconfig/configuration.go
@@ -161,7 +161,9 @@
 	c.sharedScope = sharedScope(c.isolated)
 	for i := range d.Accounts {
 		for _, key := range d.Accounts[i].Keys {
-			c.accounts[key] = &d.Accounts[i].ClientAccount
+			if key != "" { // requests without a key must not match
+				c.accounts[key] = &d.Accounts[i].ClientAccount
+			}
 		}
 	}
 	return c
