httpconn: bound the header of a response to 8 KiB

From the report of another operator: a faulty runner sent bytes without end, the machine that had called it kept them and ran out of memory, and the requests of other clients ended with it. One response was bounded here, all together were not.

Cause: a header of up to 64 KiB was taken, which takes about 1 MB once it is parsed if its lines are short and all different. Each open request may hold one that does not end.

Change: 8 KiB, at both doors.

--- /dev/null
+++ b/cmd/mimosaseam/endlessmemory_test.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosaseam.example/mimosaseam/platform/platformtest"
+)
+
+// peakMemoryMB returns the largest resident size of the process so far.
+func (p *gatewayProcess) peakMemoryMB() int {
+	p.t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(text), "VmHWM:")
+	kb, err := strconv.Atoi(strings.Fields(rest)[0])
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return kb >> 10
+}
+
+// Guards against a router that runs out of memory, and ends the requests of other callers with
+// it, because targets answer many requests at once with bytes without end.
+func TestEndlessAnswersStayWithinTheMemory(t *testing.T) {
+	const (
+		memoryMB  = 134
+		callers   = 400
+		timeoutMs = 4000
+	)
+	filler := strings.Repeat("x", 16<<10)
+	for name, answer := range map[string]func(c *platformtest.RawConn, r *http.Request){
+		"header line": func(c *platformtest.RawConn, _ *http.Request) { c.Send("HTTP/1.1 200 OK\r\nX: "); c.Repeat(filler) },
+		"header lines": func(c *platformtest.RawConn, _ *http.Request) {
+			c.Send("HTTP/1.1 200 OK\r\n")
+			var lines strings.Builder
+			for i := range 12000 {
+				fmt.Fprintf(&lines, "%x:\r\n", i)
+			}
+			c.Send(lines.String()[:63<<10])
+			c.Trickle("\r")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			endless := func(c *platformtest.RawConn, r *http.Request, _ int) bool {
+				if strings.HasPrefix(r.URL.Path, "/look/sound") {
+					return c.Send(platformtest.Whole(r, "ran"))
+				}
+				answer(c, r)
+				return false
+			}
+			var services, engines []*platformtest.RawTarget
+			for i := range 4 {
+				services = append(services, newRawTarget(t, fmt.Sprint("d", i), "", endless))
+				engines = append(engines, newRawTarget(t, fmt.Sprint("e", i), "m", endless))
+			}
+			p := startGatewayProcess(t, 9, timeoutMs, services, engines)
+			path := "/book/"
+			if strings.HasPrefix(name, "event") {
+				path = "/brief/"
+			}
+			var open sync.WaitGroup
+			for i := range callers {
+				open.Go(func() {
+					c := p.dial()
+					c.write(strings.Replace(requestHead(fmt.Sprint("r", i), path, 0), "\r\n", "\r\nConnection: close\r\n", 1))
+					_ = c.SetReadDeadline(time.Now().Add(2 * timeoutMs * time.Millisecond))
+					_, _ = io.Copy(io.Discard, c) // a faulty target's answer is judged elsewhere
+				})
+			}
+			open.Wait()
+			is.True(p.cmd.ProcessState == nil)
+			t.Logf("%s: peak %d MB", name, p.peakMemoryMB())
+			is.True(p.peakMemoryMB() < memoryMB)
+			c := p.dial()
+			c.write(requestHead("sound", "/look/sound", 0))
+			_ = c.SetReadDeadline(time.Now().Add(stateTimeout))
+			status, _, _ := c.answer()
+			is.True(status == http.StatusOK || status == http.StatusServiceUnavailable)
+		})
+	}
+}
--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -280,7 +280,7 @@
 		return errors.Join(err, failed)
 	}}
 	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: targetIdleTimeout,
-		MaxResponseHeaderBytes: 64 << 10, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10}
+		MaxResponseHeaderBytes: httpconn.MaxHeaderBytes, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10}
 }
 
 func (n *gatewayNode) idleLimit() time.Duration {
--- a/cmd/mimosaseam/stop_test.go
+++ b/cmd/mimosaseam/stop_test.go
@@ -76,7 +76,7 @@
 	putSilentRouter(t, p.log)
 	file := filepath.Join(t.TempDir(), "settings.jsonc")
 	text := fmt.Sprintf(`{"vm": {"name": "r1", "region": "r", "availability_zone": "z"}, "callers": {"address": %q},
-		"ready": {"address": %q}, "peers": {"address": %q}, "regions": {"z": "r"}, "log": {"address": %q}, "limits": {"memory_mb": 200},
+		"ready": {"address": %q}, "peers": {"address": %q}, "regions": {"z": "r"}, "log": {"address": %q}, "limits": {"memory_mb": 134},
 		"bounds": {"stop_s": %d}}`, p.callers, p.ready, freeAddress(t), strings.TrimPrefix(logServer.URL, "http://"), stopS)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/adapter/httpconn/pool.go
+++ b/internal/adapter/httpconn/pool.go
@@ -26,8 +26,9 @@
 	// maxIdlePerTarget covers the usual number of streams of a target. The default
 	// of net/http, two, would make it dial for all others.
 	maxIdlePerTarget = 1024
-	// maxHeaderBytes bounds the header of a response.
-	maxHeaderBytes = 64 << 10
+	// MaxHeaderBytes bounds the header of a response, far above any that targets send. A
+	// parsed one takes up to sixteen times its size, and each open request may hold one.
+	MaxHeaderBytes = 8 << 10
 	// bufferBytes is the size of each connection's read and write buffer. Chunks
 	// have about 100 bytes, and larger bodies are written past the buffer, so
 	// net/http's 4 KiB would only add to the memory of each open stream.
@@ -97,7 +98,7 @@
 		TLSHandshakeTimeout:    handshakeTimeout,
 		MaxIdleConnsPerHost:    maxIdlePerTarget,
 		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
 	}
