gateway: buffered responses share a part of the memory

Cause: up to 256 KiB of each response are buffered, so that a request can be repeated if it breaks off, without a bound over all.

Change: core/limits.Buffer. When it is used up, a response is relayed as it comes: it can't be repeated any more, but it is served.

--- a/cmd/mimosaseam/endlessmemory_test.go
+++ b/cmd/mimosaseam/endlessmemory_test.go
@@ -41,6 +41,22 @@
 	)
 	filler := strings.Repeat("x", 16<<10)
 	for name, answer := range map[string]func(c *platformtest.RawConn, r *http.Request){
+		"body": func(c *platformtest.RawConn, r *http.Request) {
+			c.Send(platformtest.Head(r, "200 OK", "Connection: close"))
+			c.Repeat(filler)
+		},
+		"body that stops short of the buffer": func(c *platformtest.RawConn, r *http.Request) {
+			c.Send(platformtest.Head(r, "200 OK", "Connection: close") + strings.Repeat("x", 250<<10))
+			c.Trickle("x")
+		},
+		"failure": func(c *platformtest.RawConn, r *http.Request) {
+			c.Send(platformtest.Head(r, "500 Failed", "Connection: close"))
+			c.Repeat(filler)
+		},
+		"chunks": func(c *platformtest.RawConn, r *http.Request) {
+			c.Send(platformtest.Head(r, "200 OK", "Transfer-Encoding: chunked"))
+			c.Repeat("4000\r\n" + filler + "\r\n")
+		},
 		"header line": func(c *platformtest.RawConn, _ *http.Request) { c.Send("HTTP/1.1 200 OK\r\nX: "); c.Repeat(filler) },
 		"header lines": func(c *platformtest.RawConn, _ *http.Request) {
 			c.Send("HTTP/1.1 200 OK\r\n")
@@ -51,6 +67,14 @@
 			c.Send(lines.String()[:63<<10])
 			c.Trickle("\r")
 		},
+		"event": func(c *platformtest.RawConn, r *http.Request) {
+			c.Send(platformtest.Head(r, "200 OK", "Content-Type: text/event-stream", "Connection: close") + "id: 1\ndata: ")
+			c.Repeat(filler)
+		},
+		"event that stops short of the buffer": func(c *platformtest.RawConn, r *http.Request) {
+			c.Send(platformtest.Head(r, "200 OK", "Content-Type: text/event-stream", "Connection: close") + "id: 1\ndata: " + strings.Repeat("x", 250<<10))
+			c.Trickle("x")
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -46,6 +46,8 @@
 	// heapFraction is the share of the process's memory limit that the heap may use;
 	// the rest is for stacks, the runtime and kernel buffers of connections.
 	heapFraction = 0.65
+	// bufferFraction is the share of the memory limit that buffered responses may use.
+	bufferFraction = 0.1
 	// connectTimeout bounds connection setup. The kernel retransmits the first packet
 	// after a second, which is too late for most requests.
 	connectTimeout = 600 * time.Millisecond
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"mimosaseam.example/mimosaseam/internal/core/gatewayconfig"
+	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/core/retrypolicy"
 	"mimosaseam.example/mimosaseam/internal/core/stream"
@@ -24,6 +25,8 @@
 	// maxBufferedBytes is the size up to which a response is buffered before it is
 	// relayed, so that the request can be retried if the response breaks off.
 	maxBufferedBytes = 256 << 10
+	// defaultBufferMemory is the memory of all such buffers if the settings name none.
+	defaultBufferMemory = 16 << 20
 	// copyBufferBytes is the size of one write to a client, about that of one read.
 	copyBufferBytes = 16 << 10
 	// heldResponseTimeout bounds the wait for the body of an error response that is held
@@ -151,20 +154,36 @@
 func (x *exchange) holdFailure(ctx context.Context, t Target, a port.ForwardResponse) (retrypolicy.Outcome, error) {
 	stop := time.AfterFunc(heldResponseTimeout, func() { _ = a.Body.Close() }) // the reader sees the error
 	defer stop.Stop()
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes))
-	if err == nil && len(body) < maxBufferedBytes {
-		x.held = &bufferedResponse{response: a, body: body}
+	b := limits.NewBuffer(x.g.buffers, maxBufferedBytes)
+	if whole, err := b.Read(a.Body); err == nil && whole {
+		x.holdBuffer(a, b)
+	} else {
+		b.Free()
 	}
 	return retrypolicy.Failed, &port.BadRequestError{Peer: t.ID, Status: a.Status}
 }
 
+// holdBuffer holds a response back in place of an earlier one.
+func (x *exchange) holdBuffer(a port.ForwardResponse, b *limits.Buffer) {
+	x.dropHeld()
+	x.held = &bufferedResponse{response: a, buffer: b}
+}
+
+func (x *exchange) dropHeld() {
+	if x.held != nil {
+		x.held.buffer.Free()
+		x.held = nil
+	}
+}
+
 // sendHeldFailure relays the error response that was held back.
 func (x *exchange) sendHeldFailure() error {
-	x.commit(x.held.response, int64(len(x.held.body)))
-	if len(x.held.body) == 0 {
+	body := x.held.buffer.Bytes()
+	x.commit(x.held.response, int64(len(body)))
+	if len(body) == 0 {
 		return nil
 	}
-	if err := x.sink.Write(x.held.body); err != nil {
+	if err := x.sink.Write(body); err != nil {
 		return &Failure{Kind: KindClientGone, Cause: err}
 	}
 	return nil
@@ -321,26 +340,27 @@
 	}
 }
 
-// relayBuffered relays a response after reading it whole, or its first maxBufferedBytes
-// if it is larger.
+// relayBuffered relays a response after reading it whole, or as much of it as can be buffered.
 func (x *exchange) relayBuffered(ctx context.Context, t Target, a port.ForwardResponse) (retrypolicy.Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes))
+	b := limits.NewBuffer(x.g.buffers, maxBufferedBytes)
+	defer b.Free()
+	whole, err := b.Read(a.Body)
 	if err != nil {
 		return retrypolicy.Unknown, x.markUnresponsive(ctx, err)
 	}
-	whole := len(body) < maxBufferedBytes
 	length := a.Length
 	if whole {
-		length = int64(len(body))
+		length = int64(len(b.Bytes()))
 	}
 	x.firstEvent = x.g.Clock.Now().Sub(x.r.Received)
 	x.commit(a, length)
 	x.unplaced = true
-	if len(body) > 0 {
-		if err := x.sink.Write(body); err != nil {
+	if len(b.Bytes()) > 0 {
+		if err := x.sink.Write(b.Bytes()); err != nil {
 			return retrypolicy.Unknown, &Failure{Kind: KindClientGone, Cause: err}
 		}
 	}
+	b.Free() // the rest may take long
 	if whole {
 		return 0, nil
 	}
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -88,7 +88,7 @@
 // bufferedResponse is a complete response that was not relayed yet.
 type bufferedResponse struct {
 	response port.ForwardResponse
-	body     []byte
+	buffer   *limits.Buffer
 }
 
 // defaultTimeout applies when neither the route nor the client sets one.
@@ -182,6 +182,7 @@
 
 // serve admits the request and makes attempts until one succeeds or no retry is allowed.
 func (x *exchange) serve(ctx context.Context) error {
+	defer x.dropHeld()
 	ctx, cancel := context.WithDeadlineCause(ctx, time.Now().Add(x.deadline.Sub(x.g.Clock.Now())), ErrRouteTimeout)
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -6,6 +6,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -107,6 +108,9 @@
 	RetryRatio     float64
 	RetryAllowance float64
 	RetryWindow    time.Duration
+	// BufferMemory bounds the buffered responses of all requests together, in bytes; 0: the
+	// default. It is fixed at the start.
+	BufferMemory int64
 }
 
 // Deps are the dependencies of a Gateway.
@@ -159,6 +163,7 @@
 	circuits        *retry.Circuits
 	limits          *limits.Controller
 	rates           *limits.TargetRates
+	buffers         *limits.Memory
 
 	mu            sync.Mutex
 	freshness     gatewayconfig.Freshness
@@ -187,6 +192,7 @@
 	}
 	g := &Gateway{Deps: d, rates: limits.NewTargetRates(limits.Fleet{Count: d.Routers, Chosen: d.IsChosen}), circuits: retry.NewCircuits(), limits: limits.NewController(d.Clock, routerCount{d.Routers}), retryLimiters: map[string]*retry.RetryLimiter{}, meanOccupancyMs: map[string]float64{},
 		prefillRates: map[string]placement.PrefillRate{}, durations: shutdown.NewDurations()}
+	g.buffers = limits.NewMemory(cmp.Or(d.Settings.BufferMemory, defaultBufferMemory))
 	g.running, g.endRequests = context.WithCancelCause(context.Background())
 	g.SetSettings(d.Settings)
 	return g
