completions: replies that are being read share a bound on memory

Change: replies that are being read share 32 MiB beyond the first 4 KiB of each; a call whose reply finds none left fails like one whose reply is too large: it may have run, and is not repeated.

On a copy without the bound, TestRepliesShareTheirMemory: not true: refused > 0. Not bounded: whole replies that wait for their callers to take them.

--- a/internal/app/completions/failure.go
+++ b/internal/app/completions/failure.go
@@ -235,7 +235,7 @@
 }
 
 // ReplyTooLargeError means that the reply of a service exceeds the size that the
-// router buffers.
+// router buffers, or what other replies leave of the memory for all.
 type ReplyTooLargeError struct {
 	Target string
 	Limit  int
--- a/internal/app/completions/router.go
+++ b/internal/app/completions/router.go
@@ -91,6 +91,7 @@
 	freshConns freshConns
 	views      viewCache
 	requests   requestTracker
+	replies    *limits.Memory
 	// running ends with EndRequests.
 	running     context.Context
 	endRequests context.CancelCauseFunc
@@ -132,7 +133,7 @@
 		d.SegmentTracker = retry.NewSegmentTracker()
 	}
 	r := &Router{Deps: d, limits: limits.NewController(d.Clock, d.Shares),
-		circuits: retry.NewCircuits(), budgets: map[config.Ref]*retry.Budget{}, durations: shutdown.NewDurations()}
+		circuits: retry.NewCircuits(), replies: limits.NewMemory(replyMemory), budgets: map[config.Ref]*retry.Budget{}, durations: shutdown.NewDurations()}
 	r.running, r.endRequests = context.WithCancelCause(context.Background())
 	return r
 }
--- a/internal/app/completions/service.go
+++ b/internal/app/completions/service.go
@@ -1,6 +1,7 @@
 package completions
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -16,6 +17,7 @@
 
 	"mimosaseam.example/mimosaseam/internal/app/atmostonce"
 	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/ctxtime"
@@ -26,6 +28,10 @@
 // are complete, so that a call whose reply fails midway can be retried.
 const MaxReplyBytes = 8 << 20
 
+// replyMemory bounds the replies that are being read, of all calls together: a quarter of the
+// memory of a node.
+const replyMemory = 32 << 20
+
 // call is one running service call.
 type call struct {
 	r           *Router
@@ -283,14 +289,16 @@
 		return ServiceReply{}, err
 	}
 	defer func() { _ = reply.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(reply.Body, MaxReplyBytes+1))
+	b := limits.NewBuffer(c.r.replies, MaxReplyBytes+1)
+	defer b.Free()
+	whole, err := b.Read(reply.Body)
 	if err != nil {
 		return ServiceReply{}, &port.UnknownOutcomeError{Peer: t.Name, Cause: err}
 	}
-	if len(body) > MaxReplyBytes {
-		return ServiceReply{}, &ReplyTooLargeError{Target: t.Name, Limit: MaxReplyBytes}
+	if !whole {
+		return ServiceReply{}, &ReplyTooLargeError{Target: t.Name, Limit: min(len(b.Bytes()), MaxReplyBytes)}
 	}
-	return ServiceReply{Status: reply.Status, Header: reply.Header, Body: body}, nil
+	return ServiceReply{Status: reply.Status, Header: reply.Header, Body: bytes.Clone(b.Bytes())}, nil
 }
 
 // notRun reports whether the error means that the target did not run the attempt.
--- a/internal/app/completions/service_test.go
+++ b/internal/app/completions/service_test.go
@@ -3,10 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -176,3 +181,62 @@
 		})
 	}
 }
+
+// Guards against a router that runs out of memory because many replies do not end, and against
+// short replies that fail meanwhile.
+func TestRepliesShareTheirMemory(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, is *is.I, b *testRouter) {
+		const calls = 40
+		over := make(chan struct{})
+		var stalled atomic.Int64
+		answer := func(_ context.Context, c port.Call) (port.Reply, error) {
+			if c.Path == "/short" {
+				return port.Reply{Status: 200, Body: io.NopCloser(strings.NewReader("short"))}, nil
+			}
+			body := io.MultiReader(io.LimitReader(zeros{}, 5<<20), iotest.ErrReader(io.ErrUnexpectedEOF))
+			return port.Reply{Status: 200, Body: io.NopCloser(&stallingReader{body, &stalled, over, 4 << 20})}, nil
+		}
+		b.service.scripts = map[string]func(context.Context, port.Call) (port.Reply, error){"s1": answer, "s2": answer, "s3": answer}
+		ask := func(path string) (ServiceReply, error) {
+			return b.ServiceCall(t.Context(), ServiceRequest{Account: testAccount, Route: "reserve", Method: http.MethodPost, Path: path, IdempotencyKey: path, KeyCreated: time.Now()})
+		}
+		var open sync.WaitGroup
+		tooLarge := make(chan bool, calls)
+		for i := range calls {
+			open.Go(func() {
+				_, err := ask(fmt.Sprint("/endless", i))
+				var large *ReplyTooLargeError
+				tooLarge <- errors.As(err, &large)
+			})
+		}
+		synctest.Wait()
+		refused := len(tooLarge)
+		is.True(refused > 0)
+		is.True(stalled.Load() > 0)
+		is.True(stalled.Load()*(4<<20) <= replyMemory)
+		reply, err := ask("/short")
+		is.NoErr(err)
+		is.Equal(string(reply.Body), "short")
+		close(over)
+		open.Wait()
+		is.True(b.replies.Take(replyMemory)) // all of it is free again
+	})
+}
+
+// stallingReader stops after a number of bytes until over is closed.
+type stallingReader struct {
+	io.Reader
+	stalled *atomic.Int64
+	over    chan struct{}
+	left    int
+}
+
+func (r *stallingReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		r.stalled.Add(1)
+		<-r.over
+	}
+	n, err := r.Reader.Read(p)
+	r.left -= n
+	return n, err
+}
