gatewaysync: pause after a cut response that leads no further

Found by reading the change: a router whose responses are cut and lead no further would have been asked again without a pause. Change: only what led further is followed at once.

On the code before: TestCutResponsesThatLeadNoFurther, 1,000 requests in no time.

--- a/internal/app/gatewaysync/cutpeer_test.go
+++ b/internal/app/gatewaysync/cutpeer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,3 +103,26 @@
 	is.NoErr(f.read(t.Context()))
 	is.True(f.verified.IsZero())
 }
+
+// Guards against requests without a pause to a router whose cut responses lead no further.
+func TestCutResponsesThatLeadNoFurther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &fakeLog{}
+		log.add("config", "v 1")
+		f := newRevised(log)
+		var pulls atomic.Int64
+		f.Relay = func(_ context.Context, _ string, from port.Offset) (port.Batch, bool, error) {
+			if pulls.Add(1) > 1000 {
+				return port.Batch{}, false, nil
+			}
+			return port.Batch{Next: from, End: from + 1}, true, nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Run(ctx) }()
+		<-time.After(10 * time.Second)
+		is.True(pulls.Load() < 50)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/app/gatewaysync/gatewaysync.go
+++ b/internal/app/gatewaysync/gatewaysync.go
@@ -130,7 +130,7 @@
 // Run follows the stream until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for {
-		pause := f.Interval
+		pause, before := f.Interval, f.offset()
 		if f.readRelayed(ctx) {
 			f.setLost(false, nil)
 			pause = relayInterval
@@ -144,8 +144,8 @@
 		} else {
 			f.setLost(false, nil)
 		}
-		if f.behind != nil && !f.logLost {
-			continue // the rest is there already; the log's client limits the calls
+		if f.behind != nil && f.offset() > before {
+			continue // the rest is there already
 		}
 		if err := ctxtime.Sleep(ctx, pause); err != nil {
 			return err
