--- a/internal/core/stream/events.go
+++ b/internal/core/stream/events.go
@@ -9,8 +9,9 @@
 	"github.com/rotisserie/eris"
 )
 
-// maxEventBytes is the maximum size of one event, larger than any that engines send.
-const maxEventBytes = 256 << 10
+// maxEventBytes is the maximum size of one event, larger than any that engines send: each open
+// stream may hold one.
+const maxEventBytes = 64 << 10
 
 // Errors of malformed streams.
 var (
