--- a/internal/app/completions/service_fake_test.go
+++ b/internal/app/completions/service_fake_test.go
@@ -32,10 +32,15 @@
 }
 
 // fakeRunner dispatches once and returns the same errors as the real runner.
-type fakeRunner struct{ requests []atmostonce.Request }
+type fakeRunner struct {
+	mu       sync.Mutex
+	requests []atmostonce.Request
+}
 
 func (f *fakeRunner) Run(ctx context.Context, r atmostonce.Request, dispatch atmostonce.Dispatch) (atmostonce.Outcome, error) {
+	f.mu.Lock()
 	f.requests = append(f.requests, r)
+	f.mu.Unlock()
 	out, err := dispatch(ctx, "attempt")
 	switch err.(type) {
 	case nil:
