platform: read load reports that also tell how slow the target is

Targets of deployments whose machines are shared report four figures: running, waiting, slots, slowness in percent. The decoder took exactly three, so the load of every target of such a deployment was unknown to placement and balancing.

--- a/internal/port/engine.go
+++ b/internal/port/engine.go
@@ -100,6 +100,8 @@
 	CachedBlocks   int         `json:"cached_blocks"`
 	CapacityBlocks int         `json:"capacity_blocks"`
 	MeasuredAt     time.Time   `json:"measured_at"`
+	// SlownessPercent is how long work takes on the target now, 100 as usual; 0: unknown.
+	SlownessPercent float64 `json:"slowness_percent,omitempty"`
 }
 
 // BlockHash is the chain hash of a prompt block.
