gateway: fetch prompt segments from caches whose events are not read

Each cache serves its events to a dozen routers.

Engines now save to the nearest store. A router that does not read a store's events expects half of a prompt's shared parts there, and of an engine what placement expects; a fetch that finds nothing costs about a millisecond. A cache whose events were read and have ended, or an engine with an open circuit, is not expected to have anything.

--- a/internal/app/gateway/transfer.go
+++ b/internal/app/gateway/transfer.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"mimosaseam.example/mimosaseam/internal/core/gatewayconfig"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -27,18 +29,19 @@
 	if x.engine.LinkMbps <= 0 || version == 0 || !x.isNewest(version) {
 		return
 	}
-	shared := x.r.Prompt[:max(0, len(x.r.Prompt)-1)]
-	scope := x.cacheScope(t)
+	shared := x.shared()
+	scope, to := x.cacheScope(t), x.placementTarget(t)
 	costs := placement.FetchCosts{TokenBytes: x.engine.TokenBytes, LinkMbps: x.engine.LinkMbps,
 		PrefillTokensPerSecond: x.g.prefillRate(x.service), Objective: x.route.Objective}
-	sources := x.sources(now, t, scope, shared)
+	store := x.nearestStore(to)
+	sources := x.sources(now, t, scope, shared, store)
 	for _, s := range sources {
 		x.cachedElsewhere = max(x.cachedElsewhere, s.CachedTokens)
 	}
-	if source, ok := placement.BestFetch(costs, x.placementTarget(t), x.score, x.r.PromptTokens, sources); ok {
+	if source, ok := placement.BestFetch(costs, to, x.score, x.r.PromptTokens, sources); ok {
 		x.fetchFrom = source.Address
 	}
-	x.saveTo = x.storeFor(now, scope, shared)
+	x.saveTo = x.saveAddress(now, scope, shared, store)
 	if x.fetchFrom != "" || x.saveTo != "" {
 		x.expectWeights = version
 	}
@@ -56,48 +59,105 @@
 	return version >= desired
 }
 
-// sources lists the caches that hold a prefix of the shared segments.
-func (x *exchange) sources(now time.Time, t Target, scope string, shared []port.Segment) []placement.Source {
+// sources lists the caches that hold a prefix of the shared segments, or are expected to.
+func (x *exchange) sources(now time.Time, t Target, scope string, shared []port.Segment, nearest *gatewayconfig.KVStore) []placement.Source {
 	var out []placement.Source
-	add := func(address, zone string) {
-		if tokens, known := x.g.CacheContents.CachedTokens(now, address, scope, shared); known && tokens > 0 {
+	add := func(address, zone string, presumed int) {
+		tokens, known := x.g.CacheContents.CachedTokens(now, address, scope, shared)
+		if !known && !x.g.CacheContents.IsFollowed(address) {
+			tokens = presumed
+		}
+		if tokens > 0 {
 			out = append(out, placement.Source{Address: address, AvailabilityZone: zone,
 				Region: x.g.settings().Regions[zone], CachedTokens: tokens})
 		}
 	}
+	sharedTokens := tokensOf(shared)
+	expected := x.expectedElsewhere(t)
+	var unusable map[string]retry.Reason
+	if len(expected) > 0 {
+		unusable = x.g.circuits.Unusable(now)
+	}
 	for _, other := range x.g.Directory.Service(x.service) {
-		if other.ID != t.ID && other.Weights[x.r.Model] == t.Weights[x.r.Model] {
-			add(other.Address, other.AvailabilityZone)
+		if other.ID == t.ID || other.Weights[x.r.Model] != t.Weights[x.r.Model] {
+			continue
 		}
+		presumed := min(expected[other.Address], sharedTokens)
+		if unusable[other.ID] == retry.ReasonOpen {
+			presumed = 0 // a request waits some hundred milliseconds for a source that is down
+		}
+		add(other.Address, other.AvailabilityZone, presumed)
 	}
 	for _, s := range x.config.Services {
 		if s.Store != nil {
-			add(s.Store.Address, s.Store.AvailabilityZone)
+			presumed := 0
+			if s.Store == nearest {
+				presumed = placement.PresumedTokens(sharedTokens)
+			}
+			add(s.Store.Address, s.Store.AvailabilityZone, presumed)
 		}
 	}
 	return out
 }
 
-// storeFor returns a store that lacks the shared segments, empty if there is none.
-func (x *exchange) storeFor(now time.Time, scope string, shared []port.Segment) string {
-	tokens := 0
-	for _, p := range shared {
-		tokens += p.Tokens
-	}
-	if tokens < minSavedTokens {
-		return ""
+// expectedElsewhere returns the engines that are expected to have more of the prompt than the
+// target, by address, from the traffic of this router and its share in that of all.
+func (x *exchange) expectedElsewhere(t Target) map[string]int {
+	var out map[string]int
+	for _, s := range x.scores {
+		if s.Target == t.Address || s.CachedTokens <= x.score.CachedTokens {
+			continue
+		}
+		if out == nil {
+			out = map[string]int{}
+		}
+		out[s.Target] = s.CachedTokens
 	}
+	return out
+}
+
+// nearestStore returns the store to which the target saves what it prefills, nil if there is
+// none. Routers that do not read the events of the stores rely on this rule of all others.
+func (x *exchange) nearestStore(to placement.Target) *gatewayconfig.KVStore {
+	var nearest *gatewayconfig.KVStore
+	least := 0
 	for _, s := range x.config.Services {
 		if s.Store == nil {
 			continue
 		}
-		if _, known := x.g.CacheContents.CachedTokens(now, s.Store.Address, scope, shared); !known {
-			continue
+		source := placement.Source{Region: x.g.settings().Regions[s.Store.AvailabilityZone], AvailabilityZone: s.Store.AvailabilityZone}
+		distance := source.Distance(to)
+		if nearest == nil || distance < least || distance == least && s.Store.Address < nearest.Address {
+			nearest, least = s.Store, distance
 		}
-		if !x.g.CacheContents.Holds(now, s.Store.Address, scope, shared) {
-			x.g.CacheContents.ExpectCached(now, s.Store.Address, scope, shared)
-			return s.Store.Address
+	}
+	return nearest
+}
+
+// saveAddress returns the address of the store if it lacks the shared segments, empty if they
+// need not be saved. Of a store whose events are not read, that is unknown: the segments are
+// saved if the target is expected to prefill them.
+func (x *exchange) saveAddress(now time.Time, scope string, shared []port.Segment, store *gatewayconfig.KVStore) string {
+	tokens := tokensOf(shared)
+	if store == nil || tokens < minSavedTokens {
+		return ""
+	}
+	if x.g.CacheContents.IsFollowed(store.Address) {
+		if _, known := x.g.CacheContents.CachedTokens(now, store.Address, scope, shared); !known ||
+			x.g.CacheContents.Holds(now, store.Address, scope, shared) {
+			return ""
 		}
+	} else if tokens-x.score.CachedTokens < minSavedTokens || x.g.CacheContents.Expects(now, store.Address, scope, shared) {
+		return ""
+	}
+	x.g.CacheContents.ExpectCached(now, store.Address, scope, shared)
+	return store.Address
+}
+
+func tokensOf(segments []port.Segment) int {
+	tokens := 0
+	for _, s := range segments {
+		tokens += s.Tokens
 	}
-	return ""
+	return tokens
 }
--- a/internal/core/placement/cacheindex.go
+++ b/internal/core/placement/cacheindex.go
@@ -127,6 +127,30 @@
 	return tokens, true
 }
 
+// IsFollowed reports whether the events of a cache have been read since it was last removed.
+func (ix *CacheIndex) IsFollowed(address string) bool {
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	c := ix.caches[address]
+	return c != nil && !c.readAt.IsZero()
+}
+
+// Expects reports whether a request with all of the parts was recently sent to the cache.
+func (ix *CacheIndex) Expects(now time.Time, address, scope string, parts []port.Segment) bool {
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	c := ix.caches[address]
+	if c == nil {
+		return false
+	}
+	for _, p := range parts {
+		if !now.Before(c.expected[partKey{scope, p.ID}]) {
+			return false
+		}
+	}
+	return true
+}
+
 // Holds reports whether all of the parts are cached.
 func (ix *CacheIndex) Holds(now time.Time, address, scope string, parts []port.Segment) bool {
 	total := 0
--- a/internal/core/placement/fetch.go
+++ b/internal/core/placement/fetch.go
@@ -7,10 +7,33 @@
 	Address          string
 	Region           string
 	AvailabilityZone string
-	// CachedTokens is the number of tokens of the prompt's beginning it has cached.
+	// CachedTokens is the number of tokens of the prompt's beginning it has cached, or is
+	// expected to have if the router does not read its events: a fetch that finds less costs
+	// about a millisecond.
 	CachedTokens int
 }
 
+// presumedStoreShare is the share of a prompt's shared parts that a store is expected to have
+// whose events the router does not read. Every engine saves to the nearest store what it
+// prefills, and a store drops the parts that were not used for longest.
+const presumedStoreShare = 0.5
+
+// PresumedTokens returns how many of the tokens of shared parts a store is expected to have
+// whose events the router does not read.
+func PresumedTokens(shared int) int { return int(presumedStoreShare * float64(shared)) }
+
+// Distance orders caches by the duration of a transfer: 0 within the availability zone of the
+// target, 1 within its region, 2 beyond.
+func (s Source) Distance(to Target) int {
+	switch {
+	case s.AvailabilityZone == to.AvailabilityZone:
+		return 0
+	case s.Region == to.Region:
+		return 1
+	}
+	return 2
+}
+
 // FetchCosts are the parameters that decide between a fetch and a prefill.
 type FetchCosts struct {
 	// TokenBytes is the KV cache size of one token, LinkMbps the rate of a link.
@@ -37,16 +60,13 @@
 	fetchShare = 0.6
 )
 
+// distanceFactors are the factors by Source.Distance.
+var distanceFactors = [...]float64{1, crossZoneFactor, crossRegionFactor}
+
 // TransferMs returns the expected duration of a transfer in ms.
 func (t FetchCosts) TransferMs(tokens int, from Source, to Target) float64 {
 	ms := float64(tokens) * t.TokenBytes * 8 / (t.LinkMbps * 1000)
-	switch {
-	case from.Region != to.Region:
-		return ms * crossRegionFactor
-	case from.AvailabilityZone != to.AvailabilityZone:
-		return ms * crossZoneFactor
-	}
-	return ms
+	return ms * distanceFactors[from.Distance(to)]
 }
 
 // BestFetch returns the source from which the target should fetch the beginning of
