gateway: tell admission what a request meets on its best target

Only the rankings of engine requests carried the expected queue wait and time to the first token; admission control of plain requests needs the same figures. Rankings now carry them for both kinds, as workload.Estimate and in the fields that the queue reads. The order of targets is unchanged.

--- a/internal/app/gateway/admit.go
+++ b/internal/app/gateway/admit.go
@@ -7,6 +7,7 @@
 
 	"mimosaseam.example/mimosaseam/internal/core/gatewayconfig"
 	"mimosaseam.example/mimosaseam/internal/core/limits"
+	"mimosaseam.example/mimosaseam/internal/core/workload"
 )
 
 const (
@@ -22,10 +23,12 @@
 	at      time.Time
 	targets []Target
 	order   []int
-	// queueMs, unloadedMs and occupancyMs are set for engines only: the queue wait on the
-	// best target, the request's own time to the first token there, and the time for
-	// which it occupies the engine.
+	// queueMs is the queue wait on the best target, unloadedMs the request's own time to the
+	// first byte of the answer there, and occupancyMs the time for which it keeps others
+	// waiting: its prefill on an engine, its service time on a plain target.
 	queueMs, unloadedMs, occupancyMs float64
+	// best is the estimate for the best target.
+	best workload.Estimate
 }
 
 // admit queues the request until its best engine has capacity. It refuses at once a
@@ -95,9 +98,12 @@
 		s := x.scores[0]
 		k.unloadedMs, k.occupancyMs = s.PrefillMs+s.LinkMs+s.ColdMs, s.PrefillMs
 		k.queueMs = max(s.QueueMs, x.reportedQueueMs(now, usable[k.order[0]]))
-		return k
+	} else {
+		order, best := x.rankPlain(now, usable)
+		k.order, k.occupancyMs = order, best.ExpectedServiceMs()
+		k.queueMs, k.unloadedMs = best.QueueMs(), best.LinkMs+k.occupancyMs
 	}
-	k.order = x.rankPlain(now, usable)
+	k.best = workload.Estimate{Wait: duration(k.queueMs), Service: duration(k.unloadedMs)}
 	return k
 }
 
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -230,7 +230,8 @@
 	return placement.Score{}
 }
 
-func (x *exchange) rankPlain(now time.Time, targets []Target) []int {
+// rankPlain orders the targets and returns the best one.
+func (x *exchange) rankPlain(now time.Time, targets []Target) ([]int, balance.Candidate) {
 	candidates := make([]balance.Candidate, len(targets))
 	byAddress := make(map[string]int, len(targets))
 	for i, t := range targets {
@@ -247,7 +248,7 @@
 	for i, c := range candidates {
 		order[i] = byAddress[c.Address]
 	}
-	return order
+	return order, candidates[0]
 }
 
 func (g *Gateway) linkMs(zone string) float64 {
