limits: admission by rank, lateness and what accounts got; refuse early what must fail

Causes: requests that could no longer meet their objective stood before those that could; the fairness between accounts counted waiting requests only, so that a hot account that did not wait took the room of others; requests waited until their deadline although nothing could serve them; clients that repeated at once gained by it; plain requests met full targets without order.

Change: the queue of a pool orders by rank, then requests of accounts that did not get much more than others, then those that can still meet their objective, then the account that got the least work in the last seconds, with the request's own work added; no account and no kind is served less than a quarter as often as all. The wait is estimated from what is queued here and on the targets and from the demand that is known to go first, on arrival and again while a request waits. A refused request that returns before its time gains no place. Plain requests go through the same queue: they are held back only while every target has just refused one or has reported as many requests as it refuses at. Serve mode uses the same queue; its Retry-After times are spread.

--- a/internal/app/completions/completion.go
+++ b/internal/app/completions/completion.go
@@ -145,7 +145,8 @@
 	if err := r.checkStop(p); err != nil {
 		return err
 	}
-	if c.permit, err = r.admit(ctx, p, p.placement.PromptTokens, c.req.MaxTokens); err != nil {
+	if c.permit, err = r.admit(ctx, p, admission{requestID: c.req.RequestID, fingerprint: c.fingerprint,
+		promptTokens: p.placement.PromptTokens, outputTokens: c.req.MaxTokens}); err != nil {
 		return err
 	}
 	r.budget(p.routeRef).Earn(r.Clock.Now(), p.route.RetryBudgetPercent, budgetReserve(p.pool))
@@ -162,21 +163,6 @@
 	return Completion{FinishReason: c.asm.FinishReason(), Usage: c.asm.Usage(), Attempts: c.attempts, Target: c.lastTarget}
 }
 
-// admit queues the request until it may run.
-func (r *Router) admit(ctx context.Context, p *plan, promptTokens, outputTokens int) (*limits.Permit, error) {
-	_, span := r.Tracer.Start(ctx, "admit")
-	defer span.End()
-	start := r.Clock.Now()
-	view := r.poolView(p)
-	permit, err := r.limits.Acquire(ctx, limits.Request{
-		Account: p.accountRef.String(), Limits: p.account.Limits, Weight: p.account.Share,
-		Pool: p.poolRef.String(), Targets: view.available, Members: view.availableIndex, Unavailable: r.openCircuits(view), Slots: p.pool.Slots, Priority: p.route.Priority,
-		PromptTokens: promptTokens, OutputTokens: outputTokens, Deadline: p.deadline,
-	})
-	r.Metrics.Observe(MetricQueueWait, r.Clock.Now().Sub(start))
-	return permit, err
-}
-
 // run starts and supervises attempts until the response is complete. No attempt is
 // still active when it returns.
 func (c *completion) run(ctx context.Context) error {
--- a/internal/app/completions/metrics.go
+++ b/internal/app/completions/metrics.go
@@ -16,5 +16,9 @@
 	MetricCachedTokens      = "cached_tokens"
 	MetricChunks            = "chunks"
 	MetricQueueWait         = "queue_wait"
-	MetricFirstToken        = "time_to_first_token"
+	// MetricQueued counts the requests that were served after a wait for capacity, and
+	// MetricNotAdmitted, followed by an underscore and the reason, those that were refused.
+	MetricQueued      = "queued"
+	MetricNotAdmitted = "not_admitted"
+	MetricFirstToken  = "time_to_first_token"
 )
--- a/internal/app/gateway/admit.go
+++ b/internal/app/gateway/admit.go
@@ -31,42 +31,73 @@
 	best workload.Estimate
 }
 
-// admit queues the request until its best engine has capacity. It refuses at once a
-// request that cannot be served before its deadline.
-//
-// Requests to plain targets are not queued: they take milliseconds, less than the age of
-// what a router knows about the other routers' requests, and a full target refuses at
-// once.
+// admit queues the request until a target has capacity for it. It refuses at once a request
+// that cannot be served before its deadline.
 func (x *exchange) admit(ctx context.Context) (*limits.Permit, error) {
-	if x.engine == nil {
-		return nil, nil
-	}
 	_, span := x.g.Tracer.Start(ctx, "admit")
 	defer span.End()
 	start := x.g.Clock.Now()
-	k := x.rank(start, false)
-	if k == nil {
+	k := x.rank(start, x.engine == nil)
+	if k == nil && x.busyFor(start) == 0 {
 		return nil, nil // choose waits for a target
 	}
 	x.ranking = k
-	account := ""
+	request := limits.Request{Weight: 1, Pool: x.service, Kind: x.route.Name, Fingerprint: uint64(x.fingerprint),
+		Priority: -gatewayconfig.Rank(x.route, x.account), PromptTokens: x.r.PromptTokens, OutputTokens: x.r.MaxOutputTokens}
 	if x.account != nil {
-		account = x.account.Name
+		request.Account = x.account.Name
 	}
-	budget := x.latencyBudget(k)
-	permit, err := x.g.limits.Acquire(ctx, limits.Request{Account: account, Weight: 1, Pool: x.service,
-		Priority: -budget.Rank, PromptTokens: x.r.PromptTokens, OutputTokens: x.r.MaxOutputTokens,
-		Deadline: x.deadline.Add(-budget.UnloadedLatency - budget.MaxLateBacklog() - x.decodeTime()),
-		Gate:     &limits.Gate{Delay: x.admissionDelay, ServiceTime: duration(k.occupancyMs), Servers: len(k.targets)}})
+	x.setGate(start, &request, k)
+	permit, err := x.g.limits.Acquire(ctx, request)
 	x.queued = x.g.Clock.Now().Sub(start)
 	x.g.Metrics.Observe(MetricQueueWait, x.queued)
 	if err == nil && x.queued >= minLoggedWait {
-		x.g.Log.LogAttrs(ctx, slog.LevelInfo, "queued", slog.String("request", x.r.ID), slog.Float64("ms", ms(x.queued)),
-			slog.Float64("queue_ms", k.queueMs), slog.Float64("need_ms", k.unloadedMs), slog.Int("rank", budget.Rank))
+		x.g.Metrics.Add(MetricQueued, 1)
+		attrs := []slog.Attr{slog.String("request", x.r.ID), slog.Float64("ms", ms(x.queued)), slog.Int("rank", -request.Priority)}
+		if k != nil {
+			attrs = append(attrs, slog.Float64("queue_ms", k.queueMs), slog.Float64("need_ms", k.unloadedMs))
+		}
+		x.g.Log.LogAttrs(ctx, slog.LevelInfo, "queued", attrs...)
 	}
 	return permit, err
 }
 
+// setGate sets what keeps the request in the queue, and until when. Without a ranking, all
+// targets have just refused requests.
+func (x *exchange) setGate(start time.Time, request *limits.Request, k *ranking) {
+	gate := &limits.Gate{Delay: x.admissionDelay, Servers: 1, Concurrent: x.engine == nil}
+	request.Gate = gate
+	var unloaded time.Duration
+	if k != nil {
+		unloaded, gate.ServiceTime, gate.Servers = duration(k.unloadedMs), duration(k.occupancyMs), x.servers(k)
+	}
+	request.OnTime = x.r.Received.Add(x.route.Objective - unloaded)
+	if x.engine == nil || k == nil {
+		last := x.deadline.Add(-unloaded - x.decodeTime())
+		if held := start.Add(x.maxTargetWait()); held.Before(last) {
+			last = held
+		}
+		request.Deadline = last
+		return
+	}
+	budget := x.latencyBudget(k)
+	request.Deadline = x.deadline.Add(-budget.UnloadedLatency - budget.MaxLateBacklog() - x.decodeTime())
+	gate.Yield = x.yieldingDelay
+}
+
+// servers returns how many requests the ranked targets serve at a time: engines prefill one
+// prompt after the other.
+func (x *exchange) servers(k *ranking) int {
+	if x.engine != nil {
+		return len(k.targets)
+	}
+	sum := 0
+	for i := range k.targets {
+		sum += max(k.targets[i].Slots, 1)
+	}
+	return sum
+}
+
 func (x *exchange) latencyBudget(k *ranking) limits.LatencyBudget {
 	return limits.LatencyBudget{Objective: x.route.Objective, UnloadedLatency: duration(k.unloadedMs), Rank: gatewayconfig.Rank(x.route, x.account)}
 }
@@ -74,15 +105,28 @@
 // admissionDelay returns the time until the best target has capacity. It stores the
 // ranking for the attempt that follows.
 func (x *exchange) admissionDelay() time.Duration {
+	return x.delay(gatewayconfig.Rank(x.route, x.account))
+}
+
+// yieldingDelay is admissionDelay for a request that leaves room to others: it counts as one
+// of the lowest rank.
+func (x *exchange) yieldingDelay() time.Duration { return x.delay(gatewayconfig.MaxRank) }
+
+func (x *exchange) delay(rank int) time.Duration {
 	k, now := x.ranking, x.g.Clock.Now()
 	if k == nil || now.Sub(k.at) > rankingTTL {
-		k = x.rank(now, false)
+		k = x.rank(now, x.engine == nil)
 		x.ranking = k
 	}
-	if k == nil {
-		return 0
+	switch {
+	case k == nil:
+		return x.busyFor(now)
+	case x.engine == nil:
+		return x.plainDelay(now, k)
 	}
-	return x.latencyBudget(k).Delay(duration(k.queueMs), now.Sub(x.r.Received))
+	budget := x.latencyBudget(k)
+	budget.Rank = rank
+	return budget.Delay(duration(k.queueMs), now.Sub(x.r.Received))
 }
 
 // rank ranks the usable targets and returns nil if there are none. With probe, it also
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -239,6 +239,7 @@
 				x.retryAfter = max(x.retryAfter, refused.RetryAfter)
 			}
 			x.g.circuits.SetBusy(t.ID, now.Add(busyBackoff))
+			x.g.Directory.observeFull(t.ID, refused.Load)
 			if full := refused.Load != nil && (refused.Load.Waiting > 0 || refused.Load.Running >= refused.Load.Slots); !full && x.outdated(t) {
 				// A target that refuses requests while it has free slots loads the
 				// newer weights. Only the router that gave the order knows for certain.
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -38,8 +38,7 @@
 func (x *exchange) choose(ctx context.Context, wait func()) (Target, error) {
 	_, span := x.g.Tracer.Start(ctx, "place")
 	defer span.End()
-	maxWait := max(minTargetWait, time.Duration(targetWaitShare*float64(x.route.Objective)))
-	start := x.g.Clock.Now()
+	maxWait, start := x.maxTargetWait(), x.g.Clock.Now()
 	for {
 		if err := x.checkQuarantine(); err != nil {
 			return Target{}, err
@@ -61,6 +60,11 @@
 	}
 }
 
+// maxTargetWait is how long the request waits while no target may take it.
+func (x *exchange) maxTargetWait() time.Duration {
+	return max(minTargetWait, time.Duration(targetWaitShare*float64(x.route.Objective)))
+}
+
 // refusable reports whether the client can be told that the request has not run.
 func (x *exchange) refusable() bool {
 	return !x.committed && retrypolicy.ChooseFinalAction(x.history, retrypolicy.NotRun) == retrypolicy.Refuse
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -55,7 +55,9 @@
 	PausedUntil time.Time
 	Load        port.LoadReport
 	// OwnLoad is the number of this router's requests in Load.
-	OwnLoad   int
+	OwnLoad int
+	// Full is what is known of the number of requests at which the target refuses more.
+	Full      balance.FullBound
 	ServiceMs float64
 	// Reliability is estimated from this router's own requests.
 	Reliability balance.Reliability
@@ -379,6 +381,7 @@
 		t.LastActivity = now
 		if a.Load != nil {
 			t.Load, t.OwnLoad = *a.Load, t.InFlight
+			t.Full = t.Full.Accepted(a.Load.Running + a.Load.Waiting)
 			t.Load.MeasuredAt = now
 		}
 		d.observeWeights(t, model, a.Weights, sent)
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -259,6 +259,8 @@
 	var refused *limits.RefusedError
 	if errors.As(err, &refused) {
 		x.g.Metrics.Add(MetricNotAdmitted, 1)
+		x.g.Metrics.Add(MetricNotAdmitted+"_"+refused.Cause(), 1)
+		x.g.Log.LogAttrs(ctx, slog.LevelInfo, "not admitted", append(refused.Attrs(), slog.String("request", x.r.ID))...)
 		x.retryAfter = refused.RetryAfter
 	}
 	return x.giveUp(ctx, retrypolicy.NotRun, err)
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -50,9 +50,12 @@
 	MetricAnswer            = "answer"
 	MetricPlacement         = "placement"
 	// MetricQueueWait is the time that requests waited for capacity. MetricNotAdmitted
-	// counts those that could not be served in time.
+	// counts those that could not be served in time; followed by an underscore and the
+	// reason, those with that reason.
 	MetricQueueWait   = "queue_wait"
 	MetricNotAdmitted = "not_admitted"
+	// MetricQueued counts the requests that were served after a wait for capacity.
+	MetricQueued = "queued"
 )
 
 // Request is one request of a client, read completely.
--- a/internal/core/gatewayconfig/configuration.go
+++ b/internal/core/gatewayconfig/configuration.go
@@ -211,8 +211,8 @@
 	return r.Services[len(r.Services)-1].Service
 }
 
-// maxRank is the rank of the least urgent requests that targets support.
-const maxRank = 9
+// MaxRank is the rank of the least urgent requests that targets support.
+const MaxRank = 9
 
 // ranksPerAccount is the number of route priorities that are distinguished within one
 // account priority.
@@ -225,5 +225,5 @@
 	if a != nil && a.Priority != nil {
 		rank += ranksPerAccount * *a.Priority
 	}
-	return max(0, min(rank, maxRank))
+	return max(0, min(rank, MaxRank))
 }
--- a/internal/core/limits/controller.go
+++ b/internal/core/limits/controller.go
@@ -50,15 +50,15 @@
 		c := p.c
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		pool := c.pool(p.req.Pool)
+		now, pool := c.clock.Now(), c.pool(p.req.Pool)
 		pool.running--
 		c.started(p)
-		pool.recordHoldTime(c.clock.Now().Sub(p.granted))
+		pool.recordHoldTime(now.Sub(p.granted))
 		c.account(p.req.Account).running--
 		// Requests of the account in other pools may wait for this slot of its
 		// concurrency limit.
 		for _, other := range c.pools {
-			c.grant(other)
+			c.grant(now, other)
 		}
 	})
 }
@@ -72,22 +72,32 @@
 	}
 	select {
 	case <-w.granted:
-		return w.permit, nil
+		return w.result()
 	default:
 	}
 	expired := c.wait(ctx, w)
 	if !expired && ctx.Err() == nil {
-		return w.permit, nil
+		return w.result()
 	}
 	if !c.withdraw(w) {
+		if w.refusal != nil {
+			return nil, w.refusal
+		}
 		w.permit.Release()
 	}
 	if expired || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return nil, &RefusedError{Reason: ReasonDeadline, RetryAfter: c.expectedWait(req)}
+		return nil, c.refuseExpired(w)
 	}
 	return nil, ctx.Err()
 }
 
+func (w *waiter) result() (*Permit, error) {
+	if w.refusal != nil {
+		return nil, w.refusal
+	}
+	return w.permit, nil
+}
+
 // wait returns when the request is granted or the context ends. For a gated request
 // it also returns, with expired set, when the deadline has passed.
 func (c *Controller) wait(ctx context.Context, w *waiter) (expired bool) {
@@ -134,22 +144,29 @@
 	if req.Limits.Concurrency > 0 && c.quota(req) == 0 {
 		return nil, &RefusedError{Reason: ReasonConcurrency, RetryAfter: time.Second}
 	}
-	if q := p.accounts[req.Account]; q != nil && len(q.waiting) >= maxQueued {
-		return nil, &RefusedError{Reason: ReasonQueueFull, RetryAfter: max(p.meanHoldTime, time.Second)}
+	w := p.newWaiter(now, req)
+	p.offer(now, w)
+	e := c.slotWait(now, p, w)
+	if w.usage.waiting >= maxQueued {
+		return nil, p.refuse(now, w, ReasonQueueFull, e)
 	}
-	if wait := max(p.expectedWait(req), c.quotaWait(p, req)); wait > req.Deadline.Sub(now) || !now.Before(req.Deadline) {
-		return nil, &RefusedError{Reason: ReasonDeadline, RetryAfter: wait}
+	if e.Wait > e.Left || !now.Before(req.Deadline) {
+		return nil, p.refuse(now, w, ReasonDeadline, e)
 	}
 	share := c.shares.fraction(req.Account, acc.demandAt(now))
 	if err := acc.charge(now, req.Limits, share, req.PromptTokens); err != nil {
 		return nil, err
 	}
-	w := &waiter{req: req, granted: make(chan struct{})}
-	p.enqueue(w)
-	c.grant(p)
+	p.enqueue(now, w)
+	if c.grant(now, p); !w.done() {
+		p.markShort(now)
+	}
 	return w, nil
 }
 
+// done reports whether the request was granted or refused.
+func (w *waiter) done() bool { return w.permit != nil || w.refusal != nil }
+
 // withdraw removes the request from the queue. It returns false if the request has
 // been granted in the meantime.
 func (c *Controller) withdraw(w *waiter) bool {
@@ -158,42 +175,55 @@
 	return c.pool(w.req.Pool).remove(w)
 }
 
-func (c *Controller) expectedWait(req Request) time.Duration {
+// refuseExpired refuses a request whose deadline has passed while it waited.
+func (c *Controller) refuseExpired(w *waiter) *RefusedError {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if req.Gate != nil {
-		return c.gatedWait(c.pool(req.Pool), req)
+	now, p := c.clock.Now(), c.pool(w.req.Pool)
+	var e Estimate
+	if w.req.Gate != nil {
+		e = c.gatedWait(now, p, w, w.req.Gate.Delay())
+	} else {
+		e = c.slotWait(now, p, w)
 	}
-	return c.pool(req.Pool).expectedWait(req)
+	return p.refuse(now, w, ReasonDeadline, e)
 }
 
 // grant starts queued requests while the pool has capacity.
-func (c *Controller) grant(p *pool) {
-	now := c.clock.Now()
+func (c *Controller) grant(now time.Time, p *pool) {
+	if p.queued == 0 {
+		return
+	}
+	c.shed(now, p)
 	for p.queued > 0 && p.hasCapacity() && !now.Before(p.blockedUntil) {
-		w := p.next(func(w *waiter) bool {
-			if w.req.Gate != nil && w.req.Gate.Delay() > 0 {
-				return false
+		p.clearAt = time.Time{}
+		w := p.next(now, func(w *waiter) bool {
+			if w.req.Gate != nil {
+				if delay := p.delay(now, w); delay > 0 {
+					p.observeDelay(now, delay)
+					return false
+				}
 			}
 			return w.req.Limits.Concurrency <= 0 || c.account(w.req.Account).running < c.quota(w.req)
 		})
 		if w == nil {
 			if p.gated {
-				p.blockedUntil = now.Add(gatePollPause(len(p.backlogged)))
+				p.blockedUntil = now.Add(gatePollPause(len(p.flows)))
 			}
 			return
 		}
-		c.start(p, w)
+		c.start(now, p, w)
+		if p.gated {
+			p.starting = w.permit
+		}
 	}
 }
 
-func (c *Controller) start(p *pool, w *waiter) {
+func (c *Controller) start(now time.Time, p *pool, w *waiter) {
 	p.running++
+	p.serve(now, w)
 	c.account(w.req.Account).running++
-	w.permit = &Permit{c: c, req: w.req, granted: c.clock.Now()}
-	if p.gated {
-		p.starting = w.permit
-	}
+	w.permit = &Permit{c: c, req: w.req, granted: now}
 	close(w.granted)
 }
 
@@ -202,21 +232,19 @@
 	return c.shares.concurrency(req.Account, req.Limits.Concurrency, c.account(req.Account).demandAt(c.clock.Now()))
 }
 
-// quotaWait estimates how long the request waits for the account's own earlier
-// requests.
-func (c *Controller) quotaWait(p *pool, req Request) time.Duration {
-	if req.Limits.Concurrency <= 0 {
-		return 0
-	}
-	quota := c.quota(req)
-	if c.account(req.Account).running < quota {
-		return 0
-	}
-	ahead := 0
-	if q := p.accounts[req.Account]; q != nil {
-		ahead = countAhead(q, req.Priority, req.Deadline)
+// slotWait estimates how long a request of a pool with slots waits for one: for those of
+// other accounts too, and for the account's own earlier requests if its concurrency is limited.
+func (c *Controller) slotWait(now time.Time, p *pool, w *waiter) Estimate {
+	wait, ahead := p.expectedWait(now, w)
+	if limit := w.req.Limits.Concurrency; limit > 0 {
+		if quota := c.quota(w.req); c.account(w.req.Account).running >= quota {
+			if ahead.requests == 0 {
+				ahead = p.ahead(now, w)
+			}
+			wait = max(wait, time.Duration(float64(ahead.own+1)/float64(max(quota, 1))*float64(p.meanHoldTime)))
+		}
 	}
-	return time.Duration(float64(ahead+1) / float64(quota) * float64(p.meanHoldTime))
+	return Estimate{Wait: c.project(now, p, w, wait), Drain: wait, Left: w.req.Deadline.Sub(now), Ahead: ahead.requests, Work: ahead.work, Servers: p.capacity}
 }
 
 // capacity is the number of requests that this router may run in the pool.
@@ -234,7 +262,7 @@
 func (c *Controller) pool(name string) *pool {
 	p := c.pools[name]
 	if p == nil {
-		p = &pool{accounts: map[string]*accountQueue{}, backlogged: map[string]*accountQueue{}}
+		p = newPool()
 		c.pools[name] = p
 	}
 	return p
--- a/internal/core/limits/gate.go
+++ b/internal/core/limits/gate.go
@@ -12,10 +12,10 @@
 const evaluationsPerPoll = 4
 
 // gatePollPause returns the time until the queue is evaluated again. It bounds the
-// evaluations per second: under overload the queues of many accounts wait, and time spent
+// evaluations per second: under overload the requests of many accounts and kinds wait, and time spent
 // on looking at them is missing for the requests that run.
-func gatePollPause(accounts int) time.Duration {
-	return gatePollInterval * time.Duration(max(1, (accounts+evaluationsPerPoll-1)/evaluationsPerPoll))
+func gatePollPause(flows int) time.Duration {
+	return gatePollInterval * time.Duration(max(1, (flows+evaluationsPerPoll-1)/evaluationsPerPoll))
 }
 
 // Gate describes a request of a pool whose capacity is limited by time instead of
@@ -27,6 +27,11 @@
 	// it; 0 means now. It is called with the Controller's lock held and must not call
 	// the Controller.
 	Delay func() time.Duration
+	// Yield is Delay for a request that leaves room to those of other accounts; nil: Delay.
+	Yield func() time.Duration
+	// Concurrent requests may start before the one granted last has started: they are short,
+	// and a target that gets one too many refuses it without running it.
+	Concurrent bool
 	// ServiceTime is how long the request occupies one of the pool's Servers.
 	ServiceTime time.Duration
 	Servers     int
@@ -88,52 +93,73 @@
 func (c *Controller) started(p *Permit) {
 	if pool := c.pool(p.req.Pool); pool.starting == p {
 		pool.starting = nil
-		c.grant(pool)
+		c.grant(c.clock.Now(), pool)
+	}
+}
+
+// delay returns the time until the request may be sent to a target.
+func (p *pool) delay(now time.Time, w *waiter) time.Duration {
+	if w.req.Gate.Yield != nil && p.yields(now, w) {
+		return w.req.Gate.Yield()
+	}
+	return w.req.Gate.Delay()
+}
+
+// observeDelay records the delay of a gate that is closed.
+func (p *pool) observeDelay(now time.Time, delay time.Duration) {
+	if at := now.Add(delay); p.clearAt.IsZero() || at.Before(p.clearAt) {
+		p.clearAt = at
 	}
 }
 
 // enqueueGated queues the request of a gated pool. It refuses requests that are
 // expected to start after their deadline.
 func (c *Controller) enqueueGated(now time.Time, p *pool, req Request) (*waiter, error) {
-	p.gated = true
-	w := &waiter{req: req, granted: make(chan struct{})}
-	if delay := req.Gate.Delay(); delay <= 0 && p.starting == nil && !p.outranked(req) {
+	p.gated, p.servers = true, max(req.Gate.Servers, 1)
+	w := p.newWaiter(now, req)
+	p.offer(now, w)
+	delay := p.delay(now, w)
+	if delay <= 0 && (p.starting == nil || req.Gate.Concurrent) && !p.outranked(now, w) {
 		// The targets of the queued requests had no capacity at the last evaluation.
-		c.start(p, w)
+		c.start(now, p, w)
+		if !req.Gate.Concurrent {
+			p.starting = w.permit
+		}
 		return w, nil
 	}
-	wait := c.gatedWait(p, req)
-	if q := p.backlogged[req.Account]; q != nil && len(q.waiting) >= maxQueued {
-		return nil, &RefusedError{Reason: ReasonQueueFull, RetryAfter: max(wait, time.Second)}
+	e := c.gatedWait(now, p, w, delay)
+	if w.usage.waiting >= maxQueued {
+		return nil, p.refuse(now, w, ReasonQueueFull, e)
+	}
+	if e.Wait > e.Left {
+		return nil, p.refuse(now, w, ReasonDeadline, e)
 	}
-	if wait > req.Deadline.Sub(now) {
-		return nil, &RefusedError{Reason: ReasonDeadline, RetryAfter: wait}
+	p.enqueue(now, w)
+	if c.grant(now, p); !w.done() && delay > 0 {
+		p.markShort(now)
 	}
-	p.enqueue(w)
-	c.grant(p)
 	return w, nil
 }
 
 // gatedWait estimates how long a request of a gated pool waits: the delay of its own
-// target plus the service time of the requests queued before it. The queues of the
-// other routers are assumed to be as long as this one.
-func (c *Controller) gatedWait(p *pool, req Request) time.Duration {
-	var ahead time.Duration
-	for _, q := range p.backlogged {
-		for _, w := range q.waiting {
-			if w.req.Priority < req.Priority || w.req.Priority == req.Priority && w.req.Deadline.After(req.Deadline) {
-				break
-			}
-			ahead += w.req.Gate.ServiceTime
-		}
-	}
+// target plus the service time of the requests queued before it, and of those that arrive
+// meanwhile and go first. The queues of the other routers are assumed to be as long as this one.
+func (c *Controller) gatedWait(now time.Time, p *pool, w *waiter, delay time.Duration) Estimate {
+	ahead := p.ahead(now, w)
+	base := delay + c.drainTime(p, ahead.work)
+	return Estimate{Wait: c.project(now, p, w, base), Drain: base, Left: w.req.Deadline.Sub(now), Ahead: ahead.requests, Work: ahead.work, Servers: p.servers}
+}
+
+// drainTime is the time in which the servers of a gated pool do the work that is queued here
+// and on the other routers.
+func (c *Controller) drainTime(p *pool, work time.Duration) time.Duration {
 	count, _, _ := c.shares.routers()
-	return req.Gate.Delay() + ahead*time.Duration(count)/time.Duration(max(req.Gate.Servers, 1))
+	return work * time.Duration(count) / time.Duration(max(p.servers, 1))
 }
 
 // poll grants the queued requests whose targets have capacity again.
 func (c *Controller) poll(req Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.grant(c.pool(req.Pool))
+	c.grant(c.clock.Now(), c.pool(req.Pool))
 }
--- a/internal/core/limits/limits.go
+++ b/internal/core/limits/limits.go
@@ -4,6 +4,7 @@
 package limits
 
 import (
+	"log/slog"
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/config"
@@ -59,13 +60,21 @@
 	Targets     []string
 	Unavailable []string
 	// Members is the set of Targets. It is optional and speeds up large pools.
-	Members      map[string]int
-	Slots        int
-	Priority     int
+	Members  map[string]int
+	Slots    int
+	Priority int
+	// Kind names requests that are alike, such as those of one route. No kind is starved.
+	Kind string
+	// Fingerprint identifies a request that was refused when it returns; 0: it is not
+	// recognised.
+	Fingerprint  uint64
 	PromptTokens int
 	OutputTokens int
 	// Deadline is the latest time at which the request may start.
 	Deadline time.Time
+	// OnTime is the latest start with which the request meets its latency objective; zero:
+	// it has none.
+	OnTime time.Time
 	// Gate replaces Targets, Unavailable, Members and Slots in pools whose capacity
 	// is limited by time; nil in pools that are limited by slots.
 	Gate *Gate
@@ -82,15 +91,60 @@
 	ReasonConcurrency Reason = "concurrency"
 	ReasonQueueFull   Reason = "queue_full"
 	ReasonDeadline    Reason = "deadline"
-	ReasonNoTargets   Reason = "no_targets"
+	// ReasonShed: the request waited, and is no longer expected to be served in time.
+	ReasonShed      Reason = "shed"
+	ReasonNoTargets Reason = "no_targets"
 )
 
+// Estimate is the expected wait of a request and what it was computed from.
+type Estimate struct {
+	// Wait is the expected wait, Left the time after which the request can no longer start.
+	Wait, Left time.Duration
+	// Drain is the part of Wait for the work that was there already: after it, there is
+	// capacity for requests like this one.
+	Drain time.Duration
+	// Ahead is the number of requests that are served before it from the queue of this
+	// router, and Work the time for which they occupy their servers; 0 in pools with slots.
+	Ahead int
+	Work  time.Duration
+	// Servers is the number of usable servers or slots.
+	Servers int
+}
+
 // RefusedError reports that the request was not admitted and not sent to a target.
 type RefusedError struct {
-	Reason     Reason
+	Reason Reason
+	// RetryAfter is when capacity is expected. Callers spread it between half of it and more.
 	RetryAfter time.Duration
+	Estimate   Estimate
+	// Waited is how long the request waited before it was refused, 0 if that was on arrival.
+	Waited time.Duration
+	// Early is set if the request was refused before and returned too early.
+	Early bool
 }
 
 func (e *RefusedError) Error() string {
 	return "request not admitted: " + string(e.Reason) + ", retry after " + e.RetryAfter.String()
 }
+
+// Cause returns the name of the refusal in counters: its reason, and whether the request
+// waited or returned too early.
+func (e *RefusedError) Cause() string {
+	switch {
+	case e.Waited > 0:
+		return string(e.Reason) + "_waited"
+	case e.Early:
+		return string(e.Reason) + "_early"
+	}
+	return string(e.Reason)
+}
+
+// Attrs returns log attributes with the reason and the inputs of the estimate.
+func (e *RefusedError) Attrs() []slog.Attr {
+	ms := func(d time.Duration) float64 {
+		return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
+	}
+	return []slog.Attr{slog.String("why", e.Cause()), slog.Float64("wait_ms", ms(e.Estimate.Wait)), slog.Float64("drain_ms", ms(e.Estimate.Drain)), slog.Float64("left_ms", ms(e.Estimate.Left)),
+		slog.Int("ahead", e.Estimate.Ahead), slog.Float64("ahead_work_ms", ms(e.Estimate.Work)), slog.Int("servers", e.Estimate.Servers),
+		slog.Float64("waited_ms", ms(e.Waited)), slog.Float64("retry_after_ms", ms(e.RetryAfter))}
+}
--- a/internal/core/retry/circuit.go
+++ b/internal/core/retry/circuit.go
@@ -145,6 +145,17 @@
 	return s != nil && now.Before(s.busyUntil)
 }
 
+// BusyLeft returns how long the target is still skipped after a refusal for lack of capacity.
+func (c *Circuits) BusyLeft(now time.Time, target string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.all[target]
+	if s == nil {
+		return 0
+	}
+	return max(0, s.busyUntil.Sub(now))
+}
+
 // SetBusy records a refusal for lack of capacity. The target is not unhealthy, so the
 // state of its circuit does not change.
 func (c *Circuits) SetBusy(target string, until time.Time) {
