limits, gateway: full plain services, hot accounts on them, and a cheaper fast path

Causes: a plain request that had to wait for a full service was sent to it when its answer could no longer be in time, and took the place of one that could; an account far above the mean took the room of others although it never waited; the queue allocated for requests that need not wait; twice the mean of a few requests is chance on a router of a large fleet.

Change: while all plain targets have just refused a request, one is held only as long as its answer is still in time, and refused at once otherwise. Requests of a hot account go to a plain target only while its wait is short. An account counts as hot only from eight served requests on. A request that need not wait makes no channel and no separate permit; targets share what is known of their bound.

--- a/internal/app/gateway/admit.go
+++ b/internal/app/gateway/admit.go
@@ -16,6 +16,9 @@
 	rankingTTL = time.Millisecond
 	// minLoggedWait is the shortest queue wait that is logged.
 	minLoggedWait = 10 * time.Millisecond
+	// yieldingQueue is the wait on a plain target, as a part of the objective, up to which it
+	// takes requests of an account that got much more than others.
+	yieldingQueue = 0.4
 )
 
 // ranking orders the usable targets of a request.
@@ -38,7 +41,7 @@
 	defer span.End()
 	start := x.g.Clock.Now()
 	k := x.rank(start, x.engine == nil)
-	if k == nil && x.busyFor(start) == 0 {
+	if k == nil && x.busy(start).wait == 0 {
 		return nil, nil // choose waits for a target
 	}
 	x.ranking = k
@@ -65,24 +68,31 @@
 // setGate sets what keeps the request in the queue, and until when. Without a ranking, all
 // targets have just refused requests.
 func (x *exchange) setGate(start time.Time, request *limits.Request, k *ranking) {
-	gate := &limits.Gate{Delay: x.admissionDelay, Servers: 1, Concurrent: x.engine == nil}
+	gate := &x.gate
+	gate.Delay, gate.Yield, gate.Servers, gate.Concurrent = x.admissionDelay, x.yieldingDelay, 1, x.engine == nil
 	request.Gate = gate
 	var unloaded time.Duration
 	if k != nil {
 		unloaded, gate.ServiceTime, gate.Servers = duration(k.unloadedMs), duration(k.occupancyMs), x.servers(k)
 	}
-	request.OnTime = x.r.Received.Add(x.route.Objective - unloaded)
+	if x.route.Objective > 0 {
+		request.OnTime = x.r.Received.Add(x.route.Objective - unloaded)
+	}
 	if x.engine == nil || k == nil {
-		last := x.deadline.Add(-unloaded - x.decodeTime())
-		if held := start.Add(x.maxTargetWait()); held.Before(last) {
-			last = held
+		var answer time.Duration
+		if k == nil {
+			answer = x.busy(start).answer
+		} else {
+			answer = fullAnswer(&k.targets[k.order[0]])
+		}
+		request.Deadline = x.deadline.Add(-unloaded - x.decodeTime())
+		if held := x.latestHeld(start, answer); held.Before(request.Deadline) {
+			request.Deadline = held
 		}
-		request.Deadline = last
 		return
 	}
 	budget := x.latencyBudget(k)
 	request.Deadline = x.deadline.Add(-budget.UnloadedLatency - budget.MaxLateBacklog() - x.decodeTime())
-	gate.Yield = x.yieldingDelay
 }
 
 // servers returns how many requests the ranked targets serve at a time: engines prefill one
@@ -108,9 +118,15 @@
 	return x.delay(gatewayconfig.Rank(x.route, x.account))
 }
 
-// yieldingDelay is admissionDelay for a request that leaves room to others: it counts as one
-// of the lowest rank.
-func (x *exchange) yieldingDelay() time.Duration { return x.delay(gatewayconfig.MaxRank) }
+// yieldingDelay is admissionDelay for a request that leaves room to others: on engines, it
+// counts as one of the lowest rank, and it goes to a plain target only if that has a free slot.
+func (x *exchange) yieldingDelay() time.Duration {
+	wait := x.delay(gatewayconfig.MaxRank)
+	if k := x.ranking; wait == 0 && x.engine == nil && k != nil {
+		return max(0, duration(k.queueMs)-time.Duration(yieldingQueue*float64(x.route.Objective)))
+	}
+	return wait
+}
 
 func (x *exchange) delay(rank int) time.Duration {
 	k, now := x.ranking, x.g.Clock.Now()
@@ -120,7 +136,7 @@
 	}
 	switch {
 	case k == nil:
-		return x.busyFor(now)
+		return x.busy(now).wait
 	case x.engine == nil:
 		return x.plainDelay(now, k)
 	}
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -48,6 +48,9 @@
 			return t, nil
 		}
 		wait()
+		if x.fullTooLong(start.Add(maxWait)) {
+			return Target{}, errors.Join(ErrNoTarget, x.lastCause)
+		}
 		if waited := x.g.Clock.Now().Sub(start); waited >= maxWait || x.blocked.wait >= maxWait-waited || x.blocked.stated && x.refusable() {
 			if !x.blocked.stated {
 				x.retryAfter = max(x.retryAfter, min(x.blocked.wait, longRetryAfter))
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -56,8 +56,11 @@
 	Load        port.LoadReport
 	// OwnLoad is the number of this router's requests in Load.
 	OwnLoad int
-	// Full is what is known of the number of requests at which the target refuses more.
-	Full      balance.FullBound
+	// full is what is known of the number of requests at which the target refuses more; nil:
+	// nothing. It is not changed: copies of Target share it.
+	full *balance.FullBound
+	// answerMs is the mean time to an answer in ms, with the wait on the target; 0: unknown.
+	answerMs  float64
 	ServiceMs float64
 	// Reliability is estimated from this router's own requests.
 	Reliability balance.Reliability
@@ -344,6 +347,10 @@
 		}
 		if took > 0 {
 			ms := float64(took) / float64(time.Millisecond)
+			if t.answerMs == 0 {
+				t.answerMs = ms
+			}
+			t.answerMs += gain * (ms - t.answerMs)
 			if t.ServiceMs == 0 {
 				t.ServiceMs = ms
 			}
@@ -381,7 +388,7 @@
 		t.LastActivity = now
 		if a.Load != nil {
 			t.Load, t.OwnLoad = *a.Load, t.InFlight
-			t.Full = t.Full.Accepted(a.Load.Running + a.Load.Waiting)
+			t.full = t.full.Accepted(a.Load.Running + a.Load.Waiting)
 			t.Load.MeasuredAt = now
 		}
 		d.observeWeights(t, model, a.Weights, sent)
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -69,9 +69,10 @@
 	// prompt segments.
 	fetchFrom, saveTo string
 	retryAfter        time.Duration
-	// ranking is the ranking with which the request was admitted, and queued the time
-	// that it waited for admission.
+	// ranking is the ranking with which the request was admitted, gate what admitted it, and
+	// queued the time that it waited for admission.
 	ranking *ranking
+	gate    limits.Gate
 	queued  time.Duration
 	// held is a target's error response that was held back for a retry.
 	held *bufferedResponse
--- a/internal/core/balance/full.go
+++ b/internal/core/balance/full.go
@@ -6,28 +6,25 @@
 // is a setting of the target, but it may be replaced by one with other settings.
 const fullBoundTTL = time.Minute
 
-// FullBound is what is known of the number of running and waiting requests at which a target
-// refuses more. The zero value knows nothing.
+// FullBound is the number of running and waiting requests at which a target was seen to refuse
+// more. Nil knows nothing.
 type FullBound struct {
-	inFlight int
-	seen     time.Time
+	InFlight int
+	Seen     time.Time
 }
 
-// Refused returns the bound after the target refused a request with that many in flight.
-func (b FullBound) Refused(now time.Time, inFlight int) FullBound { return FullBound{inFlight, now} }
-
 // Accepted returns the bound after the target reported that many requests in flight with an
 // answer: it refuses none below.
-func (b FullBound) Accepted(inFlight int) FullBound {
-	if b.inFlight > 0 && inFlight > b.inFlight {
-		b.inFlight = inFlight
+func (b *FullBound) Accepted(inFlight int) *FullBound {
+	if b == nil || inFlight <= b.InFlight {
+		return b
 	}
-	return b
+	return &FullBound{inFlight, b.Seen}
 }
 
 // Reached reports whether the target refuses requests with that many in flight.
-func (b FullBound) Reached(now time.Time, inFlight int) bool {
-	return b.inFlight > 0 && inFlight >= b.inFlight && now.Sub(b.seen) < fullBoundTTL
+func (b *FullBound) Reached(now time.Time, inFlight int) bool {
+	return b != nil && inFlight >= b.InFlight && now.Sub(b.Seen) < fullBoundTTL
 }
 
 // minRoomWait is the shortest time after which a full target is expected to have room: a request
@@ -38,8 +35,8 @@
 // a report of as many requests as the target was seen to refuse at shows that it does not, and
 // only for half of its service time: then some of them have ended, and a target that could have
 // taken a request is worth more than the order in which requests wait.
-func (b FullBound) RoomWait(now, reported time.Time, inFlight, slots int, service time.Duration) time.Duration {
-	if now.Sub(reported) > service/2 || !b.Reached(now, inFlight) {
+func (b *FullBound) RoomWait(now, reported time.Time, inFlight, slots int, service time.Duration) time.Duration {
+	if b == nil || now.Sub(reported) > service/2 || !b.Reached(now, inFlight) {
 		return 0
 	}
 	return max(minRoomWait, service/time.Duration(max(slots, 1)))
--- a/internal/core/limits/controller.go
+++ b/internal/core/limits/controller.go
@@ -29,7 +29,8 @@
 // Permit allows one request to run until Release is called.
 type Permit struct {
 	c       *Controller
-	req     Request
+	req     *Request
+	pool    *pool
 	granted time.Time
 	once    sync.Once
 }
@@ -50,7 +51,7 @@
 		c := p.c
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		now, pool := c.clock.Now(), c.pool(p.req.Pool)
+		now, pool := c.clock.Now(), p.pool
 		pool.running--
 		c.started(p)
 		pool.recordHoldTime(now.Sub(p.granted))
@@ -70,6 +71,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if w.granted == nil {
+		return w.permit, nil
+	}
 	select {
 	case <-w.granted:
 		return w.result()
@@ -223,8 +227,11 @@
 	p.running++
 	p.serve(now, w)
 	c.account(w.req.Account).running++
-	w.permit = &Permit{c: c, req: w.req, granted: now}
-	close(w.granted)
+	w.own = Permit{c: c, req: &w.req, pool: p, granted: now}
+	w.permit = &w.own
+	if w.granted != nil {
+		close(w.granted)
+	}
 }
 
 // quota is this router's share of the account's concurrency.
--- a/internal/core/limits/fairness.go
+++ b/internal/core/limits/fairness.go
@@ -24,6 +24,10 @@
 	// hotFactor is the multiple of the mean work of the accounts from which on an account
 	// leaves room to the others while the pool is short of capacity.
 	hotFactor = 2
+	// minHot is the number of requests recently served below which an account does not count
+	// as having got much: a router of a large fleet sees a few of each account, and twice the
+	// mean is chance then.
+	minHot = 8
 	// shortageMemory is how long a pool counts as short of capacity after a request had to
 	// wait or was refused: about the time after which refused clients return.
 	shortageMemory = time.Second
@@ -144,7 +148,11 @@
 	return p.short(now) && (w.early || p.hot(now, w.usage))
 }
 
+// hot reports whether the account recently got much more than the mean.
 func (p *pool) hot(now time.Time, u *usage) bool {
+	if u.served.read(now, servedWindow) < minHot {
+		return false
+	}
 	mean := p.work.read(now, usageWindow) / float64(max(len(p.accounts), 1))
 	return u.work.read(now, usageWindow) > hotFactor*mean
 }
--- a/internal/core/limits/gate.go
+++ b/internal/core/limits/gate.go
@@ -91,9 +91,11 @@
 }
 
 func (c *Controller) started(p *Permit) {
-	if pool := c.pool(p.req.Pool); pool.starting == p {
-		pool.starting = nil
-		c.grant(c.clock.Now(), pool)
+	if p.pool.starting != p {
+		return
+	}
+	if p.pool.starting = nil; p.pool.queued > 0 {
+		c.grant(c.clock.Now(), p.pool)
 	}
 }
 
--- a/internal/core/limits/project.go
+++ b/internal/core/limits/project.go
@@ -8,7 +8,7 @@
 	demandRateWindow = time.Second
 	// minLeftOver is the part of the capacity that is left for requests behind others at the
 	// least: no kind and no account is starved, and demand is not known exactly.
-	minLeftOver = 0.05
+	minLeftOver = 0.1
 )
 
 // demandClass distinguishes demand by what goes first.
--- a/internal/core/limits/queue.go
+++ b/internal/core/limits/queue.go
@@ -27,16 +27,18 @@
 	onTime time.Time
 	// queuedAt is when the request began to wait.
 	queuedAt time.Time
-	// granted is closed when the request may run or is refused.
+	// granted is closed when the request may run or is refused; nil: it need not wait.
 	granted chan struct{}
+	// permit is own once the request may run. They are one allocation with the rest.
 	permit  *Permit
+	own     Permit
 	refusal *RefusedError
 }
 
 // newWaiter returns a request that is not queued yet.
 func (p *pool) newWaiter(now time.Time, req Request) *waiter {
 	w := &waiter{req: req, usage: p.account(req.Account), kind: p.kinds[req.Kind], early: p.returns.early(now, req.Fingerprint),
-		onTime: req.OnTime, granted: make(chan struct{})}
+		onTime: req.OnTime}
 	if w.kind == nil {
 		w.kind = &tally{}
 		p.kinds[req.Kind] = w.kind
@@ -128,7 +130,7 @@
 }
 
 func (p *pool) enqueue(now time.Time, w *waiter) {
-	w.queuedAt = now
+	w.queuedAt, w.granted = now, make(chan struct{})
 	f := p.flows[w.key()]
 	if f == nil {
 		f = &flow{key: w.key()}
