limits: estimate the wait from what a router gets done, not only from its equal part

Demand differs by router: a router with much more of it than others took its queue to drain, and its capacity to be used up, as slowly as an equal part of the targets allows. The rate is now at least that of the work that it started in the last second, scaled when the number of usable targets changes.

--- a/internal/core/limits/fairness.go
+++ b/internal/core/limits/fairness.go
@@ -124,6 +124,9 @@
 	p.all.serve(now)
 	w.usage.work.add(now, usageWindow, w.cost()/w.weight())
 	p.work.add(now, usageWindow, w.cost()/w.weight())
+	if p.gated {
+		p.started.add(now, demandRateWindow, w.serviceTime().Seconds())
+	}
 }
 
 // prune forgets accounts without requests. Those that are left are the active ones.
--- a/internal/core/limits/gate.go
+++ b/internal/core/limits/gate.go
@@ -117,7 +117,8 @@
 // enqueueGated queues the request of a gated pool. It refuses requests that are
 // expected to start after their deadline.
 func (c *Controller) enqueueGated(now time.Time, p *pool, req Request) (*waiter, error) {
-	p.gated, p.servers = true, max(req.Gate.Servers, 1)
+	p.gated = true
+	p.setServers(req.Gate.Servers)
 	w := p.newWaiter(now, req)
 	p.offer(now, w)
 	delay := p.delay(now, w)
@@ -148,17 +149,10 @@
 // meanwhile and go first. The queues of the other routers are assumed to be as long as this one.
 func (c *Controller) gatedWait(now time.Time, p *pool, w *waiter, delay time.Duration) Estimate {
 	ahead := p.ahead(now, w)
-	base := delay + c.drainTime(p, ahead.work)
+	base := delay + c.drainTime(now, p, ahead.work)
 	return Estimate{Wait: c.project(now, p, w, base), Drain: base, Left: w.req.Deadline.Sub(now), Ahead: ahead.requests, Work: ahead.work, Servers: p.servers}
 }
 
-// drainTime is the time in which the servers of a gated pool do the work that is queued here
-// and on the other routers.
-func (c *Controller) drainTime(p *pool, work time.Duration) time.Duration {
-	count, _, _ := c.shares.routers()
-	return work * time.Duration(count) / time.Duration(max(p.servers, 1))
-}
-
 // poll grants the queued requests whose targets have capacity again.
 func (c *Controller) poll(req Request) {
 	c.mu.Lock()
--- a/internal/core/limits/load_test.go
+++ b/internal/core/limits/load_test.go
@@ -55,6 +55,8 @@
 	engines int
 	// lost engines take no requests after the first third of the play.
 	lost int
+	// routers is the number of routers, the first of which gets half of the requests; 0: one.
+	routers int
 	// admission is off for first-come-first-served.
 	admission bool
 
@@ -106,7 +108,12 @@
 func (p *play) run(t *testing.T) map[string]got {
 	synctest.Test(t, func(t *testing.T) {
 		p.start, p.free, p.result = time.Now(), make([]time.Time, p.engines), map[string]got{}
-		c := NewController(port.SystemClock{}, SingleRouter{})
+		peers := &fakePeers{}
+		peers.setRouters(max(p.routers, 1), 0, true)
+		var routers []*Controller
+		for range max(p.routers, 1) {
+			routers = append(routers, NewController(port.SystemClock{}, peers))
+		}
 		random := rand.New(rand.NewPCG(7, 7))
 		var all sync.WaitGroup
 		for _, k := range p.classes {
@@ -123,7 +130,7 @@
 			all.Go(func() {
 				for i, at := range arrivals {
 					<-time.After(time.Until(p.start.Add(at)))
-					all.Go(func() { p.client(t, c, k, seed+uint64(i)) })
+					all.Go(func() { p.client(t, routers, k, seed+uint64(i)) })
 				}
 			})
 		}
@@ -133,7 +140,7 @@
 }
 
 // client sends one request until it is answered or the client gives up.
-func (p *play) client(t *testing.T, c *Controller, k class, id uint64) {
+func (p *play) client(t *testing.T, routers []*Controller, k class, id uint64) {
 	first := time.Now()
 	random := rand.New(rand.NewPCG(id, 1))
 	var out got
@@ -146,6 +153,10 @@
 	// A client comes back for as long as it would have waited for the first answer.
 	for time.Since(first) <= k.timeout {
 		arrived := time.Now()
+		c := routers[0]
+		if random.IntN(2) == 0 {
+			c = routers[random.IntN(len(routers))]
+		}
 		var permit *Permit
 		if p.admission {
 			budget := LatencyBudget{Objective: k.objective, UnloadedLatency: k.work, Rank: -k.priority}
@@ -227,6 +238,7 @@
 		"burst of three times":      {classes: append(ordinary(10, 0.7, nil), burst...), engines: 6},
 		"a third of the targets":    {classes: ordinary(10, 0.9, nil), engines: 6, lost: 2},
 		"long and short prompts":    {classes: append(ordinary(10, 0.6, nil), long), engines: 6},
+		"uneven routers":            {classes: ordinary(10, 1.3, nil), engines: 6, routers: 6},
 		"two ranks":                 {classes: append(ordinary(10, 1.2, nil), check...), engines: 6},
 	}
 }
@@ -237,7 +249,7 @@
 	for name, load := range loads() {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			fcfs := &play{classes: load.classes, engines: load.engines, lost: load.lost}
+			fcfs := &play{classes: load.classes, engines: load.engines, lost: load.lost, routers: load.routers}
 			load.admission = true
 			results, before := load.run(t), fcfs.run(t)
 			total, totalBefore := sum(results, everyone), sum(before, everyone)
--- a/internal/core/limits/project.go
+++ b/internal/core/limits/project.go
@@ -60,9 +60,9 @@
 		return 0
 	}
 	before, same := p.demand.rates(now, demandClass{w.req.Priority, p.yields(now, w)})
-	perServer := c.perServer(p)
-	timely := max(minLeftOver, 1-before*perServer)
-	late := max(minLeftOver, 1-(before+same)*perServer)
+	rate := c.workRate(now, p)
+	timely := max(minLeftOver, 1-before/rate)
+	late := max(minLeftOver, 1-(before+same)/rate)
 	left := max(0, w.onTime.Sub(now))
 	if done := time.Duration(timely * float64(left)); base > done {
 		return left + time.Duration(float64(base-done)/late)
@@ -70,11 +70,30 @@
 	return time.Duration(float64(base) / timely)
 }
 
-// perServer is the factor from work that arrives here to the occupancy of one server.
-func (c *Controller) perServer(p *pool) float64 {
+// workRate returns the seconds of work per second that this router can have done: its part of the
+// servers, or what was started here lately if that is more, because demand differs by router.
+func (c *Controller) workRate(now time.Time, p *pool) float64 {
 	if !p.gated {
-		return 1 / float64(max(p.capacity, 1)) // the share of this router
+		return float64(max(p.capacity, 1)) // the share of this router
 	}
 	count, _, _ := c.shares.routers()
-	return float64(count) / float64(max(p.servers, 1))
+	return max(float64(max(p.servers, 1))/float64(count), p.started.read(now, demandRateWindow)/demandRateWindow.Seconds())
+}
+
+// setServers sets the number of servers of a gated pool. What was started lately counts for as
+// many as are left, so that estimates follow at once.
+func (p *pool) setServers(n int) {
+	n = max(n, 1)
+	if p.servers > 0 {
+		p.started.value *= float64(n) / float64(p.servers)
+	}
+	p.servers = n
+}
+
+// drainTime is the time in which work that is queued here is done.
+func (c *Controller) drainTime(now time.Time, p *pool, work time.Duration) time.Duration {
+	if work <= 0 {
+		return 0
+	}
+	return time.Duration(float64(work) / c.workRate(now, p))
 }
--- a/internal/core/limits/queue.go
+++ b/internal/core/limits/queue.go
@@ -84,9 +84,11 @@
 	flows    map[flowKey]*flow
 	queued   int
 	// all and work count the requests and the work of all accounts.
-	all     tally
-	work    decaying
-	demand  demand
+	all    tally
+	work   decaying
+	demand demand
+	// started is the work that recently started, in seconds.
+	started decaying
 	returns returns
 	// pruned is when accounts were last forgotten, and shed when waiting requests were last
 	// looked at for refusal.
--- a/internal/core/limits/shed.go
+++ b/internal/core/limits/shed.go
@@ -41,7 +41,7 @@
 	for _, w := range p.inOrder(now) {
 		e := Estimate{Left: w.req.Deadline.Sub(now), Ahead: kept.requests, Work: kept.work, Servers: p.capacity}
 		if p.gated {
-			e.Drain, e.Servers = max(0, p.clearAt.Sub(now))+c.drainTime(p, kept.work), p.servers
+			e.Drain, e.Servers = max(0, p.clearAt.Sub(now))+c.drainTime(now, p, kept.work), p.servers
 		} else {
 			e.Drain = time.Duration(float64(kept.requests+1) / float64(max(p.capacity, 1)) * float64(p.meanHoldTime))
 		}
