gateway: requests that full targets refused count as refused too

A request that had been admitted and was then refused by every target was not remembered: its client could come back at once, and the service did not count as short of capacity. It is remembered now like one that was not admitted, with a log line and a counter (not_admitted_full) when no target has room in time.

--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -48,7 +48,7 @@
 			return t, nil
 		}
 		wait()
-		if x.fullTooLong(start.Add(maxWait)) {
+		if x.fullTooLong(ctx, start.Add(maxWait)) {
 			return Target{}, errors.Join(ErrNoTarget, x.lastCause)
 		}
 		if waited := x.g.Clock.Now().Sub(start); waited >= maxWait || x.blocked.wait >= maxWait-waited || x.blocked.stated && x.refusable() {
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -312,6 +312,9 @@
 		f.Kind = KindAborted
 	case retrypolicy.ChooseFinalAction(x.history, last) == retrypolicy.Refuse:
 		f.Kind, f.RetryAfter = KindRefused, x.refusedRetryAfter()
+		if x.history.Refusals > 0 {
+			x.g.limits.Refused(x.service, uint64(x.fingerprint), f.RetryAfter)
+		}
 	case ctx.Err() != nil:
 		f.Kind = KindTimeout
 	default:
--- a/internal/app/gateway/plainroom.go
+++ b/internal/app/gateway/plainroom.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"log/slog"
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/balance"
@@ -56,7 +58,7 @@
 
 // fullTooLong reports whether all plain targets have just refused a request and none takes one
 // before the time, or before an answer would be late.
-func (x *exchange) fullTooLong(last time.Time) bool {
+func (x *exchange) fullTooLong(ctx context.Context, last time.Time) bool {
 	if x.engine != nil || !x.refusable() {
 		return false
 	}
@@ -69,6 +71,9 @@
 		return false
 	}
 	x.retryAfter = max(x.retryAfter, b.wait)
+	x.g.Metrics.Add(MetricNotAdmitted+"_full", 1)
+	x.g.Log.LogAttrs(ctx, slog.LevelInfo, "not admitted", slog.String("request", x.r.ID), slog.String("why", "full"),
+		slog.Float64("wait_ms", ms(b.wait)), slog.Float64("answer_ms", ms(b.answer)), slog.Float64("left_ms", ms(last.Sub(now))))
 	return true
 }
 
--- a/internal/core/limits/shed.go
+++ b/internal/core/limits/shed.go
@@ -30,6 +30,16 @@
 	return refusal
 }
 
+// Refused records that a request which had been admitted was refused after all, because no target
+// took it, and when its client was told to return.
+func (c *Controller) Refused(poolName string, fingerprint uint64, retryAfter time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, p := c.clock.Now(), c.pool(poolName)
+	p.markShort(now)
+	p.returns.refuse(now, fingerprint, retryAfter)
+}
+
 // shed refuses the waiting requests that are expected to miss their deadline by far, so that
 // their clients need not wait for it.
 func (c *Controller) shed(now time.Time, p *pool) {
