--- a/internal/app/completions/admit.go
+++ b/internal/app/completions/admit.go
@@ -17,15 +17,15 @@
 // refused callers do not return together.
 const retrySpread = 0.5
 
-// admission describes a request to admit.
-type admission struct {
+// admissionRequest describes a request to admit.
+type admissionRequest struct {
 	requestID                  string
 	fingerprint                retry.Fingerprint
 	promptTokens, outputTokens int
 }
 
 // admit queues the request until it may run.
-func (r *Router) admit(ctx context.Context, p *plan, a admission) (*limits.Permit, error) {
+func (r *Router) admit(ctx context.Context, p *plan, a admissionRequest) (*limits.Permit, error) {
 	_, span := r.Tracer.Start(ctx, "admit")
 	defer span.End()
 	start := r.Clock.Now()
--- a/internal/app/completions/completion.go
+++ b/internal/app/completions/completion.go
@@ -145,7 +145,7 @@
 	if err := r.checkStop(p); err != nil {
 		return err
 	}
-	if c.permit, err = r.admit(ctx, p, admission{requestID: c.req.RequestID, fingerprint: c.fingerprint,
+	if c.permit, err = r.admit(ctx, p, admissionRequest{requestID: c.req.RequestID, fingerprint: c.fingerprint,
 		promptTokens: p.placement.PromptTokens, outputTokens: c.req.MaxTokens}); err != nil {
 		return err
 	}
--- a/internal/app/completions/decision_bench_test.go
+++ b/internal/app/completions/decision_bench_test.go
@@ -99,7 +99,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		permit, err := r.admit(b.Context(), p, admission{promptTokens: p.placement.PromptTokens, outputTokens: 10})
+		permit, err := r.admit(b.Context(), p, admissionRequest{promptTokens: p.placement.PromptTokens, outputTokens: 10})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/app/completions/service.go
+++ b/internal/app/completions/service.go
@@ -80,7 +80,7 @@
 	if err := r.checkStop(p); err != nil {
 		return ServiceReply{}, c.toFailure(ctx, err)
 	}
-	permit, err := r.admit(ctx, p, admission{requestID: req.RequestID, fingerprint: c.fingerprint})
+	permit, err := r.admit(ctx, p, admissionRequest{requestID: req.RequestID, fingerprint: c.fingerprint})
 	if err != nil {
 		return ServiceReply{}, c.toFailure(ctx, err)
 	}
