--- a/internal/app/gateway/admit.go
+++ b/internal/app/gateway/admit.go
@@ -7,6 +7,7 @@
 
 	"mimosaseam.example/mimosaseam/internal/core/gatewayconfig"
 	"mimosaseam.example/mimosaseam/internal/core/limits"
+	"mimosaseam.example/mimosaseam/internal/core/workload"
 )
 
 const (
@@ -15,6 +16,9 @@
 	rankingTTL = time.Millisecond
 	// minLoggedWait is the shortest queue wait that is logged.
 	minLoggedWait = 10 * time.Millisecond
+	// yieldingQueue is the wait on a plain target, as a part of the objective, up to which it
+	// takes requests of an account that got much more than others.
+	yieldingQueue = 0.4
 )
 
 // ranking orders the usable targets of a request.
@@ -22,48 +26,88 @@
 	at      time.Time
 	targets []Target
 	order   []int
-	// queueMs, unloadedMs and occupancyMs are set for engines only: the queue wait on the
-	// best target, the request's own time to the first token there, and the time for
-	// which it occupies the engine.
+	// queueMs is the queue wait on the best target, unloadedMs the request's own time to the
+	// first byte of the answer there, and occupancyMs the time for which it keeps others
+	// waiting: its prefill on an engine, its service time on a plain target.
 	queueMs, unloadedMs, occupancyMs float64
+	// best is the estimate for the best target.
+	best workload.Estimate
 }
 
-// admit queues the request until its best engine has capacity. It refuses at once a
-// request that cannot be served before its deadline.
-//
-// Requests to plain targets are not queued: they take milliseconds, less than the age of
-// what a router knows about the other routers' requests, and a full target refuses at
-// once.
+// admit queues the request until a target has capacity for it. It refuses at once a request
+// that cannot be served before its deadline.
 func (x *exchange) admit(ctx context.Context) (*limits.Permit, error) {
-	if x.engine == nil {
-		return nil, nil
-	}
 	_, span := x.g.Tracer.Start(ctx, "admit")
 	defer span.End()
 	start := x.g.Clock.Now()
-	k := x.rank(start, false)
-	if k == nil {
+	k := x.rank(start, x.engine == nil)
+	if k == nil && x.busy(start).wait == 0 {
 		return nil, nil // choose waits for a target
 	}
 	x.ranking = k
-	account := ""
+	request := limits.Request{Weight: 1, Pool: x.service, Kind: x.route.Name, Fingerprint: uint64(x.fingerprint),
+		Priority: -gatewayconfig.Rank(x.route, x.account), PromptTokens: x.r.PromptTokens, OutputTokens: x.r.MaxOutputTokens}
 	if x.account != nil {
-		account = x.account.Name
+		request.Account = x.account.Name
 	}
-	budget := x.latencyBudget(k)
-	permit, err := x.g.limits.Acquire(ctx, limits.Request{Account: account, Weight: 1, Pool: x.service,
-		Priority: -budget.Rank, PromptTokens: x.r.PromptTokens, OutputTokens: x.r.MaxOutputTokens,
-		Deadline: x.deadline.Add(-budget.UnloadedLatency - budget.MaxLateBacklog() - x.decodeTime()),
-		Gate:     &limits.Gate{Delay: x.admissionDelay, ServiceTime: duration(k.occupancyMs), Servers: len(k.targets)}})
+	x.setGate(start, &request, k)
+	permit, err := x.g.limits.Acquire(ctx, request)
 	x.queued = x.g.Clock.Now().Sub(start)
 	x.g.Metrics.Observe(MetricQueueWait, x.queued)
 	if err == nil && x.queued >= minLoggedWait {
-		x.g.Log.LogAttrs(ctx, slog.LevelInfo, "queued", slog.String("request", x.r.ID), slog.Float64("ms", ms(x.queued)),
-			slog.Float64("queue_ms", k.queueMs), slog.Float64("need_ms", k.unloadedMs), slog.Int("rank", budget.Rank))
+		x.g.Metrics.Add(MetricQueued, 1)
+		attrs := []slog.Attr{slog.String("request", x.r.ID), slog.Float64("ms", ms(x.queued)), slog.Int("rank", -request.Priority)}
+		if k != nil {
+			attrs = append(attrs, slog.Float64("queue_ms", k.queueMs), slog.Float64("need_ms", k.unloadedMs))
+		}
+		x.g.Log.LogAttrs(ctx, slog.LevelInfo, "queued", attrs...)
 	}
 	return permit, err
 }
 
+// setGate sets what keeps the request in the queue, and until when. Without a ranking, all
+// targets have just refused requests.
+func (x *exchange) setGate(start time.Time, request *limits.Request, k *ranking) {
+	gate := &x.gate
+	gate.Delay, gate.Yield, gate.Servers, gate.Concurrent = x.admissionDelay, x.yieldingDelay, 1, x.engine == nil
+	request.Gate = gate
+	var unloaded time.Duration
+	if k != nil {
+		unloaded, gate.ServiceTime, gate.Servers = duration(k.unloadedMs), duration(k.occupancyMs), x.servers(k)
+	}
+	if x.route.Objective > 0 {
+		request.OnTime = x.r.Received.Add(x.route.Objective - unloaded)
+	}
+	if x.engine == nil || k == nil {
+		var answer time.Duration
+		if k == nil {
+			answer = x.busy(start).answer
+		} else {
+			answer = fullAnswer(&k.targets[k.order[0]])
+		}
+		request.Deadline = x.deadline.Add(-unloaded - x.decodeTime())
+		if held := x.latestHeld(start, answer); held.Before(request.Deadline) {
+			request.Deadline = held
+		}
+		return
+	}
+	budget := x.latencyBudget(k)
+	request.Deadline = x.deadline.Add(-budget.UnloadedLatency - budget.MaxLateBacklog() - x.decodeTime())
+}
+
+// servers returns how many requests the ranked targets serve at a time: engines prefill one
+// prompt after the other.
+func (x *exchange) servers(k *ranking) int {
+	if x.engine != nil {
+		return len(k.targets)
+	}
+	sum := 0
+	for i := range k.targets {
+		sum += max(k.targets[i].Slots, 1)
+	}
+	return sum
+}
+
 func (x *exchange) latencyBudget(k *ranking) limits.LatencyBudget {
 	return limits.LatencyBudget{Objective: x.route.Objective, UnloadedLatency: duration(k.unloadedMs), Rank: gatewayconfig.Rank(x.route, x.account)}
 }
@@ -71,15 +115,34 @@
 // admissionDelay returns the time until the best target has capacity. It stores the
 // ranking for the attempt that follows.
 func (x *exchange) admissionDelay() time.Duration {
+	return x.delay(gatewayconfig.Rank(x.route, x.account))
+}
+
+// yieldingDelay is admissionDelay for a request that leaves room to others: on engines, it
+// counts as one of the lowest rank, and it goes to a plain target only if that has a free slot.
+func (x *exchange) yieldingDelay() time.Duration {
+	wait := x.delay(gatewayconfig.MaxRank)
+	if k := x.ranking; wait == 0 && x.engine == nil && k != nil {
+		return max(0, duration(k.queueMs)-time.Duration(yieldingQueue*float64(x.route.Objective)))
+	}
+	return wait
+}
+
+func (x *exchange) delay(rank int) time.Duration {
 	k, now := x.ranking, x.g.Clock.Now()
 	if k == nil || now.Sub(k.at) > rankingTTL {
-		k = x.rank(now, false)
+		k = x.rank(now, x.engine == nil)
 		x.ranking = k
 	}
-	if k == nil {
-		return 0
+	switch {
+	case k == nil:
+		return x.busy(now).wait
+	case x.engine == nil:
+		return x.plainDelay(now, k)
 	}
-	return x.latencyBudget(k).Delay(duration(k.queueMs), now.Sub(x.r.Received))
+	budget := x.latencyBudget(k)
+	budget.Rank = rank
+	return budget.Delay(duration(k.queueMs), now.Sub(x.r.Received))
 }
 
 // rank ranks the usable targets and returns nil if there are none. With probe, it also
@@ -95,9 +158,12 @@
 		s := x.scores[0]
 		k.unloadedMs, k.occupancyMs = s.PrefillMs+s.LinkMs+s.ColdMs, s.PrefillMs
 		k.queueMs = max(s.QueueMs, x.reportedQueueMs(now, usable[k.order[0]]))
-		return k
+	} else {
+		order, best := x.rankPlain(now, usable)
+		k.order, k.occupancyMs = order, best.ExpectedServiceMs()
+		k.queueMs, k.unloadedMs = best.QueueMs(), best.LinkMs+k.occupancyMs
 	}
-	k.order = x.rankPlain(now, usable)
+	k.best = workload.Estimate{Wait: duration(k.queueMs), Service: duration(k.unloadedMs)}
 	return k
 }
 
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -38,8 +38,7 @@
 func (x *exchange) choose(ctx context.Context, wait func()) (Target, error) {
 	_, span := x.g.Tracer.Start(ctx, "place")
 	defer span.End()
-	maxWait := max(minTargetWait, time.Duration(targetWaitShare*float64(x.route.Objective)))
-	start := x.g.Clock.Now()
+	maxWait, start := x.maxTargetWait(), x.g.Clock.Now()
 	for {
 		if err := x.checkQuarantine(); err != nil {
 			return Target{}, err
@@ -49,6 +48,9 @@
 			return t, nil
 		}
 		wait()
+		if x.fullTooLong(ctx, start.Add(maxWait)) {
+			return Target{}, errors.Join(ErrNoTarget, x.lastCause)
+		}
 		if waited := x.g.Clock.Now().Sub(start); waited >= maxWait || x.blocked.wait >= maxWait-waited || x.blocked.stated && x.refusable() {
 			if !x.blocked.stated {
 				x.retryAfter = max(x.retryAfter, min(x.blocked.wait, longRetryAfter))
@@ -61,6 +63,11 @@
 	}
 }
 
+// maxTargetWait is how long the request waits while no target may take it.
+func (x *exchange) maxTargetWait() time.Duration {
+	return max(minTargetWait, time.Duration(targetWaitShare*float64(x.route.Objective)))
+}
+
 // refusable reports whether the client can be told that the request has not run.
 func (x *exchange) refusable() bool {
 	return !x.committed && retrypolicy.ChooseFinalAction(x.history, retrypolicy.NotRun) == retrypolicy.Refuse
@@ -230,7 +237,8 @@
 	return placement.Score{}
 }
 
-func (x *exchange) rankPlain(now time.Time, targets []Target) []int {
+// rankPlain orders the targets and returns the best one.
+func (x *exchange) rankPlain(now time.Time, targets []Target) ([]int, balance.Candidate) {
 	candidates := make([]balance.Candidate, len(targets))
 	byAddress := make(map[string]int, len(targets))
 	for i, t := range targets {
@@ -247,7 +255,7 @@
 	for i, c := range candidates {
 		order[i] = byAddress[c.Address]
 	}
-	return order
+	return order, candidates[0]
 }
 
 func (g *Gateway) linkMs(zone string) float64 {
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -69,9 +69,10 @@
 	// prompt segments.
 	fetchFrom, saveTo string
 	retryAfter        time.Duration
-	// ranking is the ranking with which the request was admitted, and queued the time
-	// that it waited for admission.
+	// ranking is the ranking with which the request was admitted, gate what admitted it, and
+	// queued the time that it waited for admission.
 	ranking *ranking
+	gate    limits.Gate
 	queued  time.Duration
 	// held is a target's error response that was held back for a retry.
 	held *bufferedResponse
@@ -259,6 +260,8 @@
 	var refused *limits.RefusedError
 	if errors.As(err, &refused) {
 		x.g.Metrics.Add(MetricNotAdmitted, 1)
+		x.g.Metrics.Add(MetricNotAdmitted+"_"+refused.Cause(), 1)
+		x.g.Log.LogAttrs(ctx, slog.LevelInfo, "not admitted", append(refused.Attrs(), slog.String("request", x.r.ID))...)
 		x.retryAfter = refused.RetryAfter
 	}
 	return x.giveUp(ctx, retrypolicy.NotRun, err)
@@ -309,6 +312,9 @@
 		f.Kind = KindAborted
 	case retrypolicy.ChooseFinalAction(x.history, last) == retrypolicy.Refuse:
 		f.Kind, f.RetryAfter = KindRefused, x.refusedRetryAfter()
+		if x.history.Refusals > 0 {
+			x.g.limits.Refused(x.service, uint64(x.fingerprint), f.RetryAfter)
+		}
 	case ctx.Err() != nil:
 		f.Kind = KindTimeout
 	default:
