placement: count with the speed of each engine

All engines of a service had one prefill rate. The policy now learns the speed of each engine that reports its slowness, from reports and from prefills that hardly waited, and scores queue and prefill with it. Attempts that fetch a part of their prompt teach nothing. Engines without such reports are scored as before.

--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -26,10 +26,12 @@
 		cached = float64(exact)
 	}
 	uncached := max(0, float64(v.req.PromptTokens)-cached)
-	perMs := max(target.PrefillTokensPerSecond, 1) / 1000
-	s := Score{Target: target.Name, CachedTokens: int(cached), Reason: c.reason}
+	usualPerMs := max(target.PrefillTokensPerSecond, 1) / 1000
+	factor := t.speed.Factor(v.now)
+	perMs := usualPerMs / factor
+	s := Score{Target: target.Name, CachedTokens: int(cached), Reason: c.reason, SpeedFactor: factor, Slowness: t.speed.Slowness(v.now)}
 	s.PrefillMs = uncached / perMs
-	s.QueueMs = p.queueMs(v.now, t, target, perMs)
+	s.QueueMs = p.queueMs(v.now, t, target, perMs, factor)
 	s.RecomputeMs = (p.missWeight(v, c.order, s.QueueMs*perMs) + v.req.Weights.Recompute) * s.PrefillMs
 	if target.CacheExpires {
 		s.RecomputeMs += p.cfg.MissWeight * s.PrefillMs
@@ -42,7 +44,7 @@
 		s.ColdMs = 2 * (s.PrefillMs + s.QueueMs) * min(1, left.Seconds()/slowStart.Seconds())
 	}
 	s.CostMs = s.QueueMs + s.PrefillMs + s.LinkMs + s.ColdMs + s.RecomputeMs + s.CrossRegionMs + target.FailureCostMs
-	c.state, c.score = t, s
+	c.state, c.score, c.usualPerMs = t, s, usualPerMs
 }
 
 // missWeight is the weight of the cost that a cache miss causes to other
@@ -70,12 +72,12 @@
 }
 
 // queueMs is the expected wait for a slot and for queued prefill work.
-func (p *Policy) queueMs(now time.Time, t *targetState, target Target, perMs float64) float64 {
+func (p *Policy) queueMs(now time.Time, t *targetState, target Target, perMs, factor float64) float64 {
 	inFlight := t.estimatedInFlight(now)
 	others := inFlight - float64(len(t.attempts))
 	ms := (t.pendingPrefillTokens(now) + t.pendingPeerTokens(now) + others*p.pendingPerRequest()) / perMs
 	if slots := float64(max(target.Slots, 1)); inFlight >= slots {
-		ms += (inFlight - slots + 1) / slots * p.decodeSeconds * 1000
+		ms += (inFlight - slots + 1) / slots * p.decodeSeconds * 1000 * factor
 	}
 	return ms + t.unattributedWaitMs(now)
 }
--- a/internal/core/placement/observe.go
+++ b/internal/core/placement/observe.go
@@ -45,16 +45,17 @@
 // predict sets the expected uncached tokens, time to the first token and cache
 // predictions of the attempt.
 func (p *Policy) predict(v *requestView, t *targetState, a *attempt) {
-	order, expectedMs := p.findRanking(a.fingerprint, t.id)
-	cached := p.expectedCachedTokens(v, t, order)
+	ranked := p.findRanking(a.fingerprint, t.id)
+	cached := p.expectedCachedTokens(v, t, ranked.order)
 	a.uncached = max(0, float64(v.req.PromptTokens)-cached)
-	a.expected = time.Duration(expectedMs * float64(time.Millisecond))
+	a.expected = time.Duration(ranked.expectedMs * float64(time.Millisecond))
+	a.fixedMs, a.usualPerMs = ranked.fixedMs, ranked.usualPerMs
 	for i, st := range v.path {
 		h := st.segment.holder(t.id)
 		if !t.valid(h) || int(h.blocks) < st.matched || len(a.predictions) == maxPredictions {
 			break
 		}
-		q, _ := p.cacheProbability(v, t, i, order)
+		q, _ := p.cacheProbability(v, t, i, ranked.order)
 		a.predictions = append(a.predictions, prediction{end: st.segment.depth + st.matched, probability: q})
 	}
 }
@@ -115,6 +116,9 @@
 		return
 	}
 	p.averageWork(now, a, float64(req.PromptTokens-cachedTokens))
+	if !req.Fetched {
+		t.observeSpeed(now, a, float64(req.PromptTokens-cachedTokens))
+	}
 	blocks := cachedTokens / max(req.BlockTokens, 1)
 	for _, g := range a.predictions {
 		p.retained.update(g.probability, blocks >= g.end)
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -46,6 +46,9 @@
 	// KnownCachedTokens maps target names to the number of prompt tokens that they
 	// are known to have cached. For targets not in the map the number is estimated.
 	KnownCachedTokens map[string]int
+	// Fetched is set if the target fetches a part of the prompt from another cache, so that
+	// the time to the first token tells nothing of its speed.
+	Fetched bool
 }
 
 // Score is the expected cost of a target and its components, in ms.
@@ -59,6 +62,10 @@
 	RecomputeMs   float64
 	CrossRegionMs float64
 	CachedTokens  int
+	// SpeedFactor is how long work takes on the target now as a multiple of the usual time,
+	// Slowness the momentary part of it. QueueMs and PrefillMs contain it.
+	SpeedFactor float64
+	Slowness    float64
 	// Reason is why the target became a candidate: "home", "holder" or "idle".
 	Reason string
 }
@@ -78,12 +85,15 @@
 	Finished(now time.Time, req Request, target string, inc port.Incarnation, cachedTokens int)
 	// ObserveLoad processes a load report, which may lag behind the actual load.
 	ObserveLoad(now time.Time, target string, report port.LoadReport)
+	// ObserveSlowness processes a report of how long work takes on the target, in percent of
+	// the usual; 0 tells nothing.
+	ObserveSlowness(now time.Time, target string, percent float64)
 	// ObserveEvents applies the cache events that follow sequence number after.
 	ObserveEvents(now time.Time, target string, after uint64, events port.CacheEvents)
 	// ObservePeerInFlight replaces the in-flight counts reported by a peer.
 	ObservePeerInFlight(now time.Time, peer string, inFlight map[string]int)
 	// ObservePeerRequest records a request that another router sent to the target:
-	// the number of tokens to prefill and the rate at which the target prefills them.
+	// the number of tokens to prefill and the rate at which a target of usual speed prefills them.
 	ObservePeerRequest(now time.Time, target string, tokens int, tokensPerSecond float64)
 	// InFlight returns the router's own in-flight count for each target.
 	InFlight() map[string]int
--- a/internal/core/placement/policy.go
+++ b/internal/core/placement/policy.go
@@ -110,6 +110,7 @@
 	}
 	t.unattributed += unattributedGain * (float64(report.Running+report.Waiting-attributed) - t.unattributed)
 	t.reportedAt = report.MeasuredAt
+	t.speed = t.speed.Report(report.MeasuredAt, report.SlownessPercent)
 }
 
 // ObservePeerInFlight replaces the in-flight counts reported by a peer.
--- a/internal/core/placement/rank.go
+++ b/internal/core/placement/rank.go
@@ -29,6 +29,8 @@
 	order  int
 	reason string
 	score  Score
+	// usualPerMs is the number of tokens that an engine of usual speed prefills in 1 ms.
+	usualPerMs float64
 }
 
 // requestView is the policy's state for one request.
@@ -88,34 +90,45 @@
 	orders      []int
 	// expected holds the expected times to the first token in ms.
 	expected []float64
+	// fixed holds the parts of expected that are not prefill, usualPerMs the candidates'.
+	fixed, usualPerMs []float64
 }
 
 func (p *Policy) recordRanking(fingerprint uint64, found []candidate) {
 	r := &p.recent[p.nextRecent%recentRanks]
 	p.nextRecent++
 	r.fingerprint, r.targets, r.orders, r.expected = fingerprint, r.targets[:0], r.orders[:0], r.expected[:0]
+	r.fixed, r.usualPerMs = r.fixed[:0], r.usualPerMs[:0]
 	for i := range found {
 		r.targets = append(r.targets, found[i].state.id)
 		r.orders = append(r.orders, found[i].order)
 		s := &found[i].score
 		r.expected = append(r.expected, s.QueueMs+s.PrefillMs+s.LinkMs+s.ColdMs)
+		r.fixed = append(r.fixed, s.QueueMs+s.LinkMs+s.ColdMs)
+		r.usualPerMs = append(r.usualPerMs, found[i].usualPerMs)
 	}
 }
 
-// findRanking returns the order of the target in the latest ranking of the
-// request and the time to the first token expected there. Without a ranking it
-// returns notHome and 0.
-func (p *Policy) findRanking(fingerprint uint64, target int32) (order int, expectedMs float64) {
+// rankedTarget is what the latest ranking of a request says of one target. expectedMs is the
+// time to the first token expected there, fixedMs the part of it that is not prefill.
+type rankedTarget struct {
+	order                           int
+	expectedMs, fixedMs, usualPerMs float64
+}
+
+// findRanking returns the target in the latest ranking of the request. Without a ranking its
+// order is notHome and the rest 0.
+func (p *Policy) findRanking(fingerprint uint64, target int32) rankedTarget {
 	for back := 1; back <= min(recentRanks, p.nextRecent); back++ {
 		r := &p.recent[(p.nextRecent-back)%recentRanks]
 		if r.fingerprint != fingerprint {
 			continue
 		}
 		if i := slices.Index(r.targets, target); i >= 0 {
-			return r.orders[i], r.expected[i]
+			return rankedTarget{r.orders[i], r.expected[i], r.fixed[i], r.usualPerMs[i]}
 		}
 	}
-	return notHome, 0
+	return rankedTarget{order: notHome}
 }
 
 func (p *Policy) recordPool(seed uint64, req Request, targets []Target) {
--- a/internal/core/placement/targets.go
+++ b/internal/core/placement/targets.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"mimosaseam.example/mimosaseam/internal/core/workload"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -46,6 +47,8 @@
 	lateness   float64
 	latenessAt time.Time
 	events     eventState
+	// speed is learned from prefills and from reports.
+	speed workload.Speed
 	// peerPrefillTokens is the prefill work announced by other routers as of
 	// peerPrefillAt, in tokens; it is done at peerPrefillRate tokens per second.
 	peerPrefillTokens float64
@@ -73,11 +76,14 @@
 	// uncached is the expected number of tokens to prefill.
 	uncached float64
 	// expected is the expected time to the first token.
-	expected    time.Duration
-	ttft        time.Duration
-	decoding    bool
-	home        uint64
-	predictions []prediction
+	expected time.Duration
+	ttft     time.Duration
+	// fixedMs is the part of expected that is not prefill, and usualPerMs the number of
+	// tokens that an engine of usual speed prefills in 1 ms; 0: not known.
+	fixedMs, usualPerMs float64
+	decoding            bool
+	home                uint64
+	predictions         []prediction
 }
 
 // prediction is the probability that all blocks before end are cached.
@@ -137,6 +143,7 @@
 			t.pastIncarnations = t.pastIncarnations[1:]
 		}
 		t.dropCache(now)
+		t.speed = workload.Speed{}
 	}
 	t.incarnation = inc
 	return true
