balance, gateway: choose plain targets by expected time, speed and remaining work

Plain targets were ranked by the average time of all their requests. Rankings now use the cost of the request's route, the target's factor and momentary slowness, the work that remains there, and the time by which requests in flight are overdue; targets count for no more than their answers have shown. Near-equals that need no longer link are tried in random order. Targets that do not report their slowness are ranked by the averages, as before.

The time per output token that the queue's deadline needs is learned where engines report their slowness.

--- a/internal/app/gateway/admit.go
+++ b/internal/app/gateway/admit.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"mimosaseam.example/mimosaseam/internal/core/balance"
 	"mimosaseam.example/mimosaseam/internal/core/gatewayconfig"
 	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/core/workload"
@@ -29,6 +30,8 @@
 	queueMs, unloadedMs, occupancyMs float64
 	// best is the estimate for the best target.
 	best workload.Estimate
+	// plain holds the plain targets in the order of their rank.
+	plain []balance.Candidate
 }
 
 // admit queues the request until its best engine has capacity. It refuses at once a
@@ -99,11 +102,13 @@
 		k.unloadedMs, k.occupancyMs = s.PrefillMs+s.LinkMs+s.ColdMs, s.PrefillMs
 		k.queueMs = max(s.QueueMs, x.reportedQueueMs(now, usable[k.order[0]]))
 	} else {
-		order, best := x.rankPlain(now, usable)
-		k.order, k.occupancyMs = order, best.ExpectedServiceMs()
-		k.queueMs, k.unloadedMs = best.QueueMs(), best.LinkMs+k.occupancyMs
+		k.order, k.plain = x.rankPlain(now, usable)
+		best := &k.plain[0]
+		k.occupancyMs = best.Load.ServiceMs
+		k.queueMs, k.unloadedMs = best.Load.WaitMs+best.Load.LateMs, best.LinkMs+best.Load.ServiceMs
+		k.best.Deviation = duration(best.Load.DeviationMs)
 	}
-	k.best = workload.Estimate{Wait: duration(k.queueMs), Service: duration(k.unloadedMs)}
+	k.best.Wait, k.best.Service = duration(k.queueMs), duration(k.unloadedMs)
 	return k
 }
 
@@ -119,7 +124,7 @@
 
 // decodeTime estimates the time from the first token to the last.
 func (x *exchange) decodeTime() time.Duration {
-	return duration(float64(x.r.MaxOutputTokens) * decodeMsPerToken)
+	return duration(float64(x.r.MaxOutputTokens) * x.g.work.DecodeMsPerToken(x.service))
 }
 
 func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"log/slog"
 	"mime"
 	"net/http"
 	"strconv"
@@ -53,7 +52,8 @@
 		ctx = port.WithFreshConnection(ctx)
 	}
 	x.lastTarget, x.tried[t.ID] = t.ID, true
-	g.Directory.begin(t.ID)
+	x.beginWork(start)
+	g.Directory.begin(t.ID, x.sent)
 	g.circuits.Started(start, t.ID)
 	if x.engine != nil {
 		// The account may have been isolated since the request arrived.
@@ -86,6 +86,7 @@
 	defer response.Body.Close()
 	status = response.Status
 	g.Directory.observeHeaders(t.ID, x.r.Model, response, start)
+	x.observeLoad(t, response.Load)
 	if response.Closing {
 		g.Log.Debug("target closes connections", "target", t.ID)
 	}
@@ -114,33 +115,6 @@
 	}
 }
 
-// logAttempt logs the target of an attempt and the inputs of the choice, so that a request
-// can be traced even if its router dies before it ends.
-func (x *exchange) logAttempt(ctx context.Context, t Target) {
-	attrs := []slog.Attr{slog.String("request", x.r.ID), slog.String("target", t.ID), slog.Int("send", x.attempts),
-		slog.Int("in_flight", t.InFlight), slog.Float64("left_ms", ms(x.deadline.Sub(x.g.Clock.Now())))}
-	if share := t.Reliability.FailureShare(x.g.Clock.Now()); share > 0 {
-		attrs = append(attrs, slog.Float64("failure_share", share))
-	}
-	if limit := x.g.rates.PerSecond(string(t.Incarnation())); limit > 0 {
-		attrs = append(attrs, slog.Float64("limit_per_s", limit))
-	}
-	if s := x.g.stop.Load(); s != nil {
-		attrs = append(attrs, slog.Float64("stop_left_ms", ms(s.FinalAnswers.Sub(x.g.Clock.Now()))))
-	}
-	if x.engine != nil {
-		attrs = append(attrs, slog.String("session", x.session()), slog.String("shared", x.sharedParts()), slog.Int("prompt_tokens", x.r.PromptTokens),
-			slog.Int("cached_tokens", x.score.CachedTokens), slog.Int("elsewhere_tokens", x.cachedElsewhere),
-			slog.Float64("queue_ms", x.score.QueueMs), slog.Float64("prefill_ms", x.score.PrefillMs),
-			slog.Float64("link_ms", x.score.LinkMs),
-			slog.String("reason", x.score.Reason), slog.Int("weights", t.Weights[x.r.Model]))
-		if x.fetchFrom != "" || x.saveTo != "" {
-			attrs = append(attrs, slog.String("fetch_from", x.fetchFrom), slog.String("save_to", x.saveTo))
-		}
-	}
-	x.g.Log.LogAttrs(ctx, slog.LevelInfo, "sent", attrs...)
-}
-
 // canRetryElsewhere reports whether the target's error response should be held back from
 // the client because the request may be retried on another target.
 func (x *exchange) canRetryElsewhere() bool {
@@ -235,6 +209,9 @@
 				x.g.circuits.SetBusy(t.ID, now.Add(busyBackoff))
 			}
 		default:
+			if refused.Load != nil && refused.Load.SlownessPercent > 0 {
+				x.observeLoad(t, refused.Load)
+			}
 			if refused.Statement.Wait == 0 {
 				x.retryAfter = max(x.retryAfter, refused.RetryAfter)
 			}
@@ -305,7 +282,8 @@
 	}
 	g.CrashTracker.Ended(t.Address, id)
 	g.SegmentTracker.Ended(now, t.Address, id, attemptEnd(outcome, err, rating))
-	g.Directory.end(t.ID, took, rating)
+	usualMs := g.Directory.end(t.ID, x.sent, took, rating)
+	x.endWork(now, t, rating, usualMs)
 	if x.engine != nil {
 		g.Placer.Finished(now, x.placementRequest, t.Address, t.Incarnation(), cached)
 	}
@@ -473,7 +451,7 @@
 		if x.fetchFrom == "" && !x.sentAt.IsZero() {
 			x.g.observePrefill(x.service, x.score, x.r.PromptTokens-x.score.CachedTokens, now.Sub(x.sentAt))
 		}
-		x.sentAt = time.Time{}
+		x.sentAt, x.eventsBegan = time.Time{}, now
 		x.g.Placer.FirstToken(now, x.placementRequest, t.Address, x.firstEvent)
 	}
 }
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -24,9 +24,6 @@
 	// targetPollInterval is short compared with minTargetWait.
 	targetPollInterval = 10 * time.Millisecond
 
-	// decodeMsPerToken is assumed for all engines, because they do not report it.
-	decodeMsPerToken = 10
-
 	// sameZoneMs, sameRegionMs and otherRegionMs are the round-trip times of typical links.
 	sameZoneMs    = 0.3
 	sameRegionMs  = 2.0
@@ -83,13 +80,17 @@
 	if k == nil {
 		return Target{}, false
 	}
-	for _, i := range k.order {
+	for rank, i := range k.order {
 		t := k.targets[i]
 		if !x.g.Directory.accepts(&t) || !x.g.rates.Take(now, string(t.Incarnation())) {
 			continue
 		}
 		if x.g.CrashTracker.Start(now, x.fingerprint, t.Address, x.attemptID()) {
 			if x.g.SegmentTracker.Start(now, t.Address, string(t.Incarnation()), x.attemptID(), x.fingerprint, x.segments) {
+				x.plain = balance.Candidate{}
+				if rank < len(k.plain) {
+					x.plain = k.plain[rank]
+				}
 				return t, true
 			}
 			x.g.CrashTracker.Ended(t.Address, x.attemptID())
@@ -187,6 +188,7 @@
 	request := x.placementRequest
 	request.KnownCachedTokens = make(map[string]int, len(targets))
 	scope, weights := "", -1
+	x.prefillPerSecond = x.g.prefillRate(x.service)
 	for i, t := range targets {
 		byAddress[t.Address] = i
 		candidates[i] = x.placementTarget(t)
@@ -212,7 +214,7 @@
 		CacheBlocks:            x.engine.CacheTokens / placement.PartBlockTokens,
 		ColdUntil:              t.ColdUntil,
 		CacheExpires:           x.outdated(t),
-		PrefillTokensPerSecond: x.g.prefillRate(x.service), DecodeMsPerToken: decodeMsPerToken}
+		PrefillTokensPerSecond: x.prefillPerSecond}
 }
 
 // failureCostMs is the expected cost in ms of failures of the target.
@@ -230,27 +232,6 @@
 	return placement.Score{}
 }
 
-// rankPlain orders the targets and returns the best one.
-func (x *exchange) rankPlain(now time.Time, targets []Target) ([]int, balance.Candidate) {
-	candidates := make([]balance.Candidate, len(targets))
-	byAddress := make(map[string]int, len(targets))
-	for i, t := range targets {
-		byAddress[t.Address] = i
-		c := balance.Candidate{Address: t.Address, Slots: t.Slots, InFlight: t.InFlight, ServiceMs: t.ServiceMs,
-			LinkMs: x.g.linkMs(t.AvailabilityZone), FailureCostMs: x.failureCostMs(t)}
-		if now.Sub(t.Load.MeasuredAt) < loadReportTTL {
-			c.ReportedInFlight, c.ReportedOwn = t.Load.Running+t.Load.Waiting, t.OwnLoad
-		}
-		candidates[i] = c
-	}
-	balance.Rank(candidates)
-	order := make([]int, len(candidates))
-	for i, c := range candidates {
-		order[i] = byAddress[c.Address]
-	}
-	return order, candidates[0]
-}
-
 func (g *Gateway) linkMs(zone string) float64 {
 	own := g.settings().AvailabilityZone
 	switch {
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -10,6 +10,7 @@
 	"mimosaseam.example/mimosaseam/internal/core/balance"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/targetstate"
+	"mimosaseam.example/mimosaseam/internal/core/workload"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -31,7 +32,7 @@
 	// responded. By then its entry has expired, or it is the target after all.
 	replacedPause = 3 * time.Second
 	// loadReportTTL is the age after which a target's load report is ignored.
-	loadReportTTL = 2 * time.Second
+	loadReportTTL = workload.ReportTTL
 )
 
 // Target is the known state of one target.
@@ -54,9 +55,9 @@
 	// requests.
 	PausedUntil time.Time
 	Load        port.LoadReport
-	// OwnLoad is the number of this router's requests in Load.
-	OwnLoad   int
-	ServiceMs float64
+	// work is the state of a plain target's work, nil if nothing is known. It is replaced as a
+	// whole, so that copies of Target stay as they are.
+	work *workload.Target
 	// Reliability is estimated from this router's own requests.
 	Reliability balance.Reliability
 	InFlight    int
@@ -325,29 +326,34 @@
 	}
 }
 
-// begin counts a request that is sent to the target.
-func (d *Directory) begin(id string) {
-	d.update(id, func(t *Target) { t.InFlight++ })
+// begin counts a request that is sent to the target. sent is nil for requests to engines.
+func (d *Directory) begin(id string, sent *workload.Sent) {
+	d.update(id, func(t *Target) {
+		t.InFlight++
+		if sent != nil {
+			t.changeWork(func(w *workload.Target) { w.Begin(*sent) })
+		}
+	})
 }
 
 // end counts a request as finished. took is the time to the complete response, 0 if there
-// was none.
-func (d *Directory) end(id string, took time.Duration, rating targetRating) {
-	const gain = 0.1 // weight of a new sample in the running mean
+// was none. It returns the result of workload.Target.End.
+func (d *Directory) end(id string, sent *workload.Sent, took time.Duration, rating targetRating) (usualMs float64) {
 	now := d.clock.Now()
 	d.update(id, func(t *Target) {
 		t.InFlight--
 		if rating != ratingNone {
 			t.Reliability = t.Reliability.Observe(now, rating == ratingBad)
 		}
-		if took > 0 {
-			ms := float64(took) / float64(time.Millisecond)
-			if t.ServiceMs == 0 {
-				t.ServiceMs = ms
+		if sent != nil {
+			s := *sent
+			if rating != ratingGood {
+				s.Expected = workload.Estimate{} // an error tells nothing of the speed
 			}
-			t.ServiceMs += gain * (ms - t.ServiceMs)
+			t.changeWork(func(w *workload.Target) { usualMs = w.End(now, s, took) })
 		}
 	})
+	return usualMs
 }
 
 // targetRating rates a target by one request.
@@ -378,7 +384,7 @@
 	d.update(id, func(t *Target) {
 		t.LastActivity = now
 		if a.Load != nil {
-			t.Load, t.OwnLoad = *a.Load, t.InFlight
+			t.Load = *a.Load
 			t.Load.MeasuredAt = now
 		}
 		d.observeWeights(t, model, a.Weights, sent)
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"mimosaseam.example/mimosaseam/internal/core/balance"
 	"mimosaseam.example/mimosaseam/internal/core/gatewayconfig"
 	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
@@ -16,6 +17,7 @@
 	"mimosaseam.example/mimosaseam/internal/core/retrypolicy"
 	"mimosaseam.example/mimosaseam/internal/core/shutdown"
 	"mimosaseam.example/mimosaseam/internal/core/stream"
+	"mimosaseam.example/mimosaseam/internal/core/workload"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -63,6 +65,14 @@
 	firstEvent     time.Duration
 	score          placement.Score
 	scores         []placement.Score
+	// prefillPerSecond is the service's prefill rate as of the last ranking.
+	prefillPerSecond float64
+	// plain is the plain target of the last attempt as it was ranked, and sent the attempt's
+	// record in the target's work; nil for engines.
+	plain balance.Candidate
+	sent  *workload.Sent
+	// eventsBegan is when the last attempt's first event arrived, zero before.
+	eventsBegan time.Time
 	// cachedElsewhere is the largest number of prompt tokens that another cache holds.
 	cachedElsewhere int
 	// fetchFrom and saveTo are the caches between which the last attempt transferred
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/core/shutdown"
+	"mimosaseam.example/mimosaseam/internal/core/workload"
 	"mimosaseam.example/mimosaseam/internal/panics"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
@@ -164,6 +165,8 @@
 	limits          *limits.Controller
 	rates           *limits.TargetRates
 	buffers         *limits.Memory
+	// work is what the targets of each service have in common.
+	work workload.Services
 
 	mu            sync.Mutex
 	freshness     gatewayconfig.Freshness
@@ -271,11 +274,15 @@
 	return g.prefillRates[service].TokensPerSecond()
 }
 
-// PrefillRate returns the target's prefill rate in tokens per second.
+// PrefillRate returns the prefill rate of the target's service in tokens per second.
 func (g *Gateway) PrefillRate(address string) float64 {
 	return g.prefillRate(g.Directory.serviceAt(address))
 }
 
+// minSpeedFactor is below the factor of any target. A score without a factor is one of a target
+// that was not ranked, and counts as usual.
+const minSpeedFactor = 0.1
+
 // observePrefill updates the prefill rate of a service from a request that was not queued
 // on its target.
 func (g *Gateway) observePrefill(service string, s placement.Score, tokens int, took time.Duration) {
@@ -284,7 +291,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.prefillRates[service] = g.prefillRates[service].Observe(tokens, float64(took)/float64(time.Millisecond)-s.LinkMs)
+	g.prefillRates[service] = g.prefillRates[service].Observe(tokens, (float64(took)/float64(time.Millisecond)-s.LinkMs)/max(s.SpeedFactor, minSpeedFactor))
 }
 
 // maxLoadingPause bounds the pause of a target that a peer announces.
--- a/internal/app/gateway/transfer.go
+++ b/internal/app/gateway/transfer.go
@@ -22,7 +22,7 @@
 // newest weights, and the target checks that it serves them: what is computed while
 // weights change must not be available to others.
 func (x *exchange) planTransfers(now time.Time, t Target) {
-	x.fetchFrom, x.saveTo = "", ""
+	x.fetchFrom, x.saveTo, x.placementRequest.Fetched = "", "", false
 	version := t.Weights[x.r.Model]
 	if x.engine.LinkMbps <= 0 || version == 0 || !x.isNewest(version) {
 		return
@@ -30,7 +30,7 @@
 	shared := x.r.Prompt[:max(0, len(x.r.Prompt)-1)]
 	scope := x.cacheScope(t)
 	costs := placement.FetchCosts{TokenBytes: x.engine.TokenBytes, LinkMbps: x.engine.LinkMbps,
-		PrefillTokensPerSecond: x.g.prefillRate(x.service), Objective: x.route.Objective}
+		PrefillTokensPerSecond: x.prefillPerSecond, Objective: x.route.Objective}
 	sources := x.sources(now, t, scope, shared)
 	for _, s := range sources {
 		x.cachedElsewhere = max(x.cachedElsewhere, s.CachedTokens)
@@ -38,6 +38,7 @@
 	if source, ok := placement.BestFetch(costs, x.placementTarget(t), x.score, x.r.PromptTokens, sources); ok {
 		x.fetchFrom = source.Address
 	}
+	x.placementRequest.Fetched = x.fetchFrom != ""
 	x.saveTo = x.storeFor(now, scope, shared)
 	if x.fetchFrom != "" || x.saveTo != "" {
 		x.expectWeights = version
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -4,62 +4,67 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
+
+	"mimosaseam.example/mimosaseam/internal/core/workload"
 )
 
 // Candidate describes a candidate target at the time of a decision.
 type Candidate struct {
-	Address string
-	Slots   int
-	// InFlight counts the router's own requests on the target.
-	InFlight int
-	// ReportedInFlight is the target's last reported count of running and waiting
-	// requests; 0 if the report is too old. ReportedOwn of them were this router's.
-	ReportedInFlight int
-	ReportedOwn      int
+	// Index is the caller's.
+	Index int
+	Slots int
+	// Load is what the request would meet on the target.
+	Load workload.Load
 	// LinkMs is the network round-trip time.
 	LinkMs float64
 	// FailureCostMs is the expected cost of failures, computed by the function
 	// FailureCostMs.
 	FailureCostMs float64
-	// ServiceMs is the average service time of a request on the target; 0: unknown.
-	ServiceMs float64
+
+	latencyMs float64
 }
 
-// defaultServiceMs applies until the first response of a target.
-const defaultServiceMs = 20
+const (
+	// occupancyGrowth is the part of the service time that is added when all slots are
+	// occupied, so that ties go to the less loaded target. With half of it, the load
+	// driver's lookups were as late at p99; with none, later.
+	occupancyGrowth = 0.5
+	// nearShare and nearMs are the relative and the absolute difference from the best
+	// latency up to which latencies count as equal: less than the deviation of one request.
+	nearShare = 0.05
+	nearMs    = 0.5
+)
 
 // ExpectedLatencyMs is the expected latency of a request: network, wait for a slot,
 // service time and cost of failures. The service time grows with the number of
 // occupied slots, so that ties go to the less loaded target.
-func (c Candidate) ExpectedLatencyMs() float64 {
-	return c.LinkMs + c.FailureCostMs + c.ExpectedServiceMs()*(1+c.totalInFlight()/c.slots()/2) + c.QueueMs()
+func (c *Candidate) ExpectedLatencyMs() float64 {
+	return c.LinkMs + c.FailureCostMs + c.Load.ServiceMs*(1+c.Load.Requests/float64(max(c.Slots, 1))*occupancyGrowth) + c.Load.WaitMs + c.Load.LateMs
 }
 
-// QueueMs is the expected wait for a slot.
-func (c Candidate) QueueMs() float64 {
-	if inFlight := c.totalInFlight(); inFlight >= c.slots() {
-		return (inFlight - c.slots() + 1) / c.slots() * c.ExpectedServiceMs()
-	}
-	return 0
-}
+// Rank sorts the candidates, best first. Among targets that report their slowness, the order
+// of those that are nearly as good as the best is random, without crossing a longer link for
+// it: routers know much the same of a target that just became free.
+func Rank(candidates []Candidate) { rank(candidates, rand.Float64) }
 
-// ExpectedServiceMs is the expected service time of a request that doesn't wait.
-func (c Candidate) ExpectedServiceMs() float64 {
-	if c.ServiceMs <= 0 {
-		return defaultServiceMs
+func rank(candidates []Candidate, random func() float64) {
+	for i := range candidates {
+		candidates[i].latencyMs = candidates[i].ExpectedLatencyMs()
+	}
+	slices.SortStableFunc(candidates, func(a, b Candidate) int { return cmp.Compare(a.latencyMs, b.latencyMs) })
+	if len(candidates) == 0 || !candidates[0].Load.Reports {
+		return
+	}
+	limit := candidates[0].latencyMs*(1+nearShare) + nearMs
+	near := 1
+	for near < len(candidates) && candidates[near].latencyMs <= limit && candidates[near].LinkMs <= candidates[0].LinkMs {
+		near++
+	}
+	if pick := int(random() * float64(near)); pick > 0 && pick < near {
+		best := candidates[pick]
+		copy(candidates[1:pick+1], candidates[:pick])
+		candidates[0] = best
 	}
-	return c.ServiceMs
-}
-
-func (c Candidate) totalInFlight() float64 {
-	return float64(c.InFlight + max(0, c.ReportedInFlight-c.ReportedOwn))
-}
-func (c Candidate) slots() float64 { return float64(max(c.Slots, 1)) }
-
-// Rank sorts the candidates, best first.
-func Rank(candidates []Candidate) {
-	slices.SortStableFunc(candidates, func(a, b Candidate) int {
-		return cmp.Compare(a.ExpectedLatencyMs(), b.ExpectedLatencyMs())
-	})
 }
