placement, completions: choose the targets of plain requests by their load

In serve mode, all plain requests of an account went to one home target whatever its load was: nothing of a plain target's work was counted. The policy now keeps its work as gateway mode does (package workload), with the in-flight counts of the other routers, and ranks the home, and the better of four random targets, by the expected time. The home stays first among near-equals. Answered and failed requests are told apart, so that only answers teach.

Samples of an engine's speed now count for five minutes: at one request in ten seconds a half-life of one minute kept an engine of 1.7 at 1.5.

--- a/internal/app/completions/api.go
+++ b/internal/app/completions/api.go
@@ -87,6 +87,9 @@
 	CostMs        float64 `json:"cost_ms"`
 	QueueMs       float64 `json:"queue_ms"`
 	PrefillMs     float64 `json:"prefill_ms"`
+	ServiceMs     float64 `json:"service_ms,omitempty"`
+	SpeedFactor   float64 `json:"speed_factor,omitempty"`
+	Slowness      float64 `json:"slowness,omitempty"`
 	LinkMs        float64 `json:"link_ms"`
 	ColdMs        float64 `json:"cold_ms"`
 	RecomputeMs   float64 `json:"recompute_ms"`
--- a/internal/app/completions/explain.go
+++ b/internal/app/completions/explain.go
@@ -24,6 +24,7 @@
 	for _, s := range ranked.scores {
 		e.Candidates = append(e.Candidates, Candidate{Target: ranked.target(s.Target).Name, Reason: s.Reason, CostMs: s.CostMs,
 			QueueMs: s.QueueMs, PrefillMs: s.PrefillMs, LinkMs: s.LinkMs, ColdMs: s.ColdMs,
+			ServiceMs: s.ServiceMs, SpeedFactor: s.SpeedFactor, Slowness: s.Slowness,
 			RecomputeMs: s.RecomputeMs, CrossRegionMs: s.CrossRegionMs, CachedTokens: s.CachedTokens})
 	}
 	return e, nil
--- a/internal/app/completions/service.go
+++ b/internal/app/completions/service.go
@@ -114,6 +114,8 @@
 	p.placement = placement.Request{
 		Scope:       port.Scope{ClientAccount: req.Account.String(), Model: p.poolRef.Name},
 		PromptBytes: len(req.Body),
+		Service:     p.poolRef.String(),
+		Route:       p.routeRef.String(),
 		Weights:     placement.Weights{CrossRegionMsPerMiB: p.route.Weights.CrossRegionMsPerMiB},
 	}
 	return p, nil
@@ -224,7 +226,8 @@
 	r.SegmentTracker.SetIncarnation(t.Address, id, string(t.Incarnation))
 	r.Placer.Started(now, c.plan.placement, t.Address)
 	r.Metrics.Add(MetricAttempts, 1)
-	defer func() { r.Placer.Finished(r.Clock.Now(), c.plan.placement, t.Address, t.Incarnation, -1) }()
+	answered := -1
+	defer func() { r.Placer.Finished(r.Clock.Now(), c.plan.placement, t.Address, t.Incarnation, answered) }()
 	running := r.durations.Start(c.plan.routeRef.String(), now)
 	reply, err := c.sendWithTimeout(ctx, t, id)
 	r.durations.End(running, r.Clock.Now(), err == nil && reply.Status < http.StatusMultipleChoices)
@@ -247,6 +250,7 @@
 	}
 	r.circuits.Success(t.Address)
 	if reply.Status < http.StatusInternalServerError {
+		answered = 0
 		r.CrashTracker.Clear(c.fingerprint, true)
 	}
 	return reply, nil
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -27,10 +27,6 @@
 }
 
 const (
-	// occupancyGrowth is the part of the service time that is added when all slots are
-	// occupied, so that ties go to the less loaded target. With half of it, the load
-	// driver's lookups were as late at p99; with none, later.
-	occupancyGrowth = 0.5
 	// nearShare and nearMs are the relative and the absolute difference from the best
 	// latency up to which latencies count as equal: less than the deviation of one request.
 	nearShare = 0.05
@@ -41,7 +37,7 @@
 // service time and cost of failures. The service time grows with the number of
 // occupied slots, so that ties go to the less loaded target.
 func (c *Candidate) ExpectedLatencyMs() float64 {
-	return c.LinkMs + c.FailureCostMs + c.Load.ServiceMs*(1+c.Load.Requests/float64(max(c.Slots, 1))*occupancyGrowth) + c.Load.WaitMs + c.Load.LateMs
+	return c.LinkMs + c.FailureCostMs + c.Load.ExpectedMs(c.Slots)
 }
 
 // Rank sorts the candidates, best first. Among targets that report their slowness, the order
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -21,6 +21,10 @@
 func (p *Policy) score(v *requestView, c *candidate, target Target) {
 	t := p.target(target.Name)
 	t.observeIncarnation(v.now, target.Incarnation)
+	if v.req.plain() {
+		p.scorePlain(v, c, t, target)
+		return
+	}
 	cached := p.expectedCachedTokens(v, t, c.order)
 	if exact, known := v.req.KnownCachedTokens[target.Name]; known {
 		cached = float64(exact)
--- a/internal/core/placement/observe.go
+++ b/internal/core/placement/observe.go
@@ -31,6 +31,9 @@
 	targets := max(1, p.pools[c.seed].targets)
 	v := p.newView(now, req, targets)
 	p.predict(&v, t, a)
+	if req.plain() {
+		p.beginPlain(now, req, t, a)
+	}
 	t.attempts = append(t.attempts, a)
 	p.path = p.segments.insert(now, c, p.path[:0])
 	v = requestView{now: now, req: req, chain: c, path: p.path, spread: 1, targets: targets}
@@ -111,6 +114,10 @@
 	a := t.attempts[i]
 	t.attempts = append(t.attempts[:i], t.attempts[i+1:]...)
 	current := t.observeIncarnation(now, inc) && a.epoch == t.epoch
+	if req.plain() {
+		p.endPlain(now, req, t, a, current && cachedTokens >= 0)
+		return
+	}
 	if cachedTokens < 0 || !current {
 		p.revertHolders(c, t, a)
 		return
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -49,8 +49,14 @@
 	// Fetched is set if the target fetches a part of the prompt from another cache, so that
 	// the time to the first token tells nothing of its speed.
 	Fetched bool
+	// Service and Route name the plain service of a request without a prompt and its route.
+	// Such a request goes where it is expected to be answered first.
+	Service, Route string
 }
 
+// plain reports whether the request is one without a prompt.
+func (r *Request) plain() bool { return r.Service != "" }
+
 // Score is the expected cost of a target and its components, in ms.
 type Score struct {
 	Target        string
@@ -62,6 +68,8 @@
 	RecomputeMs   float64
 	CrossRegionMs float64
 	CachedTokens  int
+	// ServiceMs is the expected service time of a plain request.
+	ServiceMs float64
 	// SpeedFactor is how long work takes on the target now as a multiple of the usual time,
 	// Slowness the momentary part of it. QueueMs and PrefillMs contain it.
 	SpeedFactor float64
@@ -81,7 +89,8 @@
 	// FirstToken records the time from Started to the first token.
 	FirstToken(now time.Time, req Request, target string, ttft time.Duration)
 	// Finished records the end of an attempt. cachedTokens is what the engine
-	// reported, or -1 when it reported nothing.
+	// reported, or -1 when it reported nothing. For a plain request it is 0 after an answer
+	// and -1 after a failure.
 	Finished(now time.Time, req Request, target string, inc port.Incarnation, cachedTokens int)
 	// ObserveLoad processes a load report, which may lag behind the actual load.
 	ObserveLoad(now time.Time, target string, report port.LoadReport)
--- a/internal/core/placement/policy.go
+++ b/internal/core/placement/policy.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"mimosaseam.example/mimosaseam/internal/core/workload"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -40,6 +41,8 @@
 	// pools is keyed by the hash of the scope.
 	pools    map[uint64]poolStats
 	retained retention
+	// services is what plain targets have in common.
+	services workload.Services
 	// avgPendingIntegral and avgInFlightSeconds are averages over finished requests:
 	// of the time integral of the tokens left to prefill, and of the time in flight.
 	// Their quotient is the expected pending prefill work of a request about which
--- a/internal/core/placement/rank.go
+++ b/internal/core/placement/rank.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"mimosaseam.example/mimosaseam/internal/core/workload"
 )
 
 const (
@@ -47,6 +49,8 @@
 	// homeStep is the index of the home segment in path, len(path) when unknown.
 	homeStep int
 	targets  int
+	// cost is the cost of a plain request.
+	cost workload.Cost
 }
 
 func (p *Policy) newView(now time.Time, req Request, targets int) requestView {
@@ -66,6 +70,9 @@
 	}
 	p.latest = now
 	v := p.newView(now, req, len(targets))
+	if req.plain() {
+		v.cost = p.plainCost(now, req)
+	}
 	p.recordPool(v.chain.seed, req, targets)
 	found := p.homeAndHolders(&v, targets)
 	found = p.addIdle(&v, targets, found)
--- a/internal/core/placement/targets.go
+++ b/internal/core/placement/targets.go
@@ -49,6 +49,8 @@
 	events     eventState
 	// speed is learned from prefills and from reports.
 	speed workload.Speed
+	// plain is the state of a plain target's work.
+	plain workload.Target
 	// peerPrefillTokens is the prefill work announced by other routers as of
 	// peerPrefillAt, in tokens; it is done at peerPrefillRate tokens per second.
 	peerPrefillTokens float64
@@ -84,6 +86,8 @@
 	decoding            bool
 	home                uint64
 	predictions         []prediction
+	// sent is the record of a plain request in its target's work.
+	sent workload.Sent
 }
 
 // prediction is the probability that all blocks before end are cached.
@@ -143,7 +147,7 @@
 			t.pastIncarnations = t.pastIncarnations[1:]
 		}
 		t.dropCache(now)
-		t.speed = workload.Speed{}
+		t.speed, t.plain = workload.Speed{}, workload.Target{}
 	}
 	t.incarnation = inc
 	return true
--- a/internal/core/workload/speed.go
+++ b/internal/core/workload/speed.go
@@ -25,8 +25,9 @@
 	// maxSpeedWeight bounds the number of samples, so that a target whose speed changes is
 	// learned anew.
 	maxSpeedWeight = 40
-	// speedHalfLife is the half-life of samples. An avoided target is tried again.
-	speedHalfLife = 60 * time.Second
+	// speedHalfLife is the half-life of samples: a router with few requests sees an engine
+	// every ten seconds or so, and speeds rarely change.
+	speedHalfLife = 5 * time.Minute
 	// reportGain is the lowest weight of a report in the average of reports.
 	reportGain = 0.05
 	// maxDeviation bounds the ratio of one sample to the estimate, in either direction.
--- a/internal/core/workload/target.go
+++ b/internal/core/workload/target.go
@@ -234,6 +234,16 @@
 	}
 }
 
+// occupancyGrowth is the part of the service time that is added when all slots are occupied, so
+// that ties go to the less loaded target. With a quarter or the double of it, or none, the load
+// driver's plain requests were later at p99.
+const occupancyGrowth = 0.5
+
+// ExpectedMs is the expected time of a request on the target, without the network.
+func (l *Load) ExpectedMs(slots int) float64 {
+	return l.ServiceMs*(1+l.Requests/float64(max(slots, 1))*occupancyGrowth) + l.WaitMs + l.LateMs
+}
+
 // Estimate is what a request is expected to meet on a target with this load.
 func (l *Load) Estimate(linkMs float64) Estimate {
 	return Estimate{Wait: duration(l.WaitMs + l.LateMs), Service: duration(l.ServiceMs + linkMs), Deviation: duration(l.DeviationMs)}
