--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -10,6 +10,7 @@
 	"mimosaseam.example/mimosaseam/internal/core/balance"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/targetstate"
+	"mimosaseam.example/mimosaseam/internal/core/workload"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -31,7 +32,7 @@
 	// responded. By then its entry has expired, or it is the target after all.
 	replacedPause = 3 * time.Second
 	// loadReportTTL is the age after which a target's load report is ignored.
-	loadReportTTL = 2 * time.Second
+	loadReportTTL = workload.ReportTTL
 )
 
 // Target is the known state of one target.
@@ -54,14 +55,14 @@
 	// requests.
 	PausedUntil time.Time
 	Load        port.LoadReport
-	// OwnLoad is the number of this router's requests in Load.
-	OwnLoad int
 	// full is what is known of the number of requests at which the target refuses more; nil:
 	// nothing. It is not changed: copies of Target share it.
 	full *balance.FullBound
 	// answerMs is the mean time to an answer in ms, with the wait on the target; 0: unknown.
-	answerMs  float64
-	ServiceMs float64
+	answerMs float64
+	// work is the state of a plain target's work, nil if nothing is known. It is replaced as a
+	// whole, so that copies of Target stay as they are.
+	work *workload.Target
 	// Reliability is estimated from this router's own requests.
 	Reliability balance.Reliability
 	InFlight    int
@@ -330,15 +331,19 @@
 	}
 }
 
-// begin counts a request that is sent to the target.
-func (d *Directory) begin(id string) {
-	d.update(id, func(t *Target) { t.InFlight++ })
+// begin counts a request that is sent to the target. sent is nil for requests to engines.
+func (d *Directory) begin(id string, sent *workload.Sent) {
+	d.update(id, func(t *Target) {
+		t.InFlight++
+		if sent != nil {
+			t.changeWork(func(w *workload.Target) { w.Begin(*sent) })
+		}
+	})
 }
 
 // end counts a request as finished. took is the time to the complete response, 0 if there
-// was none.
-func (d *Directory) end(id string, took time.Duration, rating targetRating) {
-	const gain = 0.1 // weight of a new sample in the running mean
+// was none. It returns the result of workload.Target.End.
+func (d *Directory) end(id string, sent *workload.Sent, took time.Duration, rating targetRating) (usualMs float64) {
 	now := d.clock.Now()
 	d.update(id, func(t *Target) {
 		t.InFlight--
@@ -350,15 +355,22 @@
 			if t.answerMs == 0 {
 				t.answerMs = ms
 			}
-			t.answerMs += gain * (ms - t.answerMs)
-			if t.ServiceMs == 0 {
-				t.ServiceMs = ms
+			t.answerMs += answerGain * (ms - t.answerMs)
+		}
+		if sent != nil {
+			s := *sent
+			if rating != ratingGood {
+				s.Expected = workload.Estimate{} // an error tells nothing of the speed
 			}
-			t.ServiceMs += gain * (ms - t.ServiceMs)
+			t.changeWork(func(w *workload.Target) { usualMs = w.End(now, s, took) })
 		}
 	})
+	return usualMs
 }
 
+// answerGain is the weight of a new sample in the moving average of answer times.
+const answerGain = 0.1
+
 // targetRating rates a target by one request.
 type targetRating int
 
@@ -387,7 +399,7 @@
 	d.update(id, func(t *Target) {
 		t.LastActivity = now
 		if a.Load != nil {
-			t.Load, t.OwnLoad = *a.Load, t.InFlight
+			t.Load = *a.Load
 			t.full = t.full.Accepted(a.Load.Running + a.Load.Waiting)
 			t.Load.MeasuredAt = now
 		}
--- a/internal/app/gateway/transfer.go
+++ b/internal/app/gateway/transfer.go
@@ -24,7 +24,7 @@
 // newest weights, and the target checks that it serves them: what is computed while
 // weights change must not be available to others.
 func (x *exchange) planTransfers(now time.Time, t Target) {
-	x.fetchFrom, x.saveTo = "", ""
+	x.fetchFrom, x.saveTo, x.placementRequest.Fetched = "", "", false
 	version := t.Weights[x.r.Model]
 	if x.engine.LinkMbps <= 0 || version == 0 || !x.isNewest(version) {
 		return
@@ -32,7 +32,7 @@
 	shared := x.shared()
 	scope, to := x.cacheScope(t), x.placementTarget(t)
 	costs := placement.FetchCosts{TokenBytes: x.engine.TokenBytes, LinkMbps: x.engine.LinkMbps,
-		PrefillTokensPerSecond: x.g.prefillRate(x.service), Objective: x.route.Objective}
+		PrefillTokensPerSecond: x.prefillPerSecond, Objective: x.route.Objective}
 	store := x.nearestStore(to)
 	sources := x.sources(now, t, scope, shared, store)
 	for _, s := range sources {
@@ -41,6 +41,7 @@
 	if source, ok := placement.BestFetch(costs, to, x.score, x.r.PromptTokens, sources); ok {
 		x.fetchFrom = source.Address
 	}
+	x.placementRequest.Fetched = x.fetchFrom != ""
 	x.saveTo = x.saveAddress(now, scope, shared, store)
 	if x.fetchFrom != "" || x.saveTo != "" {
 		x.expectWeights = version
--- a/internal/app/gateway/transfer_test.go
+++ b/internal/app/gateway/transfer_test.go
@@ -42,6 +42,7 @@
 		t.Fatal(err)
 	}
 	w.observePrefill("llm", placement.Score{}, 40_000, time.Second)
+	x.prefillPerSecond = w.prefillRate("llm")
 	r := &transferRequest{exchange: x, w: w, shared: prompt[:2]}
 	for _, e := range w.Directory.Service("llm") {
 		if e.ID == "e1" {
--- a/internal/core/placement/observe.go
+++ b/internal/core/placement/observe.go
@@ -31,6 +31,9 @@
 	targets := max(1, p.pools[c.seed].targets)
 	v := p.newView(now, req, targets)
 	p.predict(&v, t, a)
+	if req.plain() {
+		p.beginPlain(now, req, t, a)
+	}
 	t.attempts = append(t.attempts, a)
 	p.path = p.segments.insert(now, c, p.path[:0])
 	v = requestView{now: now, req: req, chain: c, path: p.path, spread: 1, targets: targets}
@@ -45,16 +48,17 @@
 // predict sets the expected uncached tokens, time to the first token and cache
 // predictions of the attempt.
 func (p *Policy) predict(v *requestView, t *targetState, a *attempt) {
-	order, expectedMs := p.findRanking(a.fingerprint, t.id)
-	cached := p.expectedCachedTokens(v, t, order)
+	ranked := p.findRanking(a.fingerprint, t.id)
+	cached := p.expectedCachedTokens(v, t, ranked.order)
 	a.uncached = max(0, float64(v.req.PromptTokens)-cached)
-	a.expected = time.Duration(expectedMs * float64(time.Millisecond))
+	a.expected = time.Duration(ranked.expectedMs * float64(time.Millisecond))
+	a.fixedMs, a.usualPerMs = ranked.fixedMs, ranked.usualPerMs
 	for i, st := range v.path {
 		h := st.segment.holder(t.id)
 		if !t.valid(h) || int(h.blocks) < st.matched || len(a.predictions) == maxPredictions {
 			break
 		}
-		q, _ := p.cacheProbability(v, t, i, order)
+		q, _ := p.cacheProbability(v, t, i, ranked.order)
 		a.predictions = append(a.predictions, prediction{end: st.segment.depth + st.matched, probability: q})
 	}
 }
@@ -110,11 +114,18 @@
 	a := t.attempts[i]
 	t.attempts = append(t.attempts[:i], t.attempts[i+1:]...)
 	current := t.observeIncarnation(now, inc) && a.epoch == t.epoch
+	if req.plain() {
+		p.endPlain(now, req, t, a, current && cachedTokens >= 0)
+		return
+	}
 	if cachedTokens < 0 || !current {
 		p.revertHolders(c, t, a)
 		return
 	}
 	p.averageWork(now, a, float64(req.PromptTokens-cachedTokens))
+	if !req.Fetched {
+		t.observeSpeed(now, a, float64(req.PromptTokens-cachedTokens))
+	}
 	blocks := cachedTokens / max(req.BlockTokens, 1)
 	for _, g := range a.predictions {
 		p.retained.update(g.probability, blocks >= g.end)
