placement: an engine's own speed does not take prompts from their home

Prefill times with each engine's factor made prompts leave a slow home for a faster engine. The factor now counts in the queue, and in the request's own prefill only beyond 200 ms; what a copy elsewhere costs others is counted at the usual speed.

--- a/internal/bench/placement/arrivals.go
+++ b/internal/bench/placement/arrivals.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -21,7 +22,7 @@
 	minTailTokens, maxTailTokens = 16, 128
 )
 
-func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
 // arrival is one request of the workload. It holds only the ids of its prefixes;
 // the block hashes are derived when it runs.
--- a/internal/bench/placement/driver.go
+++ b/internal/bench/placement/driver.go
@@ -109,11 +109,14 @@
 	if opt.single {
 		w.Routers = 1
 	}
-	d := &driver{w: w, opt: opt, byName: map[string]*engine{}, computed: map[port.BlockHash]bool{},
+	d := &driver{w: w, opt: opt, byName: map[string]*engine{}, metrics: metrics{byFactor: map[float64][]time.Duration{}}, computed: map[port.BlockHash]bool{},
 		scopeOf: map[port.BlockHash]string{}, rng: rand.New(rand.NewPCG(opt.seed, 2))}
 	for i := range w.Runners {
 		e := &engine{d: d, name: "runner-" + strconv.Itoa(i+1), region: w.region(i), incarnationNumber: 1,
-			cache: newBlockCache(w.CacheBlocksPerRunner), running: map[*job]bool{}, loss: rand.New(rand.NewPCG(opt.seed, uint64(100+i)))}
+			cache: newBlockCache(w.CacheBlocksPerRunner), running: map[*job]bool{}, loss: rand.New(rand.NewPCG(opt.seed, uint64(100+i))), usualFactor: 1}
+		if len(w.Speeds) > 0 {
+			e.usualFactor = w.Speeds[i%len(w.Speeds)]
+		}
 		d.engines = append(d.engines, e)
 		d.byName[e.name] = e
 	}
@@ -172,6 +175,14 @@
 		})
 	}
 	d.startBackground()
+	if d.w.SlownessSpread > 0 {
+		random := rand.New(rand.NewPCG(d.opt.seed, 3))
+		d.every(slownessInterval, func() {
+			for _, e := range d.engines {
+				e.changeSlowness(random)
+			}
+		})
+	}
 	for len(d.heap) > 0 {
 		next := heap.Pop(&d.heap).(event)
 		d.now = next.at
@@ -291,14 +302,16 @@
 // firstToken reports the first token of a job to its router.
 func (d *driver) firstToken(j *job) {
 	r, e := d.routers[j.router], j.engine
-	inc := e.incarnation()
+	inc, slowness := e.incarnation(), e.slownessPercent()
 	d.after(d.link(r, e), func() {
 		r.incarnations[e.name] = inc
+		r.placer.ObserveSlowness(d.clock(d.now), e.name, slowness)
 		ttft := d.now - j.req.a.at
 		r.placer.FirstToken(d.clock(d.now), j.req.core, e.name, ttft)
 		if !j.req.gotFirstToken {
 			j.req.gotFirstToken = true
 			d.metrics.ttft = append(d.metrics.ttft, ttft)
+			d.metrics.byFactor[e.usualFactor] = append(d.metrics.byFactor[e.usualFactor], ttft)
 		}
 	})
 }
--- a/internal/bench/placement/engine.go
+++ b/internal/bench/placement/engine.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -65,6 +66,9 @@
 	events  []timedEvent
 	reports []timedReport
 	loss    *rand.Rand
+	// usualFactor and momentum are the factor of the prefill time and the logarithm of the
+	// momentary one.
+	usualFactor, momentum float64
 }
 
 type timedReport struct {
@@ -116,7 +120,7 @@
 
 // speed is the prefill speed in tokens per second.
 func (e *engine) speed() float64 {
-	full := e.d.w.PrefillTokensPerSecond
+	full := e.d.w.PrefillTokensPerSecond / (e.usualFactor * math.Exp(e.momentum))
 	if e.d.now >= e.coldUntil {
 		return full
 	}
@@ -271,6 +275,29 @@
 	return lost
 }
 
+const (
+	// slownessInterval is the interval at which the momentary factor changes, slownessMemory
+	// the time after which a third of it is left.
+	slownessInterval = 50 * time.Millisecond
+	slownessMemory   = 250 * time.Millisecond
+)
+
+// changeSlowness sets the next momentary factor.
+func (e *engine) changeSlowness(random *rand.Rand) {
+	e.advance()
+	keep := math.Exp(-float64(slownessInterval) / float64(slownessMemory))
+	e.momentum = keep*e.momentum + math.Sqrt(1-keep*keep)*e.d.w.SlownessSpread*random.NormFloat64()
+	e.replan()
+}
+
+// slownessPercent is what the engine reports.
+func (e *engine) slownessPercent() float64 {
+	if len(e.d.w.Speeds) == 0 && e.d.w.SlownessSpread == 0 {
+		return 0
+	}
+	return 100 * e.usualFactor * math.Exp(e.momentum)
+}
+
 // target returns the engine's description for placement.
 func (e *engine) target() core.Target {
 	w := e.d.w
--- a/internal/bench/placement/result.go
+++ b/internal/bench/placement/result.go
@@ -24,7 +24,10 @@
 	TTFTp50Ms     float64 `json:"ttft_p50_ms"`
 	TTFTp95Ms     float64 `json:"ttft_p95_ms"`
 	TTFTp99Ms     float64 `json:"ttft_p99_ms"`
-	PrefillTokens int64   `json:"prefill_tokens"`
+	// SlowestToFastestP99 is the 99th percentile on the slowest runners divided by that on the
+	// fastest, 0 when all are equal.
+	SlowestToFastestP99 float64 `json:"slowest_to_fastest_p99,omitempty"`
+	PrefillTokens       int64   `json:"prefill_tokens"`
 	// CompulsoryTokens counts tokens computed for the first time per prefix,
 	// account and weights version; WastedTokens counts all others.
 	CompulsoryTokens          int64   `json:"compulsory_tokens"`
@@ -43,10 +46,12 @@
 type metrics struct {
 	completed, refused, failed int
 	ttft                       []time.Duration
-	prompt, cached             int64
-	prefill, compulsory        int64
-	lost                       float64
-	crossRegionBytes           int64
+	// byFactor holds the times to the first token by the factor of the runner.
+	byFactor            map[float64][]time.Duration
+	prompt, cached      int64
+	prefill, compulsory int64
+	lost                float64
+	crossRegionBytes    int64
 	// hits holds cached and prompt tokens by arrival, for the restart comparison.
 	hits [][2]int
 }
@@ -87,7 +92,8 @@
 		r.PrefixHitRate = round(float64(d.metrics.cached)/float64(d.metrics.prompt), 4)
 	}
 	slices.Sort(d.metrics.ttft)
-	r.TTFTp50Ms, r.TTFTp95Ms, r.TTFTp99Ms = d.percentile(50), d.percentile(95), d.percentile(99)
+	r.TTFTp50Ms, r.TTFTp95Ms, r.TTFTp99Ms = percentile(d.metrics.ttft, 50), percentile(d.metrics.ttft, 95), percentile(d.metrics.ttft, 99)
+	r.SlowestToFastestP99 = d.slowestToFastest()
 	bytes := 0.0
 	for _, x := range d.routers {
 		bytes += x.bytes
@@ -98,12 +104,24 @@
 	return r
 }
 
-func (d *driver) percentile(p int) float64 {
-	if len(d.metrics.ttft) == 0 {
+// percentile of sorted times in ms.
+func percentile(sorted []time.Duration, p int) float64 {
+	if len(sorted) == 0 {
 		return 0
 	}
-	at := (len(d.metrics.ttft)*p + 99) / 100
-	return round(float64(d.metrics.ttft[max(0, at-1)])/float64(time.Millisecond), 2)
+	at := (len(sorted)*p + 99) / 100
+	return round(float64(sorted[max(0, at-1)])/float64(time.Millisecond), 2)
+}
+
+func (d *driver) slowestToFastest() float64 {
+	if len(d.metrics.byFactor) < 2 {
+		return 0
+	}
+	factors := sortedKeys(d.metrics.byFactor)
+	fastest, slowest := d.metrics.byFactor[factors[0]], d.metrics.byFactor[factors[len(factors)-1]]
+	slices.Sort(fastest)
+	slices.Sort(slowest)
+	return round(percentile(slowest, 99)/percentile(fastest, 99), 3)
 }
 
 func (m *metrics) hitRate(from, to int) float64 {
--- a/internal/bench/placement/workload.go
+++ b/internal/bench/placement/workload.go
@@ -71,6 +71,13 @@
 	// RouterRestartEveryS is the interval between restarts of single routers, in
 	// rotation, in s. 0 disables restarts. Default 0.
 	RouterRestartEveryS float64 `json:"router_restart_every_s"`
+	// Speeds lists the factors of the runners' prefill times, which are assigned round-robin;
+	// empty: all are 1.
+	Speeds []float64 `json:"speeds"`
+	// SlownessSpread is the deviation of the logarithm of a momentary factor of each runner's
+	// prefill time, which changes 20 times a second. Runners report both factors with each
+	// first token if Speeds or SlownessSpread is set. Default 0.
+	SlownessSpread float64 `json:"slowness_spread"`
 	// InterRegionMs is the one-way latency between regions in ms. Default 12.
 	InterRegionMs float64 `json:"inter_region_ms"`
 	// Weigh is "ttft" or "recompute", the objective with the highest weight in the
@@ -145,7 +152,7 @@
 		"cache_blocks_per_runner": float64(w.CacheBlocksPerRunner), "decode_ms_per_token": w.DecodeMsPerToken, "zipf": w.Zipf,
 		"large_accounts": float64(w.LargeAccounts), "hot_shift_every_s": w.HotShiftEveryS, "event_lag_ms": w.EventLagMs,
 		"event_loss": w.EventLoss, "load_lag_ms": w.LoadLagMs, "crash_every_s": w.CrashEveryS, "cold_start_s": w.ColdStartS,
-		"router_restart_every_s": w.RouterRestartEveryS, "inter_region_ms": w.InterRegionMs,
+		"router_restart_every_s": w.RouterRestartEveryS, "inter_region_ms": w.InterRegionMs, "slowness_spread": w.SlownessSpread,
 	}
 	for _, field := range sortedKeys(positive) {
 		if positive[field] <= 0 {
@@ -166,6 +173,11 @@
 			return &WorkloadError{"levels[" + strconv.Itoa(i) + "]", "a positive number of tokens and a positive count"}
 		}
 	}
+	for i, speed := range w.Speeds {
+		if speed <= 0 {
+			return &WorkloadError{"speeds[" + strconv.Itoa(i) + "]", "positive"}
+		}
+	}
 	switch {
 	case w.EventLoss > 1:
 		return &WorkloadError{"event_loss", "at most 1"}
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -17,6 +17,12 @@
 // slowStart is the time over which the penalty of a cold target falls to zero.
 const slowStart = 30 * time.Second
 
+// toleratedMs is how much longer than usual the request's own prefill may take before that counts
+// against the target: half of the shortest objectives for the first token. With the whole
+// difference in the cost, prompts left their home for a faster engine, and the load driver read 1.9
+// times as many prompt parts again for a tenth of the time to the first token at p99.
+const toleratedMs = 200
+
 // score computes the expected cost of a candidate.
 func (p *Policy) score(v *requestView, c *candidate, target Target) {
 	t := p.target(target.Name)
@@ -36,9 +42,10 @@
 	s := Score{Target: target.Name, CachedTokens: int(cached), Reason: c.reason, SpeedFactor: factor, Slowness: t.speed.Slowness(v.now)}
 	s.PrefillMs = uncached / perMs
 	s.QueueMs = p.queueMs(v.now, t, target, perMs, factor)
-	s.RecomputeMs = (p.missWeight(v, c.order, s.QueueMs*perMs) + v.req.Weights.Recompute) * s.PrefillMs
+	usualMs := uncached / usualPerMs
+	s.RecomputeMs = (p.missWeight(v, c.order, s.QueueMs*perMs) + v.req.Weights.Recompute) * usualMs
 	if target.CacheExpires {
-		s.RecomputeMs += p.cfg.MissWeight * s.PrefillMs
+		s.RecomputeMs += p.cfg.MissWeight * usualMs
 	}
 	s.LinkMs = 2 * p.linkMs(target)
 	if target.Region != p.cfg.Region {
@@ -47,7 +54,7 @@
 	if left := target.ColdUntil.Sub(v.now); left > 0 {
 		s.ColdMs = 2 * (s.PrefillMs + s.QueueMs) * min(1, left.Seconds()/slowStart.Seconds())
 	}
-	s.CostMs = s.QueueMs + s.PrefillMs + s.LinkMs + s.ColdMs + s.RecomputeMs + s.CrossRegionMs + target.FailureCostMs
+	s.CostMs = s.QueueMs + usualMs + max(0, s.PrefillMs-usualMs-toleratedMs) + s.LinkMs + s.ColdMs + s.RecomputeMs + s.CrossRegionMs + target.FailureCostMs
 	c.state, c.score, c.usualPerMs = t, s, usualPerMs
 }
 
