placement: count requests of others that engines report as waiting

Prefills below the announced size of other routers were not counted in the queue of an engine. A report with slowness now tells how many requests wait beyond own ones; they count with the mean uncached prompt, fall at the prefill rate, end after 2 s and are bounded. The larger of this and the announced work counts.

--- a/internal/app/gateway/workload.go
+++ b/internal/app/gateway/workload.go
@@ -68,11 +68,11 @@
 		return
 	}
 	now := x.g.Clock.Now()
+	report := workload.Report{Running: load.Running, Waiting: load.Waiting, SlownessPercent: load.SlownessPercent}
 	if x.engine != nil {
-		x.g.Placer.ObserveSlowness(now, t.Address, load.SlownessPercent)
+		x.g.Placer.ObserveResponse(now, t.Address, report)
 		return
 	}
-	report := workload.Report{Running: load.Running, Waiting: load.Waiting, SlownessPercent: load.SlownessPercent}
 	x.g.work.Reported(now, x.service, report, x.g.Directory.observePlainLoad(t.ID, report))
 }
 
--- a/internal/bench/placement/driver.go
+++ b/internal/bench/placement/driver.go
@@ -7,6 +7,7 @@
 	"time"
 
 	core "mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/workload"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -302,10 +303,10 @@
 // firstToken reports the first token of a job to its router.
 func (d *driver) firstToken(j *job) {
 	r, e := d.routers[j.router], j.engine
-	inc, slowness := e.incarnation(), e.slownessPercent()
+	inc, report := e.incarnation(), workload.Report{Running: len(e.running), Waiting: len(e.waiting), SlownessPercent: e.slownessPercent()}
 	d.after(d.link(r, e), func() {
 		r.incarnations[e.name] = inc
-		r.placer.ObserveSlowness(d.clock(d.now), e.name, slowness)
+		r.placer.ObserveResponse(d.clock(d.now), e.name, report)
 		ttft := d.now - j.req.a.at
 		r.placer.FirstToken(d.clock(d.now), j.req.core, e.name, ttft)
 		if !j.req.gotFirstToken {
--- a/internal/core/placement/baseline/baseline.go
+++ b/internal/core/placement/baseline/baseline.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"mimosaseam.example/mimosaseam/internal/core/placement"
+	"mimosaseam.example/mimosaseam/internal/core/workload"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -94,7 +95,7 @@
 func (b *policy) FirstToken(time.Time, placement.Request, string, time.Duration) {}
 func (b *policy) ObserveLoad(time.Time, string, port.LoadReport)                 {}
 func (b *policy) ObserveEvents(time.Time, string, uint64, port.CacheEvents)      {}
-func (b *policy) ObserveSlowness(time.Time, string, float64)                     {}
+func (b *policy) ObserveResponse(time.Time, string, workload.Report)             {}
 func (b *policy) ObservePeerRequest(time.Time, string, int, float64)             {}
 func (b *policy) DropCache(string)                                               {}
 func (b *policy) Summary(time.Time, int) []byte                                  { return nil }
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -86,7 +86,7 @@
 func (p *Policy) queueMs(now time.Time, t *targetState, target Target, perMs, factor float64) float64 {
 	inFlight := t.estimatedInFlight(now)
 	others := inFlight - float64(len(t.attempts))
-	ms := (t.pendingPrefillTokens(now) + t.pendingPeerTokens(now) + others*p.pendingPerRequest()) / perMs
+	ms := (t.pendingPrefillTokens(now) + t.othersPendingTokens(now, perMs) + others*p.pendingPerRequest()) / perMs
 	if slots := float64(max(target.Slots, 1)); inFlight >= slots {
 		ms += (inFlight - slots + 1) / slots * p.decodeSeconds * 1000 * factor
 	}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"mimosaseam.example/mimosaseam/internal/core/workload"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -94,9 +95,9 @@
 	Finished(now time.Time, req Request, target string, inc port.Incarnation, cachedTokens int)
 	// ObserveLoad processes a load report, which may lag behind the actual load.
 	ObserveLoad(now time.Time, target string, report port.LoadReport)
-	// ObserveSlowness processes a report of how long work takes on the target, in percent of
-	// the usual; 0 tells nothing.
-	ObserveSlowness(now time.Time, target string, percent float64)
+	// ObserveResponse processes the load that a target reported with a response. Without
+	// slowness it tells nothing.
+	ObserveResponse(now time.Time, target string, r workload.Report)
 	// ObserveEvents applies the cache events that follow sequence number after.
 	ObserveEvents(now time.Time, target string, after uint64, events port.CacheEvents)
 	// ObservePeerInFlight replaces the in-flight counts reported by a peer.
--- a/internal/core/placement/speed.go
+++ b/internal/core/placement/speed.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"mimosaseam.example/mimosaseam/internal/core/workload"
+)
 
 const (
 	// minSpeedTokens is the shortest prefill that tells of the target's speed.
@@ -10,16 +14,39 @@
 	maxFixedShare = 0.5
 )
 
-// ObserveSlowness processes a report of how long work takes on the target, in percent of the
-// usual; 0 tells nothing.
-func (p *Policy) ObserveSlowness(now time.Time, target string, percent float64) {
-	if !(percent > 0) {
+// maxReportedWaiting bounds the requests of others that a report counts as waiting.
+const maxReportedWaiting = 64
+
+// ObserveResponse processes the load that a target reported with a response. Without slowness it
+// tells nothing.
+func (p *Policy) ObserveResponse(now time.Time, target string, r workload.Report) {
+	if !(r.SlownessPercent > 0) {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.target(target)
-	t.speed = t.speed.Report(now, percent)
+	t.speed = t.speed.Report(now, r.SlownessPercent)
+	own := 0
+	for _, a := range t.attempts {
+		if !a.decoding {
+			own++
+		}
+	}
+	t.waitingTokens = float64(min(max(0, r.Waiting-own), maxReportedWaiting)) * p.uncached
+	t.waitingAt = now
+}
+
+// othersPendingTokens is the remaining prefill work of other routers' requests: what they
+// announced or, if that is more, what the last report counts as waiting beyond own requests.
+// Both fall at the target's prefill rate.
+func (t *targetState) othersPendingTokens(now time.Time, perMs float64) float64 {
+	announced := t.pendingPeerTokens(now)
+	age := now.Sub(t.waitingAt)
+	if t.waitingTokens == 0 || age > workload.ReportTTL {
+		return announced
+	}
+	return max(announced, t.waitingTokens-perMs*float64(age)/float64(time.Millisecond))
 }
 
 // observeSpeed learns from an attempt of which so many tokens were prefilled.
--- a/internal/core/placement/targets.go
+++ b/internal/core/placement/targets.go
@@ -49,6 +49,10 @@
 	events     eventState
 	// speed is learned from prefills and from reports.
 	speed workload.Speed
+	// waitingTokens is the prefill work of other routers' requests that waited as of the
+	// report of waitingAt.
+	waitingTokens float64
+	waitingAt     time.Time
 	// plain is the state of a plain target's work.
 	plain workload.Target
 	// peerPrefillTokens is the prefill work announced by other routers as of
