configuration: allotments of client accounts

Gateway mode ignored the rate, burst, unit and default cost in the account entries of the configuration. They are decoded now and kept with the account; two definitions of one name share the strictest allotment.

The settings file takes the window and the tolerated excess of the deployment. The ratio must not be 0: tokens handed out ahead of need are valid for a part of it.

--- a/internal/core/gatewayconfig/configuration.go
+++ b/internal/core/gatewayconfig/configuration.go
@@ -97,7 +97,8 @@
 	// priority counts.
 	Priority *int
 	// Isolated accounts share no KV cache blocks with others.
-	Isolated bool
+	Isolated  bool
+	Allotment Allotment
 }
 
 // Limits apply to the requests of all clients.
@@ -115,6 +116,8 @@
 	hasAccounts bool
 	// accounts maps keys to accounts.
 	accounts map[string]*ClientAccount
+	// allotments holds the allotments that are limited, by the name of their account.
+	allotments map[string]Allotment
 	// isolated holds all names of accounts, and whether the account is isolated.
 	isolated map[string]bool
 	// sharedScope is the cache scope of the accounts that are not isolated.
@@ -159,7 +162,12 @@
 	}
 	c.isolated = isolation(d.Accounts)
 	c.sharedScope = sharedScope(c.isolated)
+	mergeAllotments(d.Accounts)
+	c.allotments = map[string]Allotment{}
 	for i := range d.Accounts {
+		if a := &d.Accounts[i]; a.Allotment.Limited() {
+			c.allotments[a.Name] = a.Allotment
+		}
 		for _, key := range d.Accounts[i].Keys {
 			if key != "" { // requests without a key must not match
 				c.accounts[key] = &d.Accounts[i].ClientAccount
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -84,6 +84,12 @@
 	RetryRatio     float64 `json:"repeat_ratio"`
 	RetryAllowance float64 `json:"repeat_allowance"`
 	RetryWindowS   float64 `json:"repeat_window_s"`
+	// AllotmentOverRatio and AllotmentOverSlack are the excess over the allotment of a client
+	// account that is tolerated in any window of AllotmentWindowS seconds: a fraction of the
+	// allotment, and units on top of it. Defaults 0.1, 0, 8.
+	AllotmentOverRatio float64 `json:"allotment_over_ratio"`
+	AllotmentOverSlack float64 `json:"allotment_over_slack"`
+	AllotmentWindowS   float64 `json:"allotment_window_s"`
 	// HandoverIntervalMs is the minimum time between the last order of one router and
 	// the first order of the next, in ms. Default 3000.
 	HandoverIntervalMs float64 `json:"holder_turn_ms"`
@@ -102,7 +108,7 @@
 	return Gateway{
 		Limits: ProcessLimits{MemoryMB: 128},
 		Bounds: Bounds{KeyRevokedMs: 5000, ConfigurationMs: 2500, LeavingMs: 2500, RetryRatio: 0.2, RetryAllowance: 50, RetryWindowS: 10,
-			HandoverIntervalMs: 3000, WeightsMs: 8000, StopS: 8},
+			AllotmentOverRatio: 0.1, AllotmentWindowS: 8, HandoverIntervalMs: 3000, WeightsMs: 8000, StopS: 8},
 		LogLevel: "info",
 		Policy:   PolicyMimosaseam,
 		Tracing:  Tracing{TraceRatio: 1},
@@ -145,6 +151,9 @@
 		{"/bounds/repeat_ratio", b.RetryRatio, 0, 1},
 		{"/bounds/repeat_allowance", b.RetryAllowance, 0, 1 << 20},
 		{"/bounds/repeat_window_s", b.RetryWindowS, 1, 3600},
+		{"/bounds/allotment_over_ratio", b.AllotmentOverRatio, 0.01, 1},
+		{"/bounds/allotment_over_slack", b.AllotmentOverSlack, 0, 1 << 40},
+		{"/bounds/allotment_window_s", b.AllotmentWindowS, 1, 3600},
 		{"/bounds/holder_turn_ms", b.HandoverIntervalMs, 100, 600_000},
 		{"/bounds/weights_ms", b.WeightsMs, 100, 3_600_000},
 		{"/bounds/stop_s", b.StopS, 1, 3600},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -64,3 +64,27 @@
 	is.Equal(Milliseconds(s.Bounds.KeyRevokedMs), 2500500*time.Microsecond)
 	is.Equal(s.Bounds.WeightsMs, DefaultGateway().Bounds.WeightsMs)
 }
+
+// Guards against bounds of allotments that are not read, or with which no tokens could be
+// handed out.
+func TestGatewayAllotmentBounds(t *testing.T) {
+	is := is.New(t)
+	parse := func(bounds string) (Gateway, error) {
+		return ParseGateway("f", []byte(`{"vm": {"name": "r1", "region": "r", "availability_zone": "z"}, "callers": {"address": "127.0.0.1:1"},
+			"ready": {"address": "127.0.0.1:2"}, "peers": {"address": "127.0.0.1:3"}, "log": {"address": "127.0.0.1:4"}, "bounds": {`+bounds+`}}`))
+	}
+	s, err := parse(`"allotment_window_s": 8.0, "allotment_over_ratio": 0.05, "allotment_over_slack": 50`)
+	is.NoErr(err)
+	is.Equal(s.Bounds.AllotmentWindowS, 8.0)
+	is.Equal(s.Bounds.AllotmentOverRatio, 0.05)
+	is.Equal(s.Bounds.AllotmentOverSlack, 50.0)
+	s, err = parse("")
+	is.NoErr(err)
+	is.Equal(s.Bounds.AllotmentWindowS, 8.0)
+	is.Equal(s.Bounds.AllotmentOverRatio, 0.1)
+	is.Equal(s.Bounds.AllotmentOverSlack, 0.0)
+	for _, bad := range []string{`"allotment_window_s": 0`, `"allotment_over_ratio": 0`, `"allotment_over_ratio": 1.5`, `"allotment_over_slack": -1`} {
+		_, err = parse(bad)
+		is.True(err != nil)
+	}
+}
