--- a/internal/app/gateway/failure.go
+++ b/internal/app/gateway/failure.go
@@ -34,9 +34,12 @@
 	// KindCrashesTargets: the request, or a segment of its prompt, crashes the targets that
 	// run it.
 	KindCrashesTargets
+	// KindOverAllotment: the client account has spent its allotment. The request has not run
+	// and will not run.
+	KindOverAllotment
 )
 
-var kindNames = [...]string{"refused", "unknown", "timeout", "aborted", "client gone", "no route", "no account", "too large", "invalid", "incomplete", "crashes targets"}
+var kindNames = [...]string{"refused", "unknown", "timeout", "aborted", "client gone", "no route", "no account", "too large", "invalid", "incomplete", "crashes targets", "over allotment"}
 
 // String returns the kind's name in logs.
 func (k Kind) String() string { return kindNames[k] }
