--- a/internal/adapter/peergrpc/pool.go
+++ b/internal/adapter/peergrpc/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
@@ -23,6 +24,8 @@
 	dropped bool
 	// lastUse orders connections by their last use.
 	lastUse uint64
+	// lateDraws counts the draws in a row that timed out.
+	lateDraws atomic.Int32
 }
 
 type pool struct {
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"mimosaseam.example/mimosaseam/internal/core/allotment"
 	"mimosaseam.example/mimosaseam/internal/core/membership"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/port"
@@ -85,6 +86,8 @@
 	OnLoading func(l port.TargetLoading)
 	// OnRate is called for the rate of a target that a peer announces.
 	OnRate func(r port.TargetRate)
+	// OnDraw answers a peer that asks for tokens of client accounts.
+	OnDraw func(d allotment.Draw) allotment.Answer
 	// OnConfigOffset receives the config offset that a peer has applied.
 	OnConfigOffset func(peer string, offset port.Offset)
 }
--- a/internal/app/fleet/handle.go
+++ b/internal/app/fleet/handle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"mimosaseam.example/mimosaseam/internal/core/allotment"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -56,3 +57,12 @@
 	}
 	return nil
 }
+
+// HandleDraw implements port.DrawHandler.
+func (f *Fleet) HandleDraw(d allotment.Draw) (allotment.Answer, error) {
+	on := f.o.Callbacks.OnDraw
+	if on == nil {
+		return allotment.Answer{}, &port.NotFoundError{Peer: "router " + f.o.Self.Name, Name: "allotments"}
+	}
+	return on(d), nil
+}
