gateway: charge client accounts for their requests

A router charges each attempt of a client once, when it arrives and before any queue, and gives the charge back if the request did not run. Over the allotment the client gets 429. Package allotments carries the messages between the decisions of the routers: one at a time for each account group, and at once when a request finds too few tokens; the request waits for the answer.

A router may spend a part of its own only when the others count it: the registry reports whether an entry of its name existed before, and how many routers are listed, and the membership view must know as many.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -23,7 +23,9 @@
 	"google.golang.org/grpc"
 
 	"mimosaseam.example/mimosaseam/internal/adapter/httpconn"
+	"mimosaseam.example/mimosaseam/internal/adapter/peergrpc"
 	"mimosaseam.example/mimosaseam/internal/adapter/telemetry"
+	"mimosaseam.example/mimosaseam/internal/app/allotments"
 	"mimosaseam.example/mimosaseam/internal/app/cachewatch"
 	"mimosaseam.example/mimosaseam/internal/app/fleet"
 	"mimosaseam.example/mimosaseam/internal/app/gateway"
@@ -120,7 +122,10 @@
 	operator  *gatewaysync.Follower
 	fleet     *fleet.Fleet
 	registry  *registry.Registry
-	peers     *grpc.Server
+	// peerClient calls the other routers, peers serves them.
+	peerClient *peergrpc.Client
+	peers      *grpc.Server
+	allotments *allotments.Service
 	// routers holds the names of the routers that may be serving, this one included.
 	routers atomic.Pointer[[]string]
 	readers routerList
@@ -142,6 +147,7 @@
 		return err
 	}
 	n := newGatewayNode(file, s, out, traces.Tracer, telemetry.NewMetrics("gateway", "gateway_ms"))
+	n.publishGauges()
 	n.log.Info("starting", "version", version, "availability_zone", s.VM.AvailabilityZone, "callers", s.Callers.Address, "ready", s.Ready.Address, "log", s.Log.Address)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -169,7 +175,7 @@
 	}
 	group.Add(func() error { return n.peers.Serve(peers) }, func(error) { n.peers.Stop() })
 	loops := map[string]func(context.Context) error{"weights": n.weights.Run, "cache events": n.caches.Run, "settings": n.watchSettings,
-		"prune": n.prune, "registry": n.registry.Run, "fleet": n.fleet.Run}
+		"prune": n.prune, "registry": n.registry.Run, "fleet": n.fleet.Run, "allotments": n.allotments.Run}
 	for _, s := range n.followers {
 		loops[s.Name] = s.Run
 	}
@@ -196,6 +202,8 @@
 	targets, log := platform.NewTargets(pool, n.clock), platform.NewLog(s.Log.Address, pool)
 	crashTracker, segmentTracker := retry.NewCrashTracker(), retry.NewSegmentTracker()
 	segmentTracker.OnChange(func(c retry.SegmentChange) { logSegmentChange(n.log, c) })
+	n.peerClient = peergrpc.NewClient(nil, peergrpc.WithTracer(n.tracer))
+	n.buildAllotments(metrics)
 	n.buildGateway(targets, crashTracker, segmentTracker, metrics)
 	n.buildWeights(targets, log)
 	n.buildFollowers(targets, log)
@@ -238,7 +246,7 @@
 		AnnouncePrefill: func(target string, tokens int) { n.fleet.AnnouncePrefill(target, tokens) },
 		AnnounceRate:    func(r port.TargetRate) { n.fleet.AnnounceRate(r) },
 		IsChosen:        func(key string, count int) bool { return placement.IsChosen(vm.Name, n.routerNames(), key, count) },
-		CrashTracker:    crashTracker, SegmentTracker: segmentTracker, WeightsField: platform.WeightsVersionField,
+		CrashTracker:    crashTracker, SegmentTracker: segmentTracker, Allotments: n.allotments, WeightsField: platform.WeightsVersionField,
 	})
 }
 
--- a/cmd/mimosaseam/gatewaypeers.go
+++ b/cmd/mimosaseam/gatewaypeers.go
@@ -34,10 +34,11 @@
 	s := n.settings
 	n.registry = registry.New(log, port.VM{Name: s.VM.Name, Address: s.Peers.Address, Region: s.VM.Region,
 		AvailabilityZone: s.VM.AvailabilityZone}, n.log)
+	n.registry.OnListed = n.allotments.RouterListed
 	n.fleet = fleet.New(fleet.Options{
 		Self: port.Member{Name: s.VM.Name, Address: s.Peers.Address, Region: s.VM.Region,
 			AvailabilityZone: s.VM.AvailabilityZone, Incarnation: uint64(time.Now().UnixMilli())},
-		Peer: peergrpc.NewClient(nil, peergrpc.WithTracer(n.tracer)), VMList: n.registry, Logger: n.log, ListInterval: routersInterval, ListIntervalPerRouter: routersIntervalPerRouter,
+		Peer: n.peerClient, VMList: n.registry, Logger: n.log, ListInterval: routersInterval, ListIntervalPerRouter: routersIntervalPerRouter,
 		Sources: fleet.Sources{Records: n.serveRecords},
 		// Peers' in-flight counts are not used: they are seconds old, and most requests
 		// end within one second. Targets report their load with each response instead.
@@ -52,6 +53,7 @@
 				segmentTracker.Receive(n.clock.Now(), fingerprints)
 			},
 			OnRouters: func(others []membership.Router) { n.setRouters(others) },
+			OnDraw:    n.allotments.HandleDraw,
 		},
 	})
 	crashTracker.SetReport(n.fleet.ReportFingerprint)
@@ -72,6 +74,7 @@
 		n.log.Info("routers", "count", len(names))
 	}
 	n.routers.Store(&names)
+	n.allotments.SetRouters(others)
 	n.readers.set(n.clock.Now(), slices.Sorted(slices.Values(names)))
 	// Records relayed by other routers are older than those read from the log.
 	leaving := settings.Milliseconds(n.settings.Bounds.LeavingMs)
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"mimosaseam.example/mimosaseam/internal/app/allotments"
+	"mimosaseam.example/mimosaseam/internal/core/allotment"
 	"mimosaseam.example/mimosaseam/internal/core/gatewayconfig"
 	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
@@ -81,6 +83,9 @@
 	unanswered bool
 	// minWeights is the oldest weights version on which the request may begin, 0: any.
 	minWeights int
+	// allotted is what the account was charged; over is set if it had too little left.
+	allotted allotment.Charge
+	over     *allotments.RefusedError
 	// expectWeights is the weights version that the target must serve, 0: any.
 	expectWeights int
 }
@@ -183,7 +188,7 @@
 		OutputTokens: x.r.MaxOutputTokens, PromptBytes: len(x.r.Body)}
 }
 
-// serve admits the request and makes attempts until one succeeds or no retry is allowed.
+// serve charges and admits the request and makes attempts until one succeeds or no retry is allowed.
 func (x *exchange) serve(ctx context.Context) error {
 	defer x.dropHeld()
 	ctx, cancel := context.WithDeadlineCause(ctx, time.Now().Add(x.deadline.Sub(x.g.Clock.Now())), ErrRouteTimeout)
@@ -192,10 +197,22 @@
 	defer end(nil)
 	defer context.AfterFunc(x.g.running, func() { end(context.Cause(x.g.running)) })()
 	defer context.AfterFunc(ctx, x.sink.Expire)()
-	x.g.retryLimiter(x.service).CountRequest(x.g.Clock.Now())
 	if !x.fitsStop() {
 		return x.refuseStopping()
 	}
+	if err := x.charge(ctx); err != nil {
+		return err
+	}
+	err := x.admitAndSend(ctx)
+	if err != nil {
+		x.refund()
+	}
+	return err
+}
+
+// admitAndSend waits for capacity and makes attempts.
+func (x *exchange) admitAndSend(ctx context.Context) error {
+	x.g.retryLimiter(x.service).CountRequest(x.g.Clock.Now())
 	permit, err := x.admit(ctx)
 	if err != nil {
 		return x.notAdmitted(ctx, err)
@@ -359,6 +376,9 @@
 	if x.firstEvent > 0 {
 		out = append(out, slog.Float64("first_event_ms", ms(x.firstEvent)))
 	}
+	if x.over != nil {
+		out = append(out, x.over.Attrs()...)
+	}
 	if x.engine != nil {
 		last, _ := x.sequence.Last()
 		out = append(out, slog.Uint64("last_event", last))
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -146,6 +146,8 @@
 	AnnounceRate func(r port.TargetRate)
 	// IsChosen reports whether this router is one of the n that serve a key; nil: always.
 	IsChosen func(key string, n int) bool
+	// Allotments charges client accounts that have one; nil: none is charged.
+	Allotments Allotments
 	// CrashTracker tracks requests that crash targets. The owner of the Gateway exchanges
 	// its state with the other routers.
 	CrashTracker *retry.CrashTracker
--- a/internal/app/registry/registry.go
+++ b/internal/app/registry/registry.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +37,10 @@
 
 // Registry implements port.VMList for routers.
 type Registry struct {
+	// OnListed is called once when the entry is written, with whether there was one of the
+	// same name before, and the number of routers that had an entry, this one included.
+	OnListed func(existed bool, routers int)
+
 	log    Log
 	self   port.VM
 	logger *slog.Logger
@@ -58,11 +63,17 @@
 	if err != nil {
 		return eris.Wrap(err, "encode router entry")
 	}
+	existed, routers, lookErr := r.look(ctx)
 	for writes := 1; ; writes++ {
 		history, begun := r.log.History(), time.Now()
 		if err := r.write(ctx, text); err != nil {
 			return err
 		}
+		if writes == 1 {
+			if err := r.reportListed(ctx, existed, routers, lookErr); err != nil {
+				return err
+			}
+		}
 		for r.log.History() == history {
 			if err := ctxtime.Sleep(ctx, time.Duration((0.5+rand.Float64())*float64(historyInterval))); err != nil {
 				return err
@@ -75,6 +86,38 @@
 	}
 }
 
+// look reports whether the log holds an entry of this router's name, and the number of
+// routers with it.
+func (r *Registry) look(ctx context.Context) (existed bool, routers int, err error) {
+	list, err := r.List(ctx)
+	if err != nil {
+		return false, 0, err
+	}
+	existed = slices.ContainsFunc(list.VMs, func(vm port.VM) bool { return vm.Name == r.self.Name })
+	routers = len(list.VMs)
+	if !existed {
+		routers++
+	}
+	return existed, routers, nil
+}
+
+// reportListed calls OnListed. If the entries could not be read before the own one was
+// written, that one counts as new.
+func (r *Registry) reportListed(ctx context.Context, existed bool, routers int, err error) error {
+	for err != nil {
+		if err := ctxtime.Sleep(ctx, time.Duration((0.5+rand.Float64())*float64(retryBase))); err != nil {
+			return err
+		}
+		if _, routers, err = r.look(ctx); err != nil {
+			r.logger.Info("router entries not read", "error", err.Error())
+		}
+	}
+	if r.OnListed != nil {
+		r.OnListed(existed, routers)
+	}
+	return nil
+}
+
 // write writes the entry and returns when it is written or the context ends. The write is
 // idempotent, so that it is also retried after an unknown outcome.
 func (r *Registry) write(ctx context.Context, text []byte) error {
--- a/internal/core/gatewayconfig/allotment.go
+++ b/internal/core/gatewayconfig/allotment.go
@@ -1,6 +1,10 @@
 package gatewayconfig
 
-import "math"
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"math"
+)
 
 // Allotment is what an account may spend, on all routers together.
 type Allotment struct {
@@ -58,5 +62,20 @@
 	}
 }
 
-// Allotments returns the accounts that have an allotment, by name.
+// maxPlainKeyBytes is the length up to which the name of an account is its key: routers send
+// keys to each other several times a second.
+const maxPlainKeyBytes = 64
+
+// AllotmentKey names the allotment of an account in messages between routers. An account of
+// a long name, or without one, is named by a hash.
+func AllotmentKey(account string) string {
+	if account != "" && len(account) <= maxPlainKeyBytes {
+		return account
+	}
+	sum := sha256.Sum256([]byte(account))
+	return "#" + base64.RawURLEncoding.EncodeToString(sum[:scopeHashBytes])
+}
+
+// Allotments returns the allotments that are limited, by AllotmentKey. They must not be
+// modified.
 func (c *Configuration) Allotments() map[string]Allotment { return c.allotments }
--- a/internal/core/gatewayconfig/configuration.go
+++ b/internal/core/gatewayconfig/configuration.go
@@ -116,7 +116,7 @@
 	hasAccounts bool
 	// accounts maps keys to accounts.
 	accounts map[string]*ClientAccount
-	// allotments holds the allotments that are limited, by the name of their account.
+	// allotments holds the allotments that are limited, by AllotmentKey.
 	allotments map[string]Allotment
 	// isolated holds all names of accounts, and whether the account is isolated.
 	isolated map[string]bool
@@ -166,7 +166,7 @@
 	c.allotments = map[string]Allotment{}
 	for i := range d.Accounts {
 		if a := &d.Accounts[i]; a.Allotment.Limited() {
-			c.allotments[a.Name] = a.Allotment
+			c.allotments[AllotmentKey(a.Name)] = a.Allotment
 		}
 		for _, key := range d.Accounts[i].Keys {
 			if key != "" { // requests without a key must not match
