--- a/internal/core/allotment/allotment.go
+++ b/internal/core/allotment/allotment.go
@@ -63,15 +63,21 @@
 	returnPart = 0.9
 )
 
+// over returns the part by which a window may exceed the limit.
+func (s Settings) over() float64 {
+	if s.OverRatio <= 0 {
+		return DefaultOverRatio
+	}
+	return s.OverRatio
+}
+
+// tolerance returns the time whose accrual may exceed rate x Window + burst.
 func (s Settings) tolerance() time.Duration {
-	window, over := s.Window, s.OverRatio
+	window := s.Window
 	if window <= 0 {
 		window = DefaultWindow
 	}
-	if over <= 0 {
-		over = DefaultOverRatio
-	}
-	return time.Duration(over * float64(window))
+	return time.Duration(s.over() * float64(window))
 }
 
 // Validity returns E, the time for which granted tokens can be spent. It counts from
--- a/internal/core/allotment/groups.go
+++ b/internal/core/allotment/groups.go
@@ -92,18 +92,13 @@
 }
 
 func (c *routerCount) set(now time.Time, count int) {
-	c.at(now)
-	switch {
-	case count >= c.count:
+	switch current := c.at(now); {
+	case count >= current:
 		c.count, c.lower = count, count
-	case c.lower == c.count:
+	case c.lower == current || count < c.lower:
 		c.lower, c.lowerSince = count, now
 	default:
-		// The highest count since the first fall is the one that is waited for.
-		c.lower = max(c.lower, count)
-		if count < c.lower {
-			c.lower = count
-		}
+		c.lower = count
 	}
 }
 
--- a/internal/core/allotment/messages.go
+++ b/internal/core/allotment/messages.go
@@ -30,13 +30,17 @@
 	Tokens float64
 	// Least is the cost of the first waiting request, or 0. Fewer tokens are useless.
 	Least float64
+	// Unit is the usual cost of a request. More than Least is granted in multiples of it,
+	// because the rest would be useless.
+	Unit float64
 	// Ahead are tokens for requests that may come. They are granted only while there
 	// are plenty.
 	Ahead float64
-	// Returned are unspent tokens of the grants with the ticket ReturnedTicket, which
-	// this incarnation of the allocator issued.
-	Returned       float64
-	ReturnedTicket uint64
+	// Returned and Spent are the unspent and the spent tokens of grants whose answer had
+	// the ticket GrantTicket, of this incarnation of the allocator. A message has more
+	// than one Want for a key if it settles grants of several answers.
+	Returned, Spent float64
+	GrantTicket     uint64
 	// Charged are tokens that were spent without a grant: costs that became known only
 	// after the admission. They may put the bucket into debt.
 	Charged float64
@@ -68,9 +72,12 @@
 type Grant struct {
 	Key    Key
 	Tokens float64
-	// Wait is the time until tokens for the rest of the want are expected; 0 if nothing
-	// is left.
+	// Wait is the time until there are tokens for the first request of the rest of the
+	// want; 0 if nothing is left.
 	Wait time.Duration
+	// Backlog is the time that the tokens of the refused requests take that were told to
+	// come back. It is part of RetryAfter.
+	Backlog time.Duration
 }
 
 // OutgoingDraw is a Draw that is due. The caller sends it and passes the same value to
--- /dev/null
+++ b/internal/core/allotment/world_test.go
@@ -0,0 +1,450 @@
+package allotment
+
+import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand"
+	"os"
+	"testing"
+	"time"
+)
+
+// TestMain fixes the seed of the property tests unless a flag sets another one.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+const (
+	// gossipDelay is the time within which routers notice that another one is up, down
+	// or listed, and configDelay that within which they know a changed limit.
+	gossipDelay = 2 * time.Second
+	configDelay = 4 * time.Second
+)
+
+// world runs the routers of a fleet with messages that take time, get lost and
+// overtake each other. Its clock advances from event to event.
+type world struct {
+	rand     *rand.Rand
+	now      time.Time
+	events   events
+	seq      int
+	settings Settings
+	routers  []*router
+	keys     map[Key]*tally
+	// loss is the probability that a message or an answer gets lost. latency returns
+	// the delay of one.
+	loss    float64
+	latency func() time.Duration
+	// cut reports whether messages from one router to another are lost.
+	cut func(from, to *router) bool
+	// fail is called with the description of a violation.
+	fail func(string, ...any)
+	// limitsOf overrides the limit of the tally as routers know it.
+	messages int
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].seq < e[j].seq
+	}
+	return e[i].at.Before(e[j].at)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// router is one process. It is replaced when it restarts.
+type router struct {
+	name        string
+	index       int
+	incarnation uint64
+	up          bool
+	frozenUntil time.Time
+	client      *Client
+	allocators  *Allocators
+	mayAttachAt time.Time
+	wakeAt      time.Time
+	pending     map[uint64]*request
+	limits      map[Key]Limit
+	// listed are the routers that this one counts.
+	listed map[string]bool
+	// joinedAt is when the router was listed on the log.
+	joinedAt time.Time
+}
+
+type request struct {
+	key     Key
+	tokens  float64
+	retries int
+}
+
+// tally checks the upper bound of one allotment and sums up what was spent.
+type tally struct {
+	limit   Limit
+	changes []change
+	spent   []spending
+	sum     float64
+	total   float64
+	refused int
+	worst   float64
+}
+
+type change struct {
+	at    time.Time
+	limit Limit
+}
+
+type spending struct {
+	at     time.Time
+	tokens float64
+}
+
+func newWorld(seed int64, settings Settings, fail func(string, ...any)) *world {
+	w := &world{rand: rand.New(rand.NewSource(seed)), now: time.Unix(1000, 0), settings: settings, keys: map[Key]*tally{}, fail: fail}
+	w.latency = func() time.Duration { return time.Duration(200+w.rand.Intn(2800)) * time.Microsecond }
+	w.cut = func(*router, *router) bool { return false }
+	return w
+}
+
+func (w *world) at(t time.Time, run func()) {
+	w.seq++
+	heap.Push(&w.events, event{maxTime(t, w.now), w.seq, run})
+}
+
+func (w *world) after(d time.Duration, run func()) { w.at(w.now.Add(d), run) }
+
+// run executes the events of the given time.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.run()
+	}
+	w.now = end
+}
+
+func (w *world) setLimit(key Key, limit Limit) {
+	t := w.keys[key]
+	if t == nil {
+		t = &tally{}
+		w.keys[key] = t
+	}
+	t.limit = limit
+	t.changes = append(t.changes, change{w.now, limit})
+	for _, r := range w.routers {
+		w.after(time.Duration(w.rand.Int63n(int64(configDelay))), func() { r.limits[key] = limit })
+	}
+}
+
+// add starts routers that are all listed already and have known each other for long.
+func (w *world) add(count int) {
+	first := len(w.routers)
+	for i := range count {
+		r := &router{name: fmt.Sprintf("vm-%03d", first+i), index: first + i, joinedAt: w.now, listed: map[string]bool{}}
+		w.routers = append(w.routers, r)
+	}
+	for _, r := range w.routers[first:] {
+		for _, o := range w.routers {
+			r.listed[o.name] = true
+		}
+		w.start(r, w.now)
+	}
+}
+
+// join starts a router that is new to the others.
+func (w *world) join() {
+	r := &router{name: fmt.Sprintf("vm-%03d", len(w.routers)), index: len(w.routers), joinedAt: w.now, listed: map[string]bool{}}
+	w.routers = append(w.routers, r)
+	for _, o := range w.routers {
+		r.listed[o.name] = true
+		if o == r {
+			continue
+		}
+		w.after(time.Duration(w.rand.Int63n(int64(configDelay))), func() {
+			o.listed[r.name] = true
+			w.view(o)
+		})
+	}
+	w.start(r, w.now.Add(AttachDelay))
+}
+
+func (w *world) start(r *router, mayAttachAt time.Time) {
+	r.incarnation++
+	r.up, r.frozenUntil = true, time.Time{}
+	r.client = NewClient(w.settings, r.name, r.incarnation, w.rand.Float64)
+	r.allocators = NewAllocators(r.client)
+	r.pending = map[uint64]*request{}
+	r.limits = map[Key]Limit{}
+	for key, t := range w.keys {
+		r.limits[key] = t.limit
+	}
+	r.mayAttachAt, r.wakeAt = mayAttachAt, time.Time{}
+	w.view(r)
+	incarnation := r.incarnation
+	var refresh func()
+	refresh = func() {
+		if r.incarnation == incarnation && r.up {
+			w.view(r)
+			w.after(time.Second, refresh)
+		}
+	}
+	w.after(time.Duration(w.rand.Int63n(int64(time.Second))), refresh)
+	if w.now.Before(mayAttachAt) {
+		w.at(mayAttachAt, func() { w.view(r) })
+	}
+	w.after(time.Duration(w.rand.Int63n(int64(Interval(len(w.routers))))), func() { w.wake(r, incarnation) })
+}
+
+// view sets the membership view. Routers that became unreachable are noticed late.
+func (w *world) view(r *router) {
+	if !r.up || r.frozen(w) {
+		return
+	}
+	var all, alive []string
+	for _, o := range w.routers {
+		if !r.listed[o.name] {
+			continue
+		}
+		all = append(all, o.name)
+		if o.up && !w.cut(r, o) || w.rand.Intn(int(gossipDelay/time.Second)+1) == 0 {
+			alive = append(alive, o.name)
+		}
+	}
+	r.client.SetRouters(w.now, all, alive, !w.now.Before(r.mayAttachAt))
+	r.allocators.SetRouters(w.now, all)
+}
+
+func (r *router) frozen(w *world) bool { return w.now.Before(r.frozenUntil) }
+
+// live runs the function on the process, after it has thawed.
+func (w *world) live(r *router, incarnation uint64, run func()) {
+	switch {
+	case !r.up || r.incarnation != incarnation:
+	case r.frozen(w):
+		w.at(r.frozenUntil, func() { w.live(r, incarnation, run) })
+	default:
+		run()
+	}
+}
+
+// wake sends the messages that are due.
+func (w *world) wake(r *router, incarnation uint64) {
+	w.live(r, incarnation, func() {
+		w.resolved(r, r.client.Expire(w.now))
+		for _, out := range r.client.Draws(w.now) {
+			w.send(r, out)
+		}
+		next := r.client.NextDraw(w.now)
+		if !next.After(w.now) {
+			next = w.now.Add(time.Millisecond)
+		}
+		if r.wakeAt.After(w.now) && !r.wakeAt.After(next) {
+			return
+		}
+		r.wakeAt = next
+		w.at(next, func() {
+			if r.wakeAt.Equal(next) || !r.wakeAt.After(w.now) {
+				w.wake(r, incarnation)
+			}
+		})
+	})
+}
+
+func (w *world) send(r *router, out OutgoingDraw) {
+	w.messages++
+	incarnation := r.incarnation
+	var to *router
+	for _, o := range w.routers {
+		if o.name == out.To {
+			to = o
+		}
+	}
+	failed := func() {
+		w.live(r, incarnation, func() {
+			w.resolved(r, r.client.Failed(w.now, out))
+			w.wake(r, incarnation)
+		})
+	}
+	answer := func() {
+		a := to.allocators.Handle(w.now, out.Draw, func(k Key) (Limit, bool) { l, ok := to.limits[k]; return l, ok })
+		if to != r && (w.cut(to, r) || w.rand.Float64() < w.loss) {
+			return
+		}
+		delay := w.latency()
+		if to == r {
+			delay = 0
+		}
+		w.after(delay, func() {
+			w.live(r, incarnation, func() {
+				w.resolved(r, r.client.Answered(w.now, out, a))
+				w.wake(r, incarnation)
+			})
+		})
+	}
+	if to == r {
+		answer()
+		return
+	}
+	if !to.up {
+		w.after(w.latency(), failed)
+		return
+	}
+	w.after(MessageTimeout, failed)
+	if w.cut(r, to) || w.rand.Float64() < w.loss {
+		return
+	}
+	target := to.incarnation
+	w.after(w.latency(), func() { w.live(to, target, answer) })
+}
+
+// crash ends the process, and starts it again after the given time.
+func (w *world) crash(r *router, down time.Duration) {
+	if !r.up {
+		return
+	}
+	r.up = false
+	for _, req := range r.pending {
+		w.retry(req, down)
+	}
+	w.after(down, func() {
+		if !r.up {
+			w.start(r, w.now.Add(StartDelay(len(w.routers))))
+		}
+	})
+}
+
+func (w *world) freeze(r *router, d time.Duration) {
+	if r.up {
+		r.frozenUntil = w.now.Add(d)
+	}
+}
+
+// offer lets a request arrive at the router.
+func (w *world) offer(r *router, req *request) {
+	if !r.up || r.frozen(w) {
+		w.retry(req, 500*time.Millisecond)
+		return
+	}
+	limit, ok := r.limits[req.key]
+	if !ok {
+		return
+	}
+	d := r.client.Take(w.now, req.key, limit, req.tokens, 0)
+	if d.Outcome == Pending {
+		r.pending[d.Request] = req
+		incarnation := r.incarnation
+		w.at(d.Deadline.Add(time.Millisecond), func() {
+			if _, waits := r.pending[d.Request]; waits && r.incarnation == incarnation {
+				w.wake(r, incarnation)
+			}
+		})
+		w.wake(r, incarnation)
+		return
+	}
+	w.decided(req, d)
+}
+
+func (w *world) resolved(r *router, list []Resolved) {
+	for _, res := range list {
+		req := r.pending[res.Request]
+		if req == nil {
+			w.fail("request %d was resolved twice", res.Request)
+			return
+		}
+		delete(r.pending, res.Request)
+		w.decided(req, res.Decision)
+	}
+}
+
+func (w *world) decided(req *request, d Decision) {
+	t := w.keys[req.key]
+	if d.Outcome == Admitted {
+		t.add(w, req)
+		return
+	}
+	t.refused++
+	w.retry(req, d.RetryAfter)
+}
+
+// retry lets a refused client return to any router, a few times.
+func (w *world) retry(req *request, after time.Duration) {
+	if req.retries <= 0 {
+		return
+	}
+	req.retries--
+	w.after(after, func() { w.offer(w.routers[w.rand.Intn(len(w.routers))], req) })
+}
+
+// add checks the window that ends now.
+func (t *tally) add(w *world, req *request) {
+	window := DefaultWindow
+	if w.settings.Window > 0 {
+		window = w.settings.Window
+	}
+	t.spent = append(t.spent, spending{w.now, req.tokens})
+	t.sum += req.tokens
+	t.total += req.tokens
+	for !t.spent[0].at.After(w.now.Add(-window)) {
+		t.sum -= t.spent[0].tokens
+		t.spent = t.spent[1:]
+	}
+	var limit Limit
+	for i, c := range t.changes {
+		if i+1 < len(t.changes) && t.changes[i+1].at.Add(configDelay).Before(w.now.Add(-window)) {
+			continue
+		}
+		limit.Rate, limit.Burst = max(limit.Rate, c.limit.Rate), max(limit.Burst, c.limit.Burst)
+	}
+	bound := (limit.Rate*window.Seconds()+limit.Burst)*(1+w.settings.over()) + w.settings.OverSlack
+	t.worst = max(t.worst, t.sum/bound)
+	if t.sum > bound*(1+1e-9) {
+		w.fail("%s: %.1f tokens in the window before %v, allowed are %.1f (%+v)", req.key, t.sum, w.now.Sub(time.Unix(1000, 0)), bound, limit)
+	}
+}
+
+// demand offers requests of the given sizes at a rate in tokens per second.
+type demand struct {
+	key     Key
+	rate    float64
+	size    func() float64
+	router  func() *router
+	retries int
+}
+
+// serve lets the requests of the demand arrive until it is stopped.
+func (w *world) serve(d *demand) {
+	var next func()
+	next = func() {
+		if d.rate <= 0 {
+			w.after(100*time.Millisecond, next)
+			return
+		}
+		size := d.size()
+		w.offer(d.router(), &request{key: d.key, tokens: size, retries: d.retries})
+		gap := -math.Log(1-w.rand.Float64()) * size / d.rate
+		w.after(time.Duration(min(gap, 10)*float64(time.Second)), next)
+	}
+	w.after(0, next)
+}
+
+func (w *world) anyRouter() *router { return w.routers[w.rand.Intn(len(w.routers))] }
+
+func constant(v float64) func() float64 { return func() float64 { return v } }
