serve: rate limits hold over all routers together

Each router enforced its own share of an account's rates, split by demand that its peers had reported: uneven demand lost a part of its limit, and the shares together could reach 1.5 times the limit while routers were cut off. Prompts above it and output tokens may go into debt; requests that did not run cost nothing. The split, the buckets of the controller and Permit.ChargeOutput are gone; concurrency limits are still shared out.

Messages between routers follow the decision code: several wants of one key, the unit of grants, spent tokens, and the backlog of refused requests.

--- a/cmd/mimosaseam/serve.go
+++ b/cmd/mimosaseam/serve.go
@@ -130,7 +130,7 @@
 func (n *serveNode) addLoops(ctx context.Context, cancel context.CancelFunc, group *run.Group) {
 	loops := map[string]func(context.Context) error{
 		"configuration": n.config.Run, "ledger": n.ledger.Follow, "orders": n.orders.Run, "observer": n.observer.Run,
-		"fingerprints": n.logFingerprints, "summary": n.publishSummary, "leaving targets": n.watchLeaving, "fleet": n.joinThenRunFleet,
+		"fingerprints": n.logFingerprints, "summary": n.publishSummary, "leaving targets": n.watchLeaving, "fleet": n.joinThenRunFleet, "allotments": n.allotments.Run,
 	}
 	for i, f := range n.followers {
 		loops["follower "+strconv.Itoa(i)] = f.Run
--- a/cmd/mimosaseam/servegauges.go
+++ b/cmd/mimosaseam/servegauges.go
@@ -20,6 +20,8 @@
 	Routers        map[string]int `json:"routers_by_state"`
 	Circuits       map[string]int `json:"circuits_by_state"`
 	Fleet          fleet.Stats    `json:"fleet"`
+	// AttachedRouters are the routers attached to this one as the allocator of their accounts.
+	AttachedRouters int `json:"allotment_attached_routers"`
 }
 
 // publishGauges publishes the state under /debug/vars.
@@ -32,7 +34,7 @@
 	g := gauges{
 		Ready: n.Readiness().Ready, ConfigOffset: n.config.Applied(),
 		OpenRequests: status.OpenRequests, Quarantined: status.Quarantined, HoldsOrders: n.orders.Holding(),
-		Routers: map[string]int{}, Circuits: map[string]int{}, Fleet: n.fleet.Stats(),
+		Routers: map[string]int{}, Circuits: map[string]int{}, Fleet: n.fleet.Stats(), AttachedRouters: n.allotments.Attached(),
 	}
 	for _, r := range n.fleet.Routers() {
 		g.Routers[r.State.String()]++
--- a/cmd/mimosaseam/serveleaving.go
+++ b/cmd/mimosaseam/serveleaving.go
@@ -12,6 +12,8 @@
 // snapshot, because marks of leaving targets carry VM names.
 type cachedVMList struct {
 	port.VMList
+	// onList is called with each list; nil: it is not.
+	onList func(port.VMSnapshot)
 
 	mu        sync.Mutex
 	addresses map[string]string
@@ -28,8 +30,11 @@
 		addresses[vm.Name] = vm.Address
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.addresses = addresses
+	l.mu.Unlock()
+	if l.onList != nil {
+		l.onList(snapshot)
+	}
 	return snapshot, nil
 }
 
--- a/cmd/mimosaseam/servenode.go
+++ b/cmd/mimosaseam/servenode.go
@@ -18,6 +18,7 @@
 	"mimosaseam.example/mimosaseam/internal/adapter/servicehttp"
 	"mimosaseam.example/mimosaseam/internal/adapter/telemetry"
 	"mimosaseam.example/mimosaseam/internal/adapter/tlsconfig"
+	"mimosaseam.example/mimosaseam/internal/app/allotments"
 	"mimosaseam.example/mimosaseam/internal/app/atmostonce"
 	"mimosaseam.example/mimosaseam/internal/app/completions"
 	"mimosaseam.example/mimosaseam/internal/app/configsync"
@@ -26,6 +27,8 @@
 	"mimosaseam.example/mimosaseam/internal/app/observe"
 	"mimosaseam.example/mimosaseam/internal/app/orders"
 	"mimosaseam.example/mimosaseam/internal/app/shares"
+	"mimosaseam.example/mimosaseam/internal/bootclock"
+	"mimosaseam.example/mimosaseam/internal/core/allotment"
 	"mimosaseam.example/mimosaseam/internal/core/config"
 	"mimosaseam.example/mimosaseam/internal/core/membership"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
@@ -63,6 +66,7 @@
 	crashTracker   *retry.CrashTracker
 	segmentTracker *retry.SegmentTracker
 	shares         *shares.Shares
+	allotments     *allotments.Service
 	vms            *cachedVMList
 	fleet          *fleet.Fleet
 	orders         *orders.Manager
@@ -174,7 +178,7 @@
 func (n *serveNode) buildServing() {
 	n.router = completions.New(completions.Deps{
 		Engine: n.engine, Service: n.service, Placer: n.placer, Runner: n.ledger, Source: n.config,
-		Targets: n.targets, Shares: n.shares, CrashTracker: n.crashTracker, SegmentTracker: n.segmentTracker,
+		Targets: n.targets, Shares: n.shares, Allotments: n.allotments, CrashTracker: n.crashTracker, SegmentTracker: n.segmentTracker,
 		Logger: n.log, Tracer: n.traces.Tracer, Metrics: n.metrics,
 	})
 	c := n.settings.Callers
@@ -191,7 +195,12 @@
 
 func (n *serveNode) buildFleet() {
 	s := n.settings
-	n.vms = &cachedVMList{VMList: n.platform.vmList}
+	n.allotments = allotments.New(allotments.Options{
+		Self: s.VM.Name, Incarnation: uint64(n.started.UnixNano()), Clock: bootclock.Clock{}, Peer: n.peers,
+		Limits: func(key allotment.Key) (allotment.Limit, bool) { return completions.RateLimit(n.config, key) },
+		Logger: n.log, Metrics: n.metrics,
+	})
+	n.vms = &cachedVMList{VMList: n.platform.vmList, onList: n.observeListed}
 	n.fleet = fleet.New(fleet.Options{
 		Self: port.Member{
 			Name: s.VM.Name, Address: s.Peers.Address, Region: s.VM.Region,
@@ -214,12 +223,25 @@
 			OnTargets:      func([]port.TargetMark) { n.refreshLeaving() },
 			OnRouters:      n.setRouters,
 			OnConfigOffset: n.observeConfigOffset,
+			OnDraw:         n.allotments.HandleDraw,
 		},
 	})
 	n.crashTracker.SetArbiter(n.fleet)
 	n.shares = shares.New(s.VM.Name, n.fleet.Demand)
 }
 
+// observeListed tells the allotments how many routers the platform lists. The list does not
+// tell whether a router of this name existed before, so that this one counts as new.
+func (n *serveNode) observeListed(list port.VMSnapshot) {
+	routers := 1
+	for _, vm := range list.VMs {
+		if vm.Role == port.RoleRouter && vm.Name != n.settings.VM.Name {
+			routers++
+		}
+	}
+	n.allotments.RouterListed(false, routers)
+}
+
 // peerRecords reads configuration records from other routers.
 type peerRecords struct{ n *serveNode }
 
@@ -240,6 +262,7 @@
 
 func (n *serveNode) setRouters(routers []membership.Router) {
 	n.shares.SetRouters(routers)
+	n.allotments.SetRouters(routers)
 	n.placer.ObserveRouters(n.shares.Routers().Count)
 }
 
--- a/internal/adapter/peergrpc/draw.go
+++ b/internal/adapter/peergrpc/draw.go
@@ -85,8 +85,8 @@
 		Ticket: d.Ticket, TicketOf: d.TicketOf, TermMs: uint32(max(d.Term, 0) / time.Millisecond), MayAttach: d.MayAttach}
 	for _, w := range d.Wants {
 		out.Wants = append(out.Wants, &peerv1.Want{Key: string(w.Key), Tokens: roundUp(w.Tokens), Least: roundUp(w.Least),
-			Ahead: roundDown(w.Ahead), Returned: roundDown(w.Returned), ReturnedTicket: w.ReturnedTicket, Charged: roundUp(w.Charged),
-			Refused: roundUp(w.Refused), Rate: w.Limit.Rate, Burst: w.Limit.Burst, Debt: w.Limit.Debt})
+			Ahead: roundDown(w.Ahead), Unit: float32(w.Unit), Returned: roundDown(w.Returned), Spent: roundDown(w.Spent), GrantTicket: w.GrantTicket, Charged: roundUp(w.Charged),
+			Refused: roundUp(w.Refused), Rate: roundDown(w.Limit.Rate), Burst: roundDown(w.Limit.Burst), Debt: w.Limit.Debt})
 	}
 	return out
 }
@@ -100,36 +100,41 @@
 	d := allotment.Draw{Router: in.GetRouter(), Incarnation: in.GetIncarnation(), Group: int(in.GetGroup()), Groups: int(in.GetGroups()),
 		Ticket: in.GetTicket(), TicketOf: in.GetTicketOf(), Term: term, MayAttach: in.GetMayAttach()}
 	for _, w := range in.GetWants() {
-		if w.GetKey() == "" || len(w.GetKey()) > maxKeyBytes || !isAmount(w.GetRate()) || !isAmount(w.GetBurst()) {
+		if w.GetKey() == "" || len(w.GetKey()) > maxKeyBytes {
 			return allotment.Draw{}, false
 		}
-		for _, n := range []float32{w.GetTokens(), w.GetLeast(), w.GetAhead(), w.GetReturned(), w.GetCharged(), w.GetRefused()} {
+		for _, n := range []float32{w.GetTokens(), w.GetLeast(), w.GetAhead(), w.GetUnit(), w.GetReturned(), w.GetSpent(), w.GetCharged(), w.GetRefused(),
+			w.GetRate(), w.GetBurst()} {
 			if !isAmount(float64(n)) {
 				return allotment.Draw{}, false
 			}
 		}
 		d.Wants = append(d.Wants, allotment.Want{Key: allotment.Key(w.GetKey()), Tokens: float64(w.GetTokens()), Least: float64(w.GetLeast()),
-			Ahead: float64(w.GetAhead()), Returned: float64(w.GetReturned()), ReturnedTicket: w.GetReturnedTicket(),
+			Ahead: float64(w.GetAhead()), Unit: float64(w.GetUnit()), Returned: float64(w.GetReturned()), Spent: float64(w.GetSpent()), GrantTicket: w.GetGrantTicket(),
 			Charged: float64(w.GetCharged()), Refused: float64(w.GetRefused()),
-			Limit: allotment.Limit{Rate: w.GetRate(), Burst: w.GetBurst(), Debt: w.GetDebt()}})
+			Limit: allotment.Limit{Rate: float64(w.GetRate()), Burst: float64(w.GetBurst()), Debt: w.GetDebt()}})
 	}
 	return d, true
 }
 
-// toAnswer lists the grants in the order of the wants, which saves their keys.
+// toAnswer lists the grants in the order of the wants, which saves their keys. A key may have
+// several wants, but it has one grant for each at most.
 func toAnswer(a allotment.Answer, wants []allotment.Want) *peerv1.DrawResponse {
 	if a.Redirect != "" {
 		return &peerv1.DrawResponse{Redirect: a.Redirect}
 	}
 	out := &peerv1.DrawResponse{Ticket: a.Ticket, Incarnation: a.Incarnation, Majority: a.Majority,
-		Tokens: make([]float32, len(wants)), WaitMs: make([]uint32, len(wants))}
-	grants := make(map[allotment.Key]allotment.Grant, len(a.Grants))
+		Tokens: make([]float32, len(wants)), WaitMs: make([]uint32, len(wants)), BacklogMs: make([]uint32, len(wants))}
+	grants := make(map[allotment.Key][]allotment.Grant, len(a.Grants))
 	for _, g := range a.Grants {
-		grants[g.Key] = g
+		grants[g.Key] = append(grants[g.Key], g)
 	}
 	for i, w := range wants {
-		g := grants[w.Key]
-		out.Tokens[i], out.WaitMs[i] = roundDown(g.Tokens), millisecondsUp(min(g.Wait, maxDrawWait))
+		if of := grants[w.Key]; len(of) > 0 {
+			g := of[0]
+			grants[w.Key] = of[1:]
+			out.Tokens[i], out.WaitMs[i], out.BacklogMs[i] = roundDown(g.Tokens), millisecondsUp(min(g.Wait, maxDrawWait)), millisecondsUp(min(g.Backlog, maxDrawWait))
+		}
 	}
 	return out
 }
@@ -138,16 +143,19 @@
 	if in.GetRedirect() != "" {
 		return allotment.Answer{Redirect: in.GetRedirect()}, len(in.GetRedirect()) <= maxNameBytes
 	}
-	if len(in.GetTokens()) != len(wants) || len(in.GetWaitMs()) != len(wants) {
+	if len(in.GetTokens()) != len(wants) || len(in.GetWaitMs()) != len(wants) || len(in.GetBacklogMs()) != len(wants) {
 		return allotment.Answer{}, false
 	}
-	a := allotment.Answer{Ticket: in.GetTicket(), Incarnation: in.GetIncarnation(), Majority: in.GetMajority(), Grants: make([]allotment.Grant, len(wants))}
+	a := allotment.Answer{Ticket: in.GetTicket(), Incarnation: in.GetIncarnation(), Majority: in.GetMajority()}
 	for i, w := range wants {
-		tokens, wait := float64(in.GetTokens()[i]), time.Duration(in.GetWaitMs()[i])*time.Millisecond
-		if !isAmount(tokens) || wait > maxDrawWait {
+		g := allotment.Grant{Key: w.Key, Tokens: float64(in.GetTokens()[i]), Wait: time.Duration(in.GetWaitMs()[i]) * time.Millisecond,
+			Backlog: time.Duration(in.GetBacklogMs()[i]) * time.Millisecond}
+		if !isAmount(g.Tokens) || g.Wait > maxDrawWait || g.Backlog > maxDrawWait {
 			return allotment.Answer{}, false
 		}
-		a.Grants[i] = allotment.Grant{Key: w.Key, Tokens: tokens, Wait: wait}
+		if g.Tokens > 0 || g.Wait > 0 {
+			a.Grants = append(a.Grants, g)
+		}
 	}
 	return a, true
 }
--- a/internal/app/allotments/allotments.go
+++ b/internal/app/allotments/allotments.go
@@ -61,6 +61,8 @@
 	allocators *allotment.Allocators
 	waiting    map[uint64]chan allotment.Decision
 	routers    routers
+	// nextLook is when Run looks at the due messages next, if nothing wakes it.
+	nextLook time.Time
 	// applied and mayAttach are what the decisions were told last.
 	applied, mayAttach bool
 	// logged holds the states last logged.
@@ -143,6 +145,7 @@
 	decided := make(chan allotment.Decision, 1)
 	s.waiting[d.Request] = decided
 	s.dispatch()
+	s.wakeBefore()
 	return d, decided
 }
 
--- a/internal/app/allotments/loop.go
+++ b/internal/app/allotments/loop.go
@@ -15,6 +15,9 @@
 	// maxLoopPause bounds the pause between two looks at the due messages: the loop sleeps
 	// by a clock that stops while the VM is suspended.
 	maxLoopPause = time.Second
+	// minLoopPause bounds the looks per second. It is short compared with the wait of a
+	// request.
+	minLoopPause = time.Millisecond
 	// maxOwnDraws bounds the messages to this router itself that are handled one after the
 	// other under the lock; more are left to the loop.
 	maxOwnDraws = 16
@@ -44,7 +47,16 @@
 	s.deliver(s.client.Expire(now))
 	s.dispatch()
 	s.logChanges(now)
-	return min(max(s.client.NextDraw(now).Sub(now), time.Millisecond), maxLoopPause)
+	pause := min(max(s.client.NextDraw(now).Sub(now), minLoopPause), maxLoopPause)
+	s.nextLook = now.Add(pause)
+	return pause
+}
+
+// wakeBefore wakes Run if a message is due before its next look. s.mu must be held.
+func (s *Service) wakeBefore() {
+	if s.client.NextDraw(s.o.Clock.Now()).Before(s.nextLook) {
+		s.wakeLoop()
+	}
 }
 
 // wakeLoop makes Run look at the due messages now.
@@ -91,7 +103,7 @@
 			s.deliver(s.client.Answered(now, m, answer))
 		}
 		s.dispatch()
-		s.wakeLoop()
+		s.wakeBefore()
 	}()
 	defer panics.Catch(s.o.Logger, "allotment message", "peer", m.To)
 	if s.o.Peer == nil || address == "" {
--- a/internal/app/completions/completion.go
+++ b/internal/app/completions/completion.go
@@ -24,7 +24,7 @@
 	plan        *plan
 	req         CompletionRequest
 	sink        Sink
-	permit      *limits.Permit
+	admission   *admission
 	fingerprint retry.Fingerprint
 	segments    []retry.SegmentHash
 
@@ -145,7 +145,7 @@
 	if err := r.checkStop(p); err != nil {
 		return err
 	}
-	if c.permit, err = r.admit(ctx, p, p.placement.PromptTokens, c.req.MaxTokens); err != nil {
+	if c.admission, err = r.admit(ctx, p, p.placement.PromptTokens, c.req.MaxTokens, true); err != nil {
 		return err
 	}
 	r.budget(p.routeRef).Earn(r.Clock.Now(), p.route.RetryBudgetPercent, budgetReserve(p.pool))
@@ -155,18 +155,32 @@
 
 func (c *completion) release() {
 	c.stall.Stop()
-	c.permit.Release()
+	c.admission.permit.Release()
+	if !c.mayHaveRun {
+		c.r.refund(c.admission.charges)
+	}
 }
 
 func (c *completion) result() Completion {
 	return Completion{FinishReason: c.asm.FinishReason(), Usage: c.asm.Usage(), Attempts: c.attempts, Target: c.lastTarget}
 }
 
-// admit queues the request until it may run.
-func (r *Router) admit(ctx context.Context, p *plan, promptTokens, outputTokens int) (*limits.Permit, error) {
+// admission is what a request was given to run.
+type admission struct {
+	permit  *limits.Permit
+	charges charges
+}
+
+// admit charges the request to its account and queues it until it may run. Requests that
+// generate output are charged their first token.
+func (r *Router) admit(ctx context.Context, p *plan, promptTokens, outputTokens int, generates bool) (*admission, error) {
 	_, span := r.Tracer.Start(ctx, "admit")
 	defer span.End()
 	start := r.Clock.Now()
+	charged, err := r.charge(ctx, p, promptTokens, generates)
+	if err != nil {
+		return nil, err
+	}
 	view := r.poolView(p)
 	permit, err := r.limits.Acquire(ctx, limits.Request{
 		Account: p.accountRef.String(), Limits: p.account.Limits, Weight: p.account.Share,
@@ -174,7 +188,11 @@
 		PromptTokens: promptTokens, OutputTokens: outputTokens, Deadline: p.deadline,
 	})
 	r.Metrics.Observe(MetricQueueWait, r.Clock.Now().Sub(start))
-	return permit, err
+	if err != nil {
+		r.refund(charged)
+		return nil, err
+	}
+	return &admission{permit: permit, charges: charged}, nil
 }
 
 // run starts and supervises attempts until the response is complete. No attempt is
@@ -318,7 +336,7 @@
 	if a.chunks++; a.chunks == clearAfterChunks {
 		c.r.CrashTracker.Clear(c.fingerprint, false)
 	}
-	c.permit.ChargeOutput(1)
+	c.r.chargeOutput(c.plan, c.asm.Chunks())
 	if err := c.sink.Chunk(ctx, chunk); err != nil {
 		return false, &callerDisconnectedError{Cause: err}
 	}
--- a/internal/app/completions/plan.go
+++ b/internal/app/completions/plan.go
@@ -13,6 +13,7 @@
 // so the configuration does not change during the request.
 type plan struct {
 	snapshot   *config.Snapshot
+	requestID  string
 	accountRef config.Ref
 	account    config.Account
 	routeRef   config.Ref
@@ -65,6 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.requestID = req.RequestID
 	p.setDeadline(r.Clock.Now(), req.Deadline)
 	r.setPlacement(p, req)
 	return p, nil
--- a/internal/app/completions/router.go
+++ b/internal/app/completions/router.go
@@ -66,6 +66,8 @@
 	Targets TargetView
 	// Shares defaults to limits.SingleRouter.
 	Shares limits.PeerState
+	// Allotments charges the rate limits of accounts; nil: they are not enforced.
+	Allotments Allotments
 	// CrashTracker defaults to an empty one. The owner of the Router exchanges its
 	// state with peers through its Export and Merge methods.
 	CrashTracker *retry.CrashTracker
--- a/internal/app/completions/service.go
+++ b/internal/app/completions/service.go
@@ -80,11 +80,11 @@
 	if err := r.checkStop(p); err != nil {
 		return ServiceReply{}, c.toFailure(ctx, err)
 	}
-	permit, err := r.admit(ctx, p, 0, 0)
+	admitted, err := r.admit(ctx, p, 0, 0, false)
 	if err != nil {
 		return ServiceReply{}, c.toFailure(ctx, err)
 	}
-	defer permit.Release()
+	defer admitted.permit.Release()
 	r.budget(p.routeRef).Earn(r.Clock.Now(), p.route.RetryBudgetPercent, budgetReserve(p.pool))
 	var reply ServiceReply
 	if p.route.Repeat == config.RepeatNever {
@@ -94,7 +94,11 @@
 	}
 	if err != nil {
 		r.CrashTracker.Publish(r.Clock.Now(), c.fingerprint)
-		return ServiceReply{}, c.toFailure(ctx, err)
+		err = c.toFailure(ctx, err)
+		if asFailure(err).Outcome == OutcomeNotRun {
+			r.refund(admitted.charges)
+		}
+		return ServiceReply{}, err
 	}
 	return reply, nil
 }
@@ -110,6 +114,7 @@
 		return nil, &Failure{Kind: KindInvalid, Outcome: OutcomeNotRun,
 			Message: "calls of this route need an Idempotency-Key whose age is known"}
 	}
+	p.requestID = req.RequestID
 	p.setDeadline(r.Clock.Now(), req.Deadline)
 	p.placement = placement.Request{
 		Scope:       port.Scope{ClientAccount: req.Account.String(), Model: p.poolRef.Name},
--- a/internal/app/registry/registry_test.go
+++ b/internal/app/registry/registry_test.go
@@ -14,12 +14,14 @@
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
-// fakeLog is an in-memory keyed log that fails the first writes.
+// fakeLog is an in-memory keyed log that fails the first writes and reads.
 type fakeLog struct {
 	mu      sync.Mutex
 	values  map[string][]byte
 	history port.History
 	fail    int
+	// failReads is the number of reads that fail.
+	failReads int
 }
 
 func (m *fakeLog) History() port.History {
@@ -46,6 +48,10 @@
 func (m *fakeLog) Newest(context.Context, string) (port.KeyedBatch, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.failReads > 0 {
+		m.failReads--
+		return port.KeyedBatch{}, &port.UnavailableError{Peer: "log"}
+	}
 	var out port.KeyedBatch
 	for key, value := range m.values {
 		out.Records = append(out.Records, port.KeyedRecord{Key: key, Value: value})
@@ -180,3 +186,40 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a router that takes a part of the limits before others count it: one whose
+// entry is new, or whose entries could not be read, must not seem to have been known before.
+func TestOnListed(t *testing.T) {
+	entry := func(name string) []byte {
+		return []byte(`{"name":"` + name + `","address":"10.0.0.9:1","role":"router","state":"live"}`)
+	}
+	type listed struct {
+		existed bool
+		routers int
+	}
+	for name, c := range map[string]struct {
+		log  *fakeLog
+		want listed
+	}{
+		"alone":      {&fakeLog{values: map[string][]byte{}}, listed{false, 1}},
+		"new":        {&fakeLog{values: map[string][]byte{"r2": entry("r2")}, fail: 2}, listed{false, 2}},
+		"restarted":  {&fakeLog{values: map[string][]byte{"r1": entry("r1"), "r2": entry("r2")}}, listed{true, 2}},
+		"unreadable": {&fakeLog{values: map[string][]byte{"r1": entry("r1"), "r2": entry("r2")}, failReads: 2}, listed{false, 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := New(c.log, port.VM{Name: "r1", Address: "10.0.0.1:1"}, slog.New(slog.DiscardHandler))
+				var got []listed
+				r.OnListed = func(existed bool, routers int) { got = append(got, listed{existed, routers}) }
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() { _ = r.Run(ctx) }()
+				<-time.After(10 * time.Second) // fake clock
+				synctest.Wait()
+				is.Equal(got, []listed{c.want})
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/core/limits/controller.go
+++ b/internal/core/limits/controller.go
@@ -34,16 +34,6 @@
 	once    sync.Once
 }
 
-// ChargeOutput charges generated tokens to the account.
-func (p *Permit) ChargeOutput(tokens int) {
-	if p.req.Limits.OutputTokensPerSecond <= 0 {
-		return
-	}
-	p.c.mu.Lock()
-	defer p.c.mu.Unlock()
-	p.c.account(p.req.Account).output.level -= float64(tokens)
-}
-
 // Release ends the request. Repeated calls have no effect.
 func (p *Permit) Release() {
 	p.once.Do(func() {
@@ -116,14 +106,13 @@
 	}
 }
 
-// enqueue charges the request to the account's rate limits and queues it. It refuses
-// requests that are expected to miss their deadline.
+// enqueue queues the request. It refuses requests that are expected to miss their deadline.
 func (c *Controller) enqueue(req Request) (*waiter, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	acc, p := c.account(req.Account), c.pool(req.Pool)
-	acc.recordArrival(now)
+	p := c.pool(req.Pool)
+	c.account(req.Account).recordArrival(now)
 	if req.Gate != nil {
 		return c.enqueueGated(now, p, req)
 	}
@@ -140,10 +129,6 @@
 	if wait := max(p.expectedWait(req), c.quotaWait(p, req)); wait > req.Deadline.Sub(now) || !now.Before(req.Deadline) {
 		return nil, &RefusedError{Reason: ReasonDeadline, RetryAfter: wait}
 	}
-	share := c.shares.fraction(req.Account, acc.demandAt(now))
-	if err := acc.charge(now, req.Limits, share, req.PromptTokens); err != nil {
-		return nil, err
-	}
 	w := &waiter{req: req, granted: make(chan struct{})}
 	p.enqueue(w)
 	c.grant(p)
@@ -299,7 +284,6 @@
 	// minReportedDemand is the demand in requests per second below which an account
 	// is not reported.
 	minReportedDemand = 0.001
-	// accountIdleTTL is the idle time after which an account's token buckets are
-	// evicted. A debt that would take longer to repay is dropped with them.
+	// accountIdleTTL is the idle time after which an account is evicted.
 	accountIdleTTL = 10 * time.Minute
 )
--- a/internal/core/limits/limits.go
+++ b/internal/core/limits/limits.go
@@ -1,6 +1,7 @@
-// Package limits implements admission control: rate and concurrency limits for
-// each client account, concurrency limits for each target, and a queue in front
-// of each pool. Every router enforces its own share of the limits.
+// Package limits implements admission control: concurrency limits for each client
+// account, concurrency limits for each target, and a queue in front of each pool.
+// Every router enforces its own share of these limits. Rate limits are shared by all
+// routers, see Rates and package allotment.
 package limits
 
 import (
