allotment: check the invariants of the upper bound; N of allocators created late

The property test now also checks that no router is counted twice or spends its own part while counted, that shares sum to at most 1, that the buckets hold at most a burst, and that no expired tokens are spent. It found that an allocator created within 8 s after routers were removed divided by the lower number at once; it now takes over the count of its router.

Also learned: an entry younger than the attach delay must be waited for after a restart too, and a new process must count routers that were removed lately.

--- a/internal/core/allotment/allocator.go
+++ b/internal/core/allotment/allocator.go
@@ -21,6 +21,8 @@
 type Allocators struct {
 	client *Client
 	names  []string
+	// count is N for allocators that are created later.
+	count  routerCount
 	groups map[groupID]*Allocator
 }
 
@@ -33,6 +35,7 @@
 // are out of contact. Until the first call, nothing is granted.
 func (a *Allocators) SetRouters(now time.Time, names []string) {
 	a.names = names
+	a.count.set(now, len(names))
 	for _, g := range a.groups {
 		g.SetRouters(now, names)
 	}
@@ -52,6 +55,8 @@
 	g := a.groups[id]
 	if g == nil {
 		g = NewAllocator(now, a.client.settings, a.client.incarnation)
+		a.count.at(now)
+		g.count = a.count
 		g.SetRouters(now, a.names)
 		a.groups[id] = g
 	}
--- a/internal/core/allotment/bound_test.go
+++ b/internal/core/allotment/bound_test.go
@@ -104,6 +104,13 @@
 				w.join()
 			}
 		}},
+		{"remove", func(w *world, rt *rapid.T) {
+			for _, r := range w.some(rt, "removed") {
+				if w.rand.Intn(2) == 0 && len(w.routers) > 1 {
+					w.remove(r)
+				}
+			}
+		}},
 	}
 }
 
@@ -138,10 +145,9 @@
 	w.cut = l.cut
 	for _, key := range []Key{"a", "b"} {
 		rate := rapid.SampledFrom([]float64{50, 500}).Draw(rt, "rate")
-		w.setLimit(key, Limit{Rate: rate, Burst: rate * rapid.SampledFrom([]float64{0.2, 1, 8}).Draw(rt, "burst seconds")})
+		w.setLimit(key, Limit{Rate: rate, Burst: rate * rapid.SampledFrom([]float64{0.1, 1, 8, 30}).Draw(rt, "burst seconds")})
 	}
 	w.add(n)
-	var demands []*demand
 	for _, key := range []Key{"a", "b"} {
 		var focus []*router
 		d := &demand{key: key, retries: 1}
@@ -152,10 +158,11 @@
 			return w.anyRouter()
 		}
 		d.size = func() float64 {
-			return w.keys[key].limit.Burst * []float64{0.01, 0.02, 0.05, 0.3}[w.rand.Intn(4)]
+			limit := w.keys[key].limit
+			return min(max(limit.Burst*[]float64{0.01, 0.02, 0.3}[w.rand.Intn(3)], 0.02*limit.Rate), limit.Burst)
 		}
 		shift := func() {
-			d.rate = w.keys[key].limit.Rate * []float64{0, 0.3, 1, 2, 5}[w.rand.Intn(5)]
+			d.rate = w.keys[key].limit.Rate * []float64{0, 0.5, 1, 3, 6}[w.rand.Intn(5)]
 			focus = nil
 			if w.rand.Intn(2) == 0 {
 				focus = []*router{w.anyRouter(), w.anyRouter(), w.anyRouter()}
@@ -165,8 +172,10 @@
 		again = func() { shift(); w.after(time.Duration(w.rand.Int63n(int64(4*time.Second))), again) }
 		again()
 		w.serve(d)
-		demands = append(demands, d)
 	}
+	var check func()
+	check = func() { w.checkInvariants(); w.after(invariantInterval, check) }
+	check()
 	w.run(seconds(rt, 2, 10, "start"))
 	all := faults(l)
 	names := make([]string, len(all))
@@ -182,5 +191,4 @@
 	clear(l.oneWay)
 	w.loss = 0
 	w.run(5 * time.Second)
-	_ = demands
 }
--- a/internal/core/allotment/groups.go
+++ b/internal/core/allotment/groups.go
@@ -35,12 +35,11 @@
 	return max(minInterval, time.Duration(routers)*time.Second/maxMessageRate)
 }
 
-// Term returns the duration of an attachment. A router that finds an entry of its own
-// name when it starts may attach after a Term and clockMargin (see StartDelay).
+// Term returns the duration of an attachment.
 func Term(routers int) time.Duration { return max(minTerm, termIntervals*Interval(routers)) }
 
-// StartDelay returns the time for which a router that was restarted neither attaches
-// nor spends on its own, because its previous process may still be attached.
+// StartDelay returns the time for which a process neither attaches nor spends on its
+// own after its start, because the previous process of its router may still be attached.
 func StartDelay(routers int) time.Duration { return withMargin(Term(routers)) }
 
 // clockMargin covers clocks that run at different rates: a router is bound for longer
--- a/internal/core/allotment/world_test.go
+++ b/internal/core/allotment/world_test.go
@@ -83,8 +83,12 @@
 	wakeAt      time.Time
 	pending     map[uint64]*request
 	limits      map[Key]Limit
+	versions    map[Key]int
 	// listed are the routers that this one counts.
 	listed map[string]bool
+	// removed routers do not restart.
+	removed   bool
+	removedAt time.Time
 	// joinedAt is when the router was listed on the log.
 	joinedAt time.Time
 }
@@ -141,6 +145,23 @@
 	w.now = end
 }
 
+// remove takes the router off the list. Its process ends within configDelay, and the
+// others notice within that time.
+func (w *world) remove(r *router) {
+	r.removed, r.removedAt = true, w.now
+	incarnation := r.incarnation
+	w.after(time.Duration(w.rand.Int63n(int64(configDelay))), func() {
+		if r.incarnation == incarnation {
+			r.up = false
+		}
+	})
+	for _, o := range w.routers {
+		if o != r {
+			w.after(time.Duration(w.rand.Int63n(int64(configDelay))), func() { delete(o.listed, r.name) })
+		}
+	}
+}
+
 func (w *world) setLimit(key Key, limit Limit) {
 	t := w.keys[key]
 	if t == nil {
@@ -150,7 +171,12 @@
 	t.limit = limit
 	t.changes = append(t.changes, change{w.now, limit})
 	for _, r := range w.routers {
-		w.after(time.Duration(w.rand.Int63n(int64(configDelay))), func() { r.limits[key] = limit })
+		version := len(t.changes)
+		w.after(time.Duration(w.rand.Int63n(int64(configDelay))), func() {
+			if r.versions[key] < version {
+				r.limits[key], r.versions[key] = limit, version
+			}
+		})
 	}
 }
 
@@ -158,7 +184,7 @@
 func (w *world) add(count int) {
 	first := len(w.routers)
 	for i := range count {
-		r := &router{name: fmt.Sprintf("vm-%03d", first+i), index: first + i, joinedAt: w.now, listed: map[string]bool{}}
+		r := &router{name: fmt.Sprintf("vm-%03d", first+i), index: first + i, joinedAt: w.now.Add(-AttachDelay), listed: map[string]bool{}}
 		w.routers = append(w.routers, r)
 	}
 	for _, r := range w.routers[first:] {
@@ -174,8 +200,8 @@
 	r := &router{name: fmt.Sprintf("vm-%03d", len(w.routers)), index: len(w.routers), joinedAt: w.now, listed: map[string]bool{}}
 	w.routers = append(w.routers, r)
 	for _, o := range w.routers {
-		r.listed[o.name] = true
-		if o == r {
+		r.listed[o.name] = !o.removed
+		if o == r || o.removed {
 			continue
 		}
 		w.after(time.Duration(w.rand.Int63n(int64(configDelay))), func() {
@@ -192,9 +218,16 @@
 	r.client = NewClient(w.settings, r.name, r.incarnation, w.rand.Float64)
 	r.allocators = NewAllocators(r.client)
 	r.pending = map[uint64]*request{}
-	r.limits = map[Key]Limit{}
+	r.limits, r.versions = map[Key]Limit{}, map[Key]int{}
 	for key, t := range w.keys {
-		r.limits[key] = t.limit
+		r.limits[key], r.versions[key] = t.limit, len(t.changes)
+	}
+	for _, o := range w.routers {
+		if o.removed && w.now.Sub(o.removedAt) < AttachDelay && o != r && !r.listed[o.name] {
+			// A process that starts counts the routers that were removed lately.
+			r.listed[o.name] = true
+			w.at(o.removedAt.Add(AttachDelay), func() { delete(r.listed, o.name) })
+		}
 	}
 	r.mayAttachAt, r.wakeAt = mayAttachAt, time.Time{}
 	w.view(r)
@@ -325,8 +358,9 @@
 		w.retry(req, down)
 	}
 	w.after(down, func() {
-		if !r.up {
-			w.start(r, w.now.Add(StartDelay(len(w.routers))))
+		if !r.up && !r.removed {
+			// An entry that is younger than AttachDelay is not known to all others.
+			w.start(r, maxTime(w.now.Add(StartDelay(len(w.routers))), r.joinedAt.Add(AttachDelay)))
 		}
 	})
 }
@@ -377,6 +411,9 @@
 func (w *world) decided(req *request, d Decision) {
 	t := w.keys[req.key]
 	if d.Outcome == Admitted {
+		if left := d.Charge.until.Sub(w.now); d.Charge.ticket != 0 && left < w.settings.returnable()-w.settings.Validity() {
+			w.fail("%s: tokens were spent %v after they expired", req.key, w.settings.returnable()-w.settings.Validity()-left)
+		}
 		t.add(w, req)
 		return
 	}
