--- a/cmd/mimosaseam/gatewayallotments.go
+++ b/cmd/mimosaseam/gatewayallotments.go
@@ -18,6 +18,7 @@
 		Self: n.settings.VM.Name, Incarnation: uint64(time.Now().UnixNano()), Clock: n.bootClock, Peer: n.peerClient,
 		Settings: allotment.Settings{Window: settings.Seconds(b.AllotmentWindowS), OverRatio: b.AllotmentOverRatio, OverSlack: b.AllotmentOverSlack},
 		Limits:   func(key allotment.Key) (allotment.Limit, bool) { return n.gateway.AllotmentLimit(key) },
+		Enabled:  func() bool { c := n.gateway.Configuration(); return c != nil && len(c.Allotments()) > 0 },
 		Logger:   n.log, Metrics: metrics,
 	})
 }
--- a/cmd/mimosaseam/servenode.go
+++ b/cmd/mimosaseam/servenode.go
@@ -197,8 +197,9 @@
 	s := n.settings
 	n.allotments = allotments.New(allotments.Options{
 		Self: s.VM.Name, Incarnation: uint64(n.started.UnixNano()), Clock: bootclock.Clock{}, Peer: n.peers,
-		Limits: func(key allotment.Key) (allotment.Limit, bool) { return completions.RateLimit(n.config, key) },
-		Logger: n.log, Metrics: n.metrics,
+		Limits:  func(key allotment.Key) (allotment.Limit, bool) { return completions.RateLimit(n.config, key) },
+		Enabled: n.hasRates(),
+		Logger:  n.log, Metrics: n.metrics,
 	})
 	n.vms = &cachedVMList{VMList: n.platform.vmList, onList: n.observeListed}
 	n.fleet = fleet.New(fleet.Options{
@@ -230,6 +231,20 @@
 	n.shares = shares.New(s.VM.Name, n.fleet.Demand)
 }
 
+// hasRates returns a function that reports whether an account has a rate limit in the
+// configuration in force. It looks at each configuration once and is not safe for concurrent
+// use.
+func (n *serveNode) hasRates() func() bool {
+	var seen *config.Snapshot
+	has := false
+	return func() bool {
+		if current := n.config.Current(); current != seen {
+			seen, has = current, current != nil && completions.HasRates(current)
+		}
+		return has
+	}
+}
+
 // observeListed tells the allotments how many routers the platform lists. The list does not
 // tell whether a router of this name existed before, so that this one counts as new.
 func (n *serveNode) observeListed(list port.VMSnapshot) {
--- a/internal/adapter/peergrpc/draw_test.go
+++ b/internal/adapter/peergrpc/draw_test.go
@@ -149,3 +149,24 @@
 	is.New(t).True(request <= 1000)
 	is.New(t).True(response <= 150)
 }
+
+// BenchmarkDraw sends the regular message of a router with two active accounts over loopback.
+func BenchmarkDraw(b *testing.B) {
+	h := &drawHandler{handler: &handler{}, answer: allotment.Answer{Ticket: 1 << 60, Incarnation: 1 << 60, Majority: true,
+		Grants: []allotment.Grant{{Key: "a", Tokens: 600}}}}
+	address, listener := serve(b, h, nil)
+	c := NewClient(nil)
+	defer c.Close()
+	d := testDraw()
+	d.Wants = d.Wants[:2]
+	run := func() {
+		_, err := c.Draw(b.Context(), address, d)
+		is.New(b).NoErr(err)
+	}
+	run()
+	before := listener.bytes.Load()
+	for b.Loop() {
+		run()
+	}
+	b.ReportMetric(float64(listener.bytes.Load()-before)/float64(b.N), "wire-B/op")
+}
--- a/internal/app/allotments/allotments.go
+++ b/internal/app/allotments/allotments.go
@@ -41,6 +41,9 @@
 	// Limits returns the limit of a key in the configuration in force. It must not call
 	// the Service.
 	Limits func(allotment.Key) (allotment.Limit, bool)
+	// Enabled reports whether the configuration in force has a limit; without one, Run sends
+	// nothing. Nil: it has. It must not call the Service.
+	Enabled func() bool
 	// Logger and Metrics discard everything if nil.
 	Logger  *slog.Logger
 	Metrics Metrics
--- a/internal/app/allotments/allotments_test.go
+++ b/internal/app/allotments/allotments_test.go
@@ -213,3 +213,25 @@
 	s.Charge(testKey, allotment.Limit{}, 5)
 	is.Equal(testing.AllocsPerRun(100, func() { _, _ = s.Acquire(t.Context(), testKey, allotment.Limit{}, 1, 0) }), 0.0)
 }
+
+// Guards against messages between routers of a deployment that limits no account, and against
+// a limit that does not act once there is one.
+func TestNoMessagesWithoutLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := start(t, 3, testLimit)
+		defer w.close()
+		<-time.After(settled)
+		w.setEnabled(false)
+		<-time.After(2 * time.Second)
+		before := w.sent()
+		<-time.After(time.Minute)
+		is.Equal(w.sent(), before)
+		w.setEnabled(true)
+		<-time.After(settled)
+		is.True(w.sent() > before)
+		served := w.load(window, 100, 100, 100)
+		is.True(served <= bound)
+		is.True(float64(served) >= 0.95*testLimit.Rate*window.Seconds())
+	})
+}
--- a/internal/app/allotments/fake_test.go
+++ b/internal/app/allotments/fake_test.go
@@ -30,6 +30,8 @@
 	mu    sync.Mutex
 	down  map[string]bool
 	calls int
+	// disabled is set while no account has a limit.
+	disabled bool
 }
 
 // start starts n routers that were listed before and know each other.
@@ -37,7 +39,8 @@
 	w := &network{t: t, limit: limit, down: map[string]bool{}}
 	for i := range n {
 		w.services = append(w.services, New(Options{Self: name(i), Incarnation: uint64(i + 1), Peer: link{w, name(i)},
-			Limits: func(key allotment.Key) (allotment.Limit, bool) { return limit, key == testKey }}))
+			Enabled: w.enabled,
+			Limits:  func(key allotment.Key) (allotment.Limit, bool) { return limit, key == testKey }}))
 	}
 	for i, s := range w.services {
 		w.announce(i, n)
@@ -92,6 +95,18 @@
 	synctest.Wait()
 }
 
+func (w *network) setEnabled(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.disabled = !on
+}
+
+func (w *network) enabled() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.disabled
+}
+
 func (w *network) sent() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/app/allotments/loop.go
+++ b/internal/app/allotments/loop.go
@@ -45,6 +45,10 @@
 	now := s.o.Clock.Now()
 	s.applyRouters(now)
 	s.deliver(s.client.Expire(now))
+	if s.o.Enabled != nil && !s.o.Enabled() && len(s.waiting) == 0 {
+		s.nextLook = now.Add(maxLoopPause)
+		return maxLoopPause
+	}
 	s.dispatch()
 	s.logChanges(now)
 	pause := min(max(s.client.NextDraw(now).Sub(now), minLoopPause), maxLoopPause)
--- a/internal/app/completions/rates.go
+++ b/internal/app/completions/rates.go
@@ -35,6 +35,16 @@
 	})
 }
 
+// HasRates reports whether an account has a rate limit.
+func HasRates(s *config.Snapshot) bool {
+	for _, a := range s.Accounts {
+		if l := a.Limits; l.RequestsPerSecond > 0 || l.PromptTokensPerSecond > 0 || l.OutputTokensPerSecond > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // charges are what a request was charged before it was queued.
 type charges []allotment.Charge
 
