--- a/cmd/mimosaseam/gatewayallotments_test.go
+++ b/cmd/mimosaseam/gatewayallotments_test.go
@@ -2,12 +2,26 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"go.opentelemetry.io/otel/trace/noop"
 
+	"mimosaseam.example/mimosaseam/internal/core/allotment"
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
+	"mimosaseam.example/mimosaseam/internal/port"
+	"mimosaseam.example/mimosaseam/internal/settings"
 	"mimosaseam.example/mimosaseam/platform/platformtest"
 )
 
@@ -40,3 +54,102 @@
 		return response.StatusCode == http.StatusOK
 	})
 }
+
+// startRouter starts a whole router that finds the others through the log.
+func startRouter(t *testing.T, log, name string) (*gatewayNode, string) {
+	t.Helper()
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "settings.jsonc")
+	text := fmt.Sprintf(`{"vm": {"name": %q, "region": "r", "availability_zone": "z"}, "callers": {"address": %q},
+		"ready": {"address": "127.0.0.1:1"}, "peers": {"address": %q}, "regions": {"z": "r"}, "log": {"address": %q}}`,
+		name, callers.Addr(), peers.Addr(), log)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	loaded, err := settings.LoadGateway(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := newGatewayNode(file, loaded, io.Discard, noop.NewTracerProvider().Tracer(""), noMetrics{})
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	for _, loop := range []func(context.Context) error{n.weights.Run, n.followers[0].Run, n.followers[1].Run, n.registry.Run, n.fleet.Run, n.allotments.Run} {
+		loops.Go(func() { _ = loop(ctx) }) // ends with the context
+	}
+	go func() { _ = n.peers.Serve(peers) }() // ends with Stop
+	n.conns.Listener = callers
+	go func() { _ = n.callers.Serve(n.conns) }() // ends with Close
+	t.Cleanup(func() {
+		cancel()
+		_ = n.callers.Close()
+		n.peers.Stop()
+		loops.Wait()
+	})
+	return n, "http://" + callers.Addr().String()
+}
+
+// Guards against routers whose wiring keeps them from finding each other, so that each serves
+// the whole limit or none serves any.
+func TestRoutersFindEachOtherAndShareAnAllotment(t *testing.T) {
+	is := is.New(t)
+	log, service := platformtest.NewLog(), platformtest.NewTarget("d1", "")
+	logServer, targetServer := httptest.NewServer(log), httptest.NewServer(service)
+	t.Cleanup(logServer.Close)
+	t.Cleanup(targetServer.Close)
+	service.Address = strings.TrimPrefix(targetServer.URL, "http://")
+	const rate, burst = 20, 5
+	log.ConfigureAccounts(1, platformtest.ClientAccount{Name: "limited", Key: "k1", RatePerS: rate, Burst: burst})
+	log.PutTarget(service, "desk", false, 1)
+	names := []string{"r1", "r2", "r3"}
+	for _, name := range names { // of processes before
+		log.PutKeyed("keyed.mimosaseam."+port.StreamRouters, name, fmt.Appendf(nil, `{"name":%q,"address":"127.0.0.1:1","role":"router","state":"live"}`, name))
+	}
+	var nodes []*gatewayNode
+	var urls []string
+	for _, name := range names {
+		n, url := startRouter(t, strings.TrimPrefix(logServer.URL, "http://"), name)
+		nodes, urls = append(nodes, n), append(urls, url)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), stateTimeout)
+	defer cancel()
+	served := func(url string) bool {
+		response, _, err := platformtest.Send(url, platformtest.BookPath, "k1", "x")
+		is.NoErr(err)
+		return response.StatusCode == http.StatusOK
+	}
+	attached := func() (most int) {
+		for _, n := range nodes {
+			most = max(most, n.allotments.Attached())
+		}
+		return most
+	}
+	for attached() < len(nodes) {
+		is.NoErr(ctxtime.Sleep(ctx, pollInterval)) // all are attached to one
+	}
+	for _, url := range urls {
+		for !served(url) {
+			is.NoErr(ctxtime.Sleep(ctx, pollInterval))
+		}
+	}
+	begin, before := time.Now(), len(service.Runs())
+	var clients sync.WaitGroup
+	for _, url := range urls {
+		clients.Go(func() {
+			for time.Since(begin) < 2*time.Second {
+				served(url)
+			}
+		})
+	}
+	clients.Wait()
+	runs, bound := len(service.Runs())-before, rate*(time.Since(begin)+allotment.Settings{}.Validity()).Seconds()+burst
+	t.Logf("%d of %.0f", runs, bound)
+	is.True(float64(runs) <= bound)
+	is.True(runs > 0)
+}
