--- a/internal/core/allotment/bucket.go
+++ b/internal/core/allotment/bucket.go
@@ -49,13 +49,13 @@
 	slots [grantSlots]float64
 	slot  int64
 
-	// saving is the cost of a large request for which tokens are saved until
-	// savingUntil. passed are the tokens granted to smaller requests since the last
-	// saving: the next saving starts when they exceed its size, so that requests of all
-	// sizes get a part.
-	saving      float64
-	savingUntil time.Time
-	passed      float64
+	// large is the cost of the largest request that lately found too few tokens, until
+	// largeUntil. passed are the tokens granted to smaller ones since one of that cost
+	// was served. When they exceed the cost, tokens are saved for the next one, so that
+	// requests of all sizes get a part.
+	large      float64
+	largeUntil time.Time
+	passed     float64
 	// promised is the cost of refused requests that were told to come back, less what
 	// has accrued since.
 	promised float64
@@ -93,8 +93,8 @@
 		b.slot = max(b.slot+1, slot-grantSlots)
 		b.slots[b.slot%grantSlots] = 0
 	}
-	if b.saving > 0 && !l.at.Before(b.savingUntil) {
-		b.saving, b.passed = 0, 0
+	if b.large > 0 && !l.at.Before(b.largeUntil) {
+		b.large, b.passed = 0, 0
 	}
 }
 
@@ -144,7 +144,7 @@
 	}
 	g := Grant{Key: w.Key}
 	if w.Least > 0 || w.Tokens > 0 {
-		reserved := b.reserved(l, w.Least)
+		reserved := b.reserved(w.Least)
 		if free := b.level - reserved; free >= w.Least && free > 0 {
 			g.Tokens = w.Least + whole(min(w.Tokens, free)-w.Least, w.Unit)
 			b.took(w.Least, g.Tokens)
@@ -156,12 +156,12 @@
 			}
 			g.Wait, g.Backlog = b.wait(l, reserved+first), b.backlog(l)
 			if w.Least > 0 && g.Tokens == 0 {
-				b.save(l, w.Least, g.Wait)
+				b.lacked(l, w.Least, g.Wait)
 			}
 		}
 	}
 	if g.Wait == 0 && w.Ahead > 0 {
-		keep := aheadPart*l.capacity(b.limit.Burst, l.share) + b.saving
+		keep := aheadPart*l.capacity(b.limit.Burst, l.share) + b.reserved(0)
 		ahead := whole(clamp(w.Ahead, aheadShare*(b.level-keep)), w.Unit)
 		g.Tokens += ahead
 		b.level -= ahead
@@ -183,27 +183,27 @@
 func (b *bucket) took(least, tokens float64) {
 	b.level -= tokens
 	b.slots[b.slot%grantSlots] += tokens
-	b.passed += tokens
-	if b.saving > 0 && least >= b.saving {
-		b.saving, b.passed = 0, 0
+	if least >= b.large {
+		b.passed = 0
+	} else {
+		b.passed += tokens
 	}
 }
 
 // reserved returns the tokens that are saved for a larger request.
-func (b *bucket) reserved(l ledger, least float64) float64 {
-	if least >= b.saving {
+func (b *bucket) reserved(least float64) float64 {
+	if least >= b.large || b.passed < b.large {
 		return 0
 	}
-	return b.saving
+	return b.large
 }
 
-// save starts to save tokens for a request that found too few.
-func (b *bucket) save(l ledger, least float64, wait time.Duration) {
-	if least <= b.saving || least > l.capacity(b.limit.Burst, l.share) || b.saving == 0 && b.passed < least {
+// lacked records that a request found too few tokens.
+func (b *bucket) lacked(l ledger, least float64, wait time.Duration) {
+	if least < b.large || least > l.capacity(b.limit.Burst, l.share) {
 		return
 	}
-	b.saving = least
-	b.savingUntil = l.at.Add(wait + saveGrace)
+	b.large, b.largeUntil = least, l.at.Add(wait+saveGrace)
 }
 
 // backlog returns the time in which the tokens of the refused requests accrue.
@@ -230,5 +230,5 @@
 
 // idle reports whether the bucket is in the state that a new one would have.
 func (b *bucket) idle(l ledger) bool {
-	return b.level >= l.capacity(b.limit.Burst, l.share) && b.outstanding() == 0 && b.promised == 0 && b.saving == 0
+	return b.level >= l.capacity(b.limit.Burst, l.share) && b.outstanding() == 0 && b.promised == 0 && b.large == 0
 }
