allotments: bound the keys of peers that the configuration does not hold

An allocator grants tokens of accounts that it does not know yet, with the limit of the sender. A peer that names ever more of them would fill its memory.

--- a/internal/app/allotments/allotments.go
+++ b/internal/app/allotments/allotments.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,6 +65,8 @@
 	allocators *allotment.Allocators
 	waiting    map[uint64]chan allotment.Decision
 	routers    routers
+	// unknown are the keys of other routers that the configuration here does not hold.
+	unknown map[allotment.Key]struct{}
 	// nextLook is when Run looks at the due messages next, if nothing wakes it.
 	nextLook time.Time
 	// applied and mayAttach are what the decisions were told last.
@@ -84,7 +87,7 @@
 	if o.Metrics == nil {
 		o.Metrics = noMetrics{}
 	}
-	s := &Service{o: o, wake: make(chan struct{}, 1), waiting: map[uint64]chan allotment.Decision{},
+	s := &Service{o: o, wake: make(chan struct{}, 1), waiting: map[uint64]chan allotment.Decision{}, unknown: map[allotment.Key]struct{}{},
 		client: allotment.NewClient(o.Settings, o.Self, o.Incarnation, rand.Float64)}
 	s.allocators = allotment.NewAllocators(s.client)
 	now := o.Clock.Now()
@@ -249,9 +252,31 @@
 func (s *Service) HandleDraw(d allotment.Draw) allotment.Answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	d.Wants = s.admitKeys(d.Wants)
 	return s.allocators.Handle(s.o.Clock.Now(), d, s.o.Limits)
 }
 
+// maxUnknownKeys bounds the keys without a limit in the configuration here for which other
+// routers get tokens, and with them the memory that a peer can fill. Accounts that are added
+// are unknown to some routers for seconds.
+const maxUnknownKeys = 1024
+
+// admitKeys leaves out what concerns too many keys that the configuration does not hold.
+// s.mu must be held.
+func (s *Service) admitKeys(wants []allotment.Want) []allotment.Want {
+	return slices.DeleteFunc(wants, func(w allotment.Want) bool {
+		if _, known := s.o.Limits(w.Key); known {
+			delete(s.unknown, w.Key)
+			return false
+		}
+		if _, seen := s.unknown[w.Key]; !seen && len(s.unknown) >= maxUnknownKeys {
+			return true
+		}
+		s.unknown[w.Key] = struct{}{}
+		return false
+	})
+}
+
 // SetRouters sets the other routers. One that is out of contact but may still run shares the
 // limits, so that a partition does not raise the part of any router.
 func (s *Service) SetRouters(others []membership.Router) {
--- a/internal/app/allotments/allotments_test.go
+++ b/internal/app/allotments/allotments_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -235,3 +236,20 @@
 		is.True(float64(served) >= 0.95*testLimit.Rate*window.Seconds())
 	})
 }
+
+// Guards against a peer that fills the memory with accounts that do not exist, and against an
+// account that is refused because it was unknown for a time.
+func TestUnknownKeysAreBounded(t *testing.T) {
+	is := is.New(t)
+	known := map[allotment.Key]bool{testKey: true}
+	s := New(Options{Self: "r0", Limits: func(key allotment.Key) (allotment.Limit, bool) { return testLimit, known[key] }})
+	kept := 0
+	for i := range 3 * maxUnknownKeys {
+		kept += len(s.admitKeys([]allotment.Want{{Key: allotment.Key(strconv.Itoa(i)), Tokens: 1}, {Key: testKey, Tokens: 1}}))
+	}
+	is.Equal(kept, 3*maxUnknownKeys+maxUnknownKeys)
+	is.Equal(len(s.unknown), maxUnknownKeys)
+	is.Equal(len(s.admitKeys([]allotment.Want{{Key: "0"}, {Key: "new"}})), 1)
+	known["0"] = true
+	is.Equal(len(s.admitKeys([]allotment.Want{{Key: "0"}, {Key: "new"}})), 2)
+}
