allotment: follow a redirect; keep accounts until their own part has accrued

A router that was named another allocator asked the first candidate again, because it keeps only to allocators with a majority and did not know of one yet. It now keeps to the named one until that answers; after the allocator of a fleet ended and returned, and after a partition, all routers are attached to one allocator again.

An account that was forgotten right after it spent this router's own part got that part anew.

--- a/internal/core/allotment/account.go
+++ b/internal/core/allotment/account.go
@@ -279,7 +279,14 @@
 	return len(a.queue) > 0 || ok && !expires.After(now)
 }
 
-// idle reports whether nothing of the account needs to be kept or reported.
+// forgettable reports whether a new account would be in the same state: nothing needs
+// to be kept, and the own part has accrued to its burst again.
+func (a *account) forgettable(now time.Time) bool {
+	refilled := time.Duration(min(a.limit.Burst/a.limit.Rate, maxDebt.Seconds())*float64(time.Second)) + MaxWait
+	return a.idle(now) && now.Sub(a.used) > refilled
+}
+
+// idle reports whether nothing of the account needs to be asked or reported.
 func (a *account) idle(now time.Time) bool {
 	return len(a.queue) == 0 && len(a.grants) == 0 && a.debt == 0 && a.charging == 0 && a.refused == 0 &&
 		a.demandAt(now) <= minDemandPart*a.limit.Rate
--- a/internal/core/allotment/attachment.go
+++ b/internal/core/allotment/attachment.go
@@ -45,6 +45,9 @@
 	target   string
 	majority bool
 	answered time.Time
+	// followed is set while the target is one that another router named and that has not
+	// answered yet.
+	followed bool
 	// failing is the time of the first failure since the last answer, or zero.
 	failing time.Time
 	// avoid holds until when a router is not asked.
@@ -80,7 +83,7 @@
 // while that answers, because a change costs the tokens of about a term. Otherwise it
 // is the first candidate that is alive and has answered lately.
 func (a *Attachment) choose(now time.Time, alive []string) string {
-	if a.target != "" && a.majority && slices.Contains(alive, a.target) && !a.avoided(now, a.target) {
+	if a.target != "" && (a.majority || a.followed) && slices.Contains(alive, a.target) && !a.avoided(now, a.target) {
 		return a.target
 	}
 	candidates := Candidates(a.group, alive)
@@ -110,7 +113,7 @@
 	if to == a.target {
 		return
 	}
-	a.target, a.majority, a.failing, a.messages = to, false, time.Time{}, 0
+	a.target, a.majority, a.followed, a.failing, a.messages = to, false, false, time.Time{}, 0
 	a.urgent = true
 }
 
@@ -162,7 +165,10 @@
 	if answer.Redirect != "" {
 		switch {
 		case !a.avoided(now, answer.Redirect):
+			// Routers that name each other are asked at the pace of regular messages.
+			urgent := a.urgent || !a.followed
 			a.retarget(answer.Redirect)
+			a.followed, a.urgent = true, urgent
 		case from == a.target:
 			// The allocator of that router does not answer this one.
 			a.avoid[from] = a.avoid[answer.Redirect]
@@ -178,7 +184,7 @@
 		}
 		a.retarget(from)
 	}
-	a.majority, a.answered, a.failing = answer.Majority, now, time.Time{}
+	a.majority, a.followed, a.answered, a.failing = answer.Majority, false, now, time.Time{}
 	a.ticket = ticket{from: from, of: answer.Incarnation, value: answer.Ticket, received: now}
 	if a.isBound(now) && (a.bound.to != from || a.bound.of != answer.Incarnation) {
 		// Attach as soon as the binding to the former allocator ends.
@@ -201,7 +207,7 @@
 		return
 	}
 	a.avoid[to] = now.Add(avoidTerms * term)
-	a.target, a.majority, a.failing = "", false, time.Time{}
+	a.target, a.majority, a.followed, a.failing = "", false, false, time.Time{}
 	a.next = now
 }
 
--- a/internal/core/allotment/client.go
+++ b/internal/core/allotment/client.go
@@ -226,6 +226,7 @@
 		return
 	}
 	a, g := c.account(now, key, limit)
+	a.demand, a.used = a.demandAt(now), now
 	a.fillOwn(now, g, c.freeSince(g), c.ownShare())
 	part := min(tokens, a.spendable(now)+a.own)
 	if _, ok := a.spend(now, part); ok {
--- a/internal/core/allotment/draws.go
+++ b/internal/core/allotment/draws.go
@@ -256,7 +256,7 @@
 	c.cleaned = now
 	for key, a := range c.accounts {
 		a.expire(now)
-		if a.idle(now) {
+		if a.forgettable(now) {
 			delete(c.accounts, key)
 			if len(c.groups) > 0 {
 				delete(c.groups[GroupOf(key, len(c.groups))].active, key)
--- a/internal/core/allotment/world_test.go
+++ b/internal/core/allotment/world_test.go
@@ -11,9 +11,11 @@
 	"time"
 )
 
-// TestMain fixes the seed of the property tests unless a flag sets another one.
+// TestMain fixes the seed and the number of schedules of the property tests unless
+// flags set others.
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "60")
 	os.Exit(m.Run())
 }
 
