allotment: refund only what the allocator still counts; test of the number of groups

A refund of tokens whose grant was already reported as spent was taken from what other routers hold in the allocator's count, and one of a request that this router's own part had paid for returned tokens that no allocator had granted.

--- a/internal/core/allotment/account.go
+++ b/internal/core/allotment/account.go
@@ -24,7 +24,7 @@
 // held are unspent tokens of one grant.
 type held struct {
 	tokens float64
-	// spent since the last message.
+	// spent tokens are reported when the grant is settled.
 	spent   float64
 	expires time.Time
 	from    string
@@ -182,6 +182,7 @@
 		g.tokens -= part
 		g.spent += part
 		tokens -= part
+		charge.granted += part
 		if charge.ticket == 0 && part > 0 {
 			charge.from, charge.of, charge.ticket, charge.until = g.from, g.of, g.ticket, g.returnable
 		}
@@ -191,20 +192,17 @@
 }
 
 // refund gives back tokens of a request that did not run, as part of the oldest grant
-// from which they came.
-func (a *account) refund(now time.Time, c Charge) {
-	if c.ticket == 0 || !now.Before(c.until) {
-		return
-	}
+// from which they came. If that has been settled, they were reported as spent.
+func (a *account) refund(c Charge) {
 	for i := range a.grants {
 		g := &a.grants[i]
 		if g.ticket == c.ticket && g.from == c.from && g.of == c.of {
-			g.tokens += c.Tokens
-			g.spent = max(0, g.spent-c.Tokens)
+			back := min(c.granted, g.spent)
+			g.tokens += back
+			g.spent -= back
 			return
 		}
 	}
-	a.grants = append(a.grants, held{tokens: c.Tokens, from: c.from, of: c.of, ticket: c.ticket, returnable: c.until})
 }
 
 // wants returns what the next message asks for the account and what it settles.
--- a/internal/core/allotment/allotment.go
+++ b/internal/core/allotment/allotment.go
@@ -21,7 +21,8 @@
 type Limit struct {
 	// Rate is in tokens per second; 0 means no limit.
 	Rate float64
-	// Burst is the capacity of the bucket in tokens.
+	// Burst is the capacity of the bucket in tokens. Requests that cost more are refused
+	// unless Debt is set.
 	Burst float64
 	// Debt admits requests that cost more than the burst: they take a full bucket and
 	// the rest becomes debt, which is paid back before new admissions. Without it, they
--- a/internal/core/allotment/bound_test.go
+++ b/internal/core/allotment/bound_test.go
@@ -135,6 +135,30 @@
 	}
 }
 
+// Guards against routers that are counted twice while the accounts are divided into
+// more groups, and against groups without an allocator afterwards.
+func TestNumberOfGroupsChanges(t *testing.T) {
+	w := newWorld(1, Settings{}, t.Errorf)
+	w.setLimit("a", Limit{Rate: 1000, Burst: 1000})
+	w.setLimit("b", Limit{Rate: 1000, Burst: 1000})
+	w.add(299)
+	for _, key := range []Key{"a", "b"} {
+		w.serve(&demand{key: key, rate: 3000, size: constant(20), router: w.anyRouter})
+	}
+	w.run(5 * time.Second)
+	w.join()
+	w.join()
+	for range 200 {
+		w.run(100 * time.Millisecond)
+		w.checkInvariants()
+	}
+	for _, key := range []Key{"a", "b"} {
+		if got := w.used(key, 3*time.Second); got < 0.95 {
+			t.Errorf("%.3f of the allotment %s was used", got, key)
+		}
+	}
+}
+
 func upperBound(rt *rapid.T, fail func(string, ...any), n, steps int) {
 	w := newWorld(rapid.Int64().Draw(rt, "seed"), Settings{}, fail)
 	l := &links{side: map[*router]int{}, oneWay: map[[2]*router]bool{}}
--- a/internal/core/allotment/client.go
+++ b/internal/core/allotment/client.go
@@ -211,11 +211,12 @@
 	}
 }
 
-// Return gives back the tokens of an admitted request that did not run. Tokens that
-// were granted too long ago, and those of the own part, are lost.
+// Return gives back the tokens of an admitted request that did not run. Tokens whose
+// grant has been settled with the allocator, at the latest when it expires, are lost,
+// and so are those of the own part.
 func (c *Client) Return(now time.Time, charge Charge) {
 	if a := c.accounts[charge.Key]; a != nil {
-		a.refund(now, charge)
+		a.refund(charge)
 	}
 }
 
--- a/internal/core/allotment/invariants_test.go
+++ b/internal/core/allotment/invariants_test.go
@@ -13,7 +13,12 @@
 	for _, r := range w.routers {
 		byName[r.name] = r
 	}
-	countedBy := map[string]string{}
+	type counted struct {
+		name string
+		id   groupID
+	}
+	countedBy := map[counted]string{}
+	groupsOf := map[string]int{}
 	shares := map[groupID]float64{}
 	levels := map[Key]float64{}
 	for _, r := range w.routers {
@@ -27,12 +32,13 @@
 					continue
 				}
 				attached++
-				if other := countedBy[name]; id.group == 0 && other != "" {
+				if other := countedBy[counted{name, id}]; other != "" {
 					w.fail("%s is counted by %s and %s", name, other, r.name)
 				}
-				if id.group == 0 {
-					countedBy[name] = r.name
+				if groups := groupsOf[name]; groups != 0 && groups != id.groups {
+					w.fail("%s is counted in one of %d groups and in one of %d", name, groups, id.groups)
 				}
+				countedBy[counted{name, id}], groupsOf[name] = r.name, id.groups
 				if p := byName[name]; p.up && p.mayAttach(w.now) && !p.boundTo(w.now, id, r.name, g.incarnation) {
 					w.fail("%s is counted by %s but not bound to it", name, r.name)
 				}
--- a/internal/core/allotment/messages.go
+++ b/internal/core/allotment/messages.go
@@ -144,12 +144,14 @@
 type Charge struct {
 	Key    Key
 	Tokens float64
-	// from, of and ticket identify the grant, and until is when it can no longer be
-	// returned. Tokens of this router's own part of the limit have no grant.
-	from   string
-	of     uint64
-	ticket uint64
-	until  time.Time
+	// granted is the part that came from grants; the rest came from this router's own part
+	// of the limit. from, of and ticket identify the oldest of the grants, and until is
+	// when that can no longer be returned.
+	granted float64
+	from    string
+	of      uint64
+	ticket  uint64
+	until   time.Time
 }
 
 // Resolved is a pending request that was admitted or refused.
