--- a/internal/app/completions/admit.go
+++ b/internal/app/completions/admit.go
@@ -22,13 +22,26 @@
 	requestID                  string
 	fingerprint                retry.Fingerprint
 	promptTokens, outputTokens int
+	// generates is set for requests that generate output.
+	generates bool
 }
 
-// admit queues the request until it may run.
-func (r *Router) admit(ctx context.Context, p *plan, a admissionRequest) (*limits.Permit, error) {
+// admission is what a request was given to run.
+type admission struct {
+	permit  *limits.Permit
+	charges charges
+}
+
+// admit charges the request to its account and queues it until it may run. Requests that
+// generate output are charged their first token.
+func (r *Router) admit(ctx context.Context, p *plan, a admissionRequest) (*admission, error) {
 	_, span := r.Tracer.Start(ctx, "admit")
 	defer span.End()
 	start := r.Clock.Now()
+	charged, err := r.charge(ctx, p, a.promptTokens, a.generates)
+	if err != nil {
+		return nil, err
+	}
 	view := r.poolView(p)
 	permit, err := r.limits.Acquire(ctx, limits.Request{
 		Account: p.accountRef.String(), Limits: p.account.Limits, Weight: p.account.Share,
@@ -50,5 +63,9 @@
 		r.Logger.LogAttrs(ctx, slog.LevelInfo, "not admitted", append(refused.Attrs(), slog.String("request_id", a.requestID),
 			slog.String("account", p.accountRef.String()))...)
 	}
-	return permit, err
+	if err != nil {
+		r.refund(charged)
+		return nil, err
+	}
+	return &admission{permit: permit, charges: charged}, nil
 }
--- a/internal/app/completions/completion.go
+++ b/internal/app/completions/completion.go
@@ -10,7 +10,6 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/core/stream"
@@ -24,7 +23,7 @@
 	plan        *plan
 	req         CompletionRequest
 	sink        Sink
-	permit      *limits.Permit
+	admission   *admission
 	fingerprint retry.Fingerprint
 	segments    []retry.SegmentHash
 
@@ -145,8 +144,8 @@
 	if err := r.checkStop(p); err != nil {
 		return err
 	}
-	if c.permit, err = r.admit(ctx, p, admissionRequest{requestID: c.req.RequestID, fingerprint: c.fingerprint,
-		promptTokens: p.placement.PromptTokens, outputTokens: c.req.MaxTokens}); err != nil {
+	if c.admission, err = r.admit(ctx, p, admissionRequest{requestID: c.req.RequestID, fingerprint: c.fingerprint,
+		promptTokens: p.placement.PromptTokens, outputTokens: c.req.MaxTokens, generates: true}); err != nil {
 		return err
 	}
 	r.budget(p.routeRef).Earn(r.Clock.Now(), p.route.RetryBudgetPercent, budgetReserve(p.pool))
@@ -156,7 +155,10 @@
 
 func (c *completion) release() {
 	c.stall.Stop()
-	c.permit.Release()
+	c.admission.permit.Release()
+	if !c.mayHaveRun {
+		c.r.refund(c.admission.charges)
+	}
 }
 
 func (c *completion) result() Completion {
@@ -304,7 +306,7 @@
 	if a.chunks++; a.chunks == clearAfterChunks {
 		c.r.CrashTracker.Clear(c.fingerprint, false)
 	}
-	c.permit.ChargeOutput(1)
+	c.r.chargeOutput(c.plan, c.asm.Chunks())
 	if err := c.sink.Chunk(ctx, chunk); err != nil {
 		return false, &callerDisconnectedError{Cause: err}
 	}
