--- a/internal/core/allotment/allocator.go
+++ b/internal/core/allotment/allocator.go
@@ -109,7 +109,7 @@
 	a.advance(now)
 	now = a.at
 	if until, ok := a.attachment(now, d); ok {
-		a.attach(d.Router, until)
+		a.attach(d.Router, until, d.Routers)
 	}
 	answer := Answer{
 		Ticket:      uint64(max(now.UnixNano(), 1)),
--- a/internal/core/allotment/allocator_test.go
+++ b/internal/core/allotment/allocator_test.go
@@ -149,6 +149,21 @@
 	is.Equal(a.Attached(after(2.5)), 0) // the term counts from the ticket, not from the message
 }
 
+// Guards against a majority of an allocator that has not learned of new routers yet,
+// although a router that is attached to it has.
+func TestAllocatorCountsWhatItsRoutersCount(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, Limit{Rate: 10, Burst: 10})
+	f.attachAll(after(0), 2)
+	is.True(f.majority())
+	d := Draw{Router: "vm-0", Groups: 1, Ticket: f.tickets["vm-0"], TicketOf: 7, Term: Term(3), MayAttach: true, Routers: 4}
+	is.True(!f.Handle(after(1), d, known(f.limit)).Majority)
+	f.attachAll(after(2), 2)
+	is.True(!f.majority())
+	f.attachAll(after(9), 2)
+	is.True(f.majority())
+}
+
 // Guards against N that falls while removed routers may still spend.
 func TestRoutersAreCountedAfterTheirRemoval(t *testing.T) {
 	is := is.New(t)
--- a/internal/core/allotment/bound_test.go
+++ b/internal/core/allotment/bound_test.go
@@ -135,6 +135,28 @@
 	}
 }
 
+// Guards against a second majority of routers that are added on one side of a partition
+// while the other side learns of them neither by gossip nor from the log.
+func TestRoutersAddedDuringAPartition(t *testing.T) {
+	w := newWorld(1, Settings{}, t.Fatalf)
+	l := &links{side: map[*router]int{}, oneWay: map[[2]*router]bool{}}
+	w.cut, w.listsByPeers = l.cut, true
+	w.setLimit("a", Limit{Rate: 1000, Burst: 1000})
+	w.add(10)
+	w.serve(&demand{key: "a", rate: 3000, size: constant(20), router: w.anyRouter})
+	w.run(5 * time.Second)
+	l.side = w.third(false)
+	w.run(5 * time.Second)
+	for range 20 {
+		w.join()
+		l.side[w.routers[len(w.routers)-1]] = 1
+	}
+	for range 200 {
+		w.run(100 * time.Millisecond)
+		w.checkInvariants()
+	}
+}
+
 // Guards against routers that are counted twice while the accounts are divided into
 // more groups, and against groups without an allocator afterwards.
 func TestNumberOfGroupsChanges(t *testing.T) {
--- a/internal/core/allotment/client.go
+++ b/internal/core/allotment/client.go
@@ -250,7 +250,7 @@
 			switch {
 			case c.tooLate(a, w):
 				d = c.refuse(a, w.tokens, ReasonOver, a.waitUntil.Sub(now))
-			case now.After(w.deadline):
+			case !now.Before(w.deadline):
 				reason, wait := c.reason(now, a, g, w)
 				d = c.refuse(a, w.tokens, reason, wait)
 			default:
@@ -276,12 +276,12 @@
 	return ReasonNoAllocator, c.ownWait(a, w.limit, w.tokens)
 }
 
-// Expire admits or refuses the pending requests whose deadline has passed.
+// Expire admits or refuses the pending requests whose deadline has come.
 func (c *Client) Expire(now time.Time) []Resolved {
 	var resolved []Resolved
 	for _, g := range c.groups {
 		for _, key := range sortedKeys(g.queued) {
-			if a := g.queued[key]; now.After(a.queue[0].deadline) {
+			if a := g.queued[key]; !now.Before(a.queue[0].deadline) {
 				resolved = append(resolved, c.resolve(now, a, g)...)
 			}
 		}
--- a/internal/core/allotment/draws.go
+++ b/internal/core/allotment/draws.go
@@ -84,7 +84,7 @@
 		}
 		g.messages++
 	}
-	d := Draw{Router: c.self, Incarnation: c.incarnation, Group: g.group, Groups: len(c.groups), MayAttach: c.mayAttach}
+	d := Draw{Router: c.self, Incarnation: c.incarnation, Group: g.group, Groups: len(c.groups), Routers: n, MayAttach: c.mayAttach}
 	if c.mayAttach && !now.Before(c.free) {
 		g.bind(now, &d, to, Term(n))
 	}
@@ -135,6 +135,9 @@
 func (c *Client) NextDraw(now time.Time) time.Time {
 	next := now.Add(minInterval)
 	for _, g := range c.groups {
+		if len(c.alive) == 0 {
+			break
+		}
 		if g.flight != nil {
 			next = minTime(next, g.flight.SentAt.Add(MessageTimeout+time.Millisecond))
 			continue
--- a/internal/core/allotment/messages.go
+++ b/internal/core/allotment/messages.go
@@ -17,6 +17,8 @@
 	TicketOf uint64
 	// Term is the time from the ticket for which the sender is bound.
 	Term time.Duration
+	// Routers is N as the sender counts it.
+	Routers int
 	// MayAttach is false if the sender started too recently to attach.
 	MayAttach bool
 	Wants     []Want
--- a/internal/core/allotment/share.go
+++ b/internal/core/allotment/share.go
@@ -27,7 +27,12 @@
 // over time.
 type attachments struct {
 	count routerCount
-	known map[string]struct{}
+	// heard is the largest N of the attached routers above the own one, and heardAt is
+	// when it was heard last. It counts for AttachDelay, so that an allocator that has
+	// not learned of new routers yet has no majority without them.
+	heard   int
+	heardAt time.Time
+	known   map[string]struct{}
 	// until holds when each attachment ends. No attachment ends before earliest.
 	until    map[string]time.Time
 	earliest time.Time
@@ -67,10 +72,13 @@
 
 // attach attaches the router until the given time. Routers that are not counted in N
 // cannot attach.
-func (s *attachments) attach(name string, until time.Time) {
+func (s *attachments) attach(name string, until time.Time, routers int) {
 	if _, ok := s.known[name]; !ok || !until.After(s.at) {
 		return
 	}
+	if routers >= s.routers() {
+		s.heard, s.heardAt = routers, s.at
+	}
 	if until.After(s.until[name]) {
 		s.until[name] = until
 	}
@@ -98,7 +106,7 @@
 		slices.SortFunc(ended, time.Time.Compare)
 		for i, end := range ended {
 			s.integrate(end)
-			s.apply(allocatorShare(len(s.until)+len(ended)-1-i, s.count.count))
+			s.apply(allocatorShare(len(s.until)+len(ended)-1-i, s.routers()))
 		}
 	}
 	s.integrate(now)
@@ -113,7 +121,15 @@
 	}
 }
 
-func (s *attachments) setShare() { s.apply(allocatorShare(len(s.until), s.count.count)) }
+func (s *attachments) setShare() { s.apply(allocatorShare(len(s.until), s.routers())) }
+
+// routers returns N.
+func (s *attachments) routers() int {
+	if s.at.Sub(s.heardAt) < AttachDelay {
+		return max(s.count.count, s.heard)
+	}
+	return s.count.count
+}
 
 // apply makes the share valid from the time of the last integration.
 func (s *attachments) apply(share float64) {
@@ -145,4 +161,4 @@
 // attached returns the number of attached routers.
 func (s *attachments) attached() int { return len(s.until) }
 
-func (s *attachments) majority() bool { return 2*len(s.until) > s.count.count }
+func (s *attachments) majority() bool { return 2*len(s.until) > s.routers() }
