--- a/internal/core/allotment/allocator_test.go
+++ b/internal/core/allotment/allocator_test.go
@@ -215,6 +215,22 @@
 	}
 }
 
+// Guards against tokens that come back so late that their count is in use for newer
+// grants.
+func TestReturnOfAnOldGrantIsNotTakenFromANewOne(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, Limit{Rate: 10, Burst: 100})
+	f.attachAll(after(0), 1)
+	f.attachAll(after(1), 1)
+	near(is, f.available(after(1)), 10)
+	old := f.tickets["vm-0"]
+	again := after(1).Add(grantSlots * f.slotLength())
+	granted := f.available(again)
+	is.True(granted > 8)
+	f.draw(again, "vm-0", Want{Key: "a", Returned: 8, GrantTicket: old})
+	near(is, f.available(again), 0)
+}
+
 // Guards against routers that hoard several bursts by returning and drawing tokens in
 // turn: without the bound, 20 routers hold more than 5 bursts after some seconds.
 func TestReturnsDoNotHoard(t *testing.T) {
