allotment: ask again after an interval; attach with the first ticket at once

In a fleet of six whose allocator restarted, routers went on refusing for seconds although the bucket of the new allocator was full: the wait that it had told while it had no majority was taken for certain. Routers that are attached to nobody send their first ticket at once instead of an interval later.

--- a/internal/core/allotment/account.go
+++ b/internal/core/allotment/account.go
@@ -73,9 +73,11 @@
 	queue []waiting
 	// asked is the cost of the first request for which the last message asked.
 	asked float64
-	// waitFor is the cost for which the allocator told to wait until waitUntil.
-	waitFor   float64
-	waitUntil time.Time
+	// waitFor is the cost for which the allocator told to wait until waitUntil. Until
+	// askAgain, which is an interval later at most, that is taken for certain; then the
+	// share of the allocator may have risen.
+	waitFor             float64
+	waitUntil, askAgain time.Time
 	// backlog is the time that the refused requests take that were told to come back.
 	backlog time.Duration
 
--- a/internal/core/allotment/client.go
+++ b/internal/core/allotment/client.go
@@ -120,7 +120,7 @@
 	w.id = c.lastID
 	a.queue = append(a.queue, w)
 	g.queued[key] = a
-	if !a.waitUntil.After(now) {
+	if !a.askAgain.After(now) {
 		g.urgent = true
 	}
 	return Decision{Outcome: Pending, Request: w.id, Deadline: w.deadline}
@@ -156,7 +156,7 @@
 
 // tooLate reports whether it is known that there will not be enough tokens in time.
 func (c *Client) tooLate(a *account, w waiting) bool {
-	return need(w.limit, w.tokens) >= a.waitFor && a.waitUntil.After(w.deadline)
+	return need(w.limit, w.tokens) >= a.waitFor && a.askAgain.After(w.deadline)
 }
 
 // reachable reports whether an allocator has answered within a term. Otherwise requests
--- a/internal/core/allotment/client_test.go
+++ b/internal/core/allotment/client_test.go
@@ -113,11 +113,12 @@
 	out := draw(is, c, epoch)
 	resolved := c.Answered(after(0.01), out, granting(1, Grant{Key: "a", Wait: time.Second, Backlog: 2 * time.Second}))
 	is.Equal(resolved[0].Decision.RetryAfter, 3*time.Second*9/8)
-	d := c.Take(after(0.51), "a", limit, 50, 0)
+	d := c.Take(after(0.26), "a", limit, 50, 0)
 	is.Equal(d.Reason, ReasonOver)
-	is.Equal(d.RetryAfter, 3*time.Second*9/8) // 0.5 s, the backlog, and the 50 refused tokens
-	is.Equal(c.Take(after(0.51), "a", limit, 10, 0).Outcome, Pending)
-	is.Equal(c.Take(after(1.01), "a", limit, 50, 0).Outcome, Pending)
+	is.Equal(d.RetryAfter, 3250*time.Millisecond*9/8) // 0.75 s, the backlog, and the 50 refused tokens
+	is.Equal(c.Take(after(0.26), "a", limit, 10, 0).Outcome, Pending)
+	// After an interval the allocator is asked again: its share may have risen.
+	is.Equal(c.Take(after(0.51), "a", limit, 50, 0).Outcome, Pending)
 }
 
 // Guards against tokens that are spent after their validity, which counts from the
@@ -177,7 +178,7 @@
 	out := draw(is, c, epoch)
 	is.Equal(out.Draw.Ticket, uint64(0))
 	c.account(epoch, "a", limit)
-	near(is, c.Available(after(0.5), "a"), 5) // 0.3 / 3 of the limit
+	near(is, c.Available(after(0.05), "a"), 0.5) // 0.3 / 3 of the limit
 	c.Answered(after(0.1), out, granting(5))
 	out = draw(is, c, after(1))
 	is.Equal(out.Draw.Ticket, uint64(5))
--- a/internal/core/allotment/draws.go
+++ b/internal/core/allotment/draws.go
@@ -51,11 +51,11 @@
 	if !g.urgent && !g.wake.IsZero() && !now.Before(g.wake) {
 		g.wake = time.Time{}
 		for _, a := range g.queued {
-			if !a.waitUntil.After(now) {
+			if !a.askAgain.After(now) {
 				g.urgent = true
 				return true
 			}
-			g.wakeAt(a.waitUntil)
+			g.wakeAt(a.askAgain)
 		}
 		for _, a := range g.active {
 			if at, ok := a.unsettled(now, g); ok {
@@ -183,6 +183,9 @@
 		a.charging = 0
 	}
 	g.received(now, sent.To, answer)
+	if c.mayAttach && !now.Before(c.free) && !g.isBound(now) && g.ticket.from == g.target && g.ticket.received.Equal(now) {
+		g.next = now // the first ticket attaches this router at once
+	}
 	for _, grant := range answer.Grants {
 		if a := c.accounts[grant.Key]; a != nil {
 			c.granted(now, g, a, sent, answer, grant)
@@ -198,7 +201,7 @@
 	for _, key := range sortedKeys(g.queued) {
 		a := g.queued[key]
 		resolved = append(resolved, c.resolve(now, a, g)...)
-		if len(a.queue) > 0 && !a.waitUntil.After(now) {
+		if len(a.queue) > 0 && !a.askAgain.After(now) {
 			g.urgent = true
 		}
 	}
@@ -207,10 +210,11 @@
 
 // granted adds a grant to the account. It is void if the answer arrived too late.
 func (c *Client) granted(now time.Time, g *Attachment, a *account, sent OutgoingDraw, answer Answer, grant Grant) {
-	a.waitFor, a.waitUntil, a.backlog = 0, time.Time{}, grant.Backlog
+	a.waitFor, a.waitUntil, a.askAgain, a.backlog = 0, time.Time{}, time.Time{}, grant.Backlog
 	if grant.Wait > 0 {
 		a.waitUntil = now.Add(grant.Wait)
-		g.wakeAt(a.waitUntil)
+		a.askAgain = now.Add(min(grant.Wait, Interval(c.count.count)))
+		g.wakeAt(a.askAgain)
 		a.waitFor = a.asked
 	}
 	expires := sent.SentAt.Add(c.settings.Validity())
--- a/internal/core/allotment/use_test.go
+++ b/internal/core/allotment/use_test.go
@@ -120,7 +120,11 @@
 // after the other, over and over.
 func TestAllotmentIsUsedWhileAThirdRestarts(t *testing.T) {
 	forUse(t, 3, 61, func(t *testing.T, w *world, _ *demand, measure time.Duration) {
-		for r := range w.third(false) {
+		third := w.third(false)
+		for _, r := range w.routers {
+			if third[r] == 0 {
+				continue
+			}
 			var again func()
 			again = func() { w.crash(r, time.Second); w.after(6*time.Second, again) }
 			w.after(time.Duration(w.rand.Int63n(int64(6*time.Second))), again)
@@ -129,6 +133,21 @@
 	})
 }
 
+// Guards against an allotment that is lost for long after a third of the routers, with
+// the allocator, restarted at once. The takeover is part of the 30 s.
+func TestAllotmentIsUsedAcrossARestartOfTheAllocator(t *testing.T) {
+	forUse(t, 3, 300, func(t *testing.T, w *world, _ *demand, _ time.Duration) {
+		third := w.third(true)
+		for _, r := range w.routers {
+			if third[r] == 0 {
+				continue
+			}
+			w.crash(r, time.Second)
+		}
+		w.atLeast(t, 0.85, 30*time.Second)
+	})
+}
+
 // Guards against an allotment that stays where the demand was.
 func TestDemandThatMovesGetsItsAllotment(t *testing.T) {
 	forUse(t, 2, 61, func(t *testing.T, w *world, d *demand, measure time.Duration) {
