--- a/internal/core/allotment/allocator_test.go
+++ b/internal/core/allotment/allocator_test.go
@@ -149,6 +149,21 @@
 	is.Equal(a.Attached(after(2.5)), 0) // the term counts from the ticket, not from the message
 }
 
+// Guards against a majority of an allocator that has not learned of new routers yet,
+// although a router that is attached to it has.
+func TestAllocatorCountsWhatItsRoutersCount(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, Limit{Rate: 10, Burst: 10})
+	f.attachAll(after(0), 2)
+	is.True(f.majority())
+	d := Draw{Router: "vm-0", Groups: 1, Ticket: f.tickets["vm-0"], TicketOf: 7, Term: Term(3), MayAttach: true, Routers: 4}
+	is.True(!f.Handle(after(1), d, known(f.limit)).Majority)
+	f.attachAll(after(2), 2)
+	is.True(!f.majority())
+	f.attachAll(after(9), 2)
+	is.True(f.majority())
+}
+
 // Guards against N that falls while removed routers may still spend.
 func TestRoutersAreCountedAfterTheirRemoval(t *testing.T) {
 	is := is.New(t)
@@ -200,6 +215,22 @@
 	}
 }
 
+// Guards against tokens that come back so late that their count is in use for newer
+// grants.
+func TestReturnOfAnOldGrantIsNotTakenFromANewOne(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, Limit{Rate: 10, Burst: 100})
+	f.attachAll(after(0), 1)
+	f.attachAll(after(1), 1)
+	near(is, f.available(after(1)), 10)
+	old := f.tickets["vm-0"]
+	again := after(1).Add(grantSlots * f.slotLength())
+	granted := f.available(again)
+	is.True(granted > 8)
+	f.draw(again, "vm-0", Want{Key: "a", Returned: 8, GrantTicket: old})
+	near(is, f.available(again), 0)
+}
+
 // Guards against routers that hoard several bursts by returning and drawing tokens in
 // turn: without the bound, 20 routers hold more than 5 bursts after some seconds.
 func TestReturnsDoNotHoard(t *testing.T) {
