--- a/internal/core/allotment/world_test.go
+++ b/internal/core/allotment/world_test.go
@@ -4,9 +4,11 @@
 	"container/heap"
 	"flag"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand"
 	"os"
+	"slices"
 	"testing"
 	"time"
 )
@@ -364,8 +366,8 @@
 		return
 	}
 	r.up = false
-	for _, req := range r.pending {
-		w.retry(req, down)
+	for _, id := range slices.Sorted(maps.Keys(r.pending)) {
+		w.retry(r.pending[id], down)
 	}
 	w.after(down, func() {
 		if !r.up && !r.removed {
