--- a/internal/core/allotment/allotment.go
+++ b/internal/core/allotment/allotment.go
@@ -1,12 +1,29 @@
 // Package allotment enforces the rate limits of client accounts over all routers.
 //
 // One allocator per account group keeps a token bucket for each account and grants
-// tokens to the routers, which spend them on requests. See docs/design/allotments.md
-// for the argument that the limits hold.
+// tokens to the routers, which spend them on requests. In any window W, the requests of
+// an account cost at most (rate x W + burst) x (1 + over) when they are admitted,
+// whatever messages are lost, late or reordered, and whichever routers stop, restart, are
+// suspended or cut off, because:
+//
+//   - A router is counted by one allocator at a time. An allocator counts it until the
+//     time of a ticket, its own clock reading, plus a term. The router commits itself
+//     before it sends the ticket back, and until a term after it received it.
+//   - The shares of all allocators, and the parts that routers spend that are not bound,
+//     sum to at most 1. Tokens accrue, and buckets hold, in proportion to the share.
+//   - Grants expire soon after the request for them was sent. What can still be spent or
+//     returned counts against the capacity of the bucket when tokens come back.
+//
+// See docs/design/allotments.md for the whole argument, and for what it does not cover.
 //
 // The package has no clock and no network. Every method takes the reading of a boot
 // clock, which also advances while the VM is suspended. No type is safe for
-// concurrent use; a Client and the Allocators of one router share one lock.
+// concurrent use; a Client and the Allocators of one router share one lock. The caller
+// reads the clock while it holds the lock, and for an answer after that has arrived:
+// with an older reading, a router that was suspended in between would spend expired
+// tokens, or be bound for too short a time. After a change of state, the caller calls
+// Client.Draws, and again at Client.NextDraw; it calls Client.Expire at the deadlines
+// of pending requests.
 package allotment
 
 import (
--- a/internal/core/allotment/client.go
+++ b/internal/core/allotment/client.go
@@ -44,12 +44,11 @@
 }
 
 // SetRouters sets the routers that share the limits, including this one: all of them,
-// and those that the membership view considers alive. mayAttach is false until the
-// entry of this router has existed for AttachDelay and its process for StartDelay; until
-// then the router neither attaches nor spends on its own.
-// Until the first call, every request is refused. The first list of a process also has
-// to name the routers that were removed within AttachDelay, because they may still
-// spend.
+// and those that the membership view considers alive, with this one. mayAttach is false
+// until the entry of this router has existed for AttachDelay and its process for
+// StartDelay; until then the router neither attaches nor spends on its own. Until the
+// first call, every request is refused. The first list of a process also has to name
+// the routers that were removed within AttachDelay, because they may still spend.
 func (c *Client) SetRouters(now time.Time, all, alive []string, mayAttach bool) {
 	c.count.set(now, len(all))
 	c.alive = alive
