gateway: log and count what was expected of the chosen target

Rankings took the prefill rate under a lock, copied each target and read the clock for each; they no longer do.

--- a/internal/app/gateway/admit.go
+++ b/internal/app/gateway/admit.go
@@ -101,6 +101,7 @@
 		s := x.scores[0]
 		k.unloadedMs, k.occupancyMs = s.PrefillMs+s.LinkMs+s.ColdMs, s.PrefillMs
 		k.queueMs = max(s.QueueMs, x.reportedQueueMs(now, usable[k.order[0]]))
+		k.best.Deviation = x.g.work.Deviation(x.service)
 	} else {
 		k.order, k.plain = x.rankPlain(now, usable)
 		best := &k.plain[0]
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -450,6 +450,7 @@
 	if x.engine != nil && !x.history.Delivered {
 		if x.fetchFrom == "" && !x.sentAt.IsZero() {
 			x.g.observePrefill(x.service, x.score, x.r.PromptTokens-x.score.CachedTokens, now.Sub(x.sentAt))
+			x.observeError(duration(x.score.QueueMs+x.score.PrefillMs+x.score.LinkMs+x.score.ColdMs), now.Sub(x.sentAt))
 		}
 		x.sentAt, x.eventsBegan = time.Time{}, now
 		x.g.Placer.FirstToken(now, x.placementRequest, t.Address, x.firstEvent)
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -189,11 +189,12 @@
 	request.KnownCachedTokens = make(map[string]int, len(targets))
 	scope, weights := "", -1
 	x.prefillPerSecond = x.g.prefillRate(x.service)
-	for i, t := range targets {
+	for i := range targets {
+		t := &targets[i]
 		byAddress[t.Address] = i
-		candidates[i] = x.placementTarget(t)
+		candidates[i] = x.placementTarget(now, t)
 		if version := t.Weights[x.r.Model]; version != weights {
-			scope, weights = x.cacheScope(t), version // mostly the same for all
+			scope, weights = x.cacheScope(*t), version // mostly the same for all
 		}
 		if tokens, known := x.g.CacheContents.CachedTokens(now, t.Address, scope, x.r.Prompt); known {
 			request.KnownCachedTokens[t.Address] = tokens
@@ -207,19 +208,19 @@
 	return order
 }
 
-func (x *exchange) placementTarget(t Target) placement.Target {
+func (x *exchange) placementTarget(now time.Time, t *Target) placement.Target {
 	return placement.Target{Name: t.Address, Address: t.Address, Region: x.g.settings().Regions[t.AvailabilityZone],
 		AvailabilityZone: t.AvailabilityZone, Incarnation: t.Incarnation(), Slots: max(t.Slots, x.engine.Slots),
-		FailureCostMs:          x.failureCostMs(t),
+		FailureCostMs:          x.failureCostMs(now, t),
 		CacheBlocks:            x.engine.CacheTokens / placement.PartBlockTokens,
 		ColdUntil:              t.ColdUntil,
-		CacheExpires:           x.outdated(t),
+		CacheExpires:           x.outdated(*t),
 		PrefillTokensPerSecond: x.prefillPerSecond}
 }
 
 // failureCostMs is the expected cost in ms of failures of the target.
-func (x *exchange) failureCostMs(t Target) float64 {
-	return balance.FailureCostMs(t.Reliability.FailureShare(x.g.Clock.Now()), x.route.Objective, x.route.Retryable())
+func (x *exchange) failureCostMs(now time.Time, t *Target) float64 {
+	return balance.FailureCostMs(t.Reliability.FailureShare(now), x.route.Objective, x.route.Retryable())
 }
 
 // scoreOf returns the score of the target in the last ranking.
--- a/internal/app/gateway/fake_test.go
+++ b/internal/app/gateway/fake_test.go
@@ -32,6 +32,8 @@
 	rate float64
 	// says is what the target says of itself.
 	says port.TargetStatement
+	// load is the load that the target reports.
+	load *port.LoadReport
 	// contentType is the type of the body, empty: none.
 	contentType string
 }
@@ -79,7 +81,7 @@
 	if r.contentType != "" {
 		header.Set("Content-Type", r.contentType)
 	}
-	return port.ForwardResponse{Status: r.status, Header: header, Body: io.NopCloser(body), Length: -1, RequestsPerSecond: r.rate, Statement: r.says}, nil
+	return port.ForwardResponse{Status: r.status, Header: header, Body: io.NopCloser(body), Length: -1, RequestsPerSecond: r.rate, Statement: r.says, Load: r.load}, nil
 }
 
 func (f *fakeTargets) Order(context.Context, string, port.WeightsOrder) error { return nil }
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -54,6 +54,9 @@
 	// counts those that could not be served in time.
 	MetricQueueWait   = "queue_wait"
 	MetricNotAdmitted = "not_admitted"
+	// MetricEstimateError is the difference between the expected and the actual time to the
+	// first byte of an engine's answer, or to the whole answer of a plain target.
+	MetricEstimateError = "estimate_error"
 )
 
 // Request is one request of a client, read completely.
--- a/internal/app/gateway/transfer.go
+++ b/internal/app/gateway/transfer.go
@@ -35,7 +35,7 @@
 	for _, s := range sources {
 		x.cachedElsewhere = max(x.cachedElsewhere, s.CachedTokens)
 	}
-	if source, ok := placement.BestFetch(costs, x.placementTarget(t), x.score, x.r.PromptTokens, sources); ok {
+	if source, ok := placement.BestFetch(costs, x.placementTarget(now, &t), x.score, x.r.PromptTokens, sources); ok {
 		x.fetchFrom = source.Address
 	}
 	x.placementRequest.Fetched = x.fetchFrom != ""
--- a/internal/app/gateway/workload.go
+++ b/internal/app/gateway/workload.go
@@ -43,7 +43,7 @@
 			work = &unknown
 		}
 		candidates[i] = balance.Candidate{Index: i, Slots: t.Slots, Load: work.Load(now, cost, t.Slots),
-			LinkMs: x.g.linkMs(t.AvailabilityZone), FailureCostMs: x.failureCostMs(*t)}
+			LinkMs: x.g.linkMs(t.AvailabilityZone), FailureCostMs: x.failureCostMs(now, t)}
 	}
 	balance.Rank(candidates)
 	order := make([]int, len(candidates))
@@ -84,6 +84,7 @@
 	}
 	if x.engine == nil {
 		x.g.work.Finished(x.service, x.route.Name, usualMs)
+		x.observeError(x.sent.Expected.FirstByte(), now.Sub(x.sent.At))
 		return
 	}
 	if x.eventsBegan.IsZero() || x.attempts > 1 || x.score.SpeedFactor <= 0 {
@@ -94,6 +95,12 @@
 	}
 }
 
+// observeError records how far the expected time to the answer was off.
+func (x *exchange) observeError(expected, actual time.Duration) {
+	x.g.work.Observed(x.service, expected, actual)
+	x.g.Metrics.Observe(MetricEstimateError, (actual - expected).Abs())
+}
+
 // slowness returns the last load report of a target, and whether it contains its slowness.
 func (d *Directory) slowness(id string) (load port.LoadReport, reports bool) {
 	d.update(id, func(t *Target) { load = t.Load })
@@ -103,11 +110,14 @@
 // round2 rounds to two decimals for the log.
 func round2(x float64) float64 { return math.Round(x*100) / 100 }
 
+// maxSentAttrs is the largest number of attributes of the line "sent".
+const maxSentAttrs = 24
+
 // logAttempt logs the target of an attempt and the inputs of the choice, so that a request
 // can be traced even if its router dies before it ends.
 func (x *exchange) logAttempt(ctx context.Context, t Target) {
-	attrs := []slog.Attr{slog.String("request", x.r.ID), slog.String("target", t.ID), slog.Int("send", x.attempts),
-		slog.Int("in_flight", t.InFlight), slog.Float64("left_ms", ms(x.deadline.Sub(x.g.Clock.Now())))}
+	attrs := append(make([]slog.Attr, 0, maxSentAttrs), slog.String("request", x.r.ID), slog.String("target", t.ID), slog.Int("send", x.attempts),
+		slog.Int("in_flight", t.InFlight), slog.Float64("left_ms", ms(x.deadline.Sub(x.g.Clock.Now()))))
 	if share := t.Reliability.FailureShare(x.g.Clock.Now()); share > 0 {
 		attrs = append(attrs, slog.Float64("failure_share", share))
 	}
@@ -122,6 +132,7 @@
 			slog.Int("cached_tokens", x.score.CachedTokens), slog.Int("elsewhere_tokens", x.cachedElsewhere),
 			slog.Float64("queue_ms", x.score.QueueMs), slog.Float64("prefill_ms", x.score.PrefillMs),
 			slog.Float64("link_ms", x.score.LinkMs), slog.Float64("speed", round2(x.score.SpeedFactor)), slog.Float64("slowness", round2(x.score.Slowness)),
+			slog.Float64("remaining_ms", round2(x.score.RemainingMs)),
 			slog.String("reason", x.score.Reason), slog.Int("weights", t.Weights[x.r.Model]))
 		if x.fetchFrom != "" || x.saveTo != "" {
 			attrs = append(attrs, slog.String("fetch_from", x.fetchFrom), slog.String("save_to", x.saveTo))
@@ -129,7 +140,7 @@
 	}
 	if l := &x.plain.Load; x.engine == nil {
 		attrs = append(attrs, slog.Float64("queue_ms", round2(l.WaitMs+l.LateMs)), slog.Float64("service_ms", round2(l.ServiceMs)),
-			slog.Float64("deviation_ms", round2(l.DeviationMs)), slog.Float64("link_ms", x.plain.LinkMs), slog.Float64("remaining_ms", round2(l.RemainingMs)),
+			slog.Float64("link_ms", x.plain.LinkMs), slog.Float64("remaining_ms", round2(l.RemainingMs)),
 			slog.Float64("speed", round2(l.Factor)), slog.Float64("slowness", round2(l.Slowness)))
 	}
 	x.g.Log.LogAttrs(ctx, slog.LevelInfo, "sent", attrs...)
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -41,7 +41,8 @@
 	perMs := usualPerMs / factor
 	s := Score{Target: target.Name, CachedTokens: int(cached), Reason: c.reason, SpeedFactor: factor, Slowness: t.speed.Slowness(v.now)}
 	s.PrefillMs = uncached / perMs
-	s.QueueMs = p.queueMs(v.now, t, target, perMs, factor)
+	s.RemainingMs = p.remainingMs(v.now, t, perMs)
+	s.QueueMs = p.queueMs(v.now, t, target, s.RemainingMs, factor)
 	usualMs := uncached / usualPerMs
 	s.RecomputeMs = (p.missWeight(v, c.order, s.QueueMs*perMs) + v.req.Weights.Recompute) * usualMs
 	if target.CacheExpires {
@@ -82,11 +83,15 @@
 	return 0
 }
 
+// remainingMs is the queued prefill work, own and others'.
+func (p *Policy) remainingMs(now time.Time, t *targetState, perMs float64) float64 {
+	others := t.estimatedInFlight(now) - float64(len(t.attempts))
+	return (t.pendingPrefillTokens(now) + t.othersPendingTokens(now, perMs) + others*p.pendingPerRequest()) / perMs
+}
+
 // queueMs is the expected wait for a slot and for queued prefill work.
-func (p *Policy) queueMs(now time.Time, t *targetState, target Target, perMs, factor float64) float64 {
-	inFlight := t.estimatedInFlight(now)
-	others := inFlight - float64(len(t.attempts))
-	ms := (t.pendingPrefillTokens(now) + t.othersPendingTokens(now, perMs) + others*p.pendingPerRequest()) / perMs
+func (p *Policy) queueMs(now time.Time, t *targetState, target Target, remainingMs, factor float64) float64 {
+	inFlight, ms := t.estimatedInFlight(now), remainingMs
 	if slots := float64(max(target.Slots, 1)); inFlight >= slots {
 		ms += (inFlight - slots + 1) / slots * p.decodeSeconds * 1000 * factor
 	}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -75,6 +75,9 @@
 	// Slowness the momentary part of it. QueueMs and PrefillMs contain it.
 	SpeedFactor float64
 	Slowness    float64
+	// RemainingMs is the prefill work that remains on an engine, or the work of all requests
+	// on a plain target, own and others'.
+	RemainingMs float64
 	// Reason is why the target became a candidate: "home", "holder" or "idle".
 	Reason string
 }
--- a/internal/core/placement/plain.go
+++ b/internal/core/placement/plain.go
@@ -22,7 +22,7 @@
 func (p *Policy) scorePlain(v *requestView, c *candidate, t *targetState, target Target) {
 	l := t.plainLoad(v.now, v.cost, target.Slots)
 	s := Score{Target: target.Name, Reason: c.reason, SpeedFactor: l.Factor, Slowness: l.Slowness,
-		QueueMs: l.WaitMs + l.LateMs, ServiceMs: l.ServiceMs, LinkMs: 2 * p.linkMs(target)}
+		RemainingMs: l.RemainingMs, QueueMs: l.WaitMs + l.LateMs, ServiceMs: l.ServiceMs, LinkMs: 2 * p.linkMs(target)}
 	if target.Region != p.cfg.Region {
 		s.CrossRegionMs = v.req.Weights.CrossRegionMsPerMiB * float64(v.req.PromptBytes) / bytesPerMiB
 	}
--- a/internal/core/workload/service.go
+++ b/internal/core/workload/service.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -9,6 +10,9 @@
 	// maxRoutes bounds the routes of one service with a cost of their own. Others have the
 	// cost of the mix.
 	maxRoutes = 4096
+	// errorGain is the weight of a new error in the average, maxErrorMs bounds one error.
+	errorGain  = 0.05
+	maxErrorMs = 10_000
 	// mixPrior is the number of samples as which the mix counts in the cost of a route.
 	mixPrior = 2
 	// usualGain is the weight of a report in the average over all targets of a service.
@@ -26,6 +30,8 @@
 	mix    ServiceTime
 	routes map[string]ServiceTime
 	decode DecodeRate
+	// error is the average square of the error of the expected times to the first byte, in ms².
+	error float64
 	// others is the average number of requests of other routers that reports counted.
 	others   float64
 	othersAt time.Time
@@ -109,6 +115,22 @@
 	v.decode = v.decode.Observe(tokens, ms, running)
 }
 
+// Observed records the expected and the actual time to the first byte of an answer.
+func (s *Services) Observed(service string, expected, actual time.Duration) {
+	ms := min(max(milliseconds(actual-expected), -maxErrorMs), maxErrorMs)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.get(service)
+	v.error += errorGain * (ms*ms - v.error)
+}
+
+// Deviation is the deviation of the actual times to the first byte from the expected ones.
+func (s *Services) Deviation(service string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return duration(math.Sqrt(s.get(service).error))
+}
+
 // shrunk draws the mean to that of the mix while there are few samples.
 func (e ServiceTime) shrunk(mix ServiceTime) ServiceTime {
 	if e.samples == 0 {
