--- a/internal/core/balance/policies_test.go
+++ b/internal/core/balance/policies_test.go
@@ -62,7 +62,7 @@
 		today, product := runSeeds(s, newToday), runSeeds(s, newProduct)
 		t.Logf("%d lie: in time %.4f, by averages %.4f, by fewest requests %.4f", lying, product.inTime/product.sent, today.inTime/today.sent,
 			func() float64 { l := runSeeds(s, newLeastRequests); return l.inTime / l.sent }())
-		is.True(1-product.inTime/product.sent <= 1.25*(1-today.inTime/today.sent))
+		is.True(product.inTime/product.sent >= today.inTime/today.sent)
 	}
 }
 
--- a/internal/core/workload/speed.go
+++ b/internal/core/workload/speed.go
@@ -7,8 +7,8 @@
 
 const (
 	// slownessHalfLife is the age at which half of what a report says of the present is left.
-	// The reported figure changes many times a second: with half lives of 50 ms and 1 s the
-	// load driver's lookups were later at p99 than with this one.
+	// The reported figure changes many times a second: with half-lives of 50 ms and 2 s, 157
+	// and 169 of 10,000 requests of the load driver were late, with this one 135.
 	slownessHalfLife = 200 * time.Millisecond
 	// minSlowness and maxSlowness bound what one report can do.
 	minSlowness, maxSlowness = 0.5, 3.0
--- a/internal/core/workload/target.go
+++ b/internal/core/workload/target.go
@@ -235,8 +235,8 @@
 }
 
 // occupancyGrowth is the part of the service time that is added when all slots are occupied, so
-// that ties go to the less loaded target. With a quarter or the double of it, or none, the load
-// driver's plain requests were later at p99.
+// that ties go to the less loaded target. With none and with the double of it, 163 and 156 of
+// 10,000 requests of the load driver were late, with this one 135.
 const occupancyGrowth = 0.5
 
 // ExpectedMs is the expected time of a request on the target, without the network.
