--- a/internal/app/completions/completion.go
+++ b/internal/app/completions/completion.go
@@ -10,7 +10,6 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/core/stream"
@@ -24,7 +23,7 @@
 	plan        *plan
 	req         CompletionRequest
 	sink        Sink
-	permit      *limits.Permit
+	admission   *admission
 	fingerprint retry.Fingerprint
 	segments    []retry.SegmentHash
 
@@ -145,7 +144,8 @@
 	if err := r.checkStop(p); err != nil {
 		return err
 	}
-	if c.permit, err = r.admit(ctx, p, p.placement.PromptTokens, c.req.MaxTokens); err != nil {
+	if c.admission, err = r.admit(ctx, p, admissionRequest{requestID: c.req.RequestID, fingerprint: c.fingerprint,
+		promptTokens: p.placement.PromptTokens, outputTokens: c.req.MaxTokens, generates: true}); err != nil {
 		return err
 	}
 	r.budget(p.routeRef).Earn(r.Clock.Now(), p.route.RetryBudgetPercent, budgetReserve(p.pool))
@@ -155,28 +155,16 @@
 
 func (c *completion) release() {
 	c.stall.Stop()
-	c.permit.Release()
+	c.admission.permit.Release()
+	if !c.mayHaveRun {
+		c.r.refund(c.admission.charges)
+	}
 }
 
 func (c *completion) result() Completion {
 	return Completion{FinishReason: c.asm.FinishReason(), Usage: c.asm.Usage(), Attempts: c.attempts, Target: c.lastTarget}
 }
 
-// admit queues the request until it may run.
-func (r *Router) admit(ctx context.Context, p *plan, promptTokens, outputTokens int) (*limits.Permit, error) {
-	_, span := r.Tracer.Start(ctx, "admit")
-	defer span.End()
-	start := r.Clock.Now()
-	view := r.poolView(p)
-	permit, err := r.limits.Acquire(ctx, limits.Request{
-		Account: p.accountRef.String(), Limits: p.account.Limits, Weight: p.account.Share,
-		Pool: p.poolRef.String(), Targets: view.available, Members: view.availableIndex, Unavailable: r.openCircuits(view), Slots: p.pool.Slots, Priority: p.route.Priority,
-		PromptTokens: promptTokens, OutputTokens: outputTokens, Deadline: p.deadline,
-	})
-	r.Metrics.Observe(MetricQueueWait, r.Clock.Now().Sub(start))
-	return permit, err
-}
-
 // run starts and supervises attempts until the response is complete. No attempt is
 // still active when it returns.
 func (c *completion) run(ctx context.Context) error {
@@ -318,7 +306,7 @@
 	if a.chunks++; a.chunks == clearAfterChunks {
 		c.r.CrashTracker.Clear(c.fingerprint, false)
 	}
-	c.permit.ChargeOutput(1)
+	c.r.chargeOutput(c.plan, c.asm.Chunks())
 	if err := c.sink.Chunk(ctx, chunk); err != nil {
 		return false, &callerDisconnectedError{Cause: err}
 	}
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -35,8 +35,7 @@
 func (x *exchange) choose(ctx context.Context, wait func()) (Target, error) {
 	_, span := x.g.Tracer.Start(ctx, "place")
 	defer span.End()
-	maxWait := max(minTargetWait, time.Duration(targetWaitShare*float64(x.route.Objective)))
-	start := x.g.Clock.Now()
+	maxWait, start := x.maxTargetWait(), x.g.Clock.Now()
 	for {
 		if err := x.checkQuarantine(); err != nil {
 			return Target{}, err
@@ -46,6 +45,9 @@
 			return t, nil
 		}
 		wait()
+		if x.fullTooLong(ctx, start.Add(maxWait)) {
+			return Target{}, errors.Join(ErrNoTarget, x.lastCause)
+		}
 		if waited := x.g.Clock.Now().Sub(start); waited >= maxWait || x.blocked.wait >= maxWait-waited || x.blocked.stated && x.refusable() {
 			if !x.blocked.stated {
 				x.retryAfter = max(x.retryAfter, min(x.blocked.wait, longRetryAfter))
@@ -58,6 +60,11 @@
 	}
 }
 
+// maxTargetWait is how long the request waits while no target may take it.
+func (x *exchange) maxTargetWait() time.Duration {
+	return max(minTargetWait, time.Duration(targetWaitShare*float64(x.route.Objective)))
+}
+
 // refusable reports whether the client can be told that the request has not run.
 func (x *exchange) refusable() bool {
 	return !x.committed && retrypolicy.ChooseFinalAction(x.history, retrypolicy.NotRun) == retrypolicy.Refuse
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -55,6 +55,11 @@
 	// requests.
 	PausedUntil time.Time
 	Load        port.LoadReport
+	// full is what is known of the number of requests at which the target refuses more; nil:
+	// nothing. It is not changed: copies of Target share it.
+	full *balance.FullBound
+	// answerMs is the mean time to an answer in ms, with the wait on the target; 0: unknown.
+	answerMs float64
 	// work is the state of a plain target's work, nil if nothing is known. It is replaced as a
 	// whole, so that copies of Target stay as they are.
 	work *workload.Target
@@ -345,6 +350,13 @@
 		if rating != ratingNone {
 			t.Reliability = t.Reliability.Observe(now, rating == ratingBad)
 		}
+		if took > 0 {
+			ms := float64(took) / float64(time.Millisecond)
+			if t.answerMs == 0 {
+				t.answerMs = ms
+			}
+			t.answerMs += answerGain * (ms - t.answerMs)
+		}
 		if sent != nil {
 			s := *sent
 			if rating != ratingGood {
@@ -356,6 +368,9 @@
 	return usualMs
 }
 
+// answerGain is the weight of a new sample in the moving average of answer times.
+const answerGain = 0.1
+
 // targetRating rates a target by one request.
 type targetRating int
 
@@ -385,6 +400,7 @@
 		t.LastActivity = now
 		if a.Load != nil {
 			t.Load = *a.Load
+			t.full = t.full.Accepted(a.Load.Running + a.Load.Waiting)
 			t.Load.MeasuredAt = now
 		}
 		d.observeWeights(t, model, a.Weights, sent)
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"mimosaseam.example/mimosaseam/internal/app/allotments"
+	"mimosaseam.example/mimosaseam/internal/core/allotment"
 	"mimosaseam.example/mimosaseam/internal/core/balance"
 	"mimosaseam.example/mimosaseam/internal/core/gatewayconfig"
 	"mimosaseam.example/mimosaseam/internal/core/limits"
@@ -79,9 +81,10 @@
 	// prompt segments.
 	fetchFrom, saveTo string
 	retryAfter        time.Duration
-	// ranking is the ranking with which the request was admitted, and queued the time
-	// that it waited for admission.
+	// ranking is the ranking with which the request was admitted, gate what admitted it, and
+	// queued the time that it waited for admission.
 	ranking *ranking
+	gate    limits.Gate
 	queued  time.Duration
 	// held is a target's error response that was held back for a retry.
 	held *bufferedResponse
@@ -91,6 +94,9 @@
 	unanswered bool
 	// minWeights is the oldest weights version on which the request may begin, 0: any.
 	minWeights int
+	// allotted is what the account was charged; over is set if it had too little left.
+	allotted allotment.Charge
+	over     *allotments.RefusedError
 	// expectWeights is the weights version that the target must serve, 0: any.
 	expectWeights int
 }
@@ -193,7 +199,7 @@
 		OutputTokens: x.r.MaxOutputTokens, PromptBytes: len(x.r.Body)}
 }
 
-// serve admits the request and makes attempts until one succeeds or no retry is allowed.
+// serve charges and admits the request and makes attempts until one succeeds or no retry is allowed.
 func (x *exchange) serve(ctx context.Context) error {
 	defer x.dropHeld()
 	ctx, cancel := context.WithDeadlineCause(ctx, time.Now().Add(x.deadline.Sub(x.g.Clock.Now())), ErrRouteTimeout)
@@ -202,10 +208,22 @@
 	defer end(nil)
 	defer context.AfterFunc(x.g.running, func() { end(context.Cause(x.g.running)) })()
 	defer context.AfterFunc(ctx, x.sink.Expire)()
-	x.g.retryLimiter(x.service).CountRequest(x.g.Clock.Now())
 	if !x.fitsStop() {
 		return x.refuseStopping()
 	}
+	if err := x.charge(ctx); err != nil {
+		return err
+	}
+	err := x.admitAndSend(ctx)
+	if err != nil {
+		x.refund()
+	}
+	return err
+}
+
+// admitAndSend waits for capacity and makes attempts.
+func (x *exchange) admitAndSend(ctx context.Context) error {
+	x.g.retryLimiter(x.service).CountRequest(x.g.Clock.Now())
 	permit, err := x.admit(ctx)
 	if err != nil {
 		return x.notAdmitted(ctx, err)
@@ -269,6 +287,8 @@
 	var refused *limits.RefusedError
 	if errors.As(err, &refused) {
 		x.g.Metrics.Add(MetricNotAdmitted, 1)
+		x.g.Metrics.Add(MetricNotAdmitted+"_"+refused.Cause(), 1)
+		x.g.Log.LogAttrs(ctx, slog.LevelInfo, "not admitted", append(refused.Attrs(), slog.String("request", x.r.ID))...)
 		x.retryAfter = refused.RetryAfter
 	}
 	return x.giveUp(ctx, retrypolicy.NotRun, err)
@@ -319,6 +339,9 @@
 		f.Kind = KindAborted
 	case retrypolicy.ChooseFinalAction(x.history, last) == retrypolicy.Refuse:
 		f.Kind, f.RetryAfter = KindRefused, x.refusedRetryAfter()
+		if x.history.Refusals > 0 {
+			x.g.limits.Refused(x.service, uint64(x.fingerprint), f.RetryAfter)
+		}
 	case ctx.Err() != nil:
 		f.Kind = KindTimeout
 	default:
@@ -369,6 +392,9 @@
 	if x.firstEvent > 0 {
 		out = append(out, slog.Float64("first_event_ms", ms(x.firstEvent)))
 	}
+	if x.over != nil {
+		out = append(out, x.over.Attrs()...)
+	}
 	if x.engine != nil {
 		last, _ := x.sequence.Last()
 		out = append(out, slog.Uint64("last_event", last))
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -51,9 +51,12 @@
 	MetricAnswer            = "answer"
 	MetricPlacement         = "placement"
 	// MetricQueueWait is the time that requests waited for capacity. MetricNotAdmitted
-	// counts those that could not be served in time.
+	// counts those that could not be served in time; followed by an underscore and the
+	// reason, those with that reason.
 	MetricQueueWait   = "queue_wait"
 	MetricNotAdmitted = "not_admitted"
+	// MetricQueued counts the requests that were served after a wait for capacity.
+	MetricQueued = "queued"
 	// MetricEstimateError is the difference between the expected and the actual time to the
 	// first byte of an engine's answer, or to the whole answer of a plain target.
 	MetricEstimateError = "estimate_error"
@@ -150,6 +153,8 @@
 	AnnounceRate func(r port.TargetRate)
 	// IsChosen reports whether this router is one of the n that serve a key; nil: always.
 	IsChosen func(key string, n int) bool
+	// Allotments charges client accounts that have one; nil: none is charged.
+	Allotments Allotments
 	// CrashTracker tracks requests that crash targets. The owner of the Gateway exchanges
 	// its state with the other routers.
 	CrashTracker *retry.CrashTracker
--- a/internal/core/gatewayconfig/configuration.go
+++ b/internal/core/gatewayconfig/configuration.go
@@ -97,7 +97,8 @@
 	// priority counts.
 	Priority *int
 	// Isolated accounts share no KV cache blocks with others.
-	Isolated bool
+	Isolated  bool
+	Allotment Allotment
 }
 
 // Limits apply to the requests of all clients.
@@ -115,6 +116,8 @@
 	hasAccounts bool
 	// accounts maps keys to accounts.
 	accounts map[string]*ClientAccount
+	// allotments holds the allotments that are limited, by AllotmentKey.
+	allotments map[string]Allotment
 	// isolated holds all names of accounts, and whether the account is isolated.
 	isolated map[string]bool
 	// sharedScope is the cache scope of the accounts that are not isolated.
@@ -159,7 +162,12 @@
 	}
 	c.isolated = isolation(d.Accounts)
 	c.sharedScope = sharedScope(c.isolated)
+	mergeAllotments(d.Accounts)
+	c.allotments = map[string]Allotment{}
 	for i := range d.Accounts {
+		if a := &d.Accounts[i]; a.Allotment.Limited() {
+			c.allotments[AllotmentKey(a.Name)] = a.Allotment
+		}
 		for _, key := range d.Accounts[i].Keys {
 			if key != "" { // requests without a key must not match
 				c.accounts[key] = &d.Accounts[i].ClientAccount
@@ -211,8 +219,8 @@
 	return r.Services[len(r.Services)-1].Service
 }
 
-// maxRank is the rank of the least urgent requests that targets support.
-const maxRank = 9
+// MaxRank is the rank of the least urgent requests that targets support.
+const MaxRank = 9
 
 // ranksPerAccount is the number of route priorities that are distinguished within one
 // account priority.
@@ -225,5 +233,5 @@
 	if a != nil && a.Priority != nil {
 		rank += ranksPerAccount * *a.Priority
 	}
-	return max(0, min(rank, maxRank))
+	return max(0, min(rank, MaxRank))
 }
