--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -57,6 +57,9 @@
 	MetricNotAdmitted = "not_admitted"
 	// MetricQueued counts the requests that were served after a wait for capacity.
 	MetricQueued = "queued"
+	// MetricEstimateError is the difference between the expected and the actual time to the
+	// first byte of an engine's answer, or to the whole answer of a plain target.
+	MetricEstimateError = "estimate_error"
 )
 
 // Request is one request of a client, read completely.
--- a/internal/app/gateway/transfer.go
+++ b/internal/app/gateway/transfer.go
@@ -30,7 +30,7 @@
 		return
 	}
 	shared := x.shared()
-	scope, to := x.cacheScope(t), x.placementTarget(t)
+	scope, to := x.cacheScope(t), x.placementTarget(now, &t)
 	costs := placement.FetchCosts{TokenBytes: x.engine.TokenBytes, LinkMbps: x.engine.LinkMbps,
 		PrefillTokensPerSecond: x.prefillPerSecond, Objective: x.route.Objective}
 	store := x.nearestStore(to)
