allotment: requests wait while an allocator is elected

Messages to an allocator on a busy VM ran into their timeout of 200 ms, and 18 routers sent it up to one each 2 ms.

A request now waits as long as its objective allows while no allocator has a majority, for two terms at most after one had; the messages that are not regular keep 4 ms for each router between them (120 ms at most), and fail after 400 ms.

--- a/internal/app/allotments/allotments.go
+++ b/internal/app/allotments/allotments.go
@@ -118,14 +118,13 @@
 		slog.String("allocator", e.Allocator), slog.Bool("attached", e.Attached)}
 }
 
-// Acquire charges a request, which waits for tokens at most for maxWait, or for
-// allotment.MaxWait if that is shorter or maxWait is 0. It fails with a *RefusedError, or
+// Acquire charges a request, which waits for tokens as allotment.Client.Take says. It fails with a *RefusedError, or
 // with the context's error. The charge of a request that did not run goes to Return.
-func (s *Service) Acquire(ctx context.Context, key allotment.Key, limit allotment.Limit, tokens float64, maxWait time.Duration) (allotment.Charge, error) {
+func (s *Service) Acquire(ctx context.Context, key allotment.Key, limit allotment.Limit, tokens float64, patience time.Duration) (allotment.Charge, error) {
 	if limit.Rate <= 0 {
 		return allotment.Charge{}, nil
 	}
-	d, decided := s.take(key, limit, tokens, maxWait)
+	d, decided := s.take(key, limit, tokens, patience)
 	if d.Outcome == allotment.Pending {
 		var err error
 		if d, err = s.await(ctx, key, d, decided); err != nil {
@@ -141,10 +140,10 @@
 }
 
 // take charges a request, or asks for tokens and returns where its decision arrives.
-func (s *Service) take(key allotment.Key, limit allotment.Limit, tokens float64, maxWait time.Duration) (allotment.Decision, <-chan allotment.Decision) {
+func (s *Service) take(key allotment.Key, limit allotment.Limit, tokens float64, patience time.Duration) (allotment.Decision, <-chan allotment.Decision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d := s.client.Take(s.o.Clock.Now(), key, limit, tokens, maxWait)
+	d := s.client.Take(s.o.Clock.Now(), key, limit, tokens, patience)
 	if d.Outcome != allotment.Pending {
 		return d, nil
 	}
--- a/internal/app/gateway/allotment.go
+++ b/internal/app/gateway/allotment.go
@@ -13,14 +13,11 @@
 
 // Allotments charges client accounts for their requests. *allotments.Service implements it.
 type Allotments interface {
-	Acquire(ctx context.Context, key allotment.Key, limit allotment.Limit, tokens float64, maxWait time.Duration) (allotment.Charge, error)
+	Acquire(ctx context.Context, key allotment.Key, limit allotment.Limit, tokens float64, patience time.Duration) (allotment.Charge, error)
 	Return(charge allotment.Charge)
 }
 
 const (
-	// allotmentWaitPart is the part of a route's objective for which a request waits for
-	// tokens of its account at most.
-	allotmentWaitPart = 4
 	// overBurstRetryAfter is the advice to a client whose request costs more than the burst
 	// of its account, before jitter: only a change of the configuration can help it.
 	overBurstRetryAfter = 10 * time.Second
@@ -55,7 +52,7 @@
 		return nil
 	}
 	charge, err := x.g.Allotments.Acquire(ctx, allotment.Key(gatewayconfig.AllotmentKey(x.account.Name)), allotmentLimit(*a), cost,
-		x.route.Objective/allotmentWaitPart)
+		x.route.Objective)
 	if err == nil {
 		x.allotted = charge
 		return nil
--- a/internal/core/allotment/attachment.go
+++ b/internal/core/allotment/attachment.go
@@ -44,7 +44,9 @@
 	// answer, which arrived at answered. Before the first answer, answered is the start.
 	target   string
 	majority bool
-	answered time.Time
+	// majorityAt is when an allocator with a majority answered last, or the start.
+	majorityAt time.Time
+	answered   time.Time
 	// followed is set while the target is one that another router named and that has not
 	// answered yet.
 	followed bool
@@ -76,7 +78,7 @@
 }
 
 func newAttachment(group int, now time.Time) *Attachment {
-	return &Attachment{group: group, avoid: map[string]time.Time{}, next: now, active: map[Key]*account{}, queued: map[Key]*account{}, answered: now}
+	return &Attachment{group: group, avoid: map[string]time.Time{}, next: now, active: map[Key]*account{}, queued: map[Key]*account{}, answered: now, majorityAt: now}
 }
 
 // choose returns the router to ask. It stays with an allocator that has a majority
@@ -185,6 +187,9 @@
 		a.retarget(from)
 	}
 	a.majority, a.followed, a.answered, a.failing = answer.Majority, false, now, time.Time{}
+	if answer.Majority {
+		a.majorityAt = now
+	}
 	a.ticket = ticket{from: from, of: answer.Incarnation, value: answer.Ticket, received: now}
 	if a.isBound(now) && (a.bound.to != from || a.bound.of != answer.Incarnation) {
 		// Attach as soon as the binding to the former allocator ends.
--- a/internal/core/allotment/client.go
+++ b/internal/core/allotment/client.go
@@ -6,8 +6,15 @@
 )
 
 const (
-	// MaxWait is the longest time for which a request waits for tokens.
-	MaxWait = 100 * time.Millisecond
+	// MaxWait is the longest time for which a request waits for tokens of an allocator that
+	// has a majority. waitPart is the part of its patience for which it waits at most.
+	MaxWait  = 200 * time.Millisecond
+	waitPart = 3
+	// electionTerms is the time, in terms, after the last answer of an allocator with a
+	// majority for which requests wait for another one as long as their patience lasts. A
+	// fleet that lost its allocator, or started as a whole, has one again in about a term and a
+	// half; a router that is cut off does not, and refuses at once after this time.
+	electionTerms = 2
 	// jitterPart is the part of RetryAfter that is random, so that clients do not return
 	// together.
 	jitterPart = 0.25
@@ -84,9 +91,10 @@
 	}
 }
 
-// Take charges the tokens of a request. The request waits at most for maxWait, or for
-// MaxWait if that is shorter or maxWait is 0. Requests without a limit are admitted.
-func (c *Client) Take(now time.Time, key Key, limit Limit, tokens float64, maxWait time.Duration) Decision {
+// Take charges the tokens of a request. Patience is the time that the request can wait at
+// all: all of it while an allocator is being elected, otherwise a part of it, and MaxWait at
+// most; 0: MaxWait. Requests without a limit are admitted.
+func (c *Client) Take(now time.Time, key Key, limit Limit, tokens float64, patience time.Duration) Decision {
 	if limit.unlimited() || tokens <= 0 {
 		return Decision{Outcome: Admitted, Charge: Charge{Key: key}}
 	}
@@ -105,14 +113,12 @@
 			return Decision{Outcome: Admitted, Charge: charge}
 		}
 	}
-	if maxWait <= 0 || maxWait > MaxWait {
-		maxWait = MaxWait
-	}
-	w := waiting{tokens: tokens, limit: limit, deadline: now.Add(maxWait)}
-	if c.tooLate(a, w) {
+	electing := c.electing(now, g)
+	w := waiting{tokens: tokens, limit: limit, deadline: now.Add(maxWait(patience, electing))}
+	if c.tooLate(g, a, w) {
 		return c.refuse(a, tokens, ReasonOver, a.waitUntil.Sub(now))
 	}
-	if !c.reachable(now, g) {
+	if !electing && !c.reachable(now, g) {
 		return c.refuse(a, tokens, ReasonNoAllocator, c.ownWait(a, limit, tokens))
 	}
 	c.lastID++
@@ -153,9 +159,27 @@
 	return charge, ok
 }
 
-// tooLate reports whether it is known that there will not be enough tokens in time.
-func (c *Client) tooLate(a *account, w waiting) bool {
-	return need(w.limit, w.tokens) >= a.waitFor && a.askAgain.After(w.deadline)
+// maxWait returns the time for which a request with the patience waits for tokens.
+func maxWait(patience time.Duration, electing bool) time.Duration {
+	switch {
+	case patience <= 0:
+		return MaxWait
+	case electing:
+		return patience
+	}
+	return min(patience/waitPart, MaxWait)
+}
+
+// electing reports whether the allocator of the group has no majority, but is expected to
+// have one, or to be replaced, soon.
+func (c *Client) electing(now time.Time, g *Attachment) bool {
+	return !g.majority && len(c.alive) > 0 && now.Sub(g.majorityAt) <= electionTerms*Term(c.count.count)
+}
+
+// tooLate reports whether it is known that there will not be enough tokens in time. What an
+// allocator without a majority says holds only until there is one.
+func (c *Client) tooLate(g *Attachment, a *account, w waiting) bool {
+	return g.majority && need(w.limit, w.tokens) >= a.waitFor && a.askAgain.After(w.deadline)
 }
 
 // reachable reports whether an allocator has answered within a term. Otherwise requests
@@ -247,7 +271,7 @@
 		var ok bool
 		if d.Charge, ok = c.charge(now, a, w.limit, w.tokens); !ok {
 			switch {
-			case c.tooLate(a, w):
+			case c.tooLate(g, a, w):
 				d = c.refuse(a, w.tokens, ReasonOver, a.waitUntil.Sub(now))
 			case !now.Before(w.deadline):
 				reason, wait := c.reason(now, a, g, w)
--- a/internal/core/allotment/draws.go
+++ b/internal/core/allotment/draws.go
@@ -13,9 +13,10 @@
 	earlyPart = 0.25
 	// messageGap is the shortest time between two messages of a router, for each router
 	// that shares the limits, and maxMessageGap the longest such time. Requests that
-	// arrive meanwhile share a message.
-	messageGap    = 100 * time.Microsecond
-	maxMessageGap = 30 * time.Millisecond
+	// arrive meanwhile share a message. An allocator on a VM with an eighth of a core falls
+	// behind at some hundred messages a second, and the fleet then looks for another one.
+	messageGap    = 4 * time.Millisecond
+	maxMessageGap = 120 * time.Millisecond
 )
 
 // Draws returns the messages that are due. The caller sends them at once; at most one
--- a/internal/core/allotment/messages.go
+++ b/internal/core/allotment/messages.go
@@ -95,8 +95,9 @@
 	ID uint64
 }
 
-// MessageTimeout is the time after which a message without an answer has failed.
-const MessageTimeout = 200 * time.Millisecond
+// MessageTimeout is the time after which a message without an answer has failed. A VM whose
+// processor is busy, as after a restart of the whole fleet, takes over 200 ms.
+const MessageTimeout = 400 * time.Millisecond
 
 // Outcome is the result of Client.Take.
 type Outcome int
