settings: descriptors and heads of gateway, memory of serve

Cause: gateway mode has no setting for the descriptors of the process or for the largest head that its server parses, and serve mode has no memory limit.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -133,7 +133,7 @@
 
 func serveGateway(file string, s settings.Gateway) error {
 	signals := notifyStop()
-	debug.SetMemoryLimit(int64(heapFraction * s.Limits.MemoryMB * (1 << 20)))
+	setMemoryLimit(s.Limits.MemoryMB)
 	out := telemetry.NewBoundedWriter(os.Stdout)
 	defer out.Close()
 	traces, err := telemetry.StartTraces(context.Background(),
@@ -188,6 +188,12 @@
 	return err
 }
 
+// setMemoryLimit makes the garbage collector keep the heap within its share of the memory of
+// the process.
+func setMemoryLimit(memoryMB float64) {
+	debug.SetMemoryLimit(int64(heapFraction * memoryMB * (1 << 20)))
+}
+
 func newGatewayNode(file string, s settings.Gateway, out io.Writer, tracer trace.Tracer, metrics gateway.Metrics) *gatewayNode {
 	n := &gatewayNode{file: file, settings: s, level: new(slog.LevelVar), tracer: tracer, clock: port.SystemClock{}, bootClock: bootclock.Clock{}}
 	n.setLevel(s.LogLevel)
--- a/cmd/mimosaseam/serve.go
+++ b/cmd/mimosaseam/serve.go
@@ -59,6 +59,7 @@
 }
 
 func serve(s settings.Settings) error {
+	setMemoryLimit(float64(s.Resources.MemoryMB))
 	logger := telemetry.Logger(os.Stderr, s.Telemetry, s.VM)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -21,6 +21,7 @@
 	s.checkListeners(d)
 	s.checkPlatform(d)
 	s.checkTelemetry(d)
+	checkRange(d, "/resources/memory_mb", s.Resources.MemoryMB, 32, 1<<20)
 	checkRange(d, "/resources/index_bytes", s.Resources.IndexBytes, 1<<20, 1<<34)
 	checkRange(d, "/resources/event_bytes_per_s", s.Resources.EventBytesPerS, 0, 1<<24)
 	checkRange(d, "/shutdown/drain_timeout_s", s.Shutdown.DrainTimeoutS, 0, 3600)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -63,6 +63,11 @@
 type ProcessLimits struct {
 	// MemoryMB is the memory limit of the process, in MB. Default 128.
 	MemoryMB float64 `json:"memory_mb"`
+	// MaxFDs is the number of file descriptors that the process may open. Default 1024.
+	MaxFDs float64 `json:"max_fds"`
+	// HeaderBytes bounds the head of a request in bytes before the configuration is known,
+	// and above what the configuration allows. Default 65536.
+	HeaderBytes float64 `json:"header_bytes"`
 }
 
 // Bounds are the guarantees that the deployment gives to its users.
@@ -100,7 +105,7 @@
 // DefaultGateway returns the default settings.
 func DefaultGateway() Gateway {
 	return Gateway{
-		Limits: ProcessLimits{MemoryMB: 128},
+		Limits: ProcessLimits{MemoryMB: 128, MaxFDs: 1024, HeaderBytes: 64 << 10},
 		Bounds: Bounds{KeyRevokedMs: 5000, ConfigurationMs: 2500, LeavingMs: 2500, RetryRatio: 0.2, RetryAllowance: 50, RetryWindowS: 10,
 			HandoverIntervalMs: 3000, WeightsMs: 8000, StopS: 8},
 		LogLevel: "info",
@@ -139,6 +144,8 @@
 		lowest, highest float64
 	}{
 		{"/limits/memory_mb", s.Limits.MemoryMB, 32, 1 << 20},
+		{"/limits/max_fds", s.Limits.MaxFDs, 64, 1 << 24},
+		{"/limits/header_bytes", s.Limits.HeaderBytes, 1 << 10, 1 << 20},
 		{"/bounds/key_revoked_ms", b.KeyRevokedMs, 100, 3_600_000},
 		{"/bounds/configuration_ms", b.ConfigurationMs, 100, 3_600_000},
 		{"/bounds/leaving_ms", b.LeavingMs, 100, 3_600_000},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -117,6 +117,8 @@
 
 // Resources bounds the resources of the process.
 type Resources struct {
+	// MemoryMB is the memory limit of the process, in MB. Default 128.
+	MemoryMB int `json:"memory_mb"`
 	// IndexBytes bounds the prefix index, in bytes. Default 19200000, which holds
 	// 300,000 blocks.
 	IndexBytes int `json:"index_bytes"`
@@ -167,7 +169,7 @@
 		},
 		Platform:  Platform{RetentionS: 7 * 24 * 3600, AppendsPerSecond: 20, VMListPollMs: 1000},
 		Telemetry: Telemetry{LogLevel: "info", LogFormat: "json", TraceRatio: 1},
-		Resources: Resources{IndexBytes: 19_200_000, EventBytesPerS: 500},
+		Resources: Resources{MemoryMB: 128, IndexBytes: 19_200_000, EventBytesPerS: 500},
 		Shutdown:  Shutdown{DrainTimeoutS: 120, UnreadyMs: 1000},
 	}
 }
