--- a/cmd/mimosaseam/stop_test.go
+++ b/cmd/mimosaseam/stop_test.go
@@ -68,10 +68,18 @@
 // launchGatewayProcess is startGatewayProcess of any program without the wait.
 func launchGatewayProcess(t *testing.T, program *exec.Cmd, stopS, timeoutMs int, services, engines []*platformtest.RawTarget) *gatewayProcess {
 	t.Helper()
-	p := &gatewayProcess{t: t, log: platformtest.NewLog(), callers: freeAddress(t), ready: freeAddress(t)}
+	return launchLimitedGatewayProcess(t, program, stopS, `{"memory_mb": 134}`, func(l *platformtest.Log) { l.ConfigureKinds(1, timeoutMs, "k1") }, services, engines)
+}
+
+// launchLimitedGatewayProcess starts a router with the "limits" of its settings and the
+// configuration that configure writes.
+func launchLimitedGatewayProcess(t *testing.T, program *exec.Cmd, stopS int, limits string, configure func(*platformtest.Log), services, engines []*platformtest.RawTarget) *gatewayProcess {
+	t.Helper()
+	addresses := freeAddresses(t, 3)
+	p := &gatewayProcess{t: t, log: platformtest.NewLog(), callers: addresses[0], ready: addresses[1]}
 	logServer := httptest.NewServer(p.log)
 	t.Cleanup(logServer.Close)
-	p.log.ConfigureKinds(1, timeoutMs, "k1")
+	configure(p.log)
 	for _, target := range services {
 		p.log.PutTarget(target.Target, "desk", false, 1)
 	}
@@ -81,8 +89,8 @@
 	putSilentRouter(t, p.log)
 	file := filepath.Join(t.TempDir(), "settings.jsonc")
 	text := fmt.Sprintf(`{"vm": {"name": "r1", "region": "r", "availability_zone": "z"}, "callers": {"address": %q},
-		"ready": {"address": %q}, "peers": {"address": %q}, "regions": {"z": "r"}, "log": {"address": %q}, "limits": {"memory_mb": 134},
-		"bounds": {"stop_s": %d}}`, p.callers, p.ready, freeAddress(t), strings.TrimPrefix(logServer.URL, "http://"), stopS)
+		"ready": {"address": %q}, "peers": {"address": %q}, "regions": {"z": "r"}, "log": {"address": %q}, "limits": %s,
+		"bounds": {"stop_s": %d}}`, p.callers, p.ready, addresses[2], strings.TrimPrefix(logServer.URL, "http://"), limits, stopS)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -116,14 +124,21 @@
 		`{"name": "r0", "role": %q, "address": %q, "region": "r", "availability_zone": "z", "state": %q}`, port.RoleRouter, l.Addr(), port.VMLive))
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t *testing.T) string { return freeAddresses(t, 1)[0] }
+
+// freeAddresses returns different addresses on which nobody listens.
+func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close() // once all are chosen
+		out = append(out, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return out
 }
 
 func (p *gatewayProcess) await(what string, is func() bool) {
--- a/internal/harness/system.go
+++ b/internal/harness/system.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -58,6 +59,9 @@
 	callerAddress string
 }
 
+// CallerAddress is the address of the process itself for callers.
+func (r *Router) CallerAddress() string { return r.callerAddress }
+
 // Kill kills the process and stops its proxy.
 func (r *Router) Kill() { r.Process.Kill(); r.Proxy.Down() }
 
@@ -65,6 +69,8 @@
 type Options struct {
 	BinDir, Dir      string
 	Routers, Engines int
+	// Callers and Resources are added to these parts of the routers' settings.
+	Callers, Resources map[string]any
 }
 
 // System is a running set of routers and stand-ins.
@@ -217,9 +223,10 @@
 	value := map[string]any{
 		"vm": map[string]string{"name": "router-" + strconv.Itoa(i+1), "region": region(i),
 			"availability_zone": region(i) + "-a"},
-		"callers": map[string]string{"address": s.port(i, 0)},
-		"admin":   map[string]string{"address": s.port(i, 1)},
-		"peers":   map[string]any{"address": s.port(i, 2), "seeds": seeds},
+		"callers":   with(s.Options.Callers, "address", s.port(i, 0)),
+		"resources": with(s.Options.Resources, "seed", 0),
+		"admin":     map[string]string{"address": s.port(i, 1)},
+		"peers":     map[string]any{"address": s.port(i, 2), "seeds": seeds},
 		"platform": map[string]any{"log_url": "http://" + log.Address(), "vm_list_url": "http://" + s.VMs.Direct,
 			"vm_list_poll_ms": 200},
 		"system":   map[string]string{"public_key": s.rootKey},
@@ -232,6 +239,13 @@
 	return nil
 }
 
+// with returns a copy of the values with one more.
+func with(values map[string]any, key string, value any) map[string]any {
+	out := map[string]any{key: value}
+	maps.Copy(out, values)
+	return out
+}
+
 func region(i int) string { return []string{"north", "middle", "south"}[i%3] }
 
 // MarkLeaving replaces the VM list with the one engine, in state leaving.
