gateway, serve: hold what clients send within one memory budget

Cause: bodies, heads, connections and unread answers took as much memory as there were clients; announced lengths were allocated at once; net/http read up to 256 KiB of a refused body without a deadline.

Change: the new adapter clientconn wraps the listeners of both modes. Each connection is a holder of the budget, a quarter of the memory of the process: with the 10% that a router without clients has, live bytes can nearly double before the heap reaches its 65%. Heads are counted while they arrive, by bytes and lines; bodies grow by doubling and wait up to 2 s for memory, then get 503; a body that stalls while memory is short, or makes less than 1 KiB of progress in 5 s, is refused; refused bodies are not drained. Gateway mode applies MaxHeaderBytes and HeaderTimeoutMs of the configuration. Buffered responses take from the same budget, and in serve mode until the response has been sent. Connections are bounded by half of the budget, and by half of the descriptors or callers.connections. Decisions are counted and logged once a second by kind.

The buffers of responses in gateway mode no longer have a cap of their own of a tenth of the memory.

--- a/cmd/mimosaseam/callerconns.go
+++ b/cmd/mimosaseam/callerconns.go
@@ -64,6 +64,18 @@
 	begun, used, closed bool
 }
 
+// NetConn returns the connection below.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
+// CloseWrite lets the caller read the last response before the connection is closed. The server
+// of net/http calls it.
+func (c *callerConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // Read implements net.Conn. Either a byte that it returns keeps the connection from being
 // closed as idle, or the connection is closed and it returns none: a request is never served
 // on a connection that has been closed.
--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 
+	"mimosaseam.example/mimosaseam/internal/adapter/clientconn"
 	"mimosaseam.example/mimosaseam/internal/adapter/httpconn"
 	"mimosaseam.example/mimosaseam/internal/adapter/telemetry"
 	"mimosaseam.example/mimosaseam/internal/app/cachewatch"
@@ -31,6 +32,7 @@
 	"mimosaseam.example/mimosaseam/internal/app/registry"
 	"mimosaseam.example/mimosaseam/internal/app/weights"
 	"mimosaseam.example/mimosaseam/internal/bootclock"
+	"mimosaseam.example/mimosaseam/internal/core/membudget"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/placement/baseline"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
@@ -46,8 +48,13 @@
 	// heapFraction is the share of the process's memory limit that the heap may use;
 	// the rest is for stacks, the runtime and kernel buffers of connections.
 	heapFraction = 0.65
-	// bufferFraction is the share of the memory limit that buffered responses may use.
-	bufferFraction = 0.1
+	// clientFraction is the share of the memory limit that is held for clients. The heap of a
+	// router without clients has some 10% of the limit. The sum can nearly double before the
+	// heap reaches its share, so that the collector runs hardly more often than usual.
+	clientFraction = 0.25
+	// clientFDs is the share of the file descriptors for clients' connections. The others are
+	// for targets, of which each open request needs one, the log and other routers.
+	clientFDs = 0.5
 	// connectTimeout bounds connection setup. The kernel retransmits the first packet
 	// after a second, which is too late for most requests.
 	connectTimeout = 600 * time.Millisecond
@@ -127,6 +134,8 @@
 	caches  *cachewatch.Watcher
 	callers *http.Server
 	conns   *callerConns
+	clients *membudget.Budget
+	counts  gateway.Metrics
 	ready   *http.Server
 	metrics *http.Server
 }
@@ -142,6 +151,7 @@
 		return err
 	}
 	n := newGatewayNode(file, s, out, traces.Tracer, telemetry.NewMetrics("gateway", "gateway_ms"))
+	expvar.Publish("client_memory", expvar.Func(func() any { return n.clients.Stats() }))
 	n.log.Info("starting", "version", version, "availability_zone", s.VM.AvailabilityZone, "callers", s.Callers.Address, "ready", s.Ready.Address, "log", s.Log.Address)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -158,7 +168,7 @@
 			return eris.Wrap(err, "listen")
 		}
 		if l.server == n.callers {
-			n.conns.Listener = listener
+			n.conns.Listener = n.countClients(listener)
 			listener = n.conns
 		}
 		addHTTP(&group, listener, l.server)
@@ -194,6 +204,11 @@
 	debug.SetMemoryLimit(int64(heapFraction * memoryMB * (1 << 20)))
 }
 
+// newClientBudget returns the budget of what a process with this memory holds for its clients.
+func newClientBudget(memoryMB float64, connections int) *membudget.Budget {
+	return membudget.New(membudget.Options{Bytes: int64(clientFraction * memoryMB * (1 << 20)), Connections: connections, Clock: port.SystemClock{}})
+}
+
 func newGatewayNode(file string, s settings.Gateway, out io.Writer, tracer trace.Tracer, metrics gateway.Metrics) *gatewayNode {
 	n := &gatewayNode{file: file, settings: s, level: new(slog.LevelVar), tracer: tracer, clock: port.SystemClock{}, bootClock: bootclock.Clock{}}
 	n.setLevel(s.LogLevel)
@@ -206,6 +221,7 @@
 	n.buildWeights(targets, log)
 	n.buildFollowers(targets, log)
 	n.joinPeers(log, crashTracker, segmentTracker)
+	n.counts = metrics
 	n.buildServers()
 	return n
 }
@@ -274,12 +290,33 @@
 
 func (n *gatewayNode) buildServers() {
 	n.conns = newCallerConns(n.idleLimit)
+	n.clients = newClientBudget(n.settings.Limits.MemoryMB, int(clientFDs*n.settings.Limits.MaxFDs))
 	n.callers = &http.Server{Handler: &platform.Ingress{Gateway: n.gateway, Clock: n.clock, BegunAt: begunAt}, ReadHeaderTimeout: headerTimeout,
-		ConnState: n.conns.onStateChange, ConnContext: withConn, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
+		MaxHeaderBytes: int(n.settings.Limits.HeaderBytes), ConnState: n.onStateChange,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return clientconn.WithConn(withConn(ctx, c), c) }, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
 	n.ready = &http.Server{Handler: platform.ReadyHandler(n.gateway.Ready), ReadHeaderTimeout: headerTimeout}
 	n.metrics = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout}
 }
 
+// countClients makes the connections of a listener hold their memory within the budget.
+func (n *gatewayNode) countClients(l net.Listener) net.Listener {
+	return clientconn.Listen(l, clientconn.Options{Budget: n.clients, Limits: n.clientLimits, Logger: n.log, Metrics: n.counts})
+}
+
+func (n *gatewayNode) onStateChange(c net.Conn, state http.ConnState) {
+	clientconn.OnStateChange(c, state)
+	n.conns.onStateChange(c, state)
+}
+
+// clientLimits returns the limits of the configuration for the heads of requests.
+func (n *gatewayNode) clientLimits() clientconn.Limits {
+	c := n.gateway.Configuration()
+	if c == nil {
+		return clientconn.Limits{}
+	}
+	return clientconn.Limits{HeadBytes: int(c.Limits.MaxHeaderBytes), HeadTime: c.Limits.HeaderTimeout}
+}
+
 // metricsHandler serves counters and latency histograms.
 func metricsHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/cmd/mimosaseam/gatewaysettings.go
+++ b/cmd/mimosaseam/gatewaysettings.go
@@ -17,7 +17,7 @@
 		ConfigurationBound: settings.Milliseconds(s.Bounds.ConfigurationMs),
 		WeightsBound:       settings.Milliseconds(s.Bounds.WeightsMs),
 		RetryRatio:         s.Bounds.RetryRatio, RetryAllowance: s.Bounds.RetryAllowance,
-		RetryWindow: settings.Seconds(s.Bounds.RetryWindowS), BufferMemory: int64(bufferFraction * s.Limits.MemoryMB * (1 << 20))}
+		RetryWindow: settings.Seconds(s.Bounds.RetryWindowS)}
 	if s.Bounds.KeyRevokedStrict {
 		g.KeyRevocationBound = settings.Milliseconds(s.Bounds.KeyRevokedMs) - clockRateMargin
 	}
--- a/cmd/mimosaseam/serve.go
+++ b/cmd/mimosaseam/serve.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"mimosaseam.example/mimosaseam/internal/adapter/adminhttp"
+	"mimosaseam.example/mimosaseam/internal/adapter/clientconn"
 	"mimosaseam.example/mimosaseam/internal/adapter/peergrpc"
 	"mimosaseam.example/mimosaseam/internal/adapter/telemetry"
 	"mimosaseam.example/mimosaseam/internal/core/shutdown"
@@ -90,10 +91,11 @@
 
 func (n *serveNode) addServers(group *run.Group) error {
 	s := n.settings
-	callers, err := listen(s.Callers.Address, s.Callers.TLS, s.Callers.Connections)
+	callers, err := listen(s.Callers.Address, s.Callers.TLS, 0)
 	if err != nil {
 		return err
 	}
+	callers = clientconn.Listen(callers, clientconn.Options{Budget: n.clients, Logger: n.log, Metrics: n.metrics})
 	addHTTP(group, callers, n.callers.HTTPServer(s.Callers.Address))
 	admin, err := listen(s.Admin.Address, s.Admin.TLS, 0)
 	if err != nil {
--- a/cmd/mimosaseam/servegauges.go
+++ b/cmd/mimosaseam/servegauges.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/app/fleet"
+	"mimosaseam.example/mimosaseam/internal/core/membudget"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -20,6 +21,8 @@
 	Routers        map[string]int `json:"routers_by_state"`
 	Circuits       map[string]int `json:"circuits_by_state"`
 	Fleet          fleet.Stats    `json:"fleet"`
+	// ClientMemory is what is held for callers.
+	ClientMemory membudget.Stats `json:"client_memory"`
 }
 
 // publishGauges publishes the state under /debug/vars.
@@ -32,7 +35,7 @@
 	g := gauges{
 		Ready: n.Readiness().Ready, ConfigOffset: n.config.Applied(),
 		OpenRequests: status.OpenRequests, Quarantined: status.Quarantined, HoldsOrders: n.orders.Holding(),
-		Routers: map[string]int{}, Circuits: map[string]int{}, Fleet: n.fleet.Stats(),
+		Routers: map[string]int{}, Circuits: map[string]int{}, Fleet: n.fleet.Stats(), ClientMemory: n.clients.Stats(),
 	}
 	for _, r := range n.fleet.Routers() {
 		g.Routers[r.State.String()]++
--- a/cmd/mimosaseam/servenode.go
+++ b/cmd/mimosaseam/servenode.go
@@ -28,6 +28,7 @@
 	"mimosaseam.example/mimosaseam/internal/app/shares"
 	"mimosaseam.example/mimosaseam/internal/core/config"
 	"mimosaseam.example/mimosaseam/internal/core/membership"
+	"mimosaseam.example/mimosaseam/internal/core/membudget"
 	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/port"
@@ -70,6 +71,7 @@
 	followers      []*follow.Follower
 	router         *completions.Router
 	callers        *callerhttp.Server
+	clients        *membudget.Budget
 
 	// pendingFingerprints holds crash fingerprints that are not in the log yet.
 	pendingFingerprints chan string
@@ -178,6 +180,7 @@
 		Logger: n.log, Tracer: n.traces.Tracer, Metrics: n.metrics,
 	})
 	c := n.settings.Callers
+	n.clients = newClientBudget(float64(n.settings.Resources.MemoryMB), c.Connections)
 	n.callers = callerhttp.New(callerhttp.Deps{
 		Router: n.router, Source: n.config, Logger: n.log, Tracer: n.traces.Tracer, Metrics: n.metrics,
 		Limits: callerhttp.Limits{
--- a/cmd/mimosaseam/stop_test.go
+++ b/cmd/mimosaseam/stop_test.go
@@ -124,8 +124,6 @@
 		`{"name": "r0", "role": %q, "address": %q, "region": "r", "availability_zone": "z", "state": %q}`, port.RoleRouter, l.Addr(), port.VMLive))
 }
 
-func freeAddress(t *testing.T) string { return freeAddresses(t, 1)[0] }
-
 // freeAddresses returns different addresses on which nobody listens.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
--- a/internal/adapter/callerhttp/completions.go
+++ b/internal/adapter/callerhttp/completions.go
@@ -9,7 +9,9 @@
 	"strings"
 	"time"
 
+	"mimosaseam.example/mimosaseam/internal/adapter/clientconn"
 	"mimosaseam.example/mimosaseam/internal/app/completions"
+	"mimosaseam.example/mimosaseam/internal/core/membudget"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -69,12 +71,19 @@
 	}
 }
 
+// decodedFactor is how many times the size of its body a completion takes besides: the decoded
+// texts, the prompt made of them, and the request to the engine.
+const decodedFactor = 3
+
 // readCompletion reads and decodes the request. It returns nil if it refused it.
 func (x *exchange) readCompletion(chat bool) (req *completions.CompletionRequest, streamed bool) {
 	data, ok := x.readBody()
 	if !ok {
 		return nil, false
 	}
+	if !x.takeMemory(decodedFactor * len(data)) {
+		return nil, false
+	}
 	in, err := decodeCompletion(data, chat, x.s.Limits)
 	var deadline time.Time
 	if err == nil {
@@ -90,7 +99,7 @@
 
 // respondBuffered responds once the completion has ended.
 func (x *exchange) respondBuffered(req *completions.CompletionRequest, chat bool) {
-	var text textBuffer
+	text := textBuffer{holder: clientconn.HolderOf(x.r.Context())}
 	end, err := x.s.Router.Completion(x.r.Context(), *req, &text)
 	if err != nil {
 		x.fail(err)
@@ -117,10 +126,18 @@
 }
 
 // textBuffer is the sink of responses that are not streamed.
-type textBuffer struct{ strings.Builder }
+type textBuffer struct {
+	strings.Builder
+	holder *membudget.Holder
+}
+
+// textFactor is how many times its size the text of a response takes: in a buffer that grows, as
+// JSON, and with room to grow.
+const textFactor = 3
 
 // Chunk implements completions.Sink.
 func (b *textBuffer) Chunk(_ context.Context, chunk port.Chunk) error {
+	b.holder.Charge(membudget.KindReply, int64(textFactor*len(chunk.Text)))
 	b.WriteString(chunk.Text)
 	return nil
 }
--- a/internal/adapter/callerhttp/decode.go
+++ b/internal/adapter/callerhttp/decode.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
-	"io"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"mimosaseam.example/mimosaseam/internal/adapter/clientconn"
+	"mimosaseam.example/mimosaseam/internal/app/completions"
+	"mimosaseam.example/mimosaseam/internal/core/membudget"
 	"mimosaseam.example/mimosaseam/internal/core/prompt"
 )
 
@@ -136,23 +139,43 @@
 	return nil
 }
 
+// memoryRetryAfter is when callers that were refused for lack of memory should come back:
+// stalled requests have given way by then.
+const memoryRetryAfter = 2 * time.Second
+
 // readBody reads the whole body within the size and time limits.
 func (x *exchange) readBody() ([]byte, bool) {
-	_ = x.rc.SetReadDeadline(time.Now().Add(x.s.Limits.BodyTimeout))
-	data, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, x.s.Limits.BodyBytes))
+	x.bodyRead = true
+	data, err := clientconn.ReadBody(x.w, x.r, x.s.Limits.BodyBytes, x.s.Limits.BodyTimeout)
 	if err == nil {
-		// Without a read deadline, background reads of the server still detect that the
-		// caller disconnects, but no longer time out. After a failure the deadline stays:
-		// the server reads the rest of the body before it closes the connection.
-		_ = x.rc.SetReadDeadline(time.Time{})
 		return data, true
 	}
-	status, message := http.StatusBadRequest, "the body could not be read"
-	if isTooLarge(err) {
+	x.refuseUnread(err)
+	return nil, false
+}
+
+// takeMemory takes memory for the request, or refuses it.
+func (x *exchange) takeMemory(bytes int) bool {
+	err := clientconn.Take(x.r.Context(), membudget.KindBody, int64(bytes))
+	if err != nil {
+		x.refuseUnread(err)
+	}
+	return err == nil
+}
+
+// refuseUnread refuses a request that could not be read or for which there is no memory.
+func (x *exchange) refuseUnread(err error) {
+	status, kind, message, retryAfter := http.StatusBadRequest, completions.KindInvalid, "the body could not be read", time.Duration(0)
+	var gaveWay *clientconn.GaveWayError
+	switch {
+	case isTooLarge(err):
 		status, message = http.StatusRequestEntityTooLarge, "the body is larger than "+strconv.FormatInt(x.s.Limits.BodyBytes, 10)+" bytes"
+	case errors.As(err, &gaveWay) && gaveWay.Short:
+		status, kind, message, retryAfter = http.StatusServiceUnavailable, completions.KindOverloaded, gaveWay.Error(), memoryRetryAfter
+	case errors.As(err, &gaveWay):
+		status, message = http.StatusRequestTimeout, "the body did not arrive in time"
 	}
-	x.refuse(status, "invalid_request", message, 0)
-	return nil, false
+	x.refuse(status, string(kind), message, retryAfter)
 }
 
 // deadline reads the deadline that the caller set, or returns zero if it set none.
--- a/internal/adapter/callerhttp/errors.go
+++ b/internal/adapter/callerhttp/errors.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"mimosaseam.example/mimosaseam/internal/adapter/clientconn"
 	"mimosaseam.example/mimosaseam/internal/app/completions"
 )
 
@@ -67,6 +68,9 @@
 // refuse rejects a request without passing it on. If its idempotency key was sent
 // before, the earlier request may have run.
 func (x *exchange) refuse(status int, kind, message string, retryAfter time.Duration) {
+	if !x.bodyRead {
+		clientconn.DiscardBody(x.w, x.r)
+	}
 	outcome := completions.OutcomeNotRun
 	if h := x.r.Header; h.Get("Idempotency-Key") != "" && !isFirst(h) {
 		outcome = completions.OutcomeMayHaveRun
--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"mimosaseam.example/mimosaseam/internal/adapter/clientconn"
 	"mimosaseam.example/mimosaseam/internal/app/completions"
 	"mimosaseam.example/mimosaseam/internal/core/config"
 	"mimosaseam.example/mimosaseam/internal/port"
@@ -118,6 +119,8 @@
 		ReadHeaderTimeout: s.Limits.HeaderTimeout,
 		IdleTimeout:       s.Limits.IdleTimeout,
 		MaxHeaderBytes:    s.Limits.HeaderBytes,
+		ConnState:         clientconn.OnStateChange,
+		ConnContext:       clientconn.WithConn,
 		ErrorLog:          slog.NewLogLogger(s.Logger.Handler(), slog.LevelWarn),
 	}
 }
@@ -133,6 +136,8 @@
 	started time.Time
 	status  int
 	span    trace.Span
+	// bodyRead is set once the body was read, or refused while it was.
+	bodyRead bool
 }
 
 // ServeHTTP serves one request.
--- a/internal/adapter/callerhttp/service.go
+++ b/internal/adapter/callerhttp/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"mimosaseam.example/mimosaseam/internal/adapter/clientconn"
 	"mimosaseam.example/mimosaseam/internal/app/completions"
 )
 
@@ -37,6 +38,9 @@
 	if req.Body, ok = x.readBody(); !ok {
 		return
 	}
+	if h := clientconn.HolderOf(x.r.Context()); h != nil {
+		req.Memory = h.Replies()
+	}
 	reply, err := x.s.Router.ServiceCall(x.r.Context(), req)
 	if err != nil {
 		x.fail(err)
--- a/internal/app/completions/api.go
+++ b/internal/app/completions/api.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/config"
+	"mimosaseam.example/mimosaseam/internal/core/limits"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -56,6 +57,9 @@
 	KeyCreated     time.Time
 	First          bool
 	Deadline       time.Time
+	// Memory is what the reply may take. It is taken until the owner of the memory gives it
+	// back. Nil: what the calls without one share while they read their replies.
+	Memory limits.Allowance
 }
 
 // ServiceReply is the complete reply of a plain service.
--- a/internal/app/completions/service.go
+++ b/internal/app/completions/service.go
@@ -311,9 +311,16 @@
 		return ServiceReply{}, err
 	}
 	defer func() { _ = reply.Body.Close() }()
-	b := limits.NewBuffer(c.r.replies, MaxReplyBytes+1)
-	defer b.Free()
+	memory := limits.Allowance(c.r.replies)
+	if c.req.Memory != nil {
+		memory = c.req.Memory
+	}
+	b := limits.NewBuffer(memory, MaxReplyBytes+1)
 	whole, err := b.Read(reply.Body)
+	if err == nil && whole && c.req.Memory != nil {
+		return ServiceReply{Status: reply.Status, Header: reply.Header, Body: b.Bytes()}, nil
+	}
+	defer b.Free()
 	if err != nil {
 		return ServiceReply{}, &port.UnknownOutcomeError{Peer: t.Name, Cause: err}
 	}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -25,8 +25,8 @@
 	// maxBufferedBytes is the size up to which a response is buffered before it is
 	// relayed, so that the request can be retried if the response breaks off.
 	maxBufferedBytes = 256 << 10
-	// defaultBufferMemory is the memory of all such buffers if the settings name none.
-	defaultBufferMemory = 16 << 20
+	// bufferMemory bounds the buffers of the requests that bring no memory of their own.
+	bufferMemory = 16 << 20
 	// copyBufferBytes is the size of one write to a client, about that of one read.
 	copyBufferBytes = 16 << 10
 	// heldResponseTimeout bounds the wait for the body of an error response that is held
@@ -154,7 +154,7 @@
 func (x *exchange) holdFailure(ctx context.Context, t Target, a port.ForwardResponse) (retrypolicy.Outcome, error) {
 	stop := time.AfterFunc(heldResponseTimeout, func() { _ = a.Body.Close() }) // the reader sees the error
 	defer stop.Stop()
-	b := limits.NewBuffer(x.g.buffers, maxBufferedBytes)
+	b := limits.NewBuffer(x.memory(), maxBufferedBytes)
 	if whole, err := b.Read(a.Body); err == nil && whole {
 		x.holdBuffer(a, b)
 	} else {
@@ -163,6 +163,14 @@
 	return retrypolicy.Failed, &port.BadRequestError{Peer: t.ID, Status: a.Status}
 }
 
+// memory returns of what the buffered responses take their memory.
+func (x *exchange) memory() limits.Allowance {
+	if x.r.Memory != nil {
+		return x.r.Memory
+	}
+	return x.g.buffers
+}
+
 // holdBuffer holds a response back in place of an earlier one.
 func (x *exchange) holdBuffer(a port.ForwardResponse, b *limits.Buffer) {
 	x.dropHeld()
@@ -320,7 +328,7 @@
 
 // relayBuffered relays a response after reading it whole, or as much of it as can be buffered.
 func (x *exchange) relayBuffered(ctx context.Context, t Target, a port.ForwardResponse) (retrypolicy.Outcome, error) {
-	b := limits.NewBuffer(x.g.buffers, maxBufferedBytes)
+	b := limits.NewBuffer(x.memory(), maxBufferedBytes)
 	defer b.Free()
 	whole, err := b.Read(a.Body)
 	if err != nil {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -6,7 +6,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -75,6 +74,9 @@
 	// Begun is when the first byte of the request arrived, Received when it was complete
 	// but for its body. Begun may be zero.
 	Begun, Received time.Time
+	// Memory is what the buffered responses to the request may take; nil: what the requests
+	// without one share.
+	Memory limits.Allowance
 }
 
 // Sink receives the response to one request.
@@ -108,9 +110,6 @@
 	RetryRatio     float64
 	RetryAllowance float64
 	RetryWindow    time.Duration
-	// BufferMemory bounds the buffered responses of all requests together, in bytes; 0: the
-	// default. It is fixed at the start.
-	BufferMemory int64
 }
 
 // Deps are the dependencies of a Gateway.
@@ -192,7 +191,7 @@
 	}
 	g := &Gateway{Deps: d, rates: limits.NewTargetRates(limits.Fleet{Count: d.Routers, Chosen: d.IsChosen}), circuits: retry.NewCircuits(), limits: limits.NewController(d.Clock, routerCount{d.Routers}), retryLimiters: map[string]*retry.RetryLimiter{}, meanOccupancyMs: map[string]float64{},
 		prefillRates: map[string]placement.PrefillRate{}, durations: shutdown.NewDurations()}
-	g.buffers = limits.NewMemory(cmp.Or(d.Settings.BufferMemory, defaultBufferMemory))
+	g.buffers = limits.NewMemory(bufferMemory)
 	g.running, g.endRequests = context.WithCancelCause(context.Background())
 	g.SetSettings(d.Settings)
 	d.Directory.observeEnds(g)
--- a/internal/core/gatewayconfig/configuration.go
+++ b/internal/core/gatewayconfig/configuration.go
@@ -102,8 +102,13 @@
 
 // Limits apply to the requests of all clients.
 type Limits struct {
-	MaxBodyBytes int64
-	IdleTimeout  time.Duration
+	// MaxHeaderBytes and MaxBodyBytes bound the head and the body of a request, HeaderTimeout
+	// the time in which its head arrives, and IdleTimeout the time between two requests on one
+	// connection. 0: not limited.
+	MaxHeaderBytes int64
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
 }
 
 // Configuration is one version of the operator's configuration. It is immutable.
--- a/internal/core/limits/buffer.go
+++ b/internal/core/limits/buffer.go
@@ -9,16 +9,24 @@
 // responses are read whole also while long ones fill it.
 const firstBufferBytes = 4 << 10
 
+// Allowance is memory of which buffers take. Memory is one.
+type Allowance interface {
+	// Take takes bytes and reports whether they were free.
+	Take(bytes int64) bool
+	// Return returns bytes that were taken.
+	Return(bytes int64)
+}
+
 // Buffer holds the first bytes of a response.
 type Buffer struct {
-	memory *Memory
+	memory Allowance
 	max    int
 	bytes  []byte
 	taken  int64
 }
 
 // NewBuffer returns a buffer of at most max bytes, which takes its memory from that of all.
-func NewBuffer(memory *Memory, max int) *Buffer { return &Buffer{memory: memory, max: max} }
+func NewBuffer(memory Allowance, max int) *Buffer { return &Buffer{memory: memory, max: max} }
 
 // Bytes returns the bytes read so far, until Free.
 func (b *Buffer) Bytes() []byte { return b.bytes }
