httpconn: an answer that ends with a reset during the upload is broken

Cause: a target that answers early without a length and resets the connection while the request is still being written ends it for the reader as if the answer were whole. The kernel tells a reset to one system call: when that is the write, the read sees an ordinary end.

Change: at the end of a response that only its connection ends, a write that has failed, or cannot end any more, makes the response broken.

--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -5,6 +5,7 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -23,6 +24,8 @@
 	uses int
 	// retired is set once no further request may be written.
 	retired bool
+	// writeFailed is set once a write has failed.
+	writeFailed bool
 }
 
 func (c *countedConn) Write(p []byte) (int, error) {
@@ -33,9 +36,19 @@
 	}
 	n, err := c.Conn.Write(p)
 	c.written += int64(n)
+	c.writeFailed = c.writeFailed || err != nil
 	return n, err
 }
 
+// uploadBroken reports whether a write has failed, also one that still waits for the peer.
+// Nothing can be written any more: it is for connections that have ended.
+func (c *countedConn) uploadBroken() bool {
+	_ = c.SetWriteDeadline(time.Unix(1, 0)) // a connection that is closed fails its writes anyway
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writeFailed
+}
+
 // seal blocks further writes and returns the number of bytes written. The
 // transport may still be about to write when it reports a failure.
 func (c *countedConn) seal() int64 {
--- a/internal/adapter/httpconn/pool.go
+++ b/internal/adapter/httpconn/pool.go
@@ -162,7 +162,8 @@
 			return nil, &Failure{Cause: ErrInvalidStatus}
 		}
 		if err == nil {
-			response.Body = &responseBody{ReadCloser: response.Body, use: tracker.last.Load()}
+			response.Body = &responseBody{ReadCloser: response.Body, use: tracker.last.Load(),
+				endsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0}
 			return response, nil
 		}
 		nothing, reused := tracker.nothingSent()
