platformtest: the early target keeps names of the platform in its folder

Cause: a test of the gateway used names of the users' platform, which the check of names refuses.

Change: the stand-in moves to platformtest.

--- a/cmd/mimosaseam/earlyanswers_test.go
+++ b/cmd/mimosaseam/earlyanswers_test.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,40 +12,13 @@
 	"mimosaseam.example/mimosaseam/platform/platformtest"
 )
 
-// newEarlyTarget starts a target that answers a request as soon as its head has arrived, without
-// reading its body, and resets the connection after the first bytes of the answer.
 func newEarlyTarget(t *testing.T, id, model string, answer func(r *http.Request) string) *platformtest.RawTarget {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	target, stop, err := platformtest.NewEarlyTarget(id, model, answer)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return // the listener is closed
-			}
-			go func() {
-				defer c.Close()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				if strings.HasPrefix(r.URL.Path, "/-/") {
-					body := `{"Models":[{"Name":"` + model + `","Version":1}],"BootEpoch":1,"NextToken":1}`
-					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-					return
-				}
-				_, _ = io.WriteString(c, answer(r))
-				pause(20) // the router has read what was sent, and waits in its write
-				_ = c.(*net.TCPConn).SetLinger(0)
-			}()
-		}
-	}()
-	target := &platformtest.RawTarget{Target: platformtest.NewTarget(id, model)}
-	target.Address = l.Addr().String()
+	t.Cleanup(stop)
 	return target
 }
 
--- a/internal/faultmatrix/crowds_test.go
+++ b/internal/faultmatrix/crowds_test.go
@@ -61,7 +61,7 @@
 	sys, err := harness.Start(ctx, harness.Options{BinDir: binaries, Dir: t.TempDir(), Routers: 1, Engines: 1,
 		Callers:   map[string]any{"body_bytes": crowdMaxBody, "header_bytes": crowdMaxHead, "connections": crowdMaxConnections},
 		Resources: map[string]any{"memory_mb": crowdMemoryMB}})
-	defer sys.Close()
+	t.Cleanup(sys.Close)
 	is.NoErr(err)
 	large := strings.Repeat("x", crowdAnswer)
 	app, err := rawhttp.New(func(c *rawhttp.Conn, r *http.Request) bool {
