--- a/cmd/mimosaseam/servegauges.go
+++ b/cmd/mimosaseam/servegauges.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/app/fleet"
+	"mimosaseam.example/mimosaseam/internal/core/membudget"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -22,6 +23,8 @@
 	Fleet          fleet.Stats    `json:"fleet"`
 	// AttachedRouters are the routers attached to this one as the allocator of their accounts.
 	AttachedRouters int `json:"allotment_attached_routers"`
+	// ClientMemory is what is held for callers.
+	ClientMemory membudget.Stats `json:"client_memory"`
 }
 
 // publishGauges publishes the state under /debug/vars.
@@ -35,6 +38,7 @@
 		Ready: n.Readiness().Ready, ConfigOffset: n.config.Applied(),
 		OpenRequests: status.OpenRequests, Quarantined: status.Quarantined, HoldsOrders: n.orders.Holding(),
 		Routers: map[string]int{}, Circuits: map[string]int{}, Fleet: n.fleet.Stats(), AttachedRouters: n.allotments.Attached(),
+		ClientMemory: n.clients.Stats(),
 	}
 	for _, r := range n.fleet.Routers() {
 		g.Routers[r.State.String()]++
