gateway, workload: clients that read slowly do not make a target count as busy

The work of a plain request ended when the client had read the answer, and requests in flight that are overdue count against their target: a few slow readers would have made all plain targets look late, and the queue refuse what they could serve. The work now ends when the router has the answer, and what is overdue counts at most eight times the expected time.

TestSlowClientsSayNothingOfTheTarget finds one request in work on the code before (the client still reads).

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -283,8 +283,8 @@
 	}
 	g.CrashTracker.Ended(t.Address, id)
 	g.SegmentTracker.Ended(now, t.Address, id, attemptEnd(outcome, err, rating))
-	usualMs := g.Directory.end(t.ID, x.sent, took, rating)
-	x.endWork(now, t, rating, usualMs)
+	g.Directory.end(t.ID, took, rating)
+	x.endWork(now, t, took, rating)
 	if x.engine != nil {
 		g.Placer.Finished(now, x.placementRequest, t.Address, t.Incarnation(), cached)
 	}
@@ -305,6 +305,11 @@
 	if err != nil {
 		return retrypolicy.Unknown, x.markUnresponsive(ctx, err)
 	}
+	if x.sent != nil {
+		// The target is done, or nearly so. How long the client reads says nothing of it.
+		now := x.g.Clock.Now()
+		x.endPlainWork(now, t, now.Sub(x.sent.At), a.Status < http.StatusInternalServerError)
+	}
 	length := a.Length
 	if whole {
 		length = int64(len(b.Bytes()))
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -342,8 +342,8 @@
 }
 
 // end counts a request as finished. took is the time to the complete response, 0 if there
-// was none. It returns the result of workload.Target.End.
-func (d *Directory) end(id string, sent *workload.Sent, took time.Duration, rating targetRating) (usualMs float64) {
+// was none.
+func (d *Directory) end(id string, took time.Duration, rating targetRating) {
 	now := d.clock.Now()
 	d.update(id, func(t *Target) {
 		t.InFlight--
@@ -357,15 +357,7 @@
 			}
 			t.answerMs += answerGain * (ms - t.answerMs)
 		}
-		if sent != nil {
-			s := *sent
-			if rating != ratingGood {
-				s.Expected = workload.Estimate{} // an error tells nothing of the speed
-			}
-			t.changeWork(func(w *workload.Target) { usualMs = w.End(now, s, took) })
-		}
 	})
-	return usualMs
 }
 
 // answerGain is the weight of a new sample in the moving average of answer times.
--- a/internal/app/gateway/workload.go
+++ b/internal/app/gateway/workload.go
@@ -76,15 +76,13 @@
 	x.g.work.Reported(now, x.service, report, x.g.Directory.observePlainLoad(t.ID, report))
 }
 
-// endWork learns from a finished attempt. usualMs is the time that a plain request would have
-// taken on an idle target of the usual speed, 0 if unknown.
-func (x *exchange) endWork(now time.Time, t Target, rating targetRating, usualMs float64) {
-	if rating != ratingGood {
-		return
+// endWork records the end of an attempt, and learns from it. took is the time to the complete
+// answer, 0 if there was none.
+func (x *exchange) endWork(now time.Time, t Target, took time.Duration, rating targetRating) {
+	if x.sent != nil {
+		x.endPlainWork(now, t, took, rating == ratingGood)
 	}
-	if x.engine == nil {
-		x.g.work.Finished(x.service, x.route.Name, usualMs)
-		x.observeError(x.sent.Expected.FirstByte(), now.Sub(x.sent.At))
+	if x.engine == nil || rating != ratingGood {
 		return
 	}
 	if x.eventsBegan.IsZero() || x.attempts > 1 || x.score.SpeedFactor <= 0 {
@@ -95,6 +93,25 @@
 	}
 }
 
+// endPlainWork records the end of a request's work on a plain target, once. An error tells
+// nothing of the target's speed.
+func (x *exchange) endPlainWork(now time.Time, t Target, took time.Duration, good bool) {
+	sent := *x.sent
+	x.sent = nil
+	usualMs := 0.0
+	expected := sent.Expected
+	if !good {
+		sent.Expected = workload.Estimate{}
+	}
+	x.g.Directory.update(t.ID, func(t *Target) {
+		t.changeWork(func(w *workload.Target) { usualMs = w.End(now, sent, took) })
+	})
+	if good && took > 0 {
+		x.g.work.Finished(x.service, x.route.Name, usualMs)
+		x.observeError(expected.FirstByte(), took)
+	}
+}
+
 // observeError records how far the expected time to the answer was off.
 func (x *exchange) observeError(expected, actual time.Duration) {
 	x.g.work.Observed(x.service, expected, actual)
--- a/internal/app/gateway/workload_test.go
+++ b/internal/app/gateway/workload_test.go
@@ -80,6 +80,41 @@
 	is.Equal(lines, 4)
 }
 
+// slowSink is a client that reads its answer only when it is let.
+type slowSink struct {
+	recorder
+	began, read chan struct{}
+}
+
+func (s *slowSink) Write(p []byte) error {
+	close(s.began)
+	<-s.read
+	return s.recorder.Write(p)
+}
+
+// Guards against clients that read slowly and make a target count as slow or busy that has long
+// answered.
+func TestSlowClientsSayNothingOfTheTarget(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t)
+	sink := &slowSink{began: make(chan struct{}), read: make(chan struct{})}
+	done := make(chan error, 1)
+	go func() {
+		done <- w.Serve(t.Context(), &Request{ID: "r1", Method: http.MethodPost, URI: "/look/x", Path: "/look/x", Host: "h", Header: http.Header{},
+			Key: "key", Received: w.Clock.Now()}, sink)
+	}()
+	<-sink.began
+	busy := 0
+	for _, target := range w.Directory.All() {
+		if target.work != nil {
+			busy += target.work.InFlight()
+		}
+	}
+	is.Equal(busy, 0)
+	close(sink.read)
+	is.NoErr(<-done)
+}
+
 // Guards against rankings of plain requests that tell admission nothing, and against ones that
 // count what a target did before it was replaced.
 func TestRankingTellsAdmissionOfPlainTargets(t *testing.T) {
--- a/internal/core/workload/target.go
+++ b/internal/core/workload/target.go
@@ -30,6 +30,9 @@
 	// overdueWeight is the weight of the time by which requests in flight are overdue: they
 	// are expected to take as much longer again.
 	overdueWeight = 2
+	// maxOverdue bounds that time, as a multiple of the time expected of them: a request that
+	// hangs says little of the next one, and other means find targets that do not answer.
+	maxOverdue = 8
 )
 
 // Report is the load that a target reports. The zero value of SlownessPercent means unknown.
@@ -172,7 +175,8 @@
 		return 0
 	}
 	n := float64(t.inFlight)
-	return max(0, milliseconds(now.Sub(t.base))-(t.startMs+t.costMs*factor)/n)
+	expected := t.costMs * factor / n
+	return min(max(0, milliseconds(now.Sub(t.base))-t.startMs/n-expected), maxOverdue*expected)
 }
 
 // Load is the load of a target at the time of a decision.
--- a/internal/core/workload/target_test.go
+++ b/internal/core/workload/target_test.go
@@ -206,3 +206,18 @@
 		_ = w.Load(now, cost, 4)
 	}
 }
+
+// Guards against a request that hangs, for whatever reason, and keeps all others from the target
+// for as long.
+func TestHangingRequestIsBounded(t *testing.T) {
+	is := is.New(t)
+	cost := learnt(20)
+	var w Target
+	w.Observe(epoch, Report{SlownessPercent: 100}, 4)
+	l := w.Load(epoch, cost, 4)
+	w.Begin(l.Sent(epoch, 0))
+	is.Equal(w.Load(epoch.Add(10*time.Millisecond), cost, 4).LateMs, 0.0)
+	late := w.Load(epoch.Add(60*time.Millisecond), cost, 4).LateMs
+	is.True(late > 60 && late < 100)
+	is.True(w.Load(epoch.Add(time.Hour), cost, 4).LateMs < 400)
+}
