--- a/internal/core/allotment/client.go
+++ b/internal/core/allotment/client.go
@@ -44,12 +44,11 @@
 }
 
 // SetRouters sets the routers that share the limits, including this one: all of them,
-// and those that the membership view considers alive. mayAttach is false until the
-// entry of this router has existed for AttachDelay and its process for StartDelay; until
-// then the router neither attaches nor spends on its own.
-// Until the first call, every request is refused. The first list of a process also has
-// to name the routers that were removed within AttachDelay, because they may still
-// spend.
+// and those that the membership view considers alive, with this one. mayAttach is false
+// until the entry of this router has existed for AttachDelay and its process for
+// StartDelay; until then the router neither attaches nor spends on its own. Until the
+// first call, every request is refused. The first list of a process also has to name
+// the routers that were removed within AttachDelay, because they may still spend.
 func (c *Client) SetRouters(now time.Time, all, alive []string, mayAttach bool) {
 	c.count.set(now, len(all))
 	c.alive = alive
@@ -120,7 +119,7 @@
 	w.id = c.lastID
 	a.queue = append(a.queue, w)
 	g.queued[key] = a
-	if !a.waitUntil.After(now) {
+	if !a.askAgain.After(now) {
 		g.urgent = true
 	}
 	return Decision{Outcome: Pending, Request: w.id, Deadline: w.deadline}
@@ -156,7 +155,7 @@
 
 // tooLate reports whether it is known that there will not be enough tokens in time.
 func (c *Client) tooLate(a *account, w waiting) bool {
-	return need(w.limit, w.tokens) >= a.waitFor && a.waitUntil.After(w.deadline)
+	return need(w.limit, w.tokens) >= a.waitFor && a.askAgain.After(w.deadline)
 }
 
 // reachable reports whether an allocator has answered within a term. Otherwise requests
@@ -250,7 +249,7 @@
 			switch {
 			case c.tooLate(a, w):
 				d = c.refuse(a, w.tokens, ReasonOver, a.waitUntil.Sub(now))
-			case now.After(w.deadline):
+			case !now.Before(w.deadline):
 				reason, wait := c.reason(now, a, g, w)
 				d = c.refuse(a, w.tokens, reason, wait)
 			default:
@@ -276,12 +275,12 @@
 	return ReasonNoAllocator, c.ownWait(a, w.limit, w.tokens)
 }
 
-// Expire admits or refuses the pending requests whose deadline has passed.
+// Expire admits or refuses the pending requests whose deadline has come.
 func (c *Client) Expire(now time.Time) []Resolved {
 	var resolved []Resolved
 	for _, g := range c.groups {
 		for _, key := range sortedKeys(g.queued) {
-			if a := g.queued[key]; now.After(a.queue[0].deadline) {
+			if a := g.queued[key]; !now.Before(a.queue[0].deadline) {
 				resolved = append(resolved, c.resolve(now, a, g)...)
 			}
 		}
