--- a/internal/adapter/peergrpc/draw.go
+++ b/internal/adapter/peergrpc/draw.go
@@ -25,6 +25,8 @@
 	maxAmount = 1e13
 	// maxDrawGroups is above the number of groups of any fleet that the membership holds.
 	maxDrawGroups = 64
+	// maxDrawRouters is above the number of routers that the membership holds (4096).
+	maxDrawRouters = 8192
 	// maxDrawTerm and maxDrawWait are above the times of any fleet.
 	maxDrawTerm = time.Minute
 	maxDrawWait = time.Hour
@@ -82,7 +84,7 @@
 
 func toDraw(d allotment.Draw) *peerv1.DrawRequest {
 	out := &peerv1.DrawRequest{Router: d.Router, Incarnation: d.Incarnation, Group: uint32(d.Group), Groups: uint32(d.Groups),
-		Ticket: d.Ticket, TicketOf: d.TicketOf, TermMs: uint32(max(d.Term, 0) / time.Millisecond), MayAttach: d.MayAttach}
+		Ticket: d.Ticket, TicketOf: d.TicketOf, TermMs: uint32(max(d.Term, 0) / time.Millisecond), Routers: uint32(max(d.Routers, 0)), MayAttach: d.MayAttach}
 	for _, w := range d.Wants {
 		out.Wants = append(out.Wants, &peerv1.Want{Key: string(w.Key), Tokens: roundUp(w.Tokens), Least: roundUp(w.Least),
 			Ahead: roundDown(w.Ahead), Unit: float32(w.Unit), Returned: roundDown(w.Returned), Spent: roundDown(w.Spent), GrantTicket: w.GrantTicket, Charged: roundUp(w.Charged),
@@ -94,11 +96,11 @@
 func fromDraw(in *peerv1.DrawRequest) (allotment.Draw, bool) {
 	term := time.Duration(in.GetTermMs()) * time.Millisecond
 	if in.GetRouter() == "" || len(in.GetRouter()) > maxNameBytes || in.GetGroups() == 0 || in.GetGroups() > maxDrawGroups ||
-		in.GetGroup() >= in.GetGroups() || term > maxDrawTerm || len(in.GetWants()) > maxWants {
+		in.GetGroup() >= in.GetGroups() || term > maxDrawTerm || in.GetRouters() > maxDrawRouters || len(in.GetWants()) > maxWants {
 		return allotment.Draw{}, false
 	}
 	d := allotment.Draw{Router: in.GetRouter(), Incarnation: in.GetIncarnation(), Group: int(in.GetGroup()), Groups: int(in.GetGroups()),
-		Ticket: in.GetTicket(), TicketOf: in.GetTicketOf(), Term: term, MayAttach: in.GetMayAttach()}
+		Ticket: in.GetTicket(), TicketOf: in.GetTicketOf(), Term: term, Routers: int(in.GetRouters()), MayAttach: in.GetMayAttach()}
 	for _, w := range in.GetWants() {
 		if w.GetKey() == "" || len(w.GetKey()) > maxKeyBytes {
 			return allotment.Draw{}, false
--- a/internal/adapter/peergrpc/draw_test.go
+++ b/internal/adapter/peergrpc/draw_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"math"
 	"os"
+	"reflect"
 	"strconv"
 	"strings"
 	"testing"
@@ -39,7 +40,7 @@
 
 func testDraw() allotment.Draw {
 	return allotment.Draw{Router: "r1", Incarnation: 1_767_225_600_000, Group: 1, Groups: 2, Ticket: 7, TicketOf: 1 << 63,
-		Term: 4050 * time.Millisecond, MayAttach: true, Wants: []allotment.Want{
+		Term: 4050 * time.Millisecond, Routers: 540, MayAttach: true, Wants: []allotment.Want{
 			{Key: "a", Tokens: 700, Least: 400, Ahead: 300, Unit: 60, Returned: 20, Spent: 7, GrantTicket: 9, Charged: 3, Refused: 800,
 				Limit: allotment.Limit{Rate: 1000.5, Burst: 3000, Debt: true}},
 			{Key: "b", Tokens: 1},
@@ -73,6 +74,22 @@
 	is.True(errors.As(err, &unknown))
 }
 
+// Guards against a field of the decision code that is not sent: the draw of the other tests
+// must use all of them.
+func TestDrawsUseAllFields(t *testing.T) {
+	is := is.New(t)
+	d := testDraw()
+	for _, v := range []reflect.Value{reflect.ValueOf(d), reflect.ValueOf(d.Wants[0]), reflect.ValueOf(d.Wants[0].Limit)} {
+		for i := range v.NumField() {
+			if v.Field(i).IsZero() {
+				t.Errorf("%s of %s", v.Type().Field(i).Name, v.Type())
+			}
+		}
+	}
+	is.Equal(reflect.TypeFor[allotment.Answer]().NumField(), 5)
+	is.Equal(reflect.TypeFor[allotment.Grant]().NumField(), 4)
+}
+
 // Guards against values of a peer that overflow, fill the memory or are no number.
 func TestAbsurdDrawsAreRejected(t *testing.T) {
 	for name, change := range map[string]func(d *allotment.Draw){
@@ -82,6 +99,7 @@
 		"many groups":     func(d *allotment.Draw) { d.Groups = 1 << 30 },
 		"group":           func(d *allotment.Draw) { d.Group = 2 },
 		"long term":       func(d *allotment.Draw) { d.Term = 1000 * time.Hour },
+		"many routers":    func(d *allotment.Draw) { d.Routers = 1 << 30 },
 		"no key":          func(d *allotment.Draw) { d.Wants[0].Key = "" },
 		"long key":        func(d *allotment.Draw) { d.Wants[0].Key = allotment.Key(strings.Repeat("k", maxKeyBytes+1)) },
 		"many keys":       func(d *allotment.Draw) { d.Wants = make([]allotment.Want, maxWants+1) },
