completions: a caller that leaves does not take its target out

Cause: when a caller leaves while the connection to a plain target is being set up, the call counts as not run because the target is unreachable, and its circuit opens.

Change: a call that ended because its caller left says nothing of the target, as in gateway mode. Test: half open before, closed after.

--- a/internal/app/completions/attempt.go
+++ b/internal/app/completions/attempt.go
@@ -205,6 +205,9 @@
 	case errors.As(err, &limited):
 		r.setBusy(t.Address, limited.RetryAfter)
 		return actionRetry
+	case errors.Is(err, context.Canceled):
+		r.circuits.Ended(t.Address) // the caller left while the connection was set up
+		return actionRetry
 	case !errors.As(err, &refused) || refused.Reason == port.NotRunUnreachable:
 		r.circuits.Failure(r.Clock.Now(), t.Address, retry.TargetDown)
 		r.Placer.DropCache(t.Address)
