gateway: allotments without a burst, and prompts above the burst

An allotment without a burst refused every request for good, and one of 18,000 tokens refused prompts above that, which are within the allotment over a window. A burst is at least a fifth of a second of the rate; where the deployment tolerates tokens beyond the bound, a prompt above the burst takes a full bucket and the rest delays later requests.

--- a/cmd/mimosaseam/gatewaysettings.go
+++ b/cmd/mimosaseam/gatewaysettings.go
@@ -17,7 +17,7 @@
 		ConfigurationBound: settings.Milliseconds(s.Bounds.ConfigurationMs),
 		WeightsBound:       settings.Milliseconds(s.Bounds.WeightsMs),
 		RetryRatio:         s.Bounds.RetryRatio, RetryAllowance: s.Bounds.RetryAllowance,
-		RetryWindow: settings.Seconds(s.Bounds.RetryWindowS)}
+		RetryWindow: settings.Seconds(s.Bounds.RetryWindowS), AllotmentSlack: s.Bounds.AllotmentOverSlack}
 	if s.Bounds.KeyRevokedStrict {
 		g.KeyRevocationBound = settings.Milliseconds(s.Bounds.KeyRevokedMs) - clockRateMargin
 	}
--- a/internal/app/gateway/allotment.go
+++ b/internal/app/gateway/allotment.go
@@ -30,13 +30,22 @@
 		return allotment.Limit{}, false
 	}
 	a, known := c.Allotments()[string(key)]
-	return allotmentLimit(a), known
+	return g.allotmentLimit(a), known
 }
 
-func allotmentLimit(a gatewayconfig.Allotment) allotment.Limit {
-	l := allotment.Limit{Rate: a.Rate, Burst: a.Burst}
-	if !a.CountsTokens {
-		l.Burst = max(l.Burst, 1) // no request could ever run
+// minBurst is the part of a second whose rate an allotment holds at least: without a burst, no
+// request could ever run. It fits within the tolerance of the bound, beside the time for which
+// grants are valid.
+const minBurst = 0.2
+
+// allotmentLimit returns the limit of an allotment. Prompts above the burst are admitted with a
+// full bucket, and delay later ones, if the deployment tolerates the tokens beyond it.
+func (g *Gateway) allotmentLimit(a gatewayconfig.Allotment) allotment.Limit {
+	l := allotment.Limit{Rate: a.Rate, Burst: max(a.Burst, minBurst*a.Rate)}
+	if a.CountsTokens {
+		l.Debt = g.settings().AllotmentSlack > 0
+	} else {
+		l.Burst = max(l.Burst, 1)
 	}
 	return l
 }
@@ -51,7 +60,7 @@
 	if cost <= 0 {
 		return nil
 	}
-	charge, err := x.g.Allotments.Acquire(ctx, allotment.Key(gatewayconfig.AllotmentKey(x.account.Name)), allotmentLimit(*a), cost,
+	charge, err := x.g.Allotments.Acquire(ctx, allotment.Key(gatewayconfig.AllotmentKey(x.account.Name)), x.g.allotmentLimit(*a), cost,
 		x.route.Objective)
 	if err == nil {
 		x.allotted = charge
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -117,6 +117,9 @@
 	RetryRatio     float64
 	RetryAllowance float64
 	RetryWindow    time.Duration
+	// AllotmentSlack is the number of tokens by which an account may exceed its allotment in a
+	// window.
+	AllotmentSlack float64
 }
 
 // Deps are the dependencies of a Gateway.
