placement: an engine's own speed counts in full where engines can fetch

Prompts stayed on a slow engine up to 200 ms longer than usual, so that parts were not read again elsewhere. Where engines fetch from each other and from stores, a copy elsewhere costs a transfer, and the tolerance cost time only.

Engines that cannot fetch keep it (the load driver's test, unchanged).

--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -196,7 +196,7 @@
 	scope := port.Scope{ClientAccount: x.scope, Model: x.r.Model}
 	x.placementRequest = placement.Request{Scope: scope, Blocks: placement.PartBlocks(scope, x.r.Prompt),
 		BlockTokens: placement.PartBlockTokens, PromptTokens: x.r.PromptTokens,
-		OutputTokens: x.r.MaxOutputTokens, PromptBytes: len(x.r.Body)}
+		OutputTokens: x.r.MaxOutputTokens, PromptBytes: len(x.r.Body), CanFetch: x.engine.LinkMbps > 0}
 }
 
 // serve charges and admits the request and makes attempts until one succeeds or no retry is allowed.
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -18,9 +18,10 @@
 const slowStart = 30 * time.Second
 
 // toleratedMs is how much longer than usual the request's own prefill may take before that counts
-// against the target: half of the shortest objectives for the first token. With the whole
-// difference in the cost, prompts left their home for a faster engine, and the load driver read 1.9
-// times as many prompt parts again for a tenth of the time to the first token at p99.
+// against the target, where engines cannot fetch what others have cached: half of the shortest
+// objectives for the first token. With the whole difference in the cost, prompts left their home
+// for a faster engine, and the load driver read 1.9 times as many prompt parts again for a tenth
+// of the time to the first token at p99.
 const toleratedMs = 200
 
 // score computes the expected cost of a candidate.
@@ -55,10 +56,20 @@
 	if left := target.ColdUntil.Sub(v.now); left > 0 {
 		s.ColdMs = 2 * (s.PrefillMs + s.QueueMs) * min(1, left.Seconds()/slowStart.Seconds())
 	}
-	s.CostMs = s.QueueMs + usualMs + max(0, s.PrefillMs-usualMs-toleratedMs) + s.LinkMs + s.ColdMs + s.RecomputeMs + s.CrossRegionMs + target.FailureCostMs
+	s.CostMs = s.QueueMs + ownPrefillMs(s.PrefillMs, usualMs, v.req.CanFetch) + s.LinkMs + s.ColdMs + s.RecomputeMs + s.CrossRegionMs + target.FailureCostMs
 	c.state, c.score, c.usualPerMs = t, s, usualPerMs
 }
 
+// ownPrefillMs is what the prefill of the request itself counts in the cost of an engine, which
+// takes usualMs on one of the usual speed. An engine that can fetch does not read again what the
+// home of a prompt has, so a faster one is worth leaving it.
+func ownPrefillMs(prefillMs, usualMs float64, canFetch bool) float64 {
+	if canFetch {
+		return prefillMs
+	}
+	return usualMs + max(0, prefillMs-usualMs-toleratedMs)
+}
+
 // missWeight is the weight of the cost that a cache miss causes to other
 // requests. Blocks computed on a home target are reused by all routers; a copy
 // elsewhere is computed again and takes cache space from other prefixes.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -44,6 +44,8 @@
 	OutputTokens int
 	PromptBytes  int
 	Weights      Weights
+	// CanFetch is set if the targets can fetch from each other what they have cached.
+	CanFetch bool
 	// KnownCachedTokens maps target names to the number of prompt tokens that they
 	// are known to have cached. For targets not in the map the number is estimated.
 	KnownCachedTokens map[string]int
