--- a/internal/app/gateway/allotment.go
+++ b/internal/app/gateway/allotment.go
@@ -33,10 +33,10 @@
 	return g.allotmentLimit(a), known
 }
 
-// minBurst is the part of a second whose rate an allotment holds at least: without a burst, no
-// request could ever run. It fits within the tolerance of the bound, beside the time for which
-// grants are valid.
-const minBurst = 0.2
+// minBurst is the time in seconds whose rate an allotment holds at least: without a burst, no
+// request could ever run. It fits within what core/allotment leaves of the usual tolerance, a
+// tenth of 0.8 s.
+const minBurst = 0.05
 
 // allotmentLimit returns the limit of an allotment. Prompts above the burst are admitted with a
 // full bucket, and delay later ones, if the deployment tolerates the tokens beyond it.
--- a/internal/app/gateway/allotment_limit_test.go
+++ b/internal/app/gateway/allotment_limit_test.go
@@ -17,7 +17,7 @@
 		want      allotment.Limit
 	}{
 		"as configured":     {gatewayconfig.Allotment{Rate: 10, Burst: 30}, 0, allotment.Limit{Rate: 10, Burst: 30}},
-		"no burst":          {gatewayconfig.Allotment{Rate: 100}, 0, allotment.Limit{Rate: 100, Burst: 20}},
+		"no burst":          {gatewayconfig.Allotment{Rate: 100}, 0, allotment.Limit{Rate: 100, Burst: 5}},
 		"less than one":     {gatewayconfig.Allotment{Rate: 0.5}, 0, allotment.Limit{Rate: 0.5, Burst: 1}},
 		"tokens, tolerant":  {gatewayconfig.Allotment{Rate: 18000, Burst: 18000, CountsTokens: true}, 72000, allotment.Limit{Rate: 18000, Burst: 18000, Debt: true}},
 		"tokens, no excess": {gatewayconfig.Allotment{Rate: 18000, Burst: 18000, CountsTokens: true}, 0, allotment.Limit{Rate: 18000, Burst: 18000}},
