--- a/internal/app/allotments/allotments.go
+++ b/internal/app/allotments/allotments.go
@@ -120,11 +120,11 @@
 
 // Acquire charges a request, which waits for tokens as allotment.Client.Take says. It fails with a *RefusedError, or
 // with the context's error. The charge of a request that did not run goes to Return.
-func (s *Service) Acquire(ctx context.Context, key allotment.Key, limit allotment.Limit, tokens float64, patience time.Duration) (allotment.Charge, error) {
+func (s *Service) Acquire(ctx context.Context, key allotment.Key, limit allotment.Limit, tokens float64, maxDelay time.Duration) (allotment.Charge, error) {
 	if limit.Rate <= 0 {
 		return allotment.Charge{}, nil
 	}
-	d, decided := s.take(key, limit, tokens, patience)
+	d, decided := s.take(key, limit, tokens, maxDelay)
 	if d.Outcome == allotment.Pending {
 		var err error
 		if d, err = s.await(ctx, key, d, decided); err != nil {
@@ -140,10 +140,10 @@
 }
 
 // take charges a request, or asks for tokens and returns where its decision arrives.
-func (s *Service) take(key allotment.Key, limit allotment.Limit, tokens float64, patience time.Duration) (allotment.Decision, <-chan allotment.Decision) {
+func (s *Service) take(key allotment.Key, limit allotment.Limit, tokens float64, maxDelay time.Duration) (allotment.Decision, <-chan allotment.Decision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d := s.client.Take(s.o.Clock.Now(), key, limit, tokens, patience)
+	d := s.client.Take(s.o.Clock.Now(), key, limit, tokens, maxDelay)
 	if d.Outcome != allotment.Pending {
 		return d, nil
 	}
--- a/internal/app/completions/rates.go
+++ b/internal/app/completions/rates.go
@@ -15,7 +15,7 @@
 
 // Allotments charges the rate limits of client accounts. *allotments.Service implements it.
 type Allotments interface {
-	Acquire(ctx context.Context, key allotment.Key, limit allotment.Limit, tokens float64, patience time.Duration) (allotment.Charge, error)
+	Acquire(ctx context.Context, key allotment.Key, limit allotment.Limit, tokens float64, maxDelay time.Duration) (allotment.Charge, error)
 	Return(charge allotment.Charge)
 	Charge(key allotment.Key, limit allotment.Limit, tokens float64)
 }
--- a/internal/core/allotment/client.go
+++ b/internal/core/allotment/client.go
@@ -7,11 +7,11 @@
 
 const (
 	// MaxWait is the longest time for which a request waits for tokens of an allocator that
-	// has a majority. waitPart is the part of its patience for which it waits at most.
+	// has a majority. It waits at most for its longest useful delay divided by waitPart.
 	MaxWait  = 200 * time.Millisecond
 	waitPart = 2
 	// electionTerms is the time, in terms, after the last answer of an allocator with a
-	// majority for which requests wait for another one as long as their patience lasts. A
+	// majority for which requests wait for another one as long as that is of use. A
 	// fleet that lost its allocator, or started as a whole, has one again in about a term and a
 	// half; a router that is cut off does not, and refuses at once after this time.
 	electionTerms = 2
@@ -91,10 +91,10 @@
 	}
 }
 
-// Take charges the tokens of a request. Patience is the time that the request can wait at
+// Take charges the tokens of a request. MaxDelay is the longest wait that serves the request at
 // all: all of it while an allocator is being elected, otherwise a part of it, and MaxWait at
 // most; 0: MaxWait. Requests without a limit are admitted.
-func (c *Client) Take(now time.Time, key Key, limit Limit, tokens float64, patience time.Duration) Decision {
+func (c *Client) Take(now time.Time, key Key, limit Limit, tokens float64, maxDelay time.Duration) Decision {
 	if limit.unlimited() || tokens <= 0 {
 		return Decision{Outcome: Admitted, Charge: Charge{Key: key}}
 	}
@@ -114,7 +114,7 @@
 		}
 	}
 	electing := c.electing(now, g)
-	w := waiting{tokens: tokens, limit: limit, deadline: now.Add(maxWait(patience, electing))}
+	w := waiting{tokens: tokens, limit: limit, deadline: now.Add(maxWait(maxDelay, electing))}
 	if c.tooLate(g, a, w) {
 		return c.refuse(a, tokens, ReasonOver, a.waitUntil.Sub(now))
 	}
@@ -159,15 +159,15 @@
 	return charge, ok
 }
 
-// maxWait returns the time for which a request with the patience waits for tokens.
-func maxWait(patience time.Duration, electing bool) time.Duration {
+// maxWait returns the time for which a request waits for tokens.
+func maxWait(maxDelay time.Duration, electing bool) time.Duration {
 	switch {
-	case patience <= 0:
+	case maxDelay <= 0:
 		return MaxWait
 	case electing:
-		return patience
+		return maxDelay
 	}
-	return min(patience/waitPart, MaxWait)
+	return min(maxDelay/waitPart, MaxWait)
 }
 
 // electing reports whether the allocator of the group has no majority, but is expected to
--- a/internal/core/allotment/client_test.go
+++ b/internal/core/allotment/client_test.go
@@ -320,13 +320,13 @@
 // Guards against requests that are refused although an allocator will be there soon, such as
 // after the restart of the whole fleet, and against a router that is cut off and holds them.
 func TestRequestsWaitForAnElection(t *testing.T) {
-	const patience = 900 * time.Millisecond
+	const maxDelay = 900 * time.Millisecond
 	for name, test := range map[string]struct {
 		majority bool
 		at, wait time.Duration
 		outcome  Outcome
 	}{
-		"starting":        {false, 0, patience, Pending},
+		"starting":        {false, 0, maxDelay, Pending},
 		"with a majority": {true, 0, MaxWait, Pending},
 		"cut off":         {false, electionTerms*Term(3) + time.Millisecond, 0, Refused},
 	} {
@@ -336,7 +336,7 @@
 			if test.majority {
 				c.Answered(epoch, draw(is, c, epoch), granting(1))
 			}
-			d := c.Take(epoch.Add(test.at), "a", limit, 50, patience)
+			d := c.Take(epoch.Add(test.at), "a", limit, 50, maxDelay)
 			is.Equal(d.Outcome, test.outcome)
 			if d.Outcome == Pending {
 				is.Equal(d.Deadline, epoch.Add(test.at+test.wait))
