--- a/review/.src2/main.go
+++ b/review/.src2/main.go
@@ -32,7 +32,13 @@
 func runCase(p play, record string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), maxRun)
 	defer cancel()
-	s, err := newSystem(record)
+	file, err := os.Create(record)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitCannotRun
+	}
+	defer file.Close()
+	s, err := newSystem(file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitCannotRun
--- a/review/.src2/system.go
+++ b/review/.src2/system.go
@@ -40,6 +40,10 @@
 	logAddr   string
 	runners   []*runner
 	routers   []*router
+	// fencing is set if runners check fences.
+	fencing bool
+	// closers end what a play has started beside routers and runners.
+	closers []func()
 
 	mu sync.Mutex
 }
@@ -51,15 +55,12 @@
 	exited                       chan struct{}
 }
 
-func newSystem(record string) (*system, error) {
+func newSystem(record *os.File) (*system, error) {
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
 	}
-	s := &system{dir: dir, log: platformtest.NewLog()}
-	if s.record, err = os.Create(record); err != nil {
-		return nil, err
-	}
+	s := &system{dir: dir, record: record, log: platformtest.NewLog(), fencing: true}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -104,7 +105,7 @@
 	// startTries is how often a router is started with other addresses: between the choice of a
 	// port and its use, another process may take it.
 	startTries = 5
-	startTime  = 700 * time.Millisecond
+	startTime  = 400 * time.Millisecond
 )
 
 // router starts a router.
@@ -143,9 +144,9 @@
   "limits": {"memory_mb": 134, "max_fds": 4100},
   "bounds": {"key_revoked_ms": 5000, "key_revoked_strict": true, "configuration_ms": 2500, "leaving_ms": 2500,
     "repeat_ratio": 0.2, "repeat_allowance": 54, "repeat_window_s": 10, "holder_turn_ms": 3000,
-    "targets_check_fencing": true, "weights_ms": 8000, "stop_s": 8},
+    "targets_check_fencing": %t, "weights_ms": 8000, "stop_s": 8},
 }
-`, name, free[0], free[1], free[2], free[3], s.logAddr)
+`, name, free[0], free[1], free[2], free[3], s.logAddr, s.fencing)
 	r.settings = filepath.Join(s.dir, name+".jsonc")
 	return r, os.WriteFile(r.settings, []byte(text), 0o600)
 }
@@ -207,8 +208,10 @@
 	for _, r := range s.runners {
 		r.close()
 	}
+	for _, c := range s.closers {
+		c()
+	}
 	_ = s.logServer.Close()
-	_ = s.record.Close()
 	if to := os.Getenv("KEEP"); to != "" {
 		_ = os.Rename(s.dir, to)
 	}
@@ -226,7 +229,9 @@
 // request is one attempt of a client.
 type request struct {
 	method, target, id, body string
-	wait                     time.Duration
+	// more are further fields of the head.
+	more string
+	wait time.Duration
 }
 
 // send sends a request on a new channel to a router and reads the answer to its end.
@@ -252,7 +257,7 @@
 	if q.body != "" || q.method == http.MethodPost {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.body))
 	}
-	b.WriteString("\r\n" + q.body)
+	b.WriteString(q.more + "\r\n" + q.body)
 	if _, err := io.WriteString(c, b.String()); err != nil {
 		return answer{err: err}
 	}
