cmd, faultmatrix: failing tests of clients on a small VM

Cause: the tests of crowds cover bodies, heads and connections of the port for callers, with 112 MB. They leave out requests within the limits, the other ports, what the kernel holds, TLS, and the rest of the process at its fullest.

Change: crowds on a VM of 88 MB with 1,024 descriptors, for gateway mode (ports for callers, readiness and metrics) and serve mode (callers with and without TLS, operators), one test for each fault. They check that the process lives, that its memory with and without the kernel's buffers and its descriptors stay below those of the VM, and that an ordinary request is answered beside the crowd and after it. One test has 80 routers, many known prompts, held answers, a reload and a planned stop.

OPTIONS * with half a body leaves no connection for others.

--- a/cmd/mimosaseam/stop_test.go
+++ b/cmd/mimosaseam/stop_test.go
@@ -31,7 +31,21 @@
 		main()
 		return
 	}
-	os.Exit(m.Run())
+	os.Exit(runTests(m))
+}
+
+// programDir is the folder of the program that buildProgram builds.
+var programDir string
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "mimosaseam-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	programDir = dir
+	return m.Run()
 }
 
 // gatewayProcess is a router of the command gateway as a process.
@@ -41,7 +55,10 @@
 	cmd     *exec.Cmd
 	callers string
 	ready   string
+	metrics string
 	output  *os.File
+	// settings is the settings file, logAddress the address of the log.
+	settings, logAddress string
 }
 
 // startGatewayProcess starts a router whose shutdown may take stopS seconds, with the
@@ -75,10 +92,11 @@
 // configuration that configure writes.
 func launchLimitedGatewayProcess(t *testing.T, program *exec.Cmd, stopS int, limits string, configure func(*platformtest.Log), services, engines []*platformtest.RawTarget) *gatewayProcess {
 	t.Helper()
-	addresses := freeAddresses(t, 3)
-	p := &gatewayProcess{t: t, log: platformtest.NewLog(), callers: addresses[0], ready: addresses[1]}
+	addresses := freeAddresses(t, 4)
+	p := &gatewayProcess{t: t, log: platformtest.NewLog(), callers: addresses[0], ready: addresses[1], metrics: addresses[3]}
 	logServer := httptest.NewServer(p.log)
 	t.Cleanup(logServer.Close)
+	p.logAddress = strings.TrimPrefix(logServer.URL, "http://")
 	configure(p.log)
 	for _, target := range services {
 		p.log.PutTarget(target.Target, "desk", false, 1)
@@ -87,11 +105,11 @@
 		p.log.PutTarget(target.Target, "llm", false, 1)
 	}
 	putSilentRouter(t, p.log)
-	file := filepath.Join(t.TempDir(), "settings.jsonc")
+	p.settings = filepath.Join(t.TempDir(), "settings.jsonc")
 	text := fmt.Sprintf(`{"vm": {"name": "r1", "region": "r", "availability_zone": "z"}, "callers": {"address": %q},
-		"ready": {"address": %q}, "peers": {"address": %q}, "regions": {"z": "r"}, "log": {"address": %q}, "limits": %s,
-		"bounds": {"stop_s": %d}}`, p.callers, p.ready, addresses[2], strings.TrimPrefix(logServer.URL, "http://"), limits, stopS)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		"ready": {"address": %q}, "peers": {"address": %q}, "metrics": {"address": %q}, "regions": {"z": "r"}, "log": {"address": %q}, "limits": %s,
+		"bounds": {"stop_s": %d}}`, p.callers, p.ready, addresses[2], p.metrics, p.logAddress, limits, stopS)
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	output, err := os.Create(filepath.Join(t.TempDir(), "output"))
@@ -100,8 +118,10 @@
 	}
 	p.output = output
 	p.cmd = program
-	p.cmd.Env = append(os.Environ(), runAsGateway+"=1", settingsVariable+"="+file)
-	p.cmd.Stdout, p.cmd.Stderr = output, output
+	p.cmd.Env = append(os.Environ(), runAsGateway+"=1", settingsVariable+"="+p.settings)
+	if p.cmd.Stdout == nil {
+		p.cmd.Stdout, p.cmd.Stderr = output, output
+	}
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/harness/usage.go
+++ b/internal/harness/usage.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -11,15 +12,89 @@
 
 // PeakMemoryMB returns the largest resident size of a process so far.
 func PeakMemoryMB(pid int) (int, error) {
+	kb, err := statusKB(pid, "VmHWM:")
+	return kb >> 10, err
+}
+
+// statusKB returns a field of a process's status.
+func statusKB(pid int, field string) (int, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0, err
 	}
-	_, rest, _ := strings.Cut(string(text), "VmHWM:")
-	kb, err := strconv.Atoi(strings.TrimSpace(strings.SplitN(rest, "kB", 2)[0]))
-	return kb >> 10, err
+	_, rest, _ := strings.Cut(string(text), field)
+	return strconv.Atoi(strings.TrimSpace(strings.SplitN(rest, "kB", 2)[0]))
+}
+
+// MemoryWatch records the most memory that a process took together with what the kernel held
+// for its connections.
+type MemoryWatch struct {
+	stop chan struct{}
+	done sync.WaitGroup
+	most int
 }
 
+// memoryInterval is the time between two looks at the memory of a process.
+const memoryInterval = 50 * time.Millisecond
+
+// WatchMemory watches a process that listens on the ports until MostMB.
+func WatchMemory(pid int, ports ...int) *MemoryWatch {
+	w := &MemoryWatch{stop: make(chan struct{})}
+	w.done.Go(func() {
+		ticker := time.NewTicker(memoryInterval)
+		defer ticker.Stop()
+		for {
+			if kb, err := statusKB(pid, "VmRSS:"); err == nil { // it may have ended
+				w.most = max(w.most, kb<<10+queuedBytes(ports))
+			}
+			select {
+			case <-w.stop:
+				return
+			case <-ticker.C:
+			}
+		}
+	})
+	return w
+}
+
+// MostMB ends the watch and returns the largest sum seen.
+func (w *MemoryWatch) MostMB() int {
+	close(w.stop)
+	w.done.Wait()
+	return w.most >> 20
+}
+
+// queuedBytes returns what the kernel holds of the connections of local ports: bytes that were
+// received and not read, and bytes that were written and not acknowledged.
+func queuedBytes(ports []int) (sum int) {
+	for _, file := range []string{"/proc/net/tcp", "/proc/net/tcp6"} {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			continue // no such protocol here
+		}
+		for line := range strings.Lines(string(text)) {
+			fields := strings.Fields(line)
+			if len(fields) < 5 || fields[3] == listening {
+				continue
+			}
+			_, port, _ := strings.Cut(fields[1], ":")
+			number, err := strconv.ParseInt(port, 16, 32)
+			if err != nil || !slices.Contains(ports, int(number)) {
+				continue
+			}
+			sent, received, _ := strings.Cut(fields[4], ":")
+			for _, queue := range []string{sent, received} {
+				n, _ := strconv.ParseInt(queue, 16, 64) // the kernel writes numbers
+				sum += int(n)
+			}
+		}
+	}
+	return sum
+}
+
+// listening is the state of a listener in /proc/net/tcp, whose queues count connections.
+const listening = "0A"
+
 // DescriptorWatch records the most file descriptors that a process had open.
 type DescriptorWatch struct {
 	stop chan struct{}
--- a/internal/standin/crowd/crowd.go
+++ b/internal/standin/crowd/crowd.go
@@ -3,6 +3,7 @@
 package crowd
 
 import (
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -13,14 +14,14 @@
 
 const (
 	dialTimeout = 5 * time.Second
-	// sendTimeout bounds the time for which a client tries to send: a server that has stopped
-	// reading is not waited for.
+	// sendTimeout bounds the time for which a client tries to send, and waits for answers: a
+	// server that has stopped reading is not waited for.
 	sendTimeout = 4 * time.Second
 )
 
 // Act is what one client does on its connection. It returns when it has nothing more to send
 // or cannot send any more; the connection stays open.
-type Act func(c io.Writer)
+type Act func(c io.ReadWriter)
 
 // Crowd is a number of clients whose connections stay open until Close.
 type Crowd struct {
@@ -31,7 +32,19 @@
 }
 
 // Open opens the connections and begins the acts of the clients.
-func Open(address string, clients int, act Act) *Crowd {
+func Open(address string, clients int, act Act) *Crowd { return open(address, clients, act) }
+
+// OpenTLS is Open with TLS, which begins with the first bytes that an act sends. Certificates
+// are not verified.
+func OpenTLS(address string, clients int, act Act) *Crowd {
+	return open(address, clients, func(c io.ReadWriter) {
+		if raw, ok := c.(net.Conn); ok {
+			act(tls.Client(raw, &tls.Config{InsecureSkipVerify: true}))
+		}
+	})
+}
+
+func open(address string, clients int, act Act) *Crowd {
 	c := &Crowd{}
 	for range clients {
 		c.acts.Go(func() {
@@ -42,7 +55,7 @@
 			c.mu.Lock()
 			c.conns = append(c.conns, conn)
 			c.mu.Unlock()
-			if conn.SetWriteDeadline(time.Now().Add(sendTimeout)) == nil {
+			if conn.SetDeadline(time.Now().Add(sendTimeout)) == nil {
 				act(conn)
 			}
 		})
@@ -70,7 +83,7 @@
 	// Small chunks are sent together, so that the server's work is not limited by system calls.
 	together := max(1, (64<<10)/len(one))
 	text := strings.Repeat(one, together)
-	return func(c io.Writer) {
+	return func(c io.ReadWriter) {
 		if !send(c, head+"Transfer-Encoding: chunked\r\n\r\n") {
 			return
 		}
@@ -85,7 +98,7 @@
 // Announced sends a head that announces a body of length bytes and the first of them.
 func Announced(head string, length int64, sent int) Act {
 	body := strings.Repeat("x", sent)
-	return func(c io.Writer) {
+	return func(c io.ReadWriter) {
 		if send(c, fmt.Sprintf("%sContent-Length: %d\r\n\r\n", head, length)) {
 			send(c, body)
 		}
@@ -103,11 +116,42 @@
 }
 
 // Text sends a text once.
-func Text(text string) Act { return func(c io.Writer) { send(c, text) } }
+func Text(text string) Act { return func(c io.ReadWriter) { send(c, text) } }
+
+// Ask sends a request, waits for the first bytes of its answer, and goes on with the next act.
+func Ask(request string, next Act) Act {
+	return func(c io.ReadWriter) {
+		if !send(c, request) {
+			return
+		}
+		if _, err := c.Read(make([]byte, 4<<10)); err == nil {
+			next(c)
+		}
+	}
+}
+
+// Times sends a text a number of times and reads what comes back in between.
+func Times(n int, request string) Act {
+	if n == 0 {
+		return func(io.ReadWriter) {}
+	}
+	return Ask(request, func(c io.ReadWriter) { Times(n-1, request)(c) })
+}
+
+// Parts sends texts in writes of their own, so that each begins a read of the server.
+func Parts(texts ...string) Act {
+	return func(c io.ReadWriter) {
+		for _, text := range texts {
+			if !send(c, text) {
+				return
+			}
+		}
+	}
+}
 
 // Repeat sends a text without end.
 func Repeat(text string) Act {
-	return func(c io.Writer) {
+	return func(c io.ReadWriter) {
 		for send(c, text) {
 		}
 	}
