cmd, callerhttp: the server of net/http answers no request itself

Callers saw: no answer, for as long as others kept "OPTIONS *" with half a body open. Each of them held one of the places for connections.

Cause: the server of net/http answers "OPTIONS *" itself and reads up to 4 KiB of its body, without a deadline once the head was read. Its connection counts as one with a complete request, which never gives way.

Change: such requests reach the handlers as others do, which read bodies within their time and refuse what they don't know.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -301,7 +301,9 @@
 	n.clients = newClientBudget(n.settings.Limits.MemoryMB, int(clientFDs*n.settings.Limits.MaxFDs))
 	n.callers = &http.Server{Handler: &platform.Ingress{Gateway: n.gateway, Clock: n.clock, BegunAt: begunAt}, ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes: int(n.settings.Limits.HeaderBytes), ConnState: n.onStateChange,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return clientconn.WithConn(withConn(ctx, c), c) }, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return clientconn.WithConn(withConn(ctx, c), c) }, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
+		// The server would answer "OPTIONS *" itself and wait for its body without a time limit.
+		DisableGeneralOptionsHandler: true}
 	n.ready = &http.Server{Handler: platform.ReadyHandler(n.gateway.Ready), ReadHeaderTimeout: headerTimeout}
 	n.metrics = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout}
 }
--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -122,6 +122,8 @@
 		ConnState:         clientconn.OnStateChange,
 		ConnContext:       clientconn.WithConn,
 		ErrorLog:          slog.NewLogLogger(s.Logger.Handler(), slog.LevelWarn),
+		// The server would answer "OPTIONS *" itself and wait for its body without a time limit.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
