clientconn: empty lines before a head are not its end

Callers saw: the process ran out of memory. A client that sends two empty lines behind a request, and then a head, has a head that is not counted: neither its bytes nor its time are bound by the configuration, and its connection never gives way.

The server of net/http skips up to four characters of line ends behind a POST.

Change: a head ends with the first empty line behind one that is not.

TestEndOfHeads guards the cases without a process.

--- a/internal/adapter/clientconn/conn.go
+++ b/internal/adapter/clientconn/conn.go
@@ -270,8 +270,9 @@
 type headReader struct {
 	bytes, lines int
 	// line is the length of the current line so far, without a carriage return.
-	line  int
-	ended bool
+	line int
+	// begun is set with the first line that is not empty: the server skips empty ones before it.
+	begun, ended bool
 }
 
 // read follows the next bytes and returns how many bytes and lines of them belong to the head.
@@ -287,7 +288,8 @@
 		h.bytes += end + 1
 		read += end + 1
 		p = p[end+1:]
-		h.ended = h.line == 0 && h.lines > 0
+		h.ended = h.line == 0 && h.begun
+		h.begun = h.begun || h.line > 0
 		h.lines++
 		lines++
 		h.line = 0
--- a/internal/adapter/clientconn/conn_test.go
+++ b/internal/adapter/clientconn/conn_test.go
@@ -305,3 +305,26 @@
 	}
 	is.Equal(served, 3)
 }
+
+// Guards against heads whose end is seen where it is not, so that the rest is not counted.
+func TestEndOfHeads(t *testing.T) {
+	for _, c := range []struct {
+		parts []string
+		ended bool
+		lines int
+	}{
+		{[]string{"GET / HTTP/1.1\r\n\r\n"}, true, 2},
+		{[]string{"\r\n\r\nGET / HTTP/1.1\r\na: b\r\n"}, false, 4},
+		{[]string{"\r\n", "\r\n", "GET / HTTP/1.1\r", "\n", "\r\n"}, true, 4},
+		{[]string{"\n\n\n"}, false, 3},
+		{[]string{"a", "\n", "\n"}, true, 2},
+	} {
+		is := is.New(t)
+		var h headReader
+		for _, part := range c.parts {
+			h.read([]byte(part))
+		}
+		is.Equal(h.ended, c.ended)
+		is.Equal(h.lines, c.lines)
+	}
+}
