cmd, adminhttp: clients of the other ports are counted

Callers saw: the process ran out of memory or descriptors. The ports for readiness checks, metrics and operators had no bounds but net/http's: heads of 1 MiB, connections that are kept for ever when idle, with a body short of its end or with answers that are not read, and no number of connections.

Cause: only the port for callers has a budget.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -141,8 +141,8 @@
 	conns   *callerConns
 	clients *membudget.Budget
 	counts  gateway.Metrics
-	ready   *http.Server
-	metrics *http.Server
+	ready   *operatorPort
+	metrics *operatorPort
 }
 
 func serveGateway(file string, s settings.Gateway) error {
@@ -158,6 +158,7 @@
 	n := newGatewayNode(file, s, out, traces.Tracer, telemetry.NewMetrics("gateway", "gateway_ms"))
 	n.publishGauges()
 	expvar.Publish("client_memory", expvar.Func(func() any { return n.clients.Stats() }))
+	expvar.Publish("operator_memory", expvar.Func(func() any { return operatorMemory(n.ready, n.metrics) }))
 	n.log.Info("starting", "version", version, "availability_zone", s.VM.AvailabilityZone, "callers", s.Callers.Address, "ready", s.Ready.Address, "log", s.Log.Address)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -165,7 +166,8 @@
 	for _, l := range []struct {
 		address string
 		server  *http.Server
-	}{{s.Callers.Address, n.callers}, {s.Ready.Address, n.ready}, {s.Metrics.Address, n.metrics}} {
+		count   func(net.Listener) net.Listener
+	}{{s.Callers.Address, n.callers, n.trackClients}, {s.Ready.Address, n.ready.server, n.ready.listen}, {s.Metrics.Address, n.metrics.server, n.metrics.listen}} {
 		if l.address == "" {
 			continue
 		}
@@ -173,11 +175,7 @@
 		if err != nil {
 			return eris.Wrap(err, "listen")
 		}
-		if l.server == n.callers {
-			n.conns.Listener = n.countClients(listener)
-			listener = n.conns
-		}
-		addHTTP(&group, listener, l.server)
+		addHTTP(&group, l.count(listener), l.server)
 	}
 	peers, err := net.Listen("tcp", s.Peers.Address)
 	if err != nil {
@@ -304,13 +302,16 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return clientconn.WithConn(withConn(ctx, c), c) }, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 		// The server would answer "OPTIONS *" itself and wait for its body without a time limit.
 		DisableGeneralOptionsHandler: true}
-	n.ready = &http.Server{Handler: platform.ReadyHandler(n.gateway.Ready), ReadHeaderTimeout: headerTimeout}
-	n.metrics = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout}
+	memory, descriptors := n.settings.Limits.MemoryMB, int(n.settings.Limits.MaxFDs)
+	n.ready = newOperatorPort("ready", memory, descriptors, clientconn.WithoutBodies(platform.ReadyHandler(n.gateway.Ready)), n.log)
+	n.metrics = newOperatorPort("metrics", memory, descriptors, clientconn.WithoutBodies(metricsHandler()), n.log)
 }
 
-// countClients makes the connections of a listener hold their memory within the budget.
-func (n *gatewayNode) countClients(l net.Listener) net.Listener {
-	return clientconn.Listen(l, clientconn.Options{Budget: n.clients, Limits: n.clientLimits, Logger: n.log, Metrics: n.counts})
+// trackClients makes the connections of a listener hold their memory within the budget, and
+// tracks them for a planned stop.
+func (n *gatewayNode) trackClients(l net.Listener) net.Listener {
+	n.conns.Listener = clientconn.Listen(l, clientconn.Options{Budget: n.clients, Limits: n.clientLimits, Logger: n.log, Metrics: n.counts})
+	return n.conns
 }
 
 func (n *gatewayNode) onStateChange(c net.Conn, state http.ConnState) {
--- a/cmd/mimosaseam/serve.go
+++ b/cmd/mimosaseam/serve.go
@@ -16,7 +16,6 @@
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
-	"mimosaseam.example/mimosaseam/internal/adapter/adminhttp"
 	"mimosaseam.example/mimosaseam/internal/adapter/clientconn"
 	"mimosaseam.example/mimosaseam/internal/adapter/peergrpc"
 	"mimosaseam.example/mimosaseam/internal/adapter/telemetry"
@@ -36,8 +35,6 @@
 	flushTimeout = 10 * time.Second
 	// closeTimeout bounds closing the servers and exporters after the drain.
 	closeTimeout = 5 * time.Second
-	// adminHeaderTimeout bounds reading the headers of an operator's request.
-	adminHeaderTimeout = 5 * time.Second
 	// leavingInterval is the time between refreshes of the leaving targets, which
 	// cover configuration changes that add a target already marked as leaving.
 	leavingInterval = 500 * time.Millisecond
@@ -101,10 +98,7 @@
 	if err != nil {
 		return err
 	}
-	addHTTP(group, admin, &http.Server{
-		Handler: adminhttp.Handler(n), ReadHeaderTimeout: adminHeaderTimeout,
-		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
-	})
+	addHTTP(group, n.admin.listen(admin), n.admin.server)
 	peers, err := listen(s.Peers.Address, settings.ServerTLS{}, 0)
 	if err != nil {
 		return err
--- a/cmd/mimosaseam/servegauges.go
+++ b/cmd/mimosaseam/servegauges.go
@@ -25,6 +25,8 @@
 	AttachedRouters int `json:"allotment_attached_routers"`
 	// ClientMemory is what is held for callers.
 	ClientMemory membudget.Stats `json:"client_memory"`
+	// OperatorMemory is what is held for the clients of each other port.
+	OperatorMemory map[string]membudget.Stats `json:"operator_memory"`
 }
 
 // publishGauges publishes the state under /debug/vars.
@@ -38,7 +40,7 @@
 		Ready: n.Readiness().Ready, ConfigOffset: n.config.Applied(),
 		OpenRequests: status.OpenRequests, Quarantined: status.Quarantined, HoldsOrders: n.orders.Holding(),
 		Routers: map[string]int{}, Circuits: map[string]int{}, Fleet: n.fleet.Stats(), AttachedRouters: n.allotments.Attached(),
-		ClientMemory: n.clients.Stats(),
+		ClientMemory: n.clients.Stats(), OperatorMemory: operatorMemory(n.admin),
 	}
 	for _, r := range n.fleet.Routers() {
 		g.Routers[r.State.String()]++
--- a/cmd/mimosaseam/servenode.go
+++ b/cmd/mimosaseam/servenode.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"google.golang.org/grpc/credentials"
 
+	"mimosaseam.example/mimosaseam/internal/adapter/adminhttp"
 	"mimosaseam.example/mimosaseam/internal/adapter/callerhttp"
 	"mimosaseam.example/mimosaseam/internal/adapter/enginehttp"
 	"mimosaseam.example/mimosaseam/internal/adapter/httpconn"
@@ -76,6 +77,7 @@
 	router         *completions.Router
 	callers        *callerhttp.Server
 	clients        *membudget.Budget
+	admin          *operatorPort
 
 	// pendingFingerprints holds crash fingerprints that are not in the log yet.
 	pendingFingerprints chan string
@@ -185,6 +187,7 @@
 	})
 	c := n.settings.Callers
 	n.clients = newClientBudget(float64(n.settings.Resources.MemoryMB), c.Connections)
+	n.admin = newOperatorPort("admin", float64(n.settings.Resources.MemoryMB), 0, adminhttp.Handler(n), n.log)
 	n.callers = callerhttp.New(callerhttp.Deps{
 		Router: n.router, Source: n.config, Logger: n.log, Tracer: n.traces.Tracer, Metrics: n.metrics,
 		Limits: callerhttp.Limits{
--- a/internal/adapter/adminhttp/adminhttp.go
+++ b/internal/adapter/adminhttp/adminhttp.go
@@ -3,6 +3,7 @@
 package adminhttp
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"expvar"
@@ -10,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"mimosaseam.example/mimosaseam/internal/adapter/clientconn"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -118,14 +120,30 @@
 		}
 		writeJSON(w, http.StatusOK, b.Applied(r.Context(), port.Offset(offset)))
 	})
-	mux.HandleFunc("POST /v1/explain", explain(b))
-	return mux
+	mux.HandleFunc(explainPattern, explain(b))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, pattern := mux.Handler(r); pattern != explainPattern {
+			clientconn.DiscardBody(w, r)
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
+const (
+	explainPattern = "POST /v1/explain"
+	// explainTimeout bounds the time for the body of an explain request.
+	explainTimeout = 20 * time.Second
+)
+
 func explain(b Backend) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var request ExplainRequest
-		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxExplainBytes))
+		body, err := clientconn.ReadBody(w, r, maxExplainBytes, explainTimeout)
+		if err != nil {
+			writeError(w, http.StatusBadRequest, "invalid_request", err.Error())
+			return
+		}
+		decoder := json.NewDecoder(bytes.NewReader(body))
 		decoder.DisallowUnknownFields()
 		if err := decoder.Decode(&request); err != nil {
 			writeError(w, http.StatusBadRequest, "invalid_request", err.Error())
--- a/internal/adapter/clientconn/body.go
+++ b/internal/adapter/clientconn/body.go
@@ -84,6 +84,15 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
 
+// WithoutBodies returns a handler whose requests have no bodies: those that clients send are
+// refused unread.
+func WithoutBodies(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		DiscardBody(w, r)
+		h.ServeHTTP(w, r)
+	})
+}
+
 type bodyReader struct {
 	conn    *Conn
 	control *http.ResponseController
--- a/internal/core/membudget/budget.go
+++ b/internal/core/membudget/budget.go
@@ -22,8 +22,8 @@
 	// connectionsDivisor gives half of the budget to connections: those that a crowd opens
 	// leave the other half to requests.
 	connectionsDivisor = 2
-	// giveWayAfter is how long a holder must have made no progress to give way. A client
-	// within its limits sends a head in less, and a byte of a body far more often.
+	// giveWayAfter is the default of Options.GiveWayAfter. A client within its limits sends a
+	// head in less, and a byte of a body far more often.
 	giveWayAfter = time.Second
 	// writeGiveWayAfter is the same for a client that does not take its response: over a slow
 	// link, one write takes longer than one read.
@@ -77,7 +77,10 @@
 	Bytes int64
 	// Connections bounds the holders; 0: only their bytes do.
 	Connections int
-	Clock       Clock
+	// GiveWayAfter is how long a holder that reads a request must have made no progress to give
+	// way. 0: a second.
+	GiveWayAfter time.Duration
+	Clock        Clock
 }
 
 // Budget is the memory held for all clients. It is safe for concurrent use.
@@ -110,6 +113,9 @@
 	if o.Connections <= 0 || o.Connections > most {
 		o.Connections = most
 	}
+	if o.GiveWayAfter <= 0 {
+		o.GiveWayAfter = giveWayAfter
+	}
 	b := &Budget{Options: o, epoch: o.Clock.Now(), holders: map[*Holder]struct{}{}, freed: make(chan struct{}), signalled: -int64(searchInterval)}
 	b.searched = [2]int64{-int64(searchInterval), -int64(searchInterval)}
 	return b
@@ -230,7 +236,7 @@
 				continue
 			}
 		case PhaseNew, PhaseHead, PhaseBody:
-			if wait < giveWayAfter || !small && h.total.Load() <= h.base {
+			if wait < b.GiveWayAfter || !small && h.total.Load() <= h.base {
 				continue
 			}
 		case PhaseWriting:
