gateway, placement: what is held of a prompt is bounded and counted

Callers saw: the process ran out of memory. A head of 100 bytes that states a prompt of 4 million tokens made the router compute and hold 65,536 hashes of blocks for the request, 512 KiB and as much again while they were collected; a prompt of 4,000 parts took 200 KB beside its head. Neither was counted.

Cause: the budget for clients counts bytes as they arrive, not what is made of them.

Without room the request is refused (503, has not run). The fields are passed on unchanged.

--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -39,7 +39,9 @@
 	fingerprint      retry.Fingerprint
 	// segments are the prompt segments that other requests may share.
 	segments []retry.SegmentHash
-	deadline time.Time
+	// promptBytes is the memory that was taken for what is held of the prompt.
+	promptBytes int64
+	deadline    time.Time
 
 	history  retrypolicy.History
 	sequence stream.SequenceChecker
@@ -140,7 +142,9 @@
 		x.engine = s.Engine
 	}
 	x.setDeadline()
-	x.setPlacement()
+	if err := x.setPlacement(); err != nil {
+		return x, err
+	}
 	return x, x.checkQuarantine()
 }
 
@@ -179,8 +183,18 @@
 	x.deadline = x.r.Received.Add(timeout)
 }
 
-// setPlacement prepares the inputs of placement and crash detection.
-func (x *exchange) setPlacement() {
+const (
+	// segmentBytes and blockBytes are what is held of a segment and of a block of a prompt: the
+	// segment with its hash and its share of a slice that grows, the hash of the block.
+	segmentBytes = 64
+	blockBytes   = 8
+	// memoryRetryAfter covers the time after which stalled clients give way.
+	memoryRetryAfter = 2 * time.Second
+)
+
+// setPlacement prepares the inputs of placement and crash detection. It fails if there is no
+// memory for them.
+func (x *exchange) setPlacement() error {
 	account := ""
 	if x.account != nil {
 		account = x.account.Name
@@ -188,15 +202,23 @@
 	x.scope = x.config.CacheScope(x.account)
 	x.fingerprint = retry.FingerprintOf(account, x.r.Path, string(x.r.Body))
 	if x.engine == nil {
-		return
+		return nil
+	}
+	// No engine holds the blocks behind its capacity.
+	limit := x.engine.CacheTokens / placement.PartBlockTokens
+	bytes := int64(segmentBytes*len(x.r.Prompt) + blockBytes*placement.CountPartBlocks(x.r.Prompt, limit))
+	if !x.memory().Take(bytes) {
+		return &Failure{Kind: KindRefused, RetryAfter: jitter(memoryRetryAfter), Cause: ErrNoMemory}
 	}
+	x.promptBytes = bytes
 	for _, s := range x.shared() {
 		x.segments = append(x.segments, retry.SegmentHashOf(s.ID))
 	}
 	scope := port.Scope{ClientAccount: x.scope, Model: x.r.Model}
-	x.placementRequest = placement.Request{Scope: scope, Blocks: placement.PartBlocks(scope, x.r.Prompt),
+	x.placementRequest = placement.Request{Scope: scope, Blocks: placement.PartBlocks(scope, x.r.Prompt, limit),
 		BlockTokens: placement.PartBlockTokens, PromptTokens: x.r.PromptTokens,
 		OutputTokens: x.r.MaxOutputTokens, PromptBytes: len(x.r.Body), CanFetch: x.engine.LinkMbps > 0}
+	return nil
 }
 
 // serve charges and admits the request and makes attempts until one succeeds or no retry is allowed.
--- a/internal/app/gateway/failure.go
+++ b/internal/app/gateway/failure.go
@@ -90,6 +90,7 @@
 var (
 	ErrNoConfiguration = eris.New("no configuration is in force yet")
 	ErrUnverified      = eris.New("the configuration was not verified for too long")
+	ErrNoMemory        = eris.New("no memory for the prompt of the request")
 	ErrNoTarget        = eris.New("no target can take the request now")
 	ErrRetryBudget     = eris.New("repeated sends to the service are at their bound")
 	ErrUnresponsive    = eris.New("the target stopped responding")
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -373,7 +373,11 @@
 			err = &Failure{Kind: KindUnknown, Cause: ErrPanic}
 		}
 	}()
-	if x, err = g.plan(r, sink); err == nil {
+	x, err = g.plan(r, sink)
+	if x != nil {
+		defer func() { x.memory().Return(x.promptBytes) }()
+	}
+	if err == nil {
 		err = x.serve(ctx)
 	}
 	return x, err
--- a/internal/core/placement/cacheindex_test.go
+++ b/internal/core/placement/cacheindex_test.go
@@ -115,16 +115,16 @@
 func TestPartBlocks(t *testing.T) {
 	is := is.New(t)
 	scope := port.Scope{Model: "m"}
-	x := PartBlocks(scope, []port.Segment{{ID: "a", Tokens: 640}, {ID: "b", Tokens: 640}})
-	y := PartBlocks(scope, []port.Segment{{ID: "a", Tokens: 640}, {ID: "c", Tokens: 640}})
-	z := PartBlocks(scope, []port.Segment{{ID: "c", Tokens: 640}, {ID: "b", Tokens: 640}})
+	x := PartBlocks(scope, []port.Segment{{ID: "a", Tokens: 640}, {ID: "b", Tokens: 640}}, 0)
+	y := PartBlocks(scope, []port.Segment{{ID: "a", Tokens: 640}, {ID: "c", Tokens: 640}}, 0)
+	z := PartBlocks(scope, []port.Segment{{ID: "c", Tokens: 640}, {ID: "b", Tokens: 640}}, 0)
 	is.Equal(len(x), 20)
 	is.Equal(x[:10], y[:10])
 	for i := 10; i < 20; i++ {
 		is.True(x[i] != y[i])
 		is.True(x[i] != z[i])
 	}
-	is.True(PartBlocks(port.Scope{ClientAccount: "w", Model: "m"}, []port.Segment{{ID: "a", Tokens: 640}})[0] != x[0])
+	is.True(PartBlocks(port.Scope{ClientAccount: "w", Model: "m"}, []port.Segment{{ID: "a", Tokens: 640}}, 0)[0] != x[0])
 }
 
 // Guards against more readers of a target's events than it serves, a target without
@@ -152,3 +152,14 @@
 	is.True(IsChosen("r1", routers[:12], "t", 12))
 	is.True(IsChosen("r1", routers, "t", 0))
 }
+
+// Guards against a prompt of more blocks than any cache holds, and against a count that differs
+// from the blocks.
+func TestPartBlocksAreBounded(t *testing.T) {
+	for _, c := range []struct{ tokens, limit, want int }{{640, 0, 10}, {640, 4, 4}, {1 << 30, 100, 100}, {1 << 30, 0, maxPartBlocks}, {0, 5, 0}} {
+		is := is.New(t)
+		parts := []port.Segment{{ID: "a", Tokens: c.tokens}, {ID: "b"}}
+		is.Equal(len(PartBlocks(port.Scope{}, parts, c.limit)), c.want)
+		is.Equal(CountPartBlocks(parts, c.limit), c.want)
+	}
+}
--- a/internal/core/placement/parts.go
+++ b/internal/core/placement/parts.go
@@ -18,16 +18,16 @@
 
 // PartBlocks converts a prompt's sequence of parts to the block hashes used for
 // placement. Equal parts after equal parts yield equal blocks; the last block of a
-// part may be shorter. A part is a port.Segment of the prompt; in this package, a
-// segment is a node of the radix tree.
-func PartBlocks(scope port.Scope, parts []port.Segment) []port.BlockHash {
+// part may be shorter. Blocks behind the limit, which is that of CountPartBlocks, are left out.
+// A part is a port.Segment of the prompt; in this package, a segment is a node of the radix tree.
+func PartBlocks(scope port.Scope, parts []port.Segment, limit int) []port.BlockHash {
 	at := xxhash.Sum64String(scope.String())
-	var blocks []port.BlockHash
+	blocks := make([]port.BlockHash, 0, CountPartBlocks(parts, limit))
 	var buffer [24]byte
 	for _, part := range parts {
 		id := xxhash.Sum64String(part.ID)
-		for n := 0; n < (part.Tokens+PartBlockTokens/2)/PartBlockTokens; n++ {
-			if len(blocks) == maxPartBlocks {
+		for n := range partBlocks(part) {
+			if len(blocks) == cap(blocks) {
 				return blocks
 			}
 			binary.LittleEndian.PutUint64(buffer[0:], at)
@@ -39,3 +39,18 @@
 	}
 	return blocks
 }
+
+// CountPartBlocks returns the number of blocks of a prompt, at most the limit; 0: as many as
+// placement looks at.
+func CountPartBlocks(parts []port.Segment, limit int) int {
+	if limit <= 0 || limit > maxPartBlocks {
+		limit = maxPartBlocks
+	}
+	sum := 0
+	for _, part := range parts {
+		sum = min(sum+partBlocks(part), limit)
+	}
+	return sum
+}
+
+func partBlocks(part port.Segment) int { return (part.Tokens + PartBlockTokens/2) / PartBlockTokens }
