placement, gateway: names that clients choose are not kept

Callers saw: the process ran out of memory. The index of cached parts kept the name of each part of a prompt, and with it the whole head that it came in, for up to 20,000 parts of each target; it never removed those whose time (1.5 s) had passed. The known weights of a target grew by each model that a client named.

A target's responses teach at most 64 models, with names of at most 256 bytes; its entry and its reports are not bounded by this.

--- a/internal/app/gateway/targetweights.go
+++ b/internal/app/gateway/targetweights.go
@@ -35,11 +35,21 @@
 	d.log.Info("target weights", "target", t.ID, "weights", t.Weights, "before", before)
 }
 
+const (
+	// maxModels and maxModelBytes bound the models of a target that are learned from its
+	// responses: clients choose the names in their requests.
+	maxModels     = 64
+	maxModelBytes = 256
+)
+
 // observeWeights records the version that a target reported at that time or later. A smaller
 // version than the known one counts only if the target reported the known one before: an order
 // that is carried out late after a restart brings back older weights.
 func (d *Directory) observeWeights(t *Target, model string, version int, reported time.Time) {
-	known := t.Weights[model]
+	known, listed := t.Weights[model]
+	if !listed && (len(t.Weights) >= maxModels || len(model) > maxModelBytes) {
+		return
+	}
 	if version <= 0 || model == "" || version < known && !reported.After(t.weightsSeen[model]) {
 		return
 	}
--- a/internal/core/placement/cacheindex.go
+++ b/internal/core/placement/cacheindex.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"hash/maphash"
+	"maps"
 	"sync"
 	"time"
 
@@ -16,11 +18,21 @@
 	cacheStateMaxAge = 4 * time.Second
 	// maxCacheParts bounds the parts stored for one cache.
 	maxCacheParts = 20_000
+	// minSweep is the least number of expected parts that are swept.
+	minSweep = 64
 )
 
-// partKey identifies a prompt part, which is a port.Segment, within a scope. In this
+// partKey identifies a prompt part, which is a port.Segment, within a scope, by a hash: clients
+// choose the names, which would be kept together with the heads of their requests. In this
 // package, a segment is a node of the radix tree.
-type partKey struct{ scope, part string }
+type partKey uint64
+
+// partSeed keeps clients from choosing names of the same hash.
+var partSeed = maphash.MakeSeed()
+
+func partKeyOf(scope, part string) partKey {
+	return partKey(maphash.Comparable(partSeed, [2]string{scope, part}))
+}
 
 // cacheState is the known content of one cache.
 type cacheState struct {
@@ -33,6 +45,8 @@
 	// the time until which a recently sent part counts as cached.
 	tokens   map[partKey]int
 	expected map[partKey]time.Time
+	// sweepAt is the number of expected parts at which those whose time has passed are removed.
+	sweepAt int
 }
 
 // CacheIndex records which prompt parts targets and KV stores have cached, from
@@ -74,7 +88,7 @@
 	}
 	c.epoch, c.next, c.readAt = e.Epoch, e.Next, now
 	for _, event := range e.Events {
-		key := partKey{event.Scope, event.SegmentID}
+		key := partKeyOf(event.Scope, event.SegmentID)
 		delete(c.expected, key)
 		if event.Tokens <= 0 {
 			delete(c.tokens, key)
@@ -89,11 +103,15 @@
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
 	c := ix.cache(address)
-	if len(c.expected) > maxCacheParts {
-		clear(c.expected)
+	if len(c.expected) >= c.sweepAt {
+		maps.DeleteFunc(c.expected, func(_ partKey, until time.Time) bool { return !now.Before(until) })
+		if len(c.expected) > maxCacheParts {
+			clear(c.expected)
+		}
+		c.sweepAt = max(minSweep, 2*len(c.expected))
 	}
 	for _, p := range parts {
-		c.expected[partKey{scope, p.ID}] = now.Add(expectedTTL)
+		c.expected[partKeyOf(scope, p.ID)] = now.Add(expectedTTL)
 	}
 }
 
@@ -114,7 +132,7 @@
 		return 0, false
 	}
 	for _, p := range parts {
-		key := partKey{scope, p.ID}
+		key := partKeyOf(scope, p.ID)
 		n := min(c.tokens[key], p.Tokens)
 		if now.Before(c.expected[key]) {
 			n = p.Tokens
@@ -144,7 +162,7 @@
 		return false
 	}
 	for _, p := range parts {
-		if !now.Before(c.expected[partKey{scope, p.ID}]) {
+		if !now.Before(c.expected[partKeyOf(scope, p.ID)]) {
 			return false
 		}
 	}
