telemetry: the queue of the log is bounded by bytes

Callers saw: the process ran out of memory while nobody read its log. 4,096 lines may wait, and each request leaves a line with its id, which is as long as its client likes.

Cause: the queue is bounded by lines only.

Change: 2 MiB of lines may wait; others are dropped and counted as before.

--- a/internal/adapter/telemetry/bounded.go
+++ b/internal/adapter/telemetry/bounded.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// maxQueuedLines bounds the lines waiting to be written.
+	// maxQueuedLines and maxQueuedBytes bound the lines waiting to be written: lines quote what
+	// clients have sent.
 	maxQueuedLines = 4096
+	maxQueuedBytes = 2 << 20
 	// batchBytes is the batch size at which lines are written without further wait.
 	batchBytes = 16 << 10
 	// batchWait is how long a line waits for further lines, so that one write call
@@ -22,6 +24,7 @@
 type BoundedWriter struct {
 	out     io.Writer
 	lines   chan []byte
+	queued  atomic.Int64 // the bytes of lines
 	dropped atomic.Int64
 	stop    chan struct{}
 	stopped chan struct{}
@@ -36,9 +39,16 @@
 
 // Write queues one line.
 func (w *BoundedWriter) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if w.queued.Add(size) > maxQueuedBytes {
+		w.queued.Add(-size)
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
+		w.queued.Add(-size)
 		w.dropped.Add(1)
 	}
 	return len(line), nil
@@ -55,6 +65,7 @@
 	for {
 		select {
 		case line := <-w.lines:
+			w.queued.Add(-int64(len(line)))
 			w.flush(line, batchWait)
 		case <-w.stop:
 			for len(w.lines) > 0 {
@@ -73,6 +84,7 @@
 	for len(batch) < batchBytes {
 		select {
 		case line := <-w.lines:
+			w.queued.Add(-int64(len(line)))
 			batch = append(batch, line...)
 			continue
 		default:
@@ -82,6 +94,7 @@
 		}
 		select {
 		case line := <-w.lines:
+			w.queued.Add(-int64(len(line)))
 			batch = append(batch, line...)
 			continue
 		case <-w.stop:
--- a/internal/adapter/telemetry/bounded_test.go
+++ b/internal/adapter/telemetry/bounded_test.go
@@ -48,3 +48,22 @@
 	}
 	is.Equal(written+total, lines)
 }
+
+// Guards against long lines that take more memory than short ones while nobody reads the log.
+func TestBoundedWriterBoundsBytes(t *testing.T) {
+	is := is.New(t)
+	out := &blockedWriter{release: make(chan struct{})}
+	w := NewBoundedWriter(out)
+	line := strings.Repeat("x", 64<<10)
+	for range maxQueuedLines {
+		_, err := fmt.Fprintln(w, line)
+		is.NoErr(err)
+	}
+	is.True(w.queued.Load() <= maxQueuedBytes)
+	close(out.release)
+	w.Close()
+	is.Equal(w.queued.Load(), int64(0))
+	written := strings.Count(out.text.String(), line)
+	is.True(written >= maxQueuedBytes/len(line)/2)
+	is.True(written <= maxQueuedBytes/len(line)+1) // and the one that was being written
+}
