gateway: a request is refused by its head before its body is read

Callers saw: 401 and 404 only after the whole body, 408 if it did not come. Clients without a key took memory for bodies as others do (docs/design/ caller-memory.md, "Limits of it").

Cause: the route and the key were looked up when the request was complete.

TestRefusedHeadsNeedNoBody: 408 for 401 before, 401 and 404 after.

--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -112,9 +112,9 @@
 // defaultTimeout applies when neither the route nor the client sets one.
 const defaultTimeout = 30 * time.Second
 
-// plan resolves the request's route, client account, service and limits, all from one
-// version of the configuration.
-func (g *Gateway) plan(r *Request, sink Sink) (*exchange, error) {
+// resolve finds the request's route, client account and service, all from one version of the
+// configuration. It looks at the head of the request only.
+func (g *Gateway) resolve(r *Request) (*exchange, error) {
 	c := g.config.Load()
 	if c == nil {
 		return nil, &Failure{Kind: KindRefused, RetryAfter: jitter(shortRetryAfter), Cause: ErrNoConfiguration}
@@ -124,7 +124,7 @@
 	if route == nil {
 		return nil, g.rejection(age, KindNoRoute)
 	}
-	x := &exchange{g: g, config: c, r: r, sink: sink, route: route, tried: map[string]bool{}, service: route.PickService(randomPoint())}
+	x := &exchange{g: g, config: c, r: r, route: route, tried: map[string]bool{}, service: route.PickService(randomPoint())}
 	if c.NeedsKey(route) {
 		// The key may have been revoked since the configuration was last verified to be
 		// the newest.
@@ -135,6 +135,17 @@
 			return x, g.rejection(age, KindNoAccount)
 		}
 	}
+	return x, nil
+}
+
+// plan resolves the request and prepares its limits, from one version of the configuration.
+func (g *Gateway) plan(r *Request, sink Sink) (*exchange, error) {
+	x, err := g.resolve(r)
+	if err != nil {
+		return x, err
+	}
+	x.sink = sink
+	c := x.config
 	if c.Limits.MaxBodyBytes > 0 && int64(len(r.Body)) > c.Limits.MaxBodyBytes {
 		return x, &Failure{Kind: KindTooLarge}
 	}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -61,7 +61,7 @@
 	MetricEstimateError = "estimate_error"
 )
 
-// Request is one request of a client, read completely.
+// Request is one request of a client, read completely but for CheckHead.
 type Request struct {
 	ID     string
 	Method string
@@ -345,6 +345,17 @@
 	return g.retryLimiter(service).AllowRetry(g.Clock.Now(), retryBudgetShare*g.settings().RetryRatio, allowance)
 }
 
+// CheckHead fails with a *Failure if a request whose body was not read yet is not served whatever
+// its body is. A request that passes may still be refused by Serve.
+func (g *Gateway) CheckHead(ctx context.Context, r *Request) error {
+	x, err := g.resolve(r)
+	if err != nil {
+		g.Metrics.Add(MetricRequests, 1)
+		g.finish(ctx, x, r, err)
+	}
+	return err
+}
+
 // Serve forwards a request and relays the response to the sink. It fails with a *Failure.
 func (g *Gateway) Serve(ctx context.Context, r *Request, sink Sink) error {
 	g.open.Add(1)
