callerhttp: lists of a body are decoded one element at a time

Callers saw: one request ended the process. A chat of 4 MiB of empty messages took 126 MB before its first message was refused, one of empty parts 134 MB, one of one-letter messages 113 MB.

Cause: encoding/json decodes a whole list of values of 32 to 64 bytes each from three bytes of text.

Change: messages, parts of a message and prompts are decoded one by one and rendered as they come; decoding ends with the first that is not valid. Bodies that are not UTF-8 are refused (400): each such byte became three.

--- a/internal/adapter/callerhttp/decode.go
+++ b/internal/adapter/callerhttp/decode.go
@@ -1,12 +1,15 @@
 package callerhttp
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
+	"iter"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"mimosaseam.example/mimosaseam/internal/adapter/clientconn"
 	"mimosaseam.example/mimosaseam/internal/app/completions"
@@ -17,37 +20,70 @@
 // completionBody is the body of /v1/completions and /v1/chat/completions.
 // Fields that are not listed are accepted and ignored.
 type completionBody struct {
-	Model               string        `json:"model"`
-	Prompt              textOrList    `json:"prompt"`
-	Messages            []chatMessage `json:"messages"`
-	MaxTokens           *int          `json:"max_tokens"`
-	MaxCompletionTokens *int          `json:"max_completion_tokens"`
-	N                   *int          `json:"n"`
-	Stream              bool          `json:"stream"`
+	Model               string     `json:"model"`
+	Prompt              singleText `json:"prompt"`
+	Messages            chatPrompt `json:"messages"`
+	MaxTokens           *int       `json:"max_tokens"`
+	MaxCompletionTokens *int       `json:"max_completion_tokens"`
+	N                   *int       `json:"n"`
+	Stream              bool       `json:"stream"`
 }
 
-type chatMessage struct {
-	Role    string      `json:"role"`
-	Content textContent `json:"content"`
+// singleText decodes a string or a list of one string.
+type singleText string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (t *singleText) UnmarshalJSON(data []byte) error {
+	if !isList(data) {
+		return json.Unmarshal(data, (*string)(t))
+	}
+	n := 0
+	for element := range elements(data) {
+		if n++; n > 1 {
+			break
+		}
+		if err := json.Unmarshal(element, (*string)(t)); err != nil {
+			return err
+		}
+	}
+	if n != 1 {
+		return &InvalidError{Field: "prompt", Problem: "must hold exactly one text"}
+	}
+	return nil
 }
 
-// textOrList decodes a string or a list of one string.
-type textOrList string
+// chatPrompt renders a list of messages one by one: the values of a list of many short messages
+// take many times the size of the list.
+type chatPrompt struct {
+	text  strings.Builder
+	count int
+	// problem is what is wrong with the first message that is not valid. Those behind it are
+	// not decoded.
+	problem error
+}
 
 // UnmarshalJSON implements json.Unmarshaler.
-func (t *textOrList) UnmarshalJSON(data []byte) error {
-	if len(data) > 0 && data[0] == '[' {
-		var list []string
-		if err := json.Unmarshal(data, &list); err != nil {
+func (p *chatPrompt) UnmarshalJSON(data []byte) error {
+	*p = chatPrompt{} // the field may come twice
+	if !isList(data) {
+		return json.Unmarshal(data, &[]struct{}{}) // null, or an error
+	}
+	for element := range elements(data) {
+		var m struct {
+			Role    string      `json:"role"`
+			Content textContent `json:"content"`
+		}
+		if err := json.Unmarshal(element, &m); err != nil {
 			return err
 		}
-		if len(list) != 1 {
-			return &InvalidError{Field: "prompt", Problem: "must hold exactly one text"}
+		if m.Role == "" {
+			p.problem = &InvalidError{Field: "messages[" + strconv.Itoa(p.count) + "].role", Problem: "is missing"}
+			return nil
 		}
-		*t = textOrList(list[0])
-		return nil
+		p.count++
+		prompt.AppendMessage(&p.text, m.Role, string(m.Content))
 	}
-	return json.Unmarshal(data, (*string)(t))
+	return nil
 }
 
 // textContent decodes a string or a list of text parts.
@@ -55,27 +91,63 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (t *textContent) UnmarshalJSON(data []byte) error {
-	if len(data) == 0 || data[0] != '[' {
+	if !isList(data) {
 		return json.Unmarshal(data, (*string)(t))
 	}
-	var parts []struct {
-		Type string `json:"type"`
-		Text string `json:"text"`
-	}
-	if err := json.Unmarshal(data, &parts); err != nil {
-		return err
-	}
 	var b strings.Builder
-	for _, p := range parts {
-		if p.Type != "text" {
+	for element := range elements(data) {
+		var part struct {
+			Type string `json:"type"`
+			Text string `json:"text"`
+		}
+		if err := json.Unmarshal(element, &part); err != nil {
+			return err
+		}
+		if part.Type != "text" {
 			return &InvalidError{Field: "messages.content", Problem: "only parts of type text are supported"}
 		}
-		b.WriteString(p.Text)
+		b.WriteString(part.Text)
 	}
 	*t = textContent(b.String())
 	return nil
 }
 
+func isList(data []byte) bool { return len(data) > 0 && data[0] == '[' }
+
+// elements returns the elements of a valid JSON list without copying them.
+func elements(list []byte) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		begin, depth := 1, 0
+		for i := 1; i < len(list); i++ {
+			switch list[i] {
+			case '"':
+				for i++; list[i] != '"'; i++ {
+					if list[i] == '\\' {
+						i++
+					}
+				}
+				continue
+			case '[', '{':
+				depth++
+				continue
+			case ']', '}':
+				depth--
+			case ',':
+			default:
+				continue
+			}
+			if list[i] == ',' && depth > 0 || list[i] != ',' && depth >= 0 {
+				continue
+			}
+			element := bytes.TrimSpace(list[begin:i])
+			if len(element) > 0 && !yield(element) || depth < 0 {
+				return
+			}
+			begin = i + 1
+		}
+	}
+}
+
 // InvalidError names the invalid field of a request and its problem.
 type InvalidError struct {
 	Field   string
@@ -94,6 +166,9 @@
 
 func decodeCompletion(data []byte, chat bool, l Limits) (completionInput, error) {
 	var body completionBody
+	if !utf8.Valid(data) { // each such byte would become three
+		return completionInput{}, &InvalidError{Field: "body", Problem: "is not valid UTF-8"}
+	}
 	if err := json.Unmarshal(data, &body); err != nil {
 		return completionInput{}, &InvalidError{Field: "body", Problem: "is not valid: " + err.Error()}
 	}
@@ -114,10 +189,10 @@
 		}
 		in.maxTokens = *tokens
 	}
-	return in, in.setPrompt(body, chat)
+	return in, in.setPrompt(&body, chat)
 }
 
-func (in *completionInput) setPrompt(body completionBody, chat bool) error {
+func (in *completionInput) setPrompt(body *completionBody, chat bool) error {
 	if !chat {
 		in.prompt = string(body.Prompt)
 		if in.prompt == "" {
@@ -125,17 +200,13 @@
 		}
 		return nil
 	}
-	if len(body.Messages) == 0 {
-		return &InvalidError{Field: "messages", Problem: "is missing"}
+	if body.Messages.problem != nil {
+		return body.Messages.problem
 	}
-	messages := make([]prompt.Message, len(body.Messages))
-	for i, m := range body.Messages {
-		if m.Role == "" {
-			return &InvalidError{Field: "messages[" + strconv.Itoa(i) + "].role", Problem: "is missing"}
-		}
-		messages[i] = prompt.Message{Role: m.Role, Content: string(m.Content)}
+	if body.Messages.count == 0 {
+		return &InvalidError{Field: "messages", Problem: "is missing"}
 	}
-	in.prompt = prompt.RenderChat(messages)
+	in.prompt = body.Messages.text.String()
 	return nil
 }
 
--- a/internal/core/prompt/prompt.go
+++ b/internal/core/prompt/prompt.go
@@ -18,23 +18,13 @@
 	BytesPerToken = 4
 )
 
-// Message is one message of a chat request.
-type Message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-// RenderChat renders messages to text. Chats with the same leading messages share
-// a text prefix.
-func RenderChat(messages []Message) string {
-	var b strings.Builder
-	for _, m := range messages {
-		b.WriteString(m.Role)
-		b.WriteByte('\n')
-		b.WriteString(m.Content)
-		b.WriteByte('\n')
-	}
-	return b.String()
+// AppendMessage renders the next message of a chat request. Chats with the same leading messages
+// share a text prefix.
+func AppendMessage(b *strings.Builder, role, content string) {
+	b.WriteString(role)
+	b.WriteByte('\n')
+	b.WriteString(content)
+	b.WriteByte('\n')
 }
 
 // BlockHashes returns the chained hashes of the complete blocks of text. Hash i
