membudget: connections take half of the budget, whatever each costs

Callers saw: 503 for calls of more than 32 KiB beside 400 idle TLS connections, for as long as these stayed. Idle connections give way to new ones and to small requests only.

Cause: the bound on connections is a number, worked out for 20 KiB each. With TLS a connection costs 60 KiB, so that they could take the whole budget.

Change: the bytes of connections are bounded, at half of the budget.

TestCostlyConnectionsLeaveRoomForRequests guards the bound.

--- a/internal/core/membudget/budget.go
+++ b/internal/core/membudget/budget.go
@@ -144,7 +144,8 @@
 	base := ConnectionBytes + extra
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if full := len(b.holders) >= b.Connections; full || b.held.Load()+base > b.Bytes {
+	full := len(b.holders) >= b.Connections || len(b.holders) > 0 && b.kinds[KindConnection].Load()+base > b.Bytes/connectionsDivisor
+	if full || b.held.Load()+base > b.Bytes {
 		b.makeRoom(nil, base, full)
 		return nil
 	}
--- a/internal/core/membudget/budget_test.go
+++ b/internal/core/membudget/budget_test.go
@@ -142,6 +142,18 @@
 	is.Equal(len(all[2].gaveWay), 0)
 }
 
+// Guards against connections that cost more than others, as with TLS, and leave no room for
+// requests.
+func TestCostlyConnectionsLeaveRoomForRequests(t *testing.T) {
+	is := is.New(t)
+	b, _ := newTestBudget(0)
+	const extra = 2 * ConnectionBytes
+	for b.Open(extra, func(Phase) bool { return true }) != nil {
+	}
+	is.True(b.kinds[KindConnection].Load() <= testBytes/connectionsDivisor)
+	is.True(b.kinds[KindConnection].Load() > testBytes/connectionsDivisor-2*(ConnectionBytes+extra))
+}
+
 // Guards against a request within the limits that can never be served because it is larger than
 // the budget, and against many of them at once.
 func TestOneRequestMayExceedTheBudget(t *testing.T) {
