clientconn: a connection is counted until it is closed

Cause: the budget got a connection's memory back before the connection was closed. TLS waits up to 5 s for a client that does not read when it closes, so that connections beyond the bound were open meanwhile.

Change: the memory is returned after the close. Meanwhile the connection gives way as one that writes.

TestConnectionIsCountedUntilItIsClosed: 0 connections counted during the close before, 1 after.

--- a/internal/adapter/clientconn/conn.go
+++ b/internal/adapter/clientconn/conn.go
@@ -168,9 +168,11 @@
 	return nil
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. What the connection takes is returned once it is closed: TLS waits
+// for seconds for a client that does not read.
 func (c *Conn) Close() error {
-	c.holder.Close()
+	c.holder.Enter(membudget.PhaseWriting)
+	defer c.holder.Close()
 	return c.Conn.Close()
 }
 
--- a/internal/adapter/clientconn/conn_test.go
+++ b/internal/adapter/clientconn/conn_test.go
@@ -328,3 +328,39 @@
 		is.Equal(h.lines, c.lines)
 	}
 }
+
+// slowConn is a connection whose Close waits, as that of TLS does for a client that does not read.
+type slowConn struct {
+	net.Conn
+	closing, release chan struct{}
+}
+
+func (c *slowConn) Close() error {
+	close(c.closing)
+	<-c.release
+	return nil
+}
+
+// oneConn is a listener of one connection.
+type oneConn struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l oneConn) Accept() (net.Conn, error) { return l.conn, nil }
+
+// Guards against connections that are still open and not counted any more.
+func TestConnectionIsCountedUntilItIsClosed(t *testing.T) {
+	is := is.New(t)
+	raw := &slowConn{closing: make(chan struct{}), release: make(chan struct{})}
+	budget := membudget.New(membudget.Options{Bytes: testBudget, Clock: systemClock{}})
+	c, err := Listen(oneConn{conn: raw}, Options{Budget: budget}).Accept()
+	is.NoErr(err)
+	closed := make(chan error, 1)
+	go func() { closed <- c.Close() }()
+	<-raw.closing
+	is.Equal(budget.Stats().Connections, 1)
+	close(raw.release)
+	is.NoErr(<-closed)
+	is.Equal(budget.Stats().Connections, 0)
+}
