--- a/internal/app/atmostonce/dispatch.go
+++ b/internal/app/atmostonce/dispatch.go
@@ -15,8 +15,8 @@
 const (
 	// HeaderReplayed is "true" on an outcome replayed to a repeated request.
 	HeaderReplayed = "Idempotency-Replayed"
-	// HeaderBodyKept is "false" on an outcome whose body or headers are too large
-	// to be retained: repeated requests get only the status.
+	// HeaderBodyKept is "false" on an outcome whose body or headers are too large to be
+	// retained, or for which there is no memory: repeated requests get only the status.
 	HeaderBodyKept = "Idempotency-Body-Kept"
 )
 
@@ -108,7 +108,9 @@
 
 func (s *Service) keepOutcome(c *call, out Outcome) Outcome {
 	retained := Outcome{Status: out.Status, Header: out.Header.Clone(), Body: bytes.Clone(out.Body)}
-	if len(out.Body) > MaxStoredBody || headerBytes(out.Header) > maxStoredHeaders {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(out.Body) > MaxStoredBody || headerBytes(out.Header) > maxStoredHeaders || !s.hasRoom(sizeOf(out)) {
 		retained = Outcome{Status: out.Status, Header: http.Header{HeaderBodyKept: {"false"}}}
 		out.Header = out.Header.Clone()
 		if out.Header == nil {
@@ -116,9 +118,8 @@
 		}
 		out.Header.Set(HeaderBodyKept, "false")
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.unconfirmed[c.key] = unconfirmedOutcome{bodyHash: c.req.BodyHash, outcome: retained, expires: c.expires}
+	s.unconfirmedBytes += sizeOf(retained)
 	s.enqueue("outcome-"+c.attempt, ledger.Record{Outcome: &ledger.Outcome{
 		Key: c.key, Attempt: c.attempt, BodyHash: c.req.BodyHash, Status: retained.Status,
 		Headers: retained.Header, Body: retained.Body, Expires: c.expires,
@@ -127,6 +128,30 @@
 	return out
 }
 
+const (
+	// outcomesDivisor leaves three quarters of the ledger's memory to keys: without the outcome
+	// of a call, the ledger still knows that it ran.
+	outcomesDivisor = 4
+	// unconfirmedFactor is how many times its size an outcome takes until it was read back:
+	// retained, and encoded for the log.
+	unconfirmedFactor = 3
+)
+
+// hasRoom reports whether an outcome of the size may be retained. s.mu must be held.
+func (s *Service) hasRoom(size int) bool {
+	return s.state.OutcomeBytes()+unconfirmedFactor*(s.unconfirmedBytes+size) <= s.o.MaxBytes/outcomesDivisor
+}
+
+func sizeOf(o Outcome) int { return len(o.Body) + headerBytes(o.Header) }
+
+// confirm forgets an outcome that was read back or has expired. s.mu must be held.
+func (s *Service) confirm(key ledger.Key) {
+	if u, ok := s.unconfirmed[key]; ok {
+		s.unconfirmedBytes -= sizeOf(u.outcome)
+		delete(s.unconfirmed, key)
+	}
+}
+
 // settleNotRun reopens the key and waits briefly for that to take effect.
 func (s *Service) settleNotRun(ctx context.Context, c *call, cause *port.NotRunError) error {
 	s.mu.Lock()
--- a/internal/app/atmostonce/follow.go
+++ b/internal/app/atmostonce/follow.go
@@ -113,7 +113,7 @@
 			c.reopened = c.reopened || effect.Reopened
 		}
 		if s.state.Lookup(effect.Key).Status == ledger.Done {
-			delete(s.unconfirmed, effect.Key)
+			s.confirm(effect.Key)
 		}
 		s.wake(effect.Key)
 	}
@@ -164,7 +164,7 @@
 	s.state.Prune()
 	for k, a := range s.unconfirmed {
 		if a.expires.Before(s.o.Clock.Now()) {
-			delete(s.unconfirmed, k)
+			s.confirm(k)
 		}
 	}
 	if !s.caughtUp || !s.healthy {
--- a/internal/app/atmostonce/keys_test.go
+++ b/internal/app/atmostonce/keys_test.go
@@ -212,6 +212,34 @@
 	}
 }
 
+// Guards against outcomes that fill the memory of the ledger, and against calls that are refused
+// or run again because an outcome was not retained.
+func TestOutcomesAreDroppedBeforeKeys(t *testing.T) {
+	inCluster(t, func(t *testing.T, w *cluster) {
+		is := is.New(t)
+		a := w.router("a")
+		a.o.MaxBytes = 1 << 20
+		body := bytes.Repeat([]byte("x"), MaxStoredBody)
+		kept := 0
+		for i := range 32 {
+			out, err := a.Run(w.ctx, request(fmt.Sprint("k", i)), func(context.Context, string) (Outcome, error) {
+				return Outcome{Status: 200, Body: body}, nil
+			})
+			is.NoErr(err)
+			is.Equal(len(out.Body), len(body))
+			<-time.After(time.Second) // it is read back
+			is.True(a.state.OutcomeBytes() <= a.o.MaxBytes/outcomesDivisor)
+			again, err := a.send(request(fmt.Sprint("k", i)), "repeat")
+			is.Equal(resultKind(again, err), "replay")
+			if again.Header.Get(HeaderBodyKept) == "" {
+				kept++
+			}
+		}
+		is.True(kept > 0 && kept < 32)
+		is.Equal(a.unconfirmedBytes, 0)
+	})
+}
+
 // Guards against one append per call, and against exceeding the append rate.
 func TestAppendsAreBatched(t *testing.T) {
 	inCluster(t, func(t *testing.T, w *cluster) {
--- a/internal/app/atmostonce/service.go
+++ b/internal/app/atmostonce/service.go
@@ -50,7 +50,7 @@
 	// AppendsPerSecond bounds this router's appends. 0: 20.
 	AppendsPerSecond int
 	// MaxBytes bounds the memory of unexpired keys; above it, new keys are
-	// refused. 0: 64 MiB.
+	// refused. Bodies and headers of outcomes take a quarter of it at most. 0: 64 MiB.
 	MaxBytes int
 	// Clock is used for deadlines and ages. Nil: the system clock.
 	Clock port.Clock
@@ -106,6 +106,8 @@
 	// unconfirmed holds the outcomes of this router's attempts that were not yet
 	// read back.
 	unconfirmed map[ledger.Key]unconfirmedOutcome
+	// unconfirmedBytes is the sum of their bodies and headers.
+	unconfirmedBytes int
 }
 
 var _ Runner = (*Service)(nil)
--- a/internal/core/ledger/retention.go
+++ b/internal/core/ledger/retention.go
@@ -11,12 +11,18 @@
 const entryOverheadBytes = 512
 
 func (e *Entry) size() int {
-	n := entryOverheadBytes + len(e.Key.Account) + len(e.Key.Value) + len(e.BodyHash) + len(e.Attempt) + len(e.ResultBody)
+	n := entryOverheadBytes + len(e.Key.Account) + len(e.Key.Value) + len(e.BodyHash) + len(e.Attempt) + e.outcomeSize()
 	for _, list := range [][]string{e.Previous, e.Closed} {
 		for _, text := range list {
 			n += len(text)
 		}
 	}
+	return n
+}
+
+// outcomeSize is the size of the body and the headers of the outcome.
+func (e *Entry) outcomeSize() int {
+	n := len(e.ResultBody)
 	for name, values := range e.ResultHeaders {
 		n += len(name)
 		for _, v := range values {
@@ -31,6 +37,7 @@
 	for k, e := range s.entries {
 		if e.Expires.Before(s.logTime) {
 			s.bytes -= e.size()
+			s.outcomeBytes -= e.outcomeSize()
 			delete(s.entries, k)
 		}
 	}
--- a/internal/core/ledger/state.go
+++ b/internal/core/ledger/state.go
@@ -93,6 +93,8 @@
 	logTime        time.Time // latest append time of the applied records
 	entries        map[Key]*Entry
 	bytes          int
+	// outcomeBytes is the part of bytes that bodies and headers of outcomes take.
+	outcomeBytes int
 }
 
 // NewState returns the state before the record at offset start.
@@ -106,6 +108,9 @@
 // Bytes returns the approximate memory of the entries.
 func (s *State) Bytes() int { return s.bytes }
 
+// OutcomeBytes returns the part of Bytes that bodies and headers of outcomes take.
+func (s *State) OutcomeBytes() int { return s.outcomeBytes }
+
 // Lookup returns the entry of a key; an absent or expired key is open.
 func (s *State) Lookup(k Key) Entry {
 	e, _ := s.unexpired(k)
@@ -156,8 +161,10 @@
 	}
 	if old, ok := s.entries[e.Key]; ok {
 		s.bytes -= old.size()
+		s.outcomeBytes -= old.outcomeSize()
 	}
 	s.bytes += e.size()
+	s.outcomeBytes += e.outcomeSize()
 	s.entries[e.Key] = &e
 }
 
