clientconn: small buffers of the kernel for clients' connections

Callers saw: a VM that runs out of memory although the process does not.

Cause: the default sizes of the buffers. 400 clients that send bodies, or do not read answers, make the kernel hold up to 1.2 GB.

Change: listeners for clients set SO_RCVBUF to 16 KiB and SO_SNDBUF to 24 KiB, which accepted connections inherit; the kernel holds up to 24 and 54 KB then. One write to a client is 16 KiB instead of 64: with larger ones a sender waits 40 ms for each delayed acknowledgement over loopback.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -171,7 +171,7 @@
 		if l.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := clientconn.ListenTCP(l.address)
 		if err != nil {
 			return eris.Wrap(err, "listen")
 		}
--- a/cmd/mimosaseam/platform.go
+++ b/cmd/mimosaseam/platform.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
-	"golang.org/x/net/netutil"
 
+	"mimosaseam.example/mimosaseam/internal/adapter/clientconn"
 	"mimosaseam.example/mimosaseam/internal/adapter/platformhttp"
 	"mimosaseam.example/mimosaseam/internal/adapter/tlsconfig"
 	"mimosaseam.example/mimosaseam/internal/port"
@@ -58,19 +58,16 @@
 	return key
 }
 
-// listen opens a listener, with TLS when the files are set. A limit of 0 means no limit.
-func listen(address string, files settings.ServerTLS, limit int) (net.Listener, error) {
+// listenClients opens a listener for clients, with TLS when the files are set.
+func listenClients(address string, files settings.ServerTLS) (net.Listener, error) {
 	serverTLS, err := tlsconfig.Server(files.CertFile, files.KeyFile)
 	if err != nil {
 		return nil, err
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := clientconn.ListenTCP(address)
 	if err != nil {
 		return nil, &ListenError{Address: address, Cause: err}
 	}
-	if limit > 0 {
-		l = netutil.LimitListener(l, limit)
-	}
 	if serverTLS != nil {
 		l = tls.NewListener(l, serverTLS)
 	}
--- a/cmd/mimosaseam/serve.go
+++ b/cmd/mimosaseam/serve.go
@@ -88,20 +88,20 @@
 
 func (n *serveNode) addServers(group *run.Group) error {
 	s := n.settings
-	callers, err := listen(s.Callers.Address, s.Callers.TLS, 0)
+	callers, err := listenClients(s.Callers.Address, s.Callers.TLS)
 	if err != nil {
 		return err
 	}
 	callers = clientconn.Listen(callers, clientconn.Options{Budget: n.clients, Logger: n.log, Metrics: n.metrics})
 	addHTTP(group, callers, n.callers.HTTPServer(s.Callers.Address))
-	admin, err := listen(s.Admin.Address, s.Admin.TLS, 0)
+	admin, err := listenClients(s.Admin.Address, s.Admin.TLS)
 	if err != nil {
 		return err
 	}
 	addHTTP(group, n.admin.listen(admin), n.admin.server)
-	peers, err := listen(s.Peers.Address, settings.ServerTLS{}, 0)
+	peers, err := net.Listen("tcp", s.Peers.Address)
 	if err != nil {
-		return err
+		return &ListenError{Address: s.Peers.Address, Cause: err}
 	}
 	server := peergrpc.NewServer(n.fleet, n.peerCreds, n.log)
 	group.Add(func() error { return server.Serve(peers) }, func(error) { server.Stop() })
--- a/internal/adapter/clientconn/conn.go
+++ b/internal/adapter/clientconn/conn.go
@@ -26,8 +26,9 @@
 	headTimeSlack = time.Second
 	// resetDelay is the time that a client has to read the refusal of its head.
 	resetDelay = 500 * time.Millisecond
-	// writeBytes is the size of one write to a client. Its end is progress.
-	writeBytes = 64 << 10
+	// writeBytes is the size of one write to a client. Its end is progress. Larger ones would wait
+	// for delayed acknowledgements while the send buffer is full.
+	writeBytes = 16 << 10
 )
 
 // ErrHeadTooLarge means that the head of a request exceeds the limit.
--- a/internal/adapter/clientconn/listener.go
+++ b/internal/adapter/clientconn/listener.go
@@ -10,8 +10,11 @@
 	"log/slog"
 	"net"
 	"os"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"mimosaseam.example/mimosaseam/internal/core/membudget"
 )
 
@@ -46,6 +49,27 @@
 	Metrics Metrics
 }
 
+const (
+	// receiveBytes and sendBytes bound what the kernel holds of a connection: bytes that were
+	// received and not read, and that were written and not taken. The kernel uses up to twice as
+	// much, and would otherwise grow both to megabytes.
+	receiveBytes = 16 << 10
+	sendBytes    = 24 << 10
+)
+
+// ListenTCP listens on an address for clients, whose connections have small buffers in the kernel.
+func ListenTCP(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = errors.Join(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes),
+				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBytes))
+		})
+		return errors.Join(err, failed)
+	}}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
 // Listener accepts connections of clients within the budget. A nil budget accepts all.
 type Listener struct {
 	net.Listener
