httpconn: small receive buffers for connections to targets

Callers saw: a VM that runs out of memory. While a client does not take a large answer, the rest of it waits in the kernel's buffer of the connection to the target, which grows to megabytes.

Cause: the default size of that buffer. The tests looked at the connections of clients only.

Change: SO_RCVBUF of 32 KiB for connections to targets, and 4 KiB for the ports that take no bodies, whose connections wait to be accepted in a crowd. The tests count all sockets of the process, so that the check is stricter than before.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -25,6 +25,7 @@
 	"mimosaseam.example/mimosaseam/internal/adapter/clientconn"
 	"mimosaseam.example/mimosaseam/internal/adapter/httpconn"
 	"mimosaseam.example/mimosaseam/internal/adapter/peergrpc"
+	"mimosaseam.example/mimosaseam/internal/adapter/sockbuf"
 	"mimosaseam.example/mimosaseam/internal/adapter/telemetry"
 	"mimosaseam.example/mimosaseam/internal/app/allotments"
 	"mimosaseam.example/mimosaseam/internal/app/cachewatch"
@@ -167,11 +168,16 @@
 		address string
 		server  *http.Server
 		count   func(net.Listener) net.Listener
-	}{{s.Callers.Address, n.callers, n.trackClients}, {s.Ready.Address, n.ready.server, n.ready.listen}, {s.Metrics.Address, n.metrics.server, n.metrics.listen}} {
+		buffers sockbuf.Sizes
+	}{
+		{s.Callers.Address, n.callers, n.trackClients, clientconn.CallerBuffers},
+		{s.Ready.Address, n.ready.server, n.ready.listen, clientconn.ProbeBuffers},
+		{s.Metrics.Address, n.metrics.server, n.metrics.listen, clientconn.ProbeBuffers},
+	} {
 		if l.address == "" {
 			continue
 		}
-		listener, err := clientconn.ListenTCP(l.address)
+		listener, err := clientconn.ListenTCP(l.address, l.buffers)
 		if err != nil {
 			return eris.Wrap(err, "listen")
 		}
@@ -337,12 +343,12 @@
 
 // targetTransport detects dead connections by bytes that stay unacknowledged.
 func targetTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
+	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: func(network, address string, c syscall.RawConn) error {
 		var failed error
 		err := c.Control(func(fd uintptr) {
 			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
 		})
-		return errors.Join(err, failed)
+		return errors.Join(err, failed, httpconn.TargetBuffers.Control(network, address, c))
 	}}
 	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: targetIdleTimeout,
 		MaxResponseHeaderBytes: httpconn.MaxHeaderBytes, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10}
--- a/cmd/mimosaseam/platform.go
+++ b/cmd/mimosaseam/platform.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := clientconn.ListenTCP(address)
+	l, err := clientconn.ListenTCP(address, clientconn.CallerBuffers)
 	if err != nil {
 		return nil, &ListenError{Address: address, Cause: err}
 	}
--- a/internal/adapter/clientconn/listener.go
+++ b/internal/adapter/clientconn/listener.go
@@ -10,11 +10,9 @@
 	"log/slog"
 	"net"
 	"os"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"mimosaseam.example/mimosaseam/internal/adapter/sockbuf"
 	"mimosaseam.example/mimosaseam/internal/core/membudget"
 )
 
@@ -49,24 +47,16 @@
 	Metrics Metrics
 }
 
-const (
-	// receiveBytes and sendBytes bound what the kernel holds of a connection: bytes that were
-	// received and not read, and that were written and not taken. The kernel uses up to twice as
-	// much, and would otherwise grow both to megabytes.
-	receiveBytes = 16 << 10
-	sendBytes    = 24 << 10
+var (
+	// CallerBuffers suit bodies of some MiB, also from far away.
+	CallerBuffers = sockbuf.Sizes{Receive: 16 << 10, Send: 24 << 10}
+	// ProbeBuffers suit requests without bodies.
+	ProbeBuffers = sockbuf.Sizes{Receive: 4 << 10, Send: 16 << 10}
 )
 
-// ListenTCP listens on an address for clients, whose connections have small buffers in the kernel.
-func ListenTCP(address string) (net.Listener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		var failed error
-		err := c.Control(func(fd uintptr) {
-			failed = errors.Join(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes),
-				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBytes))
-		})
-		return errors.Join(err, failed)
-	}}
+// ListenTCP listens on an address for clients, whose connections have such buffers.
+func ListenTCP(address string, buffers sockbuf.Sizes) (net.Listener, error) {
+	config := net.ListenConfig{Control: buffers.Control}
 	return config.Listen(context.Background(), "tcp", address)
 }
 
--- a/internal/adapter/httpconn/pool.go
+++ b/internal/adapter/httpconn/pool.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/propagation"
 
+	"mimosaseam.example/mimosaseam/internal/adapter/sockbuf"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
@@ -43,6 +44,10 @@
 // net/http panic on some, and relay bytes of any kind after 101.
 var ErrInvalidStatus = eris.New("the status of the response is invalid")
 
+// TargetBuffers bound what the kernel holds of a response that is not read because its client does
+// not take it. What is sent is held by this process as well.
+var TargetBuffers = sockbuf.Sizes{Receive: 32 << 10}
+
 // Options configures a Pool.
 type Options struct {
 	// Transport is copied and used as given, except that compression, HTTP/2
@@ -108,7 +113,7 @@
 
 func countWrites(dial dialFunc) dialFunc {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext
+		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive, Control: TargetBuffers.Control}).DialContext
 	}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
--- a/internal/harness/usage.go
+++ b/internal/harness/usage.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -27,7 +28,7 @@
 }
 
 // MemoryWatch records the most memory that a process took together with what the kernel held
-// for its connections.
+// for its connections, those that wait to be accepted included.
 type MemoryWatch struct {
 	stop chan struct{}
 	done sync.WaitGroup
@@ -45,7 +46,7 @@
 		defer ticker.Stop()
 		for {
 			if kb, err := statusKB(pid, "VmRSS:"); err == nil { // it may have ended
-				w.most = max(w.most, kb<<10+queuedBytes(ports))
+				w.most = max(w.most, kb<<10+queuedBytes(pid, ports))
 			}
 			select {
 			case <-w.stop:
@@ -64,9 +65,11 @@
 	return w.most >> 20
 }
 
-// queuedBytes returns what the kernel holds of the connections of local ports: bytes that were
-// received and not read, and bytes that were written and not acknowledged.
-func queuedBytes(ports []int) (sum int) {
+// queuedBytes returns what the kernel holds of the connections of a process, and of those to the
+// ports that it listens on: bytes that were received and not read, and bytes that were written and
+// not acknowledged.
+func queuedBytes(pid int, ports []int) (sum int) {
+	own := socketsOf(pid)
 	for _, file := range []string{"/proc/net/tcp", "/proc/net/tcp6"} {
 		text, err := os.ReadFile(file)
 		if err != nil {
@@ -74,12 +77,12 @@
 		}
 		for line := range strings.Lines(string(text)) {
 			fields := strings.Fields(line)
-			if len(fields) < 5 || fields[3] == listening {
+			if len(fields) < 10 || fields[3] == listening {
 				continue
 			}
 			_, port, _ := strings.Cut(fields[1], ":")
 			number, err := strconv.ParseInt(port, 16, 32)
-			if err != nil || !slices.Contains(ports, int(number)) {
+			if err != nil || !own[fields[9]] && !slices.Contains(ports, int(number)) {
 				continue
 			}
 			sent, received, _ := strings.Cut(fields[4], ":")
@@ -92,6 +95,20 @@
 	return sum
 }
 
+// socketsOf returns the inodes of the sockets of a process.
+func socketsOf(pid int) map[string]bool {
+	out := map[string]bool{}
+	dir := fmt.Sprintf("/proc/%d/fd", pid)
+	open, _ := os.ReadDir(dir) // none when the process has ended
+	for _, entry := range open {
+		target, _ := os.Readlink(filepath.Join(dir, entry.Name())) // it may be closed
+		if inode, found := strings.CutPrefix(target, "socket:["); found {
+			out[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
+	return out
+}
+
 // listening is the state of a listener in /proc/net/tcp, whose queues count connections.
 const listening = "0A"
 
