cmd, membudget: the sum of what a router holds fits its VM

Callers saw: a VM that runs out of memory with all kinds of clients at once, in a fleet of 80 routers and with a full index of prompts. Each part stayed within its own bound, their sum did not.

Cause: the prefix index takes 18 MB on a VM of any size in gateway mode, as it did in serve mode; the heap may take 65% of the memory, beside 17 MB of pages of the program and what the kernel holds of connections, which was not counted.

Change: the index takes 15% of the memory at most; the heap's limit leaves 22 MB for the program and a fifth of the memory for the kernel; a connection counts 44 KiB instead of 20, the kernel's share included, so that fewer may be open: 250 with 88 MB, 372 with 128. The shares of the memory stand in one file.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -48,13 +47,6 @@
 const (
 	settingsVariable = "MIMOSASEAM_NODE_FILE"
 
-	// heapFraction is the share of the process's memory limit that the heap may use;
-	// the rest is for stacks, the runtime and kernel buffers of connections.
-	heapFraction = 0.65
-	// clientFraction is the share of the memory limit that is held for clients. The heap of a
-	// router without clients has some 10% of the limit. The sum can nearly double before the
-	// heap reaches its share, so that the collector runs hardly more often than usual.
-	clientFraction = 0.25
 	// clientFDs is the share of the file descriptors for clients' connections. The others are
 	// for targets, of which each open request needs one, the log and other routers.
 	clientFDs = 0.5
@@ -208,17 +200,6 @@
 	return err
 }
 
-// setMemoryLimit makes the garbage collector keep the heap within its share of the memory of
-// the process.
-func setMemoryLimit(memoryMB float64) {
-	debug.SetMemoryLimit(int64(heapFraction * memoryMB * (1 << 20)))
-}
-
-// newClientBudget returns the budget of what a process with this memory holds for its clients.
-func newClientBudget(memoryMB float64, connections int) *membudget.Budget {
-	return membudget.New(membudget.Options{Bytes: int64(clientFraction * memoryMB * (1 << 20)), Connections: connections, Clock: port.SystemClock{}})
-}
-
 func newGatewayNode(file string, s settings.Gateway, out io.Writer, tracer trace.Tracer, metrics gateway.Metrics) *gatewayNode {
 	n := &gatewayNode{file: file, settings: s, level: new(slog.LevelVar), tracer: tracer, clock: port.SystemClock{}, bootClock: bootclock.Clock{}}
 	n.setLevel(s.LogLevel)
@@ -259,7 +240,7 @@
 func (n *gatewayNode) buildGateway(targets *platform.Targets, crashTracker *retry.CrashTracker, segmentTracker *retry.SegmentTracker, metrics gateway.Metrics) {
 	vm := n.settings.VM
 	if n.placer = baseline.New(n.settings.Policy, rand.Uint64(), 1); n.placer == nil {
-		n.placer = placement.New(placement.Settings{Region: vm.Region, AvailabilityZone: vm.AvailabilityZone})
+		n.placer = placement.New(indexSettings(placement.Settings{Region: vm.Region, AvailabilityZone: vm.AvailabilityZone}, n.settings.Limits.MemoryMB, defaultIndexBytes))
 	}
 	leaving := settings.Milliseconds(n.settings.Bounds.LeavingMs)
 	n.dir = gateway.NewDirectory(n.log, n.clock, n.placer, gateway.LeavingGrace(leaving, gatewaysync.TargetsInterval(leaving)))
--- a/cmd/mimosaseam/operatorport.go
+++ b/cmd/mimosaseam/operatorport.go
@@ -12,10 +12,8 @@
 )
 
 const (
-	// operatorFraction is the share of the memory limit that is held for the clients of one port
-	// for operators or load balancers, operatorFDs that of the file descriptors.
-	operatorFraction = 0.04
-	operatorFDs      = 0.125
+	// operatorFDs is the share of the file descriptors for the clients of one port.
+	operatorFDs = 0.125
 	// operatorGiveWay is how long a connection to such a port may stall while others wait for its
 	// place. A load balancer that waits behind a crowd takes the router out of use.
 	operatorGiveWay = 100 * time.Millisecond
@@ -40,7 +38,7 @@
 // the descriptors; 0: only by the memory.
 func newOperatorPort(name string, memoryMB float64, descriptors int, handler http.Handler, log *slog.Logger) *operatorPort {
 	p := &operatorPort{name: name, log: log.With("port", name)}
-	p.budget = membudget.New(membudget.Options{Bytes: int64(operatorFraction * memoryMB * (1 << 20)), Connections: int(operatorFDs * float64(descriptors)),
+	p.budget = membudget.New(membudget.Options{Bytes: int64(memoryShare(memoryMB, operatorFraction)), Connections: int(operatorFDs * float64(descriptors)),
 		GiveWayAfter: operatorGiveWay, Clock: port.SystemClock{}})
 	p.server = &http.Server{Handler: handler, ReadHeaderTimeout: operatorHeadTimeout, IdleTimeout: operatorIdleTimeout, WriteTimeout: operatorWriteTimeout,
 		MaxHeaderBytes: operatorHeadBytes, ConnState: clientconn.OnStateChange,
--- a/cmd/mimosaseam/servenode.go
+++ b/cmd/mimosaseam/servenode.go
@@ -39,24 +39,6 @@
 	"mimosaseam.example/mimosaseam/internal/settings"
 )
 
-const (
-	// indexBytesPerBlock is the memory of the prefix index for each block; a full
-	// index of 300,000 blocks takes 18.1 MiB.
-	indexBytesPerBlock = 64
-	// blocksPerSegment is the mean length of a segment that the index allows for.
-	blocksPerSegment = 6
-	// ledgerFraction and indexFraction are the shares of the memory limit that the ledger and the
-	// prefix index may take. With clients at their share and the process without any of them, they
-	// stay within the heap's.
-	ledgerFraction = 0.125
-	indexFraction  = 0.15
-)
-
-// memoryShare returns a share of the memory of the process in bytes.
-func memoryShare(r settings.Resources, fraction float64) int {
-	return int(fraction * float64(r.MemoryMB) * (1 << 20))
-}
-
 // serveNode holds the components of a router started by `serve`.
 type serveNode struct {
 	settings settings.Settings
@@ -161,7 +143,7 @@
 	})
 	n.ledger = atmostonce.New(atmostonce.Options{
 		Log: n.platform.log, Router: n.holder, Retention: s.Platform.Retention(),
-		AppendsPerSecond: s.Platform.AppendsPerSecond, Logger: n.log, MaxBytes: memoryShare(s.Resources, ledgerFraction),
+		AppendsPerSecond: s.Platform.AppendsPerSecond, Logger: n.log, MaxBytes: memoryShare(float64(s.Resources.MemoryMB), ledgerFraction),
 	})
 	seed := uint64(s.Resources.Seed)
 	if seed == 0 {
@@ -170,8 +152,7 @@
 	placerSettings := placement.DefaultSettings()
 	placerSettings.Seed, placerSettings.Region = seed, s.VM.Region
 	placerSettings.AvailabilityZone = s.VM.AvailabilityZone
-	placerSettings.MaxBlocks = min(s.Resources.IndexBytes, memoryShare(s.Resources, indexFraction)) / indexBytesPerBlock
-	placerSettings.MaxSegments = placerSettings.MaxBlocks / blocksPerSegment
+	placerSettings = indexSettings(placerSettings, float64(s.Resources.MemoryMB), s.Resources.IndexBytes)
 	n.placer = placement.New(placerSettings)
 	n.targets = completions.NewTargets(port.SystemClock{}, n.placer)
 	n.orders = orders.New(orders.Deps{
--- a/internal/core/membudget/budget.go
+++ b/internal/core/membudget/budget.go
@@ -12,8 +12,9 @@
 
 const (
 	// ConnectionBytes is what a connection costs without a request: the stack of its
-	// goroutine, the server's read and write buffers of 4 KiB each, and its records.
-	ConnectionBytes int64 = 20 << 10
+	// goroutine, the server's read and write buffers of 4 KiB each, and its records, 20 KiB
+	// together, and 24 KiB that the kernel holds of what was sent and not read.
+	ConnectionBytes int64 = 44 << 10
 	// smallBytes is what a holder may have beside its connection and still take from the
 	// reserve: a head and a body of ordinary size.
 	smallBytes = 32 << 10
