telemetry: values of a span's attributes are bounded

Cause: 2,048 spans may wait to be exported, two or more for each request, with its id, which is as long as its client likes.

Change: 256 bytes of a value are kept.

TestAttributesOfSpansAreBounded: 1 MiB in the trace file before, under 6 KiB after.

--- a/internal/adapter/telemetry/telemetry.go
+++ b/internal/adapter/telemetry/telemetry.go
@@ -49,6 +49,7 @@
 		}, nil
 	}
 	options := []sdktrace.TracerProviderOption{
+		sdktrace.WithRawSpanLimits(spanLimits()),
 		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(s.TraceRatio))),
 		sdktrace.WithResource(resource.NewSchemaless(
 			attribute.String("service.name", "mimosaseam"),
@@ -80,6 +81,16 @@
 	return Traces{Tracer: provider.Tracer("mimosaseam"), Close: closeTraces(provider, file)}, nil
 }
 
+// maxAttributeBytes bounds the values of a span's attributes: some are what clients have sent, and
+// thousands of spans may wait to be exported.
+const maxAttributeBytes = 256
+
+func spanLimits() sdktrace.SpanLimits {
+	limits := sdktrace.NewSpanLimits()
+	limits.AttributeValueLengthLimit = maxAttributeBytes
+	return limits
+}
+
 func closeTraces(provider *sdktrace.TracerProvider, file *os.File) func(context.Context) error {
 	return func(ctx context.Context) error {
 		err := provider.Shutdown(ctx)
--- a/internal/adapter/telemetry/telemetry_test.go
+++ b/internal/adapter/telemetry/telemetry_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 	collectortrace "go.opentelemetry.io/proto/otlp/collector/trace/v1"
 	"google.golang.org/grpc"
 
@@ -51,6 +53,21 @@
 	is.True(strings.Contains(string(text), `"Name":"accept"`))
 }
 
+// Guards against spans that hold long values of clients while they wait to be exported.
+func TestAttributesOfSpansAreBounded(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "trace.jsonl")
+	traces, err := StartTraces(context.Background(), settings.Telemetry{TraceFile: path, TraceRatio: 1}, testVM)
+	is.NoErr(err)
+	_, span := traces.Tracer.Start(context.Background(), "accept", trace.WithAttributes(attribute.String("request_id", strings.Repeat("x", 1<<20))))
+	span.End()
+	is.NoErr(traces.Close(context.Background()))
+	text, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.True(strings.Contains(string(text), "request_id"))
+	is.True(len(text) < 8*maxAttributeBytes+4<<10)
+}
+
 // collector is an OTLP collector that records the names of received spans.
 type collector struct {
 	collectortrace.UnimplementedTraceServiceServer
