cmd, faultmatrix: crowds before silent targets, all crowds of serve mode

Both failed on: a target that does not read its requests 98 MB of 88 with the kernel's buffers; all crowds at once 1,315 MB with TLS, and no answer beside them without.

--- a/cmd/mimosaseam/smallmachine_test.go
+++ b/cmd/mimosaseam/smallmachine_test.go
@@ -288,6 +288,28 @@
 	})
 }
 
+// Guards against requests that are held twice, by the router and in the kernel, because their
+// target does not read them.
+func TestCrowdsBeforeATargetThatDoesNotRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close() // its connections wait to be accepted
+	p := startOnSmallVM(t, nil)
+	silent := platformtest.NewTarget("d7", "")
+	silent.Address = l.Addr().String()
+	p.log.PutTarget(silent, "desk", false, 1)
+	u := watchUsage(p)
+	clients := crowd.Open(p.callers, smallCallers, crowd.Times(1, wholeRequest("/book/held", "", strings.Repeat("x", 300_000))))
+	defer clients.Close()
+	clients.Wait()
+	p.awaitAnswer("beside the crowd")
+	clients.Close()
+	p.awaitAnswer("after the crowd")
+	u.check()
+}
+
 // otherPortCrowds are crowds of a port for operators.
 func otherPortCrowds(port func(*gatewayProcess) string, path string) map[string]smallCrowd {
 	get := "GET " + path + " HTTP/1.1\r\nHost: h\r\n"
--- a/internal/faultmatrix/smallmachine_test.go
+++ b/internal/faultmatrix/smallmachine_test.go
@@ -346,3 +346,44 @@
 		"small answers that are not read": {clients: smallCallers, act: crowd.Repeat(callerHead(http.MethodGet, "/none") + "\r\n")},
 	})
 }
+
+// Guards against a router whose parts stay within their own bounds while their sum exceeds the
+// memory: all kinds of clients of all ports at once.
+func TestServeAllCrowdsAtOnce(t *testing.T) {
+	for _, secure := range []bool{false, true} {
+		t.Run(fmt.Sprint("TLS ", secure), func(t *testing.T) {
+			s := startSmallSystem(t, secure)
+			call := callerHead(http.MethodPost, "/svc/lookup/x")
+			acts := []crowd.Act{
+				crowd.Chunked(call, smallMaxBody-1, 48<<10),
+				crowd.Chunked(call, smallMaxBody-1, 16),
+				crowd.Announced(callerHead(http.MethodPost, "/v1/completions"), smallMaxBody, smallMaxBody-1),
+				crowd.Announced(call, 1<<30, smallMaxBody),
+				crowd.Text(call + crowd.ShortFields(unlimitedHead)),
+				crowd.Repeat(strings.Repeat("\r\n", 1<<10)),
+				crowd.Text(strings.Repeat(callerHead(http.MethodGet, "/svc/lookup/large")+"\r\n", 4)),
+				crowd.Times(1, announced("/v1/chat/completions", `{"model":"`+harness.Model+`","messages":`+list(`{"role":"a"}`)+`}`)),
+			}
+			var all []*crowd.Crowd
+			for _, act := range acts {
+				all = append(all, s.open(s.router.CallerAddress(), smallCallers/4, act))
+			}
+			for _, act := range []crowd.Act{crowd.Text("GET /v1/status HTTP/1.1\r\nHost: h\r\n" + crowd.ShortFields(unlimitedHead)), explanation("POST /v1/explain HTTP/1.1\r\nHost: h\r\n", 3<<20)} {
+				all = append(all, crowd.Open(s.admin, smallCallers/4, act))
+			}
+			for _, clients := range all {
+				defer clients.Close()
+			}
+			s.awaitAnswer("beside the crowds", 500)
+			for _, clients := range all {
+				clients.Wait()
+			}
+			s.awaitAnswer("beside the crowds that have sent all", 500)
+			for _, clients := range all {
+				clients.Close()
+			}
+			s.awaitAnswer("after the crowds", 500)
+			s.check()
+		})
+	}
+}
