cmd, clientconn: one request for a connection of the ports for operators

Cause: a readiness check waited 16 to 21 s behind 1,280 clients of its port: each connection could send requests without end, one with a body was held for half a second behind its response, and one that does not read gave way after 3 s. A load balancer would have taken the router out of use.

Change: the connection is closed behind the response, at once if there is a body, and a stalled write gives way after 0.1 s.

--- a/cmd/mimosaseam/operatorport.go
+++ b/cmd/mimosaseam/operatorport.go
@@ -20,7 +20,6 @@
 	// operatorHeadBytes bounds the head of a request, operatorHeadTimeout the time for it.
 	operatorHeadBytes   = 16 << 10
 	operatorHeadTimeout = 5 * time.Second
-	operatorIdleTimeout = time.Minute
 	// operatorWriteTimeout bounds a response, from the end of the request's head on.
 	operatorWriteTimeout = 30 * time.Second
 )
@@ -39,12 +38,15 @@
 func newOperatorPort(name string, memoryMB float64, descriptors int, handler http.Handler, log *slog.Logger) *operatorPort {
 	p := &operatorPort{name: name, log: log.With("port", name)}
 	p.budget = membudget.New(membudget.Options{Bytes: int64(memoryShare(memoryMB, operatorFraction)), Connections: int(operatorFDs * float64(descriptors)),
-		GiveWayAfter: operatorGiveWay, Clock: port.SystemClock{}})
-	p.server = &http.Server{Handler: handler, ReadHeaderTimeout: operatorHeadTimeout, IdleTimeout: operatorIdleTimeout, WriteTimeout: operatorWriteTimeout,
+		GiveWayAfter: operatorGiveWay, WriteGiveWayAfter: operatorGiveWay, Clock: port.SystemClock{}})
+	p.server = &http.Server{Handler: handler, ReadHeaderTimeout: operatorHeadTimeout, WriteTimeout: operatorWriteTimeout,
 		MaxHeaderBytes: operatorHeadBytes, ConnState: clientconn.OnStateChange,
 		ConnContext:                  clientconn.WithConn,
 		ErrorLog:                     slog.NewLogLogger(p.log.Handler(), slog.LevelWarn),
 		DisableGeneralOptionsHandler: true}
+	// Requests come seconds apart. A client that sends them without end, or keeps connections,
+	// would cost others their turn.
+	p.server.SetKeepAlivesEnabled(false)
 	return p
 }
 
--- a/internal/adapter/adminhttp/adminhttp.go
+++ b/internal/adapter/adminhttp/adminhttp.go
@@ -121,11 +121,13 @@
 		writeJSON(w, http.StatusOK, b.Applied(r.Context(), port.Offset(offset)))
 	})
 	mux.HandleFunc(explainPattern, explain(b))
+	withoutBodies := clientconn.WithoutBodies(mux)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if _, pattern := mux.Handler(r); pattern != explainPattern {
-			clientconn.DiscardBody(w, r)
+		if _, pattern := mux.Handler(r); pattern == explainPattern {
+			mux.ServeHTTP(w, r)
+			return
 		}
-		mux.ServeHTTP(w, r)
+		withoutBodies.ServeHTTP(w, r)
 	})
 }
 
--- a/internal/adapter/clientconn/body.go
+++ b/internal/adapter/clientconn/body.go
@@ -84,11 +84,15 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
 
-// WithoutBodies returns a handler whose requests have no bodies: those that clients send are
-// refused unread.
+// WithoutBodies returns a handler whose requests have no bodies: the connection of one that has is
+// closed behind the response, unread.
 func WithoutBodies(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		DiscardBody(w, r)
+		if r.ContentLength != 0 {
+			DiscardBody(w, r)
+			// The server would hold the connection half a second for the client to read the response.
+			r.Body = http.NoBody
+		}
 		h.ServeHTTP(w, r)
 	})
 }
--- a/internal/core/membudget/budget.go
+++ b/internal/core/membudget/budget.go
@@ -26,8 +26,8 @@
 	// giveWayAfter is the default of Options.GiveWayAfter. A client within its limits sends a
 	// head in less, and a byte of a body far more often.
 	giveWayAfter = time.Second
-	// writeGiveWayAfter is the same for a client that does not take its response: over a slow
-	// link, one write takes longer than one read.
+	// writeGiveWayAfter is that of Options.WriteGiveWayAfter, for a client that does not take its
+	// response: over a slow link, one write takes longer than one read.
 	writeGiveWayAfter = 3 * time.Second
 	// placesAtOnce is the number of stalled connections that give way to a new one.
 	placesAtOnce = 16
@@ -78,10 +78,10 @@
 	Bytes int64
 	// Connections bounds the holders; 0: only their bytes do.
 	Connections int
-	// GiveWayAfter is how long a holder that reads a request must have made no progress to give
-	// way. 0: a second.
-	GiveWayAfter time.Duration
-	Clock        Clock
+	// GiveWayAfter is how long a holder that reads a request, WriteGiveWayAfter how long one that
+	// writes a response, must have made no progress to give way. 0: 1 s and 3 s.
+	GiveWayAfter, WriteGiveWayAfter time.Duration
+	Clock                           Clock
 }
 
 // Budget is the memory held for all clients. It is safe for concurrent use.
@@ -117,6 +117,9 @@
 	if o.GiveWayAfter <= 0 {
 		o.GiveWayAfter = giveWayAfter
 	}
+	if o.WriteGiveWayAfter <= 0 {
+		o.WriteGiveWayAfter = writeGiveWayAfter
+	}
 	b := &Budget{Options: o, epoch: o.Clock.Now(), holders: map[*Holder]struct{}{}, freed: make(chan struct{}), signalled: -int64(searchInterval)}
 	b.searched = [2]int64{-int64(searchInterval), -int64(searchInterval)}
 	return b
@@ -242,7 +245,7 @@
 				continue
 			}
 		case PhaseWriting:
-			if wait < writeGiveWayAfter {
+			if wait < b.WriteGiveWayAfter {
 				continue
 			}
 		case PhaseRunning:
