cmd, faultmatrix: routers of the tests listen on hosts of their own

Cause: free ports of 127.0.0.1 were taken by connections before a router listened on them. Once a fleet of 80 did not start within 60 s, and once a router was not ready within 20 s; the second was not traced further, as its output was not kept.

Change: each router has a loopback address of its own, as in the harness of the fault matrix, and the memory of the kernel is summed by whole addresses.

--- a/cmd/mimosaseam/smallmachine_test.go
+++ b/cmd/mimosaseam/smallmachine_test.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -104,19 +103,6 @@
 	return p
 }
 
-func portNumber(t *testing.T, address string) int {
-	t.Helper()
-	_, text, err := net.SplitHostPort(address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	port, err := strconv.Atoi(text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return port
-}
-
 // usage is what a process takes while it is watched.
 type usage struct {
 	p           *gatewayProcess
@@ -126,7 +112,7 @@
 
 func watchUsage(p *gatewayProcess) *usage {
 	return &usage{p: p, descriptors: harness.WatchDescriptors(p.cmd.Process.Pid),
-		memory: harness.WatchMemory(p.cmd.Process.Pid, portNumber(p.t, p.callers), portNumber(p.t, p.ready), portNumber(p.t, p.metrics))}
+		memory: harness.WatchMemory(p.cmd.Process.Pid, p.callers, p.ready, p.metrics)}
 }
 
 // check ends the watch and checks that the process lives and has stayed within its machine.
@@ -369,12 +355,11 @@
 func startFleet(t *testing.T, p *gatewayProcess) {
 	t.Helper()
 	for i := range fleetRouters {
-		// An address of its own: on that of the others, connections take free ports at any time.
-		host := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()/250%100, 1+os.Getpid()%250, 1+i)
+		addresses := ownAddresses(3)
 		file := filepath.Join(t.TempDir(), "settings.jsonc")
-		text := fmt.Sprintf(`{"vm": {"name": "f%d", "region": "r", "availability_zone": "z"}, "callers": {"address": "%s:7000"}, "ready": {"address": "%s:7001"},
-			"peers": {"address": "%s:7002"}, "regions": {"z": "r"}, "log": {"address": %q}, "limits": {"memory_mb": %d, "max_fds": %d}, "log_level": "error"}`,
-			i, host, host, host, p.logAddress, smallMemoryMB, smallMaxFDs)
+		text := fmt.Sprintf(`{"vm": {"name": "f%d", "region": "r", "availability_zone": "z"}, "callers": {"address": %q}, "ready": {"address": %q},
+			"peers": {"address": %q}, "regions": {"z": "r"}, "log": {"address": %q}, "limits": {"memory_mb": %d, "max_fds": %d}, "log_level": "error"}`,
+			i, addresses[0], addresses[1], addresses[2], p.logAddress, smallMemoryMB, smallMaxFDs)
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
--- a/cmd/mimosaseam/stop_test.go
+++ b/cmd/mimosaseam/stop_test.go
@@ -10,8 +10,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -92,7 +94,7 @@
 // configuration that configure writes.
 func launchLimitedGatewayProcess(t *testing.T, program *exec.Cmd, stopS int, limits string, configure func(*platformtest.Log), services, engines []*platformtest.RawTarget) *gatewayProcess {
 	t.Helper()
-	addresses := freeAddresses(t, 4)
+	addresses := ownAddresses(4)
 	p := &gatewayProcess{t: t, log: platformtest.NewLog(), callers: addresses[0], ready: addresses[1], metrics: addresses[3]}
 	logServer := httptest.NewServer(p.log)
 	t.Cleanup(logServer.Close)
@@ -144,17 +146,21 @@
 		`{"name": "r0", "role": %q, "address": %q, "region": "r", "availability_zone": "z", "state": %q}`, port.RoleRouter, l.Addr(), port.VMLive))
 }
 
-// freeAddresses returns different addresses on which nobody listens.
-func freeAddresses(t *testing.T, n int) []string {
-	t.Helper()
+var hosts atomic.Int64
+
+// ownHost returns a loopback address that no other router has. Ports that are free on a shared one
+// are taken by connections of others before a process listens on them.
+func ownHost() string {
+	n := hosts.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 100+(os.Getpid()/250+int(n)/250)%100, 1+os.Getpid()%250, 1+n%250)
+}
+
+// ownAddresses returns addresses of a host of their own.
+func ownAddresses(n int) []string {
+	host := ownHost()
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close() // once all are chosen
-		out = append(out, l.Addr().String())
+	for i := range n {
+		out = append(out, net.JoinHostPort(host, strconv.Itoa(7000+i)))
 	}
 	return out
 }
--- a/internal/faultmatrix/smallmachine_test.go
+++ b/internal/faultmatrix/smallmachine_test.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"io"
 	"math/big"
-	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -96,7 +95,7 @@
 	is.NoErr(err)
 	s.awaitAnswer("before the crowd", 500)
 	s.descriptors = harness.WatchDescriptors(s.router.PID())
-	s.memory = harness.WatchMemory(s.router.PID(), portOf(t, s.router.CallerAddress()), portOf(t, s.admin))
+	s.memory = harness.WatchMemory(s.router.PID(), s.router.CallerAddress(), s.admin)
 	return s
 }
 
@@ -112,19 +111,6 @@
 	return c.Send("HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n") && c.Send(body)
 }
 
-func portOf(t *testing.T, address string) int {
-	t.Helper()
-	_, text, err := net.SplitHostPort(address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	port, err := strconv.Atoi(text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return port
-}
-
 // writeCertificate writes a self-signed certificate and its key.
 func writeCertificate(t *testing.T) (certFile, keyFile string) {
 	t.Helper()
--- a/internal/harness/usage.go
+++ b/internal/harness/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
@@ -38,15 +39,19 @@
 // memoryInterval is the time between two looks at the memory of a process.
 const memoryInterval = 50 * time.Millisecond
 
-// WatchMemory watches a process that listens on the ports until MostMB.
-func WatchMemory(pid int, ports ...int) *MemoryWatch {
+// WatchMemory watches a process that listens on the addresses until MostMB.
+func WatchMemory(pid int, addresses ...string) *MemoryWatch {
+	var listeners []string
+	for _, address := range addresses {
+		listeners = append(listeners, kernelAddress(address))
+	}
 	w := &MemoryWatch{stop: make(chan struct{})}
 	w.done.Go(func() {
 		ticker := time.NewTicker(memoryInterval)
 		defer ticker.Stop()
 		for {
 			if kb, err := statusKB(pid, "VmRSS:"); err == nil { // it may have ended
-				w.most = max(w.most, kb<<10+queuedBytes(pid, ports))
+				w.most = max(w.most, kb<<10+queuedBytes(pid, listeners))
 			}
 			select {
 			case <-w.stop:
@@ -65,31 +70,31 @@
 	return w.most >> 20
 }
 
+// kernelAddress returns an IPv4 address with its port as /proc/net/tcp names it.
+func kernelAddress(address string) string {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil || !a.Addr().Is4() {
+		return ""
+	}
+	ip := a.Addr().As4()
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port())
+}
+
 // queuedBytes returns what the kernel holds of the connections of a process, and of those to the
-// ports that it listens on: bytes that were received and not read, and bytes that were written and
+// addresses that it listens on: bytes that were received and not read, and bytes that were written and
 // not acknowledged.
-func queuedBytes(pid int, ports []int) (sum int) {
+func queuedBytes(pid int, listeners []string) (sum int) {
 	own := socketsOf(pid)
-	for _, file := range []string{"/proc/net/tcp", "/proc/net/tcp6"} {
-		text, err := os.ReadFile(file)
-		if err != nil {
-			continue // no such protocol here
+	text, _ := os.ReadFile("/proc/net/tcp") // there is one on Linux
+	for line := range strings.Lines(string(text)) {
+		fields := strings.Fields(line)
+		if len(fields) < 10 || fields[3] == listening || !own[fields[9]] && !slices.Contains(listeners, fields[1]) {
+			continue
 		}
-		for line := range strings.Lines(string(text)) {
-			fields := strings.Fields(line)
-			if len(fields) < 10 || fields[3] == listening {
-				continue
-			}
-			_, port, _ := strings.Cut(fields[1], ":")
-			number, err := strconv.ParseInt(port, 16, 32)
-			if err != nil || !own[fields[9]] && !slices.Contains(ports, int(number)) {
-				continue
-			}
-			sent, received, _ := strings.Cut(fields[4], ":")
-			for _, queue := range []string{sent, received} {
-				n, _ := strconv.ParseInt(queue, 16, 64) // the kernel writes numbers
-				sum += int(n)
-			}
+		sent, received, _ := strings.Cut(fields[4], ":")
+		for _, queue := range []string{sent, received} {
+			n, _ := strconv.ParseInt(queue, 16, 64) // the kernel writes numbers
+			sum += int(n)
 		}
 	}
 	return sum
