gateway: large events of a stream are not copied before they are written

Callers saw: a VM that runs out of memory while 400 clients do not read streams of events of 60 KB.

Cause: each stream held an event twice, as it was read and in the batch that waits to be written.

Change: an event with which the batch would exceed 16 KiB is written from the buffer that it was read into, behind the batch.

--- a/cmd/mimosaseam/smallmachine_test.go
+++ b/cmd/mimosaseam/smallvm_test.go
@@ -34,6 +34,8 @@
 	manyConnections = smallMaxFDs + smallMaxFDs/4
 	// smallHead is the length of fields that fit into a head within the limit.
 	smallHead = smallMaxHead - 1<<10
+	// largeEvents are the events of a stream, which are almost as large as allowed.
+	largeEvents, largeEvent = 100, 60 << 10
 	// unlimitedHead is the length of a head that no limit of the configuration applies to.
 	unlimitedHead = 900 << 10
 )
@@ -85,8 +87,15 @@
 	}
 	services := []*platformtest.RawTarget{newRawTarget(t, "d8", "", answer), newRawTarget(t, "d9", "", answer)}
 	stream := func(c *platformtest.RawConn, r *http.Request, n int) bool {
-		if strings.Contains(r.URL.Path, "held") {
+		switch {
+		case strings.Contains(r.URL.Path, "held"):
 			return answer(c, r, n)
+		case strings.Contains(r.URL.Path, "events"):
+			sent := c.Send(platformtest.Head(r, "200 OK", "Content-Type: text/event-stream", "Connection: close"))
+			for i := 1; sent && i <= largeEvents; i++ {
+				sent = c.Send(fmt.Sprintf("id: %d\ndata: %s\n\n", i, strings.Repeat("x", largeEvent)))
+			}
+			return false
 		}
 		return c.Send(platformtest.Head(r, "200 OK", platformtest.WeightsField+"1", "Content-Type: text/event-stream", fmt.Sprintf("Content-Length: %d", len(firstEvent))) + firstEvent)
 	}
@@ -274,6 +283,14 @@
 	})
 }
 
+// Guards against streams whose clients do not read.
+func TestCrowdsThatDoNotReadStreams(t *testing.T) {
+	runSmallCrowds(t, map[string]smallCrowd{
+		"large events":                       {callersPort, smallCallers, crowd.Text(wholeRequest("/brief/events", promptFields("m", "a:5,b:5"), ""))},
+		"large events of a resumable stream": {callersPort, smallCallers, crowd.Text(wholeRequest("/check/events", promptFields("m", "a:5,b:5"), ""))},
+	})
+}
+
 // Guards against requests that are held twice, by the router and in the kernel, because their
 // target does not read them.
 func TestCrowdsBeforeATargetThatDoesNotRead(t *testing.T) {
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -405,15 +405,24 @@
 			return retrypolicy.Unknown, errors.Join(err, x.deliver(a, batch))
 		}
 		if fresh {
-			batch = append(batch, e.Bytes...)
 			x.observeFirstEvent(t)
 		}
-		if events.Buffered() && len(batch) < copyBufferBytes {
+		var single []byte // not copied: a client may not take a large event for long
+		switch {
+		case fresh && len(batch)+len(e.Bytes) > copyBufferBytes:
+			single = e.Bytes
+		case fresh:
+			batch = append(batch, e.Bytes...)
+		}
+		if events.Buffered() && single == nil {
 			continue
 		}
 		if err := x.deliver(a, batch); err != nil {
 			return retrypolicy.Unknown, err
 		}
+		if err := x.deliver(a, single); err != nil {
+			return retrypolicy.Unknown, err
+		}
 		batch = batch[:0]
 	}
 }
