gatewaysync: log what tells a late record from a writer that is back

The log said that the target was there again, but not why: the line "target" tells neither where the record was read nor its place in the log nor its revision, so that a late record, an older copy of the log, a full load and a peer that lags look alike.

One line for each such decision now names the source, history, position and revision of the record and of what was known.

--- a/internal/app/gatewaysync/gatewaysync.go
+++ b/internal/app/gatewaysync/gatewaysync.go
@@ -249,7 +249,7 @@
 		f.mu.Unlock()
 		f.behind = nil // the records up to its end are lost
 	}
-	batch.Records = f.accept(batch)
+	batch.Records = f.accept(batch, source)
 	for _, r := range batch.Records {
 		f.Apply(r)
 	}
--- a/internal/app/gatewaysync/retained.go
+++ b/internal/app/gatewaysync/retained.go
@@ -39,8 +39,8 @@
 }
 
 // accept stores the records of a batch that say something new, to serve them to other
-// routers, and returns them.
-func (f *Follower) accept(batch port.KeyedBatch) []port.KeyedRecord {
+// routers, and returns them. source names where the batch was read.
+func (f *Follower) accept(batch port.KeyedBatch, source string) []port.KeyedRecord {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.next = batch.Next
@@ -57,6 +57,7 @@
 				known.history, known.offset = next.history, next.offset
 				f.newest[r.Key] = known
 			}
+			f.logDecision("older record ignored", source, r, next, known)
 			continue
 		}
 		if r.Value != nil && known.value != nil && f.Unchanged != nil && f.Unchanged(known.value, r.Value) {
@@ -64,12 +65,28 @@
 			f.newest[r.Key] = known
 			continue
 		}
+		if isKnown && known.value == nil && next.value != nil {
+			f.logDecision("removed key written again", source, r, next, known)
+		}
 		f.newest[r.Key] = next
 		out = append(out, r)
 	}
 	return out
 }
 
+// logDecision logs what tells a late record from one of a writer that is back: the order of
+// the log and the order in which the writer counts.
+func (f *Follower) logDecision(decision, source string, r port.KeyedRecord, next, known retained) {
+	age := int64(-1)
+	if known.value == nil {
+		age = f.Clock.Now().Sub(known.removedAt).Milliseconds()
+	}
+	f.Logger.Info(decision, "stream", f.Name, "key", r.Key, "from", source, "removal", next.value == nil,
+		"history", next.history, "position", next.offset.Position(), "revision", next.revision,
+		"known_history", known.history, "known_position", known.offset.Position(), "known_revision", known.revision,
+		"removed_ms", age)
+}
+
 // retain returns the entry of a record whose key has the known entry.
 func (f *Follower) retain(r port.KeyedRecord, known retained) retained {
 	next := retained{value: r.Value, offset: r.Offset, history: r.Offset.History()}
