gatewaysync: order the records of a writer by its own count

Cause: within one history of the log, the position alone ordered the records of a key. A write without a response may be executed seconds later, behind newer values and behind the removal. The writer's own count (start and sequence number of a target, version of the operator) was compared between histories only. Besides, a removal had no count on its way through a relay, a full load dropped the count of a key that it lacked, and nobody was asked at a start, though the newest record of a key may be the late one.

Change: a value holds if its revision is higher than the known one, or than the last one before the removal; the log orders removals and values without a revision. A removal carries the last revision through relays (new optional fields of the exchange; older releases leave them out). After a full load a router asks others for what the log hides. A writer that goes on counting below a known revision for 10 s is followed, so that one odd entry does not keep a target out. A target that is back counts on and is used from its first entry on, at once.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -276,7 +276,7 @@
 	n.operator = gatewaysync.Operator(&gatewaysync.Follower{Log: log, Logger: n.log, Clock: n.bootClock,
 		Apply: n.applyOperator, Revision: platform.OperatorRevision, OnVerified: n.gateway.MarkVerified, Peers: n.pullFromPeers, Relay: n.pullFromReader, HasFollowers: n.hasFollowers})
 	entries := gatewaysync.Targets(&gatewaysync.Follower{Log: log, Logger: n.log, Clock: n.bootClock,
-		Apply: n.applyTarget, Reset: n.dir.Retain, Unchanged: platform.IsSameTarget, Revision: platform.TargetRevision, Relay: n.pullFromReader}, gatewaysync.TargetsInterval(settings.Milliseconds(n.settings.Bounds.LeavingMs)))
+		Apply: n.applyTarget, Reset: n.dir.Retain, Unchanged: platform.IsSameTarget, Revision: platform.TargetRevision, Peers: n.pullFromPeers, IsLogOnly: true, Relay: n.pullFromReader}, gatewaysync.TargetsInterval(settings.Milliseconds(n.settings.Bounds.LeavingMs)))
 	n.followers = []*gatewaysync.Follower{n.operator, entries}
 	n.caches = &cachewatch.Watcher{Caches: targets, CacheContents: n.gateway.CacheContents, Clock: n.clock, Logger: n.log, List: n.cacheAddresses}
 }
--- a/internal/adapter/peergrpc/convert.go
+++ b/internal/adapter/peergrpc/convert.go
@@ -108,6 +108,7 @@
 	for _, r := range b.Records {
 		out.Records = append(out.Records, &peerv1.Record{
 			Offset: uint64(r.Offset), Id: r.ID, AppendedAtUs: r.AppendedAt.UnixMicro(), Data: r.Data,
+			LastRevision: toRevision(r.LastRevision), CountsLower: r.CountsLower,
 		})
 	}
 	return out
@@ -119,7 +120,22 @@
 	for _, r := range m.GetRecords() {
 		out.Records = append(out.Records, port.Record{
 			Offset: port.Offset(r.GetOffset()), ID: r.GetId(), AppendedAt: time.UnixMicro(r.GetAppendedAtUs()).UTC(), Data: r.GetData(),
+			LastRevision: fromRevision(r.GetLastRevision()), CountsLower: r.GetCountsLower(),
 		})
 	}
 	return out
 }
+
+func toRevision(r *port.Revision) *peerv1.Revision {
+	if r == nil {
+		return nil
+	}
+	return &peerv1.Revision{Epoch: r.Epoch, Number: r.Number}
+}
+
+func fromRevision(m *peerv1.Revision) *port.Revision {
+	if m == nil {
+		return nil
+	}
+	return &port.Revision{Epoch: m.GetEpoch(), Number: m.GetNumber()}
+}
--- a/internal/adapter/platformhttp/log.go
+++ b/internal/adapter/platformhttp/log.go
@@ -123,7 +123,7 @@
 		if r.Offset != from+port.Offset(i) {
 			return port.Batch{}, l.caller.unknown(eris.Wrapf(ErrInvalidResponse, "record %d has offset %d", i, r.Offset))
 		}
-		b.Records = append(b.Records, port.Record(r))
+		b.Records = append(b.Records, port.Record{Offset: r.Offset, ID: r.ID, AppendedAt: r.AppendedAt, Data: r.Data})
 	}
 	if out.Next != from+port.Offset(len(out.Records)) {
 		return port.Batch{}, l.caller.unknown(eris.Wrapf(ErrInvalidResponse, "next offset is %d", out.Next))
--- a/internal/app/gatewaysync/gatewaysync.go
+++ b/internal/app/gatewaysync/gatewaysync.go
@@ -60,15 +60,18 @@
 	// each one says something new. Such values are neither applied nor served to others:
 	// targets rewrite their entries every second or so.
 	Unchanged func(older, newer []byte) bool
-	// Revision returns the revision of a value; ok is false for a value that has none. After
-	// the log returned from an older copy, values of older revisions than the known one are
-	// ignored. nil: no value has one.
+	// Revision returns the revision of a value; ok is false for a value that has none. Values
+	// of older revisions than the known one are ignored: they were written late, or the log
+	// returned from an older copy. nil: no value has one.
 	Revision func(key string, value []byte) (r port.Revision, ok bool)
 	// OnVerified is called with a time at which the applied records were the newest.
 	OnVerified func(at time.Time)
 
 	// Peers requests the records from the offset on from other routers; nil: no peers.
 	Peers func(ctx context.Context, stream string, from port.Offset) []port.Batch
+	// IsLogOnly is set if records of peers do not stand in for those of the log during an
+	// outage. Peers are still asked for those that the log hides.
+	IsLogOnly bool
 	// Relay requests the records from a router that reads the log on behalf of its
 	// neighbours; nil: this router always reads the log itself.
 	Relay Relay
@@ -82,6 +85,9 @@
 	// behind is set while responses of the log are cut before the end of the stream. It is
 	// accessed by Run only.
 	behind *backlog
+	// relayed is the offset up to which a relay has told everything, 0: this router has read
+	// everything itself. It is accessed by Run only.
+	relayed port.Offset
 	// newest and verified are served to other routers.
 	newest   map[string]retained
 	verified time.Time
@@ -89,8 +95,9 @@
 	since port.Offset
 	// restoredAt is when the log was first seen in its current history.
 	restoredAt time.Time
-	// unconfirmedSince is when a restored log was read as a whole, zero once another router
-	// has said what it knows: the copy may lack it.
+	// unconfirmedSince is when the log was read as a whole, or otherwise without records before
+	// those read, zero once another router has said what it knows: the newest record of a key
+	// may have been written late, and a restored log may lack records.
 	unconfirmedSince time.Time
 }
 
@@ -182,6 +189,9 @@
 	if err != nil {
 		return err
 	}
+	if f.relayed != 0 && f.hasReturned(batch) {
+		f.unconfirmedSince = f.Clock.Now() // a relay may know a later revision of the removed value
+	}
 	f.confirm(ctx)
 	f.apply(batch, "log", at)
 	return nil
@@ -226,13 +236,19 @@
 	for _, r := range batch.Records {
 		keys[r.Key] = true
 	}
-	f.behind = nil
+	isStart, isRestored := f.offset() == 0, batch.Next.History() > 0
+	f.behind, f.relayed = nil, 0
 	f.forget(keys, batch.Next)
-	f.applyRecords(batch, "log")
-	if batch.Next.History() > 0 && f.Peers != nil {
+	if f.Peers != nil {
 		f.unconfirmedSince = f.Clock.Now()
 	}
-	f.confirm(ctx)
+	if !isStart && !isRestored {
+		f.confirm(ctx) // before a late record is used
+	}
+	f.applyRecords(batch, "log")
+	if isRestored {
+		f.confirm(ctx)
+	}
 	f.verify(at)
 	if f.Reset != nil {
 		f.Reset(keys)
@@ -286,7 +302,7 @@
 // the log. A peer's verification time is accepted: the age of its records is counted from
 // before the request, so that nothing counts as newer than it is.
 func (f *Follower) readFromPeers(ctx context.Context) {
-	if f.Peers == nil {
+	if f.Peers == nil || f.IsLogOnly {
 		return
 	}
 	at := f.Clock.Now()
@@ -306,14 +322,15 @@
 	f.apply(batch, "peer", at.Add(-best.Age))
 }
 
-// isUnconfirmed reports whether other routers may still say that they know newer values.
+// isUnconfirmed reports whether a restored log may lack values that other routers may still
+// name.
 func (f *Follower) isUnconfirmed() bool {
-	return !f.unconfirmedSince.IsZero() && f.Clock.Now().Sub(f.unconfirmedSince) < confirmTimeout
+	return f.offset().History() > 0 && !f.unconfirmedSince.IsZero() && f.Clock.Now().Sub(f.unconfirmedSince) < confirmTimeout
 }
 
-// confirm applies the values of other routers that are newer than those of a restored log,
-// but continues to read the log where it was. A starting router knows no others at first, so
-// that it asks again until one has answered or the writers have had the time to write again.
+// confirm applies what other routers know and a full load of the log may not tell, but
+// continues to read the log where it was. A starting router knows no others at first, so that
+// it asks again until one has answered or the writers have had the time to write again.
 func (f *Follower) confirm(ctx context.Context) {
 	if f.unconfirmedSince.IsZero() {
 		return
@@ -322,9 +339,13 @@
 		f.unconfirmedSince = time.Time{}
 		return
 	}
+	from := port.OffsetHidden
+	if f.offset().History() > 0 && f.Reset == nil {
+		from = 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	for _, b := range f.Peers(ctx, f.Name, 0) {
+	for _, b := range f.Peers(ctx, f.Name, from) {
 		batch := fromPeer(b)
 		isCut := batch.IsCut()
 		batch.Next = f.offset()
@@ -342,8 +363,8 @@
 }
 
 // Records returns the records from the offset on to another router that does not or cannot
-// read the log. It fails with an ExpiredError if keys may have been removed without either
-// router having read the removal.
+// read the log, or the hidden ones to one that has read the log as a whole. It fails with an
+// ExpiredError if keys may have been removed without either router having read the removal.
 func (f *Follower) Records(_ context.Context, stream string, from port.Offset, _ int) (port.Batch, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -353,10 +374,11 @@
 	if f.Reset != nil && from < f.since {
 		return port.Batch{}, &port.ExpiredError{Stream: stream, From: from, Oldest: f.since}
 	}
-	b := port.Batch{Next: f.next, End: f.next, Age: f.Clock.Now().Sub(f.verified)}
+	now := f.Clock.Now()
+	b := port.Batch{Next: f.next, End: f.next, Age: now.Sub(f.verified)}
 	for key, k := range f.newest {
-		if k.offset >= from {
-			b.Records = append(b.Records, port.Record{Offset: k.offset, ID: key, Data: k.value})
+		if k.offset >= from || from == port.OffsetHidden && k.isHidden(now) {
+			b.Records = append(b.Records, k.toPeer(key))
 		}
 	}
 	// A response that is cut is continued at the offset of its first missing record.
--- a/internal/app/gatewaysync/relay.go
+++ b/internal/app/gatewaysync/relay.go
@@ -53,10 +53,11 @@
 	at := f.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	b, ok, err := f.Relay(ctx, f.Name, f.offset())
+	b, ok, err := f.Relay(ctx, f.Name, f.relayOffset())
 	var expired *port.ExpiredError
 	switch {
 	case !ok:
+		f.relayed = 0
 		return false
 	case errors.As(err, &expired):
 		// The reader started at a later offset: keys that were removed in between are
@@ -69,9 +70,25 @@
 		return false
 	case b.Age > 2*readerWait+f.Interval+relayInterval+relaySlack || b.Next < f.offset():
 		f.Logger.Debug("reading the log instead of a peer", "stream", f.Name, "age_ms", b.Age.Milliseconds(), "next", b.Next)
+		if b.Next < b.End {
+			f.relayed = f.offset() // the rest does not fit into one response
+		}
 		return false
 	}
 	f.confirm(ctx)
 	f.apply(fromPeer(b), "peer", at.Add(-b.Age))
+	f.relayed = b.Next
 	return true
 }
+
+// relayOffset returns the offset from which on a relay is asked. Records that were read in
+// the log in between are requested again: the log does not tell the revision of a removed
+// key, and a relay does not pass on values that say nothing new, so that this router may know
+// only an old one.
+func (f *Follower) relayOffset() port.Offset {
+	next := f.offset()
+	if f.relayed == 0 || f.relayed.History() != next.History() {
+		f.relayed = next
+	}
+	return f.relayed
+}
--- a/internal/app/gatewaysync/retained.go
+++ b/internal/app/gatewaysync/retained.go
@@ -7,29 +7,60 @@
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
-// removedRetention is how long the revision of a removed value is kept, to recognize the
-// value if the log returns from an older copy.
-const removedRetention = 5 * time.Minute
+const (
+	// removedRetention is how long the revision of a removed value is kept, to recognize the
+	// value if it is written late or the log returns from an older copy.
+	removedRetention = 5 * time.Minute
+	// recountTimeout is how long a writer must have counted from a lower revision than the
+	// known one until the lower one holds. It exceeds the time by which a write is executed
+	// late, so that only a writer that goes on counting is followed.
+	recountTimeout = 10 * time.Second
+	// recountPause is the longest pause between two values of such a writer.
+	recountPause = 5 * time.Second
+)
 
 // retained is the newest known value of a key.
 type retained struct {
 	// value is nil when the key was removed.
 	value []byte
-	// offset is that of the record, by which other routers are served.
+	// offset is that by which other routers are served.
 	offset port.Offset
-	// history is the newest one in which the log held the value.
-	history port.History
+	// seen is the offset of the newest record that said this: at least that of the value, as
+	// values that say nothing new are not served.
+	seen port.Offset
 	// revision is that of the value, or of the last one before the key was removed.
 	revision    port.Revision
 	hasRevision bool
 	removedAt   time.Time
+	// isOverwritten is set while the log holds an older value, which was written late.
+	isOverwritten bool
+	// countsLower is set if the value holds although its revision is lower than one known before.
+	countsLower bool
+	// lower are the values that were ignored because of their revisions.
+	lower lowerValues
+}
+
+// lowerValues is a series of values whose revisions rise below the known one.
+type lowerValues struct {
+	since, last time.Time
+	revision    port.Revision
+}
+
+// add adds a value and reports whether the writer has counted on for long enough to be
+// followed: the known revision is then not its own, or it has lost its count.
+func (s *lowerValues) add(r port.Revision, now time.Time) bool {
+	if s.since.IsZero() || r.Compare(s.revision) <= 0 || now.Sub(s.last) > recountPause {
+		s.since = now
+	}
+	s.last, s.revision = now, r
+	return now.Sub(s.since) >= recountTimeout
 }
 
 // fromPeer converts a peer's response to keyed records; an empty value removes the key.
 func fromPeer(b port.Batch) port.KeyedBatch {
 	out := port.KeyedBatch{Next: b.Next, End: b.End}
 	for _, r := range b.Records {
-		record := port.KeyedRecord{Offset: r.Offset, Key: r.ID}
+		record := port.KeyedRecord{Offset: r.Offset, Key: r.ID, LastRevision: r.LastRevision, CountsLower: r.CountsLower}
 		if len(r.Data) > 0 {
 			record.Value = r.Data
 		}
@@ -38,6 +69,24 @@
 	return out
 }
 
+// toPeer converts the entry of a key to a record for another router.
+func (k *retained) toPeer(key string) port.Record {
+	r := port.Record{Offset: k.offset, ID: key, Data: k.value, CountsLower: k.countsLower}
+	if k.value == nil && k.hasRevision {
+		r.LastRevision = &k.revision
+	}
+	return r
+}
+
+// isHidden reports whether a full load of the log does not tell this entry: it returns no
+// removed keys, and of a key the record that was written last.
+func (k *retained) isHidden(now time.Time) bool {
+	if k.value == nil {
+		return k.hasRevision && now.Sub(k.removedAt) < removedRetention
+	}
+	return k.isOverwritten
+}
+
 // accept stores the records of a batch that say something new, to serve them to other
 // routers, and returns them. source names where the batch was read.
 func (f *Follower) accept(batch port.KeyedBatch, source string) []port.KeyedRecord {
@@ -47,26 +96,30 @@
 	if f.newest == nil {
 		f.newest = map[string]retained{}
 	}
+	now := f.Clock.Now()
+	isRestoring := now.Sub(f.restoredAt) < rewriteTimeout
 	var out []port.KeyedRecord
 	for _, r := range batch.Records {
 		known, isKnown := f.newest[r.Key]
-		next := f.retain(r, known)
-		if isKnown && !supersedes(next, known, f.Clock.Now().Sub(f.restoredAt) < rewriteTimeout) {
-			if known.value != nil && known.revision == next.revision && next.history > known.history {
-				// The log holds the known value again. Other routers learn it by the offset.
-				known.history, known.offset = next.history, next.offset
-				f.newest[r.Key] = known
+		next := f.retain(r, now)
+		if isKnown && !known.replacedBy(&next, isRestoring, now) {
+			if next.seen > known.seen {
+				f.logDecision("older record ignored", source, &next, &known, r.Key, now)
 			}
-			f.logDecision("older record ignored", source, r, next, known)
+			known.ignore(&next)
+			f.newest[r.Key] = known
 			continue
 		}
-		if r.Value != nil && known.value != nil && f.Unchanged != nil && f.Unchanged(known.value, r.Value) {
-			known.history, known.revision, known.hasRevision = next.history, next.revision, next.hasRevision
-			f.newest[r.Key] = known
+		if isKnown {
+			next.inherit(&known, f.next)
+		}
+		if next.value != nil && known.value != nil && f.Unchanged != nil && f.Unchanged(known.value, next.value) {
+			next.offset = known.offset
+			f.newest[r.Key] = next
 			continue
 		}
 		if isKnown && known.value == nil && next.value != nil {
-			f.logDecision("removed key written again", source, r, next, known)
+			f.logDecision("removed key written again", source, &next, &known, r.Key, now)
 		}
 		f.newest[r.Key] = next
 		out = append(out, r)
@@ -76,55 +129,130 @@
 
 // logDecision logs what tells a late record from one of a writer that is back: the order of
 // the log and the order in which the writer counts.
-func (f *Follower) logDecision(decision, source string, r port.KeyedRecord, next, known retained) {
+func (f *Follower) logDecision(decision, source string, next, known *retained, key string, now time.Time) {
 	age := int64(-1)
 	if known.value == nil {
-		age = f.Clock.Now().Sub(known.removedAt).Milliseconds()
+		age = now.Sub(known.removedAt).Milliseconds()
 	}
-	f.Logger.Info(decision, "stream", f.Name, "key", r.Key, "from", source, "removal", next.value == nil,
-		"history", next.history, "position", next.offset.Position(), "revision", next.revision,
-		"known_history", known.history, "known_position", known.offset.Position(), "known_revision", known.revision,
+	f.Logger.Info(decision, "stream", f.Name, "key", key, "from", source, "removal", next.value == nil,
+		"history", next.seen.History(), "position", next.seen.Position(), "revision", next.revision,
+		"known_history", known.seen.History(), "known_position", known.seen.Position(), "known_revision", known.revision,
 		"removed_ms", age)
 }
 
-// retain returns the entry of a record whose key has the known entry.
-func (f *Follower) retain(r port.KeyedRecord, known retained) retained {
-	next := retained{value: r.Value, offset: r.Offset, history: r.Offset.History()}
+// retain returns the entry of a record.
+func (f *Follower) retain(r port.KeyedRecord, now time.Time) retained {
+	next := retained{value: r.Value, offset: r.Offset, seen: r.Offset, countsLower: r.CountsLower}
 	switch {
 	case r.Value == nil:
-		next.revision, next.hasRevision, next.removedAt = known.revision, known.hasRevision, f.Clock.Now()
+		next.removedAt = now
+		if r.LastRevision != nil {
+			next.revision, next.hasRevision = *r.LastRevision, true
+		}
 	case f.Revision != nil:
 		next.revision, next.hasRevision = f.Revision(r.Key, r.Value)
 	}
 	return next
 }
 
-// supersedes reports whether an entry replaces the known one. Within a history the order of
-// the log decides, also among records of other routers, which lag behind each other. Between
-// histories only the revision tells, and without one the history. Once the writers have had
-// the time to write again, the history tells: a revision that is too large must not keep all
-// later values out.
-func supersedes(next, known retained, isRestoring bool) bool {
+// replacedBy reports whether a newer entry replaces this one. The revision orders the values
+// of a writer, wherever the log holds them: a write without a response may be executed
+// seconds later, behind newer ones and behind the removal. A removal is the log's own: it
+// ends what the log held before it. Entries without a revision are ordered by the log.
+//
+// Between histories, the revision holds only while the writers may still have to write again;
+// then the history does: a revision that is too large must not keep all later values out.
+// Within a history, a writer that goes on counting below it is followed.
+func (k *retained) replacedBy(next *retained, isRestoring bool, now time.Time) bool {
+	isLater := next.seen >= k.seen
+	isSameHistory := next.seen.History() == k.seen.History()
+	if !next.hasRevision || !k.hasRevision || !isSameHistory && !isRestoring {
+		return isLater
+	}
+	order := next.revision.Compare(k.revision)
+	switch {
+	case next.value == nil:
+		return isLater || k.value != nil && order >= 0
+	case order > 0:
+		return isLater || !isSameHistory || k.value != nil
+	case order == 0 && k.value != nil:
+		return isLater && isSameHistory
+	case next.seen <= k.seen || !isSameHistory:
+		return false
+	case next.countsLower:
+		return true
+	}
+	next.countsLower = k.lower.add(next.revision, now)
+	return next.countsLower
+}
+
+// inherit takes over what still holds of the entry that is replaced. next is the offset from
+// which other routers read on.
+func (k *retained) inherit(old *retained, next port.Offset) {
+	if !k.hasRevision || k.value == nil && old.hasRevision && old.revision.Compare(k.revision) > 0 {
+		k.revision, k.hasRevision = old.revision, old.hasRevision
+	}
+	if k.offset < old.offset {
+		k.offset = next // other routers may have read on behind it
+	}
+	if k.value != nil && old.value != nil && old.countsLower {
+		k.countsLower = true
+	}
+}
+
+// ignore takes over what an entry says that does not replace this one.
+func (k *retained) ignore(next *retained) {
 	switch {
-	case next.history == known.history:
-		return next.offset >= known.offset
-	case isRestoring && next.value != nil && next.hasRevision && known.hasRevision:
-		return next.revision.Compare(known.revision) > 0
-	default:
-		return next.history > known.history
+	case !next.hasRevision && next.value == nil:
+	case k.value == nil && next.seen <= k.seen:
+		// Both a removal and a value before it tell what was removed.
+		if next.hasRevision && (!k.hasRevision || next.revision.Compare(k.revision) > 0) {
+			k.revision, k.hasRevision = next.revision, true
+		}
+	case next.value == nil:
+	case k.value != nil && k.revision == next.revision && next.seen.History() > k.seen.History():
+		// The log holds the known value again. Other routers learn it by the offset.
+		k.seen, k.offset = next.seen, next.offset
+	case next.seen > k.seen:
+		k.isOverwritten = true
 	}
 }
 
+// hasReturned reports whether a batch has a value of a key that was removed before it.
+func (f *Follower) hasReturned(batch port.KeyedBatch) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	removed := map[string]bool{}
+	for _, r := range batch.Records {
+		known, isKnown := f.newest[r.Key]
+		switch {
+		case r.Value == nil:
+			removed[r.Key] = true
+		case removed[r.Key], isKnown && known.value == nil:
+			return true
+		}
+	}
+	return false
+}
+
 // forget drops what a full load does not confirm: all keys but those that it returned. Where
 // no key is ever removed, known values stay.
 func (f *Follower) forget(keys map[string]bool, next port.Offset) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.since = next
+	if f.Reset == nil {
+		return
+	}
 	now := f.Clock.Now()
 	for key, known := range f.newest {
-		isRecent := known.value == nil && now.Sub(known.removedAt) < removedRetention
-		if f.Reset != nil && !keys[key] && !isRecent {
+		switch {
+		case keys[key]:
+		case known.value == nil && now.Sub(known.removedAt) < removedRetention:
+		case known.value != nil && known.seen.History() == next.History():
+			// Removed since the last read, after the known revision.
+			f.newest[key] = retained{offset: next, seen: next - 1, revision: known.revision, hasRevision: known.hasRevision, removedAt: now}
+		default:
 			delete(f.newest, key)
 		}
 	}
@@ -139,7 +267,7 @@
 	}
 	var out []string
 	for key, known := range f.newest {
-		if known.value != nil && known.hasRevision && known.history < f.next.History() {
+		if known.value != nil && known.hasRevision && known.seen.History() < f.next.History() {
 			out = append(out, key)
 		}
 	}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -29,6 +29,11 @@
 // first record". In the first history, 0, an Offset equals its position.
 type Offset uint64
 
+// OffsetHidden asks another router for what a full load of a keyed stream does not tell: the
+// keys that were removed, and those whose record in the log is older than the known one. Since
+// no record follows it, a router that does not know it answers with none.
+const OffsetHidden Offset = 1<<64 - 1
+
 // OffsetAt returns the offset of a position in a history.
 func OffsetAt(h History, position uint64) Offset { return Offset(h)<<positionBits | Offset(position) }
 
@@ -62,6 +67,12 @@
 	ID         string
 	AppendedAt time.Time
 	Data       []byte
+	// LastRevision is set in batches of other routers for a removed key: the revision of its
+	// last value, nil if the router does not know it.
+	LastRevision *Revision
+	// CountsLower is set in such batches for a value that holds although its revision is lower
+	// than one that was known: its writer has kept counting from it.
+	CountsLower bool
 }
 
 // Batch is the result of one read: records in offset order, the offset of the
--- a/internal/standin/platformlog/platformlog.go
+++ b/internal/standin/platformlog/platformlog.go
@@ -84,7 +84,7 @@
 	}
 	records := make([]record, len(b.Records))
 	for i, rec := range b.Records {
-		records[i] = record(rec)
+		records[i] = record{Offset: rec.Offset, ID: rec.ID, AppendedAt: rec.AppendedAt, Data: rec.Data}
 	}
 	httpreply.JSON(w, http.StatusOK, map[string]any{"records": records, "next": b.Next, "oldest": b.Oldest})
 }
