registry: write an entry again that a late write has replaced

What happens: a router stops, its entry's removal gets no response and is executed seconds later, after the router has started again and has written its entry. Nobody writes it again until the log's history changes: routers that start later don't find this router in the list and learn of it from others only.

Here the removal is the writer's own, so that the writer can tell: it compares the list, which it reads every few seconds anyway, with what it has written.

Test: TestEntryIsWrittenAgainAfterALateWrite, a late removal and a late entry with another address; both cases fail before.

--- a/internal/app/registry/registry.go
+++ b/internal/app/registry/registry.go
@@ -3,12 +3,14 @@
 package registry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -48,6 +50,11 @@
 	// mu is held while the entry is written. removed is set once it must not be any more.
 	mu      sync.Mutex
 	removed bool
+
+	// entry is what was written, nil before the first write and after the removal.
+	entry atomic.Pointer[[]byte]
+	// replaced is set once the log was seen without the entry.
+	replaced atomic.Bool
 }
 
 // New returns a registry for the router.
@@ -57,7 +64,8 @@
 }
 
 // Run writes the router's entry until the context ends: once, and again whenever the log
-// returned from an older copy, which may lack it.
+// returned from an older copy, which may lack it, or was seen without it: a removal by an
+// earlier start of the router may be executed late.
 func (r *Registry) Run(ctx context.Context) error {
 	text, err := json.Marshal(r.self)
 	if err != nil {
@@ -74,7 +82,7 @@
 				return err
 			}
 		}
-		for r.log.History() == history {
+		for r.log.History() == history && !r.replaced.Load() {
 			if err := ctxtime.Sleep(ctx, time.Duration((0.5+rand.Float64())*float64(historyInterval))); err != nil {
 				return err
 			}
@@ -82,6 +90,10 @@
 		if writes == 1 && history == 0 && time.Since(begun) < historyInterval {
 			continue // the first response told the history, which was unknown before
 		}
+		if r.replaced.Swap(false) {
+			r.logger.Warn("router entry replaced", "router", r.self.Name)
+			continue
+		}
 		r.logger.Warn("log history changed", "stream", port.StreamRouters, "old", history, "new", r.log.History())
 	}
 }
@@ -140,7 +152,11 @@
 	if r.removed {
 		return nil
 	}
-	return r.log.Put(ctx, port.StreamRouters, r.self.Name, text)
+	if err := r.log.Put(ctx, port.StreamRouters, r.self.Name, text); err != nil {
+		return err
+	}
+	r.entry.Store(&text)
+	return nil
 }
 
 // Remove removes the router's entry, which is not written again.
@@ -148,6 +164,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.removed = true
+	r.entry.Store(nil)
 	ctx, cancel := context.WithTimeout(ctx, removeTimeout)
 	defer cancel()
 	if err := r.log.Put(ctx, port.StreamRouters, r.self.Name, nil); err != nil {
@@ -155,6 +172,18 @@
 	}
 }
 
+// checkOwn looks for the written entry among the records.
+func (r *Registry) checkOwn(records []port.KeyedRecord) {
+	written := r.entry.Load()
+	if written == nil {
+		return
+	}
+	isListed := slices.ContainsFunc(records, func(record port.KeyedRecord) bool {
+		return record.Key == r.self.Name && bytes.Equal(record.Value, *written)
+	})
+	r.replaced.Store(!isListed)
+}
+
 // List implements port.VMList. Entries that cannot be decoded, or that no router has written
 // under its own name, are left out.
 func (r *Registry) List(ctx context.Context) (port.VMSnapshot, error) {
@@ -162,6 +191,7 @@
 	if err != nil {
 		return port.VMSnapshot{}, err
 	}
+	r.checkOwn(batch.Records)
 	var out port.VMSnapshot
 	for _, record := range batch.Records {
 		var vm port.VM
--- a/internal/app/registry/registry_test.go
+++ b/internal/app/registry/registry_test.go
@@ -134,6 +134,41 @@
 	})
 }
 
+// Guards against a router that others no longer find because the removal of its earlier start,
+// or an entry with another address, was written late; it is not written after its own removal.
+func TestEntryIsWrittenAgainAfterALateWrite(t *testing.T) {
+	for name, late := range map[string][]byte{"removal": nil, "entry": []byte(`{"name":"r1","address":"10.0.0.9:1","role":"router"}`)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				log := &fakeLog{values: map[string][]byte{}}
+				r := New(log, port.VM{Name: "r1", Address: "10.0.0.1:1"}, slog.New(slog.DiscardHandler))
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() { _ = r.Run(ctx) }()
+				list := func() []port.VM {
+					_, err := r.List(t.Context())
+					is.NoErr(err)
+					<-time.After(5 * time.Second)
+					list, err := r.List(t.Context())
+					is.NoErr(err)
+					return list.VMs
+				}
+				is.Equal(len(list()), 1)
+				for range 2 {
+					is.NoErr(log.Put(t.Context(), "", "r1", late))
+					is.Equal(list(), []port.VM{{Name: "r1", Address: "10.0.0.1:1", Role: port.RoleRouter, State: port.VMLive}})
+				}
+				r.Remove(t.Context())
+				is.Equal(len(list()), 0)
+				is.NoErr(log.Put(t.Context(), "", "r1", nil))
+				is.Equal(len(list()), 0)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // Guards against a stopping router that is listed again, for good, by a restore during its
 // stop.
 func TestRemovedEntryIsNotWrittenAgain(t *testing.T) {
