gatewaysync: an older record that the log keeps counts as renewed

Cause: a platform may keep no record of a heartbeat that changes nothing but the sequence number. A target that is alive after all behind an ignored record therefore wrote no other one, and would have got no requests until its entry changed.

Change: silent targets lose their entries, so that an older value that the log has held for 10 s, while it could be read, is renewed by its writer and holds. It replaces the series. A router that starts and learns a newer entry from another one keeps the older one of the log in mind the same way. The operator's keys don't expire and aren't renewed.

Test: TestOlderEntryThatIsRenewed, at a reader, behind a relay and at a router that starts: renewed behind the removal, expired, expired after an outage, behind a revision beyond all others, a value that says nothing new. It replaces TestTargetThatCountsLower, which expected a series of at least 10 s and fails now because one value is enough; the outcome that it guarded, a target behind a revision beyond all others, is one of the cases.

--- a/internal/app/gatewaysync/gatewaysync.go
+++ b/internal/app/gatewaysync/gatewaysync.go
@@ -93,6 +93,8 @@
 	verified time.Time
 	// since is the offset from which on newest includes removed keys.
 	since port.Offset
+	// regainedAt is when the log was last lost or regained. It is accessed by Run only.
+	regainedAt time.Time
 	// restoredAt is when the log was first seen in its current history.
 	restoredAt time.Time
 	// unconfirmedSince is when the log was read as a whole, or otherwise without records before
@@ -166,6 +168,7 @@
 		return
 	}
 	f.logLost = lost
+	f.regainedAt = f.Clock.Now()
 	if lost {
 		f.Logger.Warn("dependency lost", "stream", f.Name, "error", err.Error())
 		return
@@ -213,6 +216,7 @@
 			f.Logger.Info("records read to the end", "stream", f.Name, "next", batch.Next, "ms", f.Clock.Now().Sub(f.behind.since).Milliseconds())
 		}
 		f.behind = nil
+		f.renew()
 		f.verify(at)
 		return
 	}
--- a/internal/app/gatewaysync/retained.go
+++ b/internal/app/gatewaysync/retained.go
@@ -11,12 +11,9 @@
 	// removedRetention is how long the revision of a removed value is kept, to recognize the
 	// value if it is written late or the log returns from an older copy.
 	removedRetention = 5 * time.Minute
-	// recountTimeout is how long a writer must have counted from a lower revision than the
-	// known one until the lower one holds. It exceeds the time by which a write is executed
-	// late, so that only a writer that goes on counting is followed.
-	recountTimeout = 10 * time.Second
-	// recountPause is the longest pause between two values of such a writer.
-	recountPause = 5 * time.Second
+	// renewalTimeout is how long the log must hold an older value until it counts as renewed by
+	// its writer. It exceeds the silence after which the log removes a value.
+	renewalTimeout = 10 * time.Second
 )
 
 // retained is the newest known value of a key.
@@ -32,35 +29,19 @@
 	revision    port.Revision
 	hasRevision bool
 	removedAt   time.Time
-	// isOverwritten is set while the log holds an older value, which was written late.
-	isOverwritten bool
-	// countsLower is set if the value holds although its revision is lower than one known before.
-	countsLower bool
-	// lower are the values that were ignored because of their revisions.
-	lower lowerValues
-}
-
-// lowerValues is a series of values whose revisions rise below the known one.
-type lowerValues struct {
-	since, last time.Time
-	revision    port.Revision
-}
-
-// add adds a value and reports whether the writer has counted on for long enough to be
-// followed: the known revision is then not its own, or it has lost its count.
-func (s *lowerValues) add(r port.Revision, now time.Time) bool {
-	if s.since.IsZero() || r.Compare(s.revision) <= 0 || now.Sub(s.last) > recountPause {
-		s.since = now
-	}
-	s.last, s.revision = now, r
-	return now.Sub(s.since) >= recountTimeout
+	// isRenewed is set if the value holds although its revision is lower than one known before.
+	isRenewed bool
+	// older is an entry that the log holds in place of this one although its revision is lower,
+	// nil if there is none. olderSince is when the first such entry was read.
+	older      *retained
+	olderSince time.Time
 }
 
 // fromPeer converts a peer's response to keyed records; an empty value removes the key.
 func fromPeer(b port.Batch) port.KeyedBatch {
 	out := port.KeyedBatch{Next: b.Next, End: b.End}
 	for _, r := range b.Records {
-		record := port.KeyedRecord{Offset: r.Offset, Key: r.ID, LastRevision: r.LastRevision, CountsLower: r.CountsLower}
+		record := port.KeyedRecord{Offset: r.Offset, Key: r.ID, LastRevision: r.LastRevision, IsRenewed: r.IsRenewed}
 		if len(r.Data) > 0 {
 			record.Value = r.Data
 		}
@@ -71,7 +52,7 @@
 
 // toPeer converts the entry of a key to a record for another router.
 func (k *retained) toPeer(key string) port.Record {
-	r := port.Record{Offset: k.offset, ID: key, Data: k.value, CountsLower: k.countsLower}
+	r := port.Record{Offset: k.offset, ID: key, Data: k.value, IsRenewed: k.isRenewed}
 	if k.value == nil && k.hasRevision {
 		r.LastRevision = &k.revision
 	}
@@ -84,7 +65,7 @@
 	if k.value == nil {
 		return k.hasRevision && now.Sub(k.removedAt) < removedRetention
 	}
-	return k.isOverwritten
+	return k.older != nil
 }
 
 // accept stores the records of a batch that say something new, to serve them to other
@@ -102,16 +83,16 @@
 	for _, r := range batch.Records {
 		known, isKnown := f.newest[r.Key]
 		next := f.retain(r, now)
-		if isKnown && !known.replacedBy(&next, isRestoring, now) {
+		if isKnown && !known.replacedBy(&next, isRestoring) {
 			if next.seen > known.seen {
 				f.logDecision("older record ignored", source, &next, &known, r.Key, now)
 			}
-			known.ignore(&next)
+			known.ignore(&next, now)
 			f.newest[r.Key] = known
 			continue
 		}
 		if isKnown {
-			next.inherit(&known, f.next)
+			next.inherit(&known, f.next, now)
 		}
 		if next.value != nil && known.value != nil && f.Unchanged != nil && f.Unchanged(known.value, next.value) {
 			next.offset = known.offset
@@ -142,7 +123,7 @@
 
 // retain returns the entry of a record.
 func (f *Follower) retain(r port.KeyedRecord, now time.Time) retained {
-	next := retained{value: r.Value, offset: r.Offset, seen: r.Offset, countsLower: r.CountsLower}
+	next := retained{value: r.Value, offset: r.Offset, seen: r.Offset, isRenewed: r.IsRenewed}
 	switch {
 	case r.Value == nil:
 		next.removedAt = now
@@ -162,8 +143,7 @@
 //
 // Between histories, the revision holds only while the writers may still have to write again;
 // then the history does: a revision that is too large must not keep all later values out.
-// Within a history, a writer that goes on counting below it is followed.
-func (k *retained) replacedBy(next *retained, isRestoring bool, now time.Time) bool {
+func (k *retained) replacedBy(next *retained, isRestoring bool) bool {
 	isLater := next.seen >= k.seen
 	isSameHistory := next.seen.History() == k.seen.History()
 	if !next.hasRevision || !k.hasRevision || !isSameHistory && !isRestoring {
@@ -177,31 +157,27 @@
 		return isLater || !isSameHistory || k.value != nil
 	case order == 0 && k.value != nil:
 		return isLater && isSameHistory
-	case next.seen <= k.seen || !isSameHistory:
-		return false
-	case next.countsLower:
-		return true
 	}
-	next.countsLower = k.lower.add(next.revision, now)
-	return next.countsLower
+	return next.isRenewed && isSameHistory && next.seen > k.seen
 }
 
 // inherit takes over what still holds of the entry that is replaced. next is the offset from
 // which other routers read on.
-func (k *retained) inherit(old *retained, next port.Offset) {
+func (k *retained) inherit(old *retained, next port.Offset, now time.Time) {
 	if !k.hasRevision || k.value == nil && old.hasRevision && old.revision.Compare(k.revision) > 0 {
 		k.revision, k.hasRevision = old.revision, old.hasRevision
 	}
 	if k.offset < old.offset {
 		k.offset = next // other routers may have read on behind it
 	}
-	if k.value != nil && old.value != nil && old.countsLower {
-		k.countsLower = true
+	if k.seen < old.seen && old.value != nil {
+		old.older = nil
+		k.older, k.olderSince = old, now // another router told of a newer entry than the log holds
 	}
 }
 
 // ignore takes over what an entry says that does not replace this one.
-func (k *retained) ignore(next *retained) {
+func (k *retained) ignore(next *retained, now time.Time) {
 	switch {
 	case !next.hasRevision && next.value == nil:
 	case k.value == nil && next.seen <= k.seen:
@@ -214,7 +190,42 @@
 		// The log holds the known value again. Other routers learn it by the offset.
 		k.seen, k.offset = next.seen, next.offset
 	case next.seen > k.seen:
-		k.isOverwritten = true
+		if k.older == nil {
+			k.olderSince = now
+		}
+		k.older = next
+	}
+}
+
+// renew accepts older values that the log has held for long: it removes those whose writers
+// are silent, so that these are in use, and the known revision is another writer's or the
+// writer has lost its count. Values that the log keeps for good are not accepted. All records
+// must have been read.
+func (f *Follower) renew() {
+	if f.Reset == nil {
+		return
+	}
+	now := f.Clock.Now()
+	var renewed []port.KeyedRecord
+	f.mu.Lock()
+	for key, known := range f.newest {
+		if known.older == nil || now.Sub(known.olderSince) < renewalTimeout || now.Sub(f.regainedAt) < renewalTimeout {
+			continue
+		}
+		if known.value != nil && f.Unchanged != nil && f.Unchanged(known.value, known.older.value) {
+			known.older = nil
+			f.newest[key] = known
+			continue
+		}
+		next := *known.older
+		next.isRenewed, next.offset = true, f.next
+		f.logDecision("older record renewed", "log", &next, &known, key, now)
+		f.newest[key] = next
+		renewed = append(renewed, port.KeyedRecord{Offset: next.seen, Key: key, Value: next.value})
+	}
+	f.mu.Unlock()
+	for _, r := range renewed {
+		f.Apply(r)
 	}
 }
 
@@ -249,6 +260,8 @@
 		switch {
 		case keys[key]:
 		case known.value == nil && now.Sub(known.removedAt) < removedRetention:
+			known.older = nil
+			f.newest[key] = known
 		case known.value != nil && known.seen.History() == next.History():
 			// Removed since the last read, after the known revision.
 			f.newest[key] = retained{offset: next, seen: next - 1, revision: known.revision, hasRevision: known.hasRevision, removedAt: now}
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -175,9 +175,9 @@
 	// LastRevision is set in records of other routers for a removed key: the revision of its
 	// last value, nil if it is not known. The log keeps none.
 	LastRevision *Revision
-	// CountsLower is set in records of other routers for a value that holds although its
-	// revision is lower than one that was known.
-	CountsLower bool
+	// IsRenewed is set in records of other routers for a value that holds although its revision
+	// is lower than one that was known.
+	IsRenewed bool
 }
 
 // KeyedBatch is the result of one read of a keyed stream.
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -70,9 +70,9 @@
 	// LastRevision is set in batches of other routers for a removed key: the revision of its
 	// last value, nil if the router does not know it.
 	LastRevision *Revision
-	// CountsLower is set in such batches for a value that holds although its revision is lower
-	// than one that was known: its writer has kept counting from it.
-	CountsLower bool
+	// IsRenewed is set in such batches for a value that holds although its revision is lower than
+	// one that was known: the log has kept it for longer than its writer may be silent.
+	IsRenewed bool
 }
 
 // Batch is the result of one read: records in offset order, the offset of the
