--- a/internal/app/gatewaysync/retained.go
+++ b/internal/app/gatewaysync/retained.go
@@ -22,8 +22,8 @@
 	value []byte
 	// offset is that by which other routers are served.
 	offset port.Offset
-	// seen is the offset of the newest record that said this: at least that of the value, as
-	// values that say nothing new are not served.
+	// seen is the offset of the newest record that said this. It may be greater than offset:
+	// records that say nothing new are not served.
 	seen port.Offset
 	// revision is that of the value, or of the last one before the key was removed.
 	revision    port.Revision
@@ -84,7 +84,7 @@
 		known, isKnown := f.newest[r.Key]
 		next := f.retain(r, now)
 		if isKnown && !known.replacedBy(&next, isRestoring) {
-			if next.seen > known.seen {
+			if next.seen > known.seen && (known.value == nil || next.revision != known.revision) {
 				f.logDecision("older record ignored", source, &next, &known, r.Key, now)
 			}
 			known.ignore(&next, now)
@@ -198,9 +198,9 @@
 }
 
 // renew accepts older values that the log has held for long: it removes those whose writers
-// are silent, so that these are in use, and the known revision is another writer's or the
-// writer has lost its count. Values that the log keeps for good are not accepted. All records
-// must have been read.
+// are silent. A writer that is not may have no reason to write another record, or the known
+// revision is not its own. Streams whose keys are never removed are left as they are. All
+// records must have been read.
 func (f *Follower) renew() {
 	if f.Reset == nil {
 		return
