--- a/internal/app/gatewaysync/late_test.go
+++ b/internal/app/gatewaysync/late_test.go
@@ -41,7 +41,7 @@
 
 func newFleetOfTwo(t *testing.T) *fleetOfTwo {
 	w := &fleetOfTwo{t: t, log: &fakeLog{}, found: true}
-	w.reader, w.other = w.router(nil), w.router(nil)
+	w.reader = w.router(nil)
 	w.other = w.router(w.reader)
 	w.log.add("other", "ready 1/1")
 	w.read(w.reader)
@@ -92,9 +92,6 @@
 	w.read(w.reader)
 }
 
-// expire drops the records before the newest ones of all keys.
-func (w *fleetOfTwo) expire() { w.log.expired = len(w.log.records) }
-
 func (w *fleetOfTwo) known(f *recorder) string {
 	values, _ := f.state()
 	return state(values["t"])
@@ -135,8 +132,8 @@
 
 func readLog(w *fleetOfTwo) { w.read(w.other) }
 
-// loadLog makes the router read the newest records of all keys.
-func loadLog(w *fleetOfTwo) { w.expire(); readLog(w) }
+// loadLog makes the router read the newest records of all keys: the others have expired.
+func loadLog(w *fleetOfTwo) { w.log.expired = len(w.log.records); readLog(w) }
 
 func relay(w *fleetOfTwo) {
 	w.t.Helper()
