--- a/internal/app/gateway/plainload_test.go
+++ b/internal/app/gateway/plainload_test.go
@@ -48,7 +48,7 @@
 
 func (s *slotTargets) Forward(ctx context.Context, address string, _ port.Forward) (port.ForwardResponse, error) {
 	const link = time.Millisecond
-	<-time.After(link)
+	time.Sleep(link)
 	s.mu.Lock()
 	ends := s.live(address)
 	if len(ends) >= s.bound {
@@ -133,7 +133,7 @@
 				id++
 				name, when, choice := fmt.Sprint("r", id), start.Add(time.Duration(at*float64(time.Second))), rand.New(rand.NewPCG(uint64(id), 9))
 				all.Go(func() {
-					<-time.After(time.Until(when))
+					time.Sleep(time.Until(when))
 					got := client(func() error {
 						if !admission {
 							return s.direct(t.Context(), choice, targets)
@@ -154,7 +154,7 @@
 			stream("hot", l.hot*capacity)
 		}
 		all.Go(func() {
-			<-time.After(play / 3)
+			time.Sleep(play / 3)
 			for i := targets - l.lost; i < targets; i++ {
 				for _, g := range gateways {
 					g.Directory.Remove(fmt.Sprint("d", i))
@@ -204,7 +204,7 @@
 			if took > plainTimeout/2 {
 				out.refusedLate++
 			}
-			<-time.After(f.RetryAfter)
+			time.Sleep(f.RetryAfter)
 		default:
 			out.failed++
 			return out
