gatewaysync: a removal on an available log ends the target's start

What differs: the stand-in of the case keeps a record of each heartbeat, the platform only of those that change more than the sequence number. There the routers have read the first number of a start at most, and every late heartbeat counts higher.

Cause: the writer's count was taken for a sign of life behind a removal. It only orders what the writer wrote.

Change: a removal that a router reads while the log has answered it for 3 s is final for the start that it ended. An entry of that start is held back, and used once the log holds it for longer than a silent target keeps its entry. Removals of an outage are not final: targets that are back after one are used at once, as before. The exchange between routers carries whether a removal is final; a router that starts or loads the log is told by others, a relay passes on only what it uses, and a router that becomes a reader reads what relays had held back. The heartbeat interval comes from the settings instead of a constant of 10 s. The log of the tests keeps only entries that change more than the sequence number, or all, as chosen.

TestLateHeartbeatBringsNoTargetBack keeps its log of all heartbeats. TestOlderEntryThatIsRenewed takes the time from the follower.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -275,8 +275,10 @@
 func (n *gatewayNode) buildFollowers(targets *platform.Targets, log *platform.Log) {
 	n.operator = gatewaysync.Operator(&gatewaysync.Follower{Log: log, Logger: n.log, Clock: n.bootClock,
 		Apply: n.applyOperator, Revision: platform.OperatorRevision, OnVerified: n.gateway.MarkVerified, Peers: n.pullFromPeers, Relay: n.pullFromReader, HasFollowers: n.hasFollowers})
+	interval, heartbeat := gatewaysync.TargetsInterval(settings.Milliseconds(n.settings.Bounds.LeavingMs)), settings.Milliseconds(n.settings.Targets.HeartbeatMs)
 	entries := gatewaysync.Targets(&gatewaysync.Follower{Log: log, Logger: n.log, Clock: n.bootClock,
-		Apply: n.applyTarget, Reset: n.dir.Retain, Unchanged: platform.IsSameTarget, Revision: platform.TargetRevision, Peers: n.pullFromPeers, IsLogOnly: true, Relay: n.pullFromReader}, gatewaysync.TargetsInterval(settings.Milliseconds(n.settings.Bounds.LeavingMs)))
+		Apply: n.applyTarget, Reset: n.dir.Retain, Unchanged: platform.IsSameTarget, Revision: platform.TargetRevision,
+		Peers: n.pullFromPeers, IsLogOnly: true, Relay: n.pullFromReader}, interval, heartbeat)
 	n.followers = []*gatewaysync.Follower{n.operator, entries}
 	n.caches = &cachewatch.Watcher{Caches: targets, CacheContents: n.gateway.CacheContents, Clock: n.clock, Logger: n.log, List: n.cacheAddresses}
 }
--- a/cmd/mimosaseam/gateway_test.go
+++ b/cmd/mimosaseam/gateway_test.go
@@ -45,8 +45,8 @@
 }
 
 // newTestGateway starts a router that accepts API keys for keyMs after the configuration
-// was last verified.
-func newTestGateway(t *testing.T, keyMs int) *testGateway {
+// was last verified. more are further fields of its settings.
+func newTestGateway(t *testing.T, keyMs int, more ...string) *testGateway {
 	t.Helper()
 	s := &testGateway{t: t, log: platformtest.NewLog(), engine: platformtest.NewTarget("e1", "m"), service: platformtest.NewTarget("d1", "")}
 	logServer := httptest.NewServer(s.log)
@@ -59,8 +59,8 @@
 	file := filepath.Join(t.TempDir(), "settings.jsonc")
 	text := fmt.Sprintf(`{"vm": {"name": "r1", "region": "r", "availability_zone": "z"}, "callers": {"address": "127.0.0.1:1"},
 		"ready": {"address": "127.0.0.1:1"}, "peers": {"address": "127.0.0.1:1"}, "regions": {"z": "r"},
-		"log": {"address": %q}, "bounds": {"key_revoked_ms": %d, "key_revoked_strict": true}}`,
-		strings.TrimPrefix(logServer.URL, "http://"), keyMs)
+		"log": {"address": %q}, "bounds": {"key_revoked_ms": %d, "key_revoked_strict": true}%s}`,
+		strings.TrimPrefix(logServer.URL, "http://"), keyMs, strings.Join(append([]string{""}, more...), ", "))
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/mimosaseam/lateentries_test.go
+++ b/cmd/mimosaseam/lateentries_test.go
@@ -4,18 +4,25 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"mimosaseam.example/mimosaseam/internal/app/gateway"
 	"mimosaseam.example/mimosaseam/platform/platformtest"
 )
 
 // beatOf returns the entry of a target with the sequence number of a heartbeat.
 func beatOf(t *testing.T, target *platformtest.RawTarget, state string, born, sequence int64) []byte {
 	t.Helper()
+	service := "desk"
+	if target.Model != "" {
+		service = "llm"
+	}
 	var entry map[string]any
-	if err := json.Unmarshal(target.Target.Entry("desk", "z", state, born), &entry); err != nil {
+	if err := json.Unmarshal(target.Target.Entry(service, "z", state, born), &entry); err != nil {
 		t.Fatal(err)
 	}
 	entry["Sequence"] = sequence
@@ -26,20 +33,19 @@
 	return text
 }
 
+// knows reports whether the router may use a target.
+func (s *testGateway) knows(id string) bool {
+	return slices.ContainsFunc(s.node.dir.All(), func(t gateway.Target) bool { return t.ID == id })
+}
+
 // Guards against requests to a target that has left, because one of its heartbeats was written
 // after the removal of its entry, and against a target that is back and gets none.
 func TestLateHeartbeatBringsNoTargetBack(t *testing.T) {
 	is := is.New(t)
 	left, other := newRawTarget(t, "d8", "", soundAnswer), newRawTarget(t, "d9", "", soundAnswer)
 	s := newFaultGateway(t, []*platformtest.RawTarget{left, other}, nil)
-	isKnown := func() bool {
-		for _, target := range s.node.dir.All() {
-			if target.ID == "d8" {
-				return true
-			}
-		}
-		return false
-	}
+	s.log.KeepHeartbeats()
+	isKnown := func() bool { return s.knows("d8") }
 	calls := 0
 	serve := func() {
 		calls++
@@ -70,3 +76,67 @@
 	serve()
 	is.Equal(left.Requests(), before+1)
 }
+
+// availableFor is how long the log has answered until removals are final.
+const availableFor = 4 * time.Second
+
+// Guards against requests to a target or an engine that has left, because of a late heartbeat
+// that no router had read before; and against ones that get none after an outage of the log.
+func TestUnreadHeartbeatBringsNoTargetBack(t *testing.T) {
+	for name, setUp := range map[string]func(l *platformtest.Log){"all heartbeats are kept": (*platformtest.Log).KeepHeartbeats, "changes only": func(*platformtest.Log) {}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			stream := func(c *platformtest.RawConn, r *http.Request, _ int) bool {
+				return c.Send(platformtest.Whole(r, firstEvent))
+			}
+			left := []*platformtest.RawTarget{newRawTarget(t, "d8", "", soundAnswer), newRawTarget(t, "e8", platformtest.Model, stream)}
+			stay := []*platformtest.RawTarget{newRawTarget(t, "d9", "", soundAnswer), newRawTarget(t, "e9", platformtest.Model, stream)}
+			// An entry that is held back is used after six heartbeat intervals, beyond the test.
+			s := newFaultGateway(t, []*platformtest.RawTarget{left[0], stay[0]}, []*platformtest.RawTarget{left[1], stay[1]}, `"targets": {"heartbeat_ms": 60000}`)
+			setUp(s.log)
+			calls := 0
+			serve := func() {
+				calls++
+				status, _, _ := s.call(fmt.Sprint("b", calls), "/book/")
+				is.Equal(status, http.StatusOK)
+				status, _, _ = s.call(fmt.Sprint("s", calls), "/brief/", engineFields...)
+				is.Equal(status, http.StatusOK)
+			}
+			started := time.Now()
+			s.await("a log that is available", func() bool { serve(); return time.Since(started) >= availableFor })
+			beat := func(targets []*platformtest.RawTarget, sequence int64) {
+				for _, target := range targets {
+					s.log.PutEntry(target.ID, beatOf(t, target, "ready", 1, sequence))
+				}
+			}
+			remove := func(targets []*platformtest.RawTarget) {
+				for _, target := range targets {
+					s.log.RemoveTarget(target.ID)
+				}
+			}
+			knowsAny := func(targets []*platformtest.RawTarget) bool { return s.knows(targets[0].ID) || s.knows(targets[1].ID) }
+			beat(left, 2)
+			remove(left)
+			s.await("the removals", func() bool { return !knowsAny(left) })
+			beat(left, 9)
+			s.followsTheList("d7")
+			is.True(!knowsAny(left))
+			before := []int{left[0].Requests(), left[1].Requests()}
+			is.True(before[0] > 0)
+			for range 50 {
+				serve()
+			}
+			is.Equal([]int{left[0].Requests(), left[1].Requests()}, before)
+
+			s.log.SetFaults(platformtest.LogFaults{Busy: true})
+			asked := s.log.Calls()
+			s.await("a failed read of each stream", func() bool { return s.log.Calls() >= asked+10 })
+			remove(stay)
+			s.log.SetFaults(platformtest.LogFaults{})
+			s.await("the removals", func() bool { return !knowsAny(stay) })
+			beat(stay, 3)
+			s.await("the targets that are back", func() bool { return s.knows("d9") && s.knows("e9") })
+		})
+	}
+}
--- a/cmd/mimosaseam/targetfaults_test.go
+++ b/cmd/mimosaseam/targetfaults_test.go
@@ -17,10 +17,11 @@
 
 // newFaultGateway starts a router whose plain service has the given targets and whose
 // model is served by the given engines. Its routes are book (not idempotent), look
-// (idempotent), brief (a stream that must not be repeated) and check (a resumable one).
-func newFaultGateway(t *testing.T, services, engines []*platformtest.RawTarget) *testGateway {
+// (idempotent), brief (a stream that must not be repeated) and check (a resumable one). more
+// are further fields of the router's settings.
+func newFaultGateway(t *testing.T, services, engines []*platformtest.RawTarget, more ...string) *testGateway {
 	t.Helper()
-	s := newTestGateway(t, 60_000)
+	s := newTestGateway(t, 60_000, more...)
 	s.await("ready", s.ready)
 	s.log.RemoveTarget(s.service.ID)
 	s.log.RemoveTarget(s.engine.ID)
--- a/internal/adapter/peergrpc/convert.go
+++ b/internal/adapter/peergrpc/convert.go
@@ -108,7 +108,7 @@
 	for _, r := range b.Records {
 		out.Records = append(out.Records, &peerv1.Record{
 			Offset: uint64(r.Offset), Id: r.ID, AppendedAtUs: r.AppendedAt.UnixMicro(), Data: r.Data,
-			LastRevision: toRevision(r.LastRevision), Renewed: r.IsRenewed,
+			LastRevision: toRevision(r.LastRevision), Renewed: r.IsRenewed, Final: r.IsFinal,
 		})
 	}
 	return out
@@ -120,7 +120,7 @@
 	for _, r := range m.GetRecords() {
 		out.Records = append(out.Records, port.Record{
 			Offset: port.Offset(r.GetOffset()), ID: r.GetId(), AppendedAt: time.UnixMicro(r.GetAppendedAtUs()).UTC(), Data: r.GetData(),
-			LastRevision: fromRevision(r.GetLastRevision()), IsRenewed: r.GetRenewed(),
+			LastRevision: fromRevision(r.GetLastRevision()), IsRenewed: r.GetRenewed(), IsFinal: r.GetFinal(),
 		})
 	}
 	return out
--- a/internal/adapter/peergrpc/peer_test.go
+++ b/internal/adapter/peergrpc/peer_test.go
@@ -64,8 +64,8 @@
 	is.Equal(handedOff, "r1s")
 }
 
-// Guards against responses over the size limit, batches truncated to no records, and
-// an expired offset reported as another failure.
+// Guards against responses over the size limit, batches truncated to no records, fields that are
+// not sent, and an expired offset reported as another failure.
 func TestPullRecords(t *testing.T) {
 	records := func(n, size int) port.Batch {
 		b := port.Batch{Next: port.Offset(n + 1), Oldest: 1, End: port.Offset(n + 1)}
@@ -82,7 +82,9 @@
 		"small records":       {stored: records(3, 10), want: 3},
 		"over the byte bound": {stored: records(5, 400<<10), want: 2},
 		"one large record":    {stored: records(2, 2<<20), want: 1},
-		"expired":             {err: &port.ExpiredError{Stream: "config", From: 1, Oldest: 4}},
+		"all fields": {stored: port.Batch{Next: 2, Oldest: 1, End: 2, Records: []port.Record{{Offset: 1, ID: "id", AppendedAt: now, Data: []byte("d"),
+			LastRevision: &port.Revision{Epoch: 1, Number: 2}, IsRenewed: true, IsFinal: true}}}, want: 1},
+		"expired": {err: &port.ExpiredError{Stream: "config", From: 1, Oldest: 4}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/app/gatewaysync/gatewaysync.go
+++ b/internal/app/gatewaysync/gatewaysync.go
@@ -52,6 +52,9 @@
 	// Wait is how long a read waits for new records, Interval the pause between reads.
 	Wait     time.Duration
 	Interval time.Duration
+	// Heartbeat is the time between two writes of a value by its writer, where the log removes
+	// the values of silent writers.
+	Heartbeat time.Duration
 	// Apply is called with each record; a Value of nil removes the key.
 	Apply func(r port.KeyedRecord)
 	// Reset is called after a full load with the complete set of keys.
@@ -88,6 +91,11 @@
 	// relayed is the offset up to which a relay has told everything, 0: this router has read
 	// everything itself. It is accessed by Run only.
 	relayed port.Offset
+	// hasRelay is set while relays tell this router's records. It is accessed by Run only.
+	hasRelay bool
+	// mayLackHeldBack is set until a router that has read from relays, and now reads the log, has
+	// read the entries that they had not passed on. It is accessed by Run only.
+	mayLackHeldBack bool
 	// newest and verified are served to other routers.
 	newest   map[string]retained
 	verified time.Time
@@ -95,6 +103,9 @@
 	since port.Offset
 	// regainedAt is when the log was last lost or regained. It is accessed by Run only.
 	regainedAt time.Time
+	// unavailableAt is the last time at which the log was not available, or this router did not
+	// know whether it was. It is accessed by Run only.
+	unavailableAt time.Time
 	// restoredAt is when the log was first seen in its current history.
 	restoredAt time.Time
 	// unconfirmedSince is when the log was read as a whole, or otherwise without records before
@@ -130,9 +141,10 @@
 	return TargetsInterval(leaving) + 2*relayInterval
 }
 
-// Targets configures the follower for the targets' entries and returns it.
-func Targets(f *Follower, interval time.Duration) *Follower {
-	f.Name, f.Interval = port.StreamTargets, interval
+// Targets configures the follower for the targets' entries and returns it. heartbeat is the time
+// between two writes of an entry by its target.
+func Targets(f *Follower, interval, heartbeat time.Duration) *Follower {
+	f.Name, f.Interval, f.Heartbeat = port.StreamTargets, interval, heartbeat
 	return f
 }
 
@@ -164,6 +176,9 @@
 
 // setLost logs each change of the log's availability once.
 func (f *Follower) setLost(lost bool, err error) {
+	if lost {
+		f.unavailableAt = f.Clock.Now()
+	}
 	if f.logLost == lost {
 		return
 	}
@@ -196,8 +211,8 @@
 		f.unconfirmedSince = f.Clock.Now() // a relay may know a later revision of the removed value
 	}
 	f.confirm(ctx)
-	f.apply(batch, "log", at)
-	return nil
+	f.apply(batch, sourceLog, at)
+	return f.readHeldBack(ctx)
 }
 
 // apply applies a response to a request whose End was the end of the stream at the given
@@ -249,7 +264,7 @@
 	if !isStart && !isRestored {
 		f.confirm(ctx) // before a late record is used
 	}
-	f.applyRecords(batch, "log")
+	f.applyRecords(batch, sourceLog)
 	if isRestored {
 		f.confirm(ctx)
 	}
@@ -267,6 +282,7 @@
 		f.mu.Lock()
 		f.restoredAt = f.Clock.Now()
 		f.mu.Unlock()
+		f.unavailableAt = f.restoredAt
 		f.behind = nil // the records up to its end are lost
 	}
 	batch.Records = f.accept(batch, source)
@@ -293,6 +309,9 @@
 		f.mu.Unlock()
 		return
 	}
+	if f.isGap(at) {
+		f.unavailableAt = f.Clock.Now()
+	}
 	if at.After(f.verified) {
 		f.verified = at
 	}
@@ -323,7 +342,7 @@
 	}
 	batch := fromPeer(*best)
 	f.Logger.Info("records from a peer", "stream", f.Name, "records", len(batch.Records), "next", best.Next, "age_ms", best.Age.Milliseconds())
-	f.apply(batch, "peer", at.Add(-best.Age))
+	f.apply(batch, sourcePeer, at.Add(-best.Age))
 }
 
 // isUnconfirmed reports whether a restored log may lack values that other routers may still
@@ -351,9 +370,12 @@
 	defer cancel()
 	for _, b := range f.Peers(ctx, f.Name, from) {
 		batch := fromPeer(b)
+		for i := range batch.Records {
+			batch.Records[i].IsFinal = batch.Records[i].IsFinal && b.Age <= f.maxRelayedAge()
+		}
 		isCut := batch.IsCut()
 		batch.Next = f.offset()
-		f.applyRecords(batch, "peer")
+		f.applyRecords(batch, sourcePeer)
 		if !isCut {
 			f.unconfirmedSince = time.Time{}
 		}
--- a/internal/app/gatewaysync/gatewaysync_test.go
+++ b/internal/app/gatewaysync/gatewaysync_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,6 +31,9 @@
 	limit int
 	// latency is the time that a response takes.
 	latency time.Duration
+	// unchanged reports whether a value says the same as the stored one, so that the log keeps no
+	// record of it; nil: it keeps all.
+	unchanged func(older, newer []byte) bool
 }
 
 // offset returns the offset of the record with index i.
@@ -42,9 +46,22 @@
 	if value != "" {
 		r.Value = []byte(value)
 	}
+	if stored := l.stored(key); l.unchanged != nil && r.Value != nil && stored != nil && l.unchanged(stored, r.Value) {
+		return
+	}
 	l.records = append(l.records, r)
 }
 
+// stored returns the newest value of a key, nil if there is none.
+func (l *fakeLog) stored(key string) []byte {
+	for _, r := range slices.Backward(l.records) {
+		if r.Key == key {
+			return r.Value
+		}
+	}
+	return nil
+}
+
 func (l *fakeLog) Newest(context.Context, string) (port.KeyedBatch, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/app/gatewaysync/late_test.go
+++ b/internal/app/gatewaysync/late_test.go
@@ -29,18 +29,24 @@
 // state returns the value without the number of the heartbeat.
 func state(value string) string { text, _, _ := strings.Cut(value, "/"); return text }
 
+// testHeartbeat is the time between two writes of a target's entry.
+const testHeartbeat = 1200 * time.Millisecond
+
 // fleetOfTwo is a router that has read all records of a target, and another one.
 type fleetOfTwo struct {
 	t             *testing.T
 	log           *fakeLog
+	clock         *manualClock
 	reader, other *recorder
 	writes        int
 	// found is set once the routers know each other.
 	found bool
 }
 
+// newFleetOfTwo returns routers that have just been started. Until time passes, no removal is
+// final, as after an outage of the log.
 func newFleetOfTwo(t *testing.T) *fleetOfTwo {
-	w := &fleetOfTwo{t: t, log: &fakeLog{}, found: true}
+	w := &fleetOfTwo{t: t, log: &fakeLog{}, clock: &manualClock{now: time.Unix(1000, 0)}, found: true}
 	w.reader = w.router(nil)
 	w.other = w.router(w.reader)
 	w.log.add("other", "ready 1/1")
@@ -59,7 +65,8 @@
 // router returns a router that reads the targets' entries.
 func (w *fleetOfTwo) router(peer *recorder) *recorder {
 	f := newRecorder(w.log, nil)
-	f.Follower = Targets(f.Follower, 0)
+	f.Follower = Targets(f.Follower, 0, testHeartbeat)
+	f.Clock = w.clock
 	f.Wait, f.Revision, f.Unchanged, f.IsLogOnly = 0, dated, isSameStart, true
 	f.Peers = func(ctx context.Context, stream string, from port.Offset) []port.Batch {
 		if peer == nil || !w.found {
@@ -280,8 +287,6 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			w := newFleetOfTwo(t)
-			clock := &manualClock{now: time.Unix(1000, 0)}
-			w.reader.Clock, w.other.Clock = clock, clock
 			for _, value := range c.written {
 				w.write(value)
 				relay(w)
@@ -289,9 +294,8 @@
 			w.write(c.late)
 			relay(w)
 			started := w.router(w.reader)
-			started.Clock = clock
 			pass := func(d time.Duration) {
-				clock.now = clock.now.Add(d)
+				w.clock.now = w.clock.now.Add(d)
 				w.read(w.reader)
 				relay(w)
 				w.read(started)
@@ -307,12 +311,12 @@
 				for _, f := range routers {
 					f.setLost(true, errDown)
 				}
-				clock.now = clock.now.Add(renewalTimeout)
+				w.clock.now = w.clock.now.Add(w.reader.renewalTimeout())
 				for _, f := range routers {
 					f.setLost(false, nil)
 				}
 			}
-			pass(renewalTimeout - 5*time.Second)
+			pass(w.reader.renewalTimeout() - 5*time.Second)
 			for name, f := range routers {
 				t.Log(name)
 				is.Equal(w.known(f), c.before)
--- a/internal/app/gatewaysync/relay.go
+++ b/internal/app/gatewaysync/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"mimosaseam.example/mimosaseam/internal/port"
@@ -57,7 +58,8 @@
 	var expired *port.ExpiredError
 	switch {
 	case !ok:
-		f.relayed = 0
+		f.mayLackHeldBack = f.mayLackHeldBack || f.hasRelay && f.Reset != nil
+		f.relayed, f.hasRelay = 0, false
 		return false
 	case errors.As(err, &expired):
 		// The reader started at a later offset: keys that were removed in between are
@@ -68,7 +70,7 @@
 	case err != nil:
 		f.Logger.Debug("reading the log instead of a peer", "stream", f.Name, "why", err.Error())
 		return false
-	case b.Age > 2*readerWait+f.Interval+relayInterval+relaySlack || b.Next < f.offset():
+	case b.Age > f.maxRelayedAge() || b.Next < f.offset():
 		f.Logger.Debug("reading the log instead of a peer", "stream", f.Name, "age_ms", b.Age.Milliseconds(), "next", b.Next)
 		if b.Next < b.End {
 			f.relayed = f.offset() // the rest does not fit into one response
@@ -76,8 +78,8 @@
 		return false
 	}
 	f.confirm(ctx)
-	f.apply(fromPeer(b), "peer", at.Add(-b.Age))
-	f.relayed = b.Next
+	f.apply(fromPeer(b), sourcePeer, at.Add(-b.Age))
+	f.relayed, f.hasRelay = b.Next, true
 	return true
 }
 
@@ -92,3 +94,27 @@
 	}
 	return f.relayed
 }
+
+// maxRelayedAge returns the age up to which the records of a relay are used.
+func (f *Follower) maxRelayedAge() time.Duration {
+	return 2*readerWait + f.Interval + relayInterval + relaySlack
+}
+
+// readHeldBack reads the entries that relays held back and did not pass on, once this router
+// reads the log instead of them. Without it, they would be passed over for good.
+func (f *Follower) readHeldBack(ctx context.Context) error {
+	if !f.mayLackHeldBack {
+		return nil
+	}
+	batch, err := f.Log.Newest(ctx, f.Name)
+	if err != nil {
+		return err
+	}
+	f.mayLackHeldBack = false
+	next := f.offset()
+	// Later records are read in their order, with the removals before them.
+	batch.Records = slices.DeleteFunc(batch.Records, func(r port.KeyedRecord) bool { return r.Offset >= next })
+	batch.Next = next
+	f.applyRecords(batch, sourceLog)
+	return nil
+}
--- a/internal/app/gatewaysync/restored_test.go
+++ b/internal/app/gatewaysync/restored_test.go
@@ -354,7 +354,7 @@
 		log.add("gone", "ready 1")
 		log.add("back", "ready 1")
 		f := newRecorder(log, nil)
-		f.Follower = Targets(f.Follower, 100*time.Millisecond)
+		f.Follower = Targets(f.Follower, 100*time.Millisecond, testHeartbeat)
 		f.Revision = numbered
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = f.Run(ctx) }()
--- a/internal/app/gatewaysync/retained.go
+++ b/internal/app/gatewaysync/retained.go
@@ -7,14 +7,9 @@
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
-const (
-	// removedRetention is how long the revision of a removed value is kept, to recognize the
-	// value if it is written late or the log returns from an older copy.
-	removedRetention = 5 * time.Minute
-	// renewalTimeout is how long the log must hold an older value until it counts as renewed by
-	// its writer. It exceeds the silence after which the log removes a value.
-	renewalTimeout = 10 * time.Second
-)
+// removedRetention is how long the revision of a removed value is kept, to recognize the value
+// if it is written late or the log returns from an older copy.
+const removedRetention = 5 * time.Minute
 
 // retained is the newest known value of a key.
 type retained struct {
@@ -29,10 +24,14 @@
 	revision    port.Revision
 	hasRevision bool
 	removedAt   time.Time
-	// isRenewed is set if the value holds although its revision is lower than one known before.
+	// isFinal is set if the key was removed while the log was available.
+	isFinal bool
+	// isRenewed is set if the value holds although its revision is lower than one known before,
+	// or its epoch had ended.
 	isRenewed bool
-	// older is an entry that the log holds in place of this one although its revision is lower,
-	// nil if there is none. olderSince is when the first such entry was read.
+	// older is an entry that the log holds in place of this one although its revision is lower
+	// or its epoch has ended, nil if there is none. olderSince is when the first such entry was
+	// read.
 	older      *retained
 	olderSince time.Time
 }
@@ -41,7 +40,7 @@
 func fromPeer(b port.Batch) port.KeyedBatch {
 	out := port.KeyedBatch{Next: b.Next, End: b.End}
 	for _, r := range b.Records {
-		record := port.KeyedRecord{Offset: r.Offset, Key: r.ID, LastRevision: r.LastRevision, IsRenewed: r.IsRenewed}
+		record := port.KeyedRecord{Offset: r.Offset, Key: r.ID, LastRevision: r.LastRevision, IsRenewed: r.IsRenewed, IsFinal: r.IsFinal}
 		if len(r.Data) > 0 {
 			record.Value = r.Data
 		}
@@ -54,7 +53,7 @@
 func (k *retained) toPeer(key string) port.Record {
 	r := port.Record{Offset: k.offset, ID: key, Data: k.value, IsRenewed: k.isRenewed}
 	if k.value == nil && k.hasRevision {
-		r.LastRevision = &k.revision
+		r.LastRevision, r.IsFinal = &k.revision, k.isFinal
 	}
 	return r
 }
@@ -65,7 +64,7 @@
 	if k.value == nil {
 		return k.hasRevision && now.Sub(k.removedAt) < removedRetention
 	}
-	return k.older != nil
+	return k.older != nil || k.isRenewed
 }
 
 // accept stores the records of a batch that say something new, to serve them to other
@@ -82,9 +81,13 @@
 	var out []port.KeyedRecord
 	for _, r := range batch.Records {
 		known, isKnown := f.newest[r.Key]
-		next := f.retain(r, now)
+		next := f.retain(r, source, now)
 		if isKnown && !known.replacedBy(&next, isRestoring) {
-			if next.seen > known.seen && (known.value == nil || next.revision != known.revision) {
+			switch {
+			case next.seen <= known.seen || known.value != nil && next.revision == known.revision:
+			case known.ended(&next):
+				f.logDecision("removed key held back", source, &next, &known, r.Key, now)
+			default:
 				f.logDecision("older record ignored", source, &next, &known, r.Key, now)
 			}
 			known.ignore(&next, now)
@@ -99,8 +102,12 @@
 			f.newest[r.Key] = next
 			continue
 		}
-		if isKnown && known.value == nil && next.value != nil {
+		switch {
+		case !isKnown || known.value != nil:
+		case next.value != nil:
 			f.logDecision("removed key written again", source, &next, &known, r.Key, now)
+		case known.older != nil && next.older == nil:
+			f.logDecision("held back record removed", source, &next, known.older, r.Key, now)
 		}
 		f.newest[r.Key] = next
 		out = append(out, r)
@@ -118,15 +125,16 @@
 	f.Logger.Info(decision, "stream", f.Name, "key", key, "from", source, "removal", next.value == nil,
 		"history", next.seen.History(), "position", next.seen.Position(), "revision", next.revision,
 		"known_history", known.seen.History(), "known_position", known.seen.Position(), "known_revision", known.revision,
-		"removed_ms", age)
+		"removed_ms", age, "final", known.isFinal)
 }
 
 // retain returns the entry of a record.
-func (f *Follower) retain(r port.KeyedRecord, now time.Time) retained {
-	next := retained{value: r.Value, offset: r.Offset, seen: r.Offset, isRenewed: r.IsRenewed}
+func (f *Follower) retain(r port.KeyedRecord, source string, now time.Time) retained {
+	next := retained{value: r.Value, offset: r.Offset, seen: r.Offset, isRenewed: r.IsRenewed, isFinal: r.IsFinal}
 	switch {
 	case r.Value == nil:
 		next.removedAt = now
+		next.isFinal = next.isFinal || source == sourceLog && f.isFinal(now)
 		if r.LastRevision != nil {
 			next.revision, next.hasRevision = *r.LastRevision, true
 		}
@@ -139,7 +147,8 @@
 // replacedBy reports whether a newer entry replaces this one. The revision orders the values
 // of a writer, wherever the log holds them: a write without a response may be executed
 // seconds later, behind newer ones and behind the removal. A removal is the log's own: it
-// ends what the log held before it. Entries without a revision are ordered by the log.
+// ends what the log held before it, and the epoch of its value if it is final. Entries without
+// a revision are ordered by the log.
 //
 // Between histories, the revision holds only while the writers may still have to write again;
 // then the history does: a revision that is too large must not keep all later values out.
@@ -152,7 +161,9 @@
 	order := next.revision.Compare(k.revision)
 	switch {
 	case next.value == nil:
-		return isLater || k.value != nil && order >= 0
+		return isLater || k.value != nil && (order >= 0 || next.ended(k) && !k.isRenewed)
+	case k.ended(next):
+		return next.isRenewed && next.seen > k.seen
 	case order > 0:
 		return isLater || !isSameHistory || k.value != nil
 	case order == 0 && k.value != nil:
@@ -161,9 +172,21 @@
 	return next.isRenewed && isSameHistory && next.seen > k.seen
 }
 
+// ended reports whether this entry is a final removal of the epoch in which a value was written.
+func (k *retained) ended(value *retained) bool {
+	return k.value == nil && k.isFinal && k.hasRevision && value.value != nil && value.hasRevision && value.revision.Epoch == k.revision.Epoch
+}
+
 // inherit takes over what still holds of the entry that is replaced. next is the offset from
 // which other routers read on.
 func (k *retained) inherit(old *retained, next port.Offset, now time.Time) {
+	if k.value == nil && old.value == nil {
+		// This removes an entry that was held back, or another router told the same removal.
+		k.isFinal = k.isFinal || old.isFinal && (!k.hasRevision || k.revision.Epoch == old.revision.Epoch)
+		if old.older != nil && old.older.seen > k.seen {
+			k.older, k.olderSince = old.older, old.olderSince
+		}
+	}
 	if !k.hasRevision || k.value == nil && old.hasRevision && old.revision.Compare(k.revision) > 0 {
 		k.revision, k.hasRevision = old.revision, old.hasRevision
 	}
@@ -197,8 +220,8 @@
 	}
 }
 
-// renew accepts older values that the log has held for long: it removes those whose writers
-// are silent. A writer that is not may have no reason to write another record, or the known
+// renew accepts values that were ignored or held back and that the log has held for long: it
+// removes those whose writers are silent. A writer that is not may have no reason to write another record, or the known
 // revision is not its own. Streams whose keys are never removed are left as they are. All
 // records must have been read.
 func (f *Follower) renew() {
@@ -209,7 +232,7 @@
 	var renewed []port.KeyedRecord
 	f.mu.Lock()
 	for key, known := range f.newest {
-		if known.older == nil || now.Sub(known.olderSince) < renewalTimeout || now.Sub(f.regainedAt) < renewalTimeout {
+		if known.older == nil || now.Before(f.renewsAt(&known)) || now.Sub(f.regainedAt) < f.renewalTimeout() {
 			continue
 		}
 		if known.value != nil && f.Unchanged != nil && f.Unchanged(known.value, known.older.value) {
@@ -219,7 +242,7 @@
 		}
 		next := *known.older
 		next.isRenewed, next.offset = true, f.next
-		f.logDecision("older record renewed", "log", &next, &known, key, now)
+		f.logDecision("older record renewed", sourceLog, &next, &known, key, now)
 		f.newest[key] = next
 		renewed = append(renewed, port.KeyedRecord{Offset: next.seen, Key: key, Value: next.value})
 	}
@@ -264,7 +287,7 @@
 			f.newest[key] = known
 		case known.value != nil && known.seen.History() == next.History():
 			// Removed since the last read, after the known revision.
-			f.newest[key] = retained{offset: next, seen: next - 1, revision: known.revision, hasRevision: known.hasRevision, removedAt: now}
+			f.newest[key] = retained{offset: next, seen: next - 1, revision: known.revision, hasRevision: known.hasRevision, removedAt: now, isFinal: f.isFinal(now)}
 		default:
 			delete(f.newest, key)
 		}
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -176,8 +176,11 @@
 	// last value, nil if it is not known. The log keeps none.
 	LastRevision *Revision
 	// IsRenewed is set in records of other routers for a value that holds although its revision
-	// is lower than one that was known.
+	// is lower than one that was known, or its epoch had ended.
 	IsRenewed bool
+	// IsFinal is set in records of other routers for a key that was removed while the log was
+	// available: values of the last epoch do not hold until they are renewed.
+	IsFinal bool
 }
 
 // KeyedBatch is the result of one read of a keyed stream.
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -71,8 +71,12 @@
 	// last value, nil if the router does not know it.
 	LastRevision *Revision
 	// IsRenewed is set in such batches for a value that holds although its revision is lower than
-	// one that was known: the log has kept it for longer than its writer may be silent.
+	// one that was known, or its epoch had ended: the log has kept it for longer than its writer
+	// may be silent.
 	IsRenewed bool
+	// IsFinal is set in such batches for a key that was removed while the log was available:
+	// values of the last epoch do not hold until they are renewed.
+	IsFinal bool
 }
 
 // Batch is the result of one read: records in offset order, the offset of the
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -28,6 +28,7 @@
 	Regions map[string]string `json:"regions"`
 	Log     PlatformLog       `json:"log"`
 	Limits  ProcessLimits     `json:"limits"`
+	Targets TargetList        `json:"targets"`
 	Bounds  Bounds            `json:"bounds"`
 	// LogLevel is debug, info, warn or error. Default info.
 	LogLevel string `json:"log_level"`
@@ -59,6 +60,13 @@
 	Address string `json:"address"` // host:port
 }
 
+// TargetList is the list of targets on the platform's log.
+type TargetList struct {
+	// HeartbeatMs is the time between two writes of an entry by its target, in ms. The platform
+	// removes an entry after three of them without a write. Default 2000.
+	HeartbeatMs float64 `json:"heartbeat_ms"`
+}
+
 // ProcessLimits bounds the resources of the process.
 type ProcessLimits struct {
 	// MemoryMB is the memory limit of the process, in MB. Default 128.
@@ -111,7 +119,8 @@
 // DefaultGateway returns the default settings.
 func DefaultGateway() Gateway {
 	return Gateway{
-		Limits: ProcessLimits{MemoryMB: 128, MaxFDs: 1024, HeaderBytes: 64 << 10},
+		Limits:  ProcessLimits{MemoryMB: 128, MaxFDs: 1024, HeaderBytes: 64 << 10},
+		Targets: TargetList{HeartbeatMs: 2000},
 		Bounds: Bounds{KeyRevokedMs: 5000, ConfigurationMs: 2500, LeavingMs: 2500, RetryRatio: 0.2, RetryAllowance: 50, RetryWindowS: 10,
 			AllotmentOverRatio: 0.1, AllotmentWindowS: 8, HandoverIntervalMs: 3000, WeightsMs: 8000, StopS: 8},
 		LogLevel: "info",
@@ -152,6 +161,7 @@
 		{"/limits/memory_mb", s.Limits.MemoryMB, 32, 1 << 20},
 		{"/limits/max_fds", s.Limits.MaxFDs, 64, 1 << 24},
 		{"/limits/header_bytes", s.Limits.HeaderBytes, 1 << 10, 1 << 20},
+		{"/targets/heartbeat_ms", s.Targets.HeartbeatMs, 100, 600_000},
 		{"/bounds/key_revoked_ms", b.KeyRevokedMs, 100, 3_600_000},
 		{"/bounds/configuration_ms", b.ConfigurationMs, 100, 3_600_000},
 		{"/bounds/leaving_ms", b.LeavingMs, 100, 3_600_000},
