gateway, gatewaysync: the removal of a silent target is not final

Cause: a target that was frozen or cut off loses its entry on an available log, too, and writes it again when it is back. Its removal looked like that of a target that leaves, which serves on.

Change: a target that has owed this router a response for two heartbeat intervals counts as silent. Its removal does not end its start, so that it is used from its first entry on. Bytes, refusals and status responses of the target count as responses; requests whose clients left do not count as owed.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -79,6 +79,9 @@
 	// leaseCandidates is the number of routers that claim the lease on orders early: all of
 	// them would have to fail at once.
 	leaseCandidates = 5
+	// silenceHeartbeats is the number of heartbeat intervals after which a target that owes a
+	// response counts as silent. The log removes the entry of a silent target after three.
+	silenceHeartbeats = 2
 	// pruneInterval is the time between removals of targets that have long been gone.
 	// It only bounds memory.
 	pruneInterval = 10 * time.Second
@@ -278,7 +281,8 @@
 	interval, heartbeat := gatewaysync.TargetsInterval(settings.Milliseconds(n.settings.Bounds.LeavingMs)), settings.Milliseconds(n.settings.Targets.HeartbeatMs)
 	entries := gatewaysync.Targets(&gatewaysync.Follower{Log: log, Logger: n.log, Clock: n.bootClock,
 		Apply: n.applyTarget, Reset: n.dir.Retain, Unchanged: platform.IsSameTarget, Revision: platform.TargetRevision,
-		Peers: n.pullFromPeers, IsLogOnly: true, Relay: n.pullFromReader}, interval, heartbeat)
+		IsSilent: func(id string) bool { return n.dir.IsSilent(id, silenceHeartbeats*heartbeat) },
+		Peers:    n.pullFromPeers, IsLogOnly: true, Relay: n.pullFromReader}, interval, heartbeat)
 	n.followers = []*gatewaysync.Follower{n.operator, entries}
 	n.caches = &cachewatch.Watcher{Caches: targets, CacheContents: n.gateway.CacheContents, Clock: n.clock, Logger: n.log, List: n.cacheAddresses}
 }
--- a/cmd/mimosaseam/lateentries_test.go
+++ b/cmd/mimosaseam/lateentries_test.go
@@ -140,3 +140,32 @@
 		})
 	}
 }
+
+// Guards against a target that was frozen, lost its entry, and gets no requests when it is back.
+func TestFrozenTargetIsUsedWhenItIsBack(t *testing.T) {
+	is := is.New(t)
+	thawed := make(chan struct{})
+	defer close(thawed)
+	frozen := newRawTarget(t, "d8", "", func(c *platformtest.RawConn, r *http.Request, _ int) bool {
+		<-thawed
+		return false
+	})
+	sound := newRawTarget(t, "d9", "", soundAnswer)
+	s := newFaultGateway(t, []*platformtest.RawTarget{frozen, sound}, nil, `"targets": {"heartbeat_ms": 1000}`)
+	started, calls := time.Now(), 0
+	s.await("a target that owes responses", func() bool {
+		calls++
+		s.call(fmt.Sprint("b", calls), "/book/")
+		return time.Since(started) >= availableFor && s.node.dir.IsSilent("d8", silenceHeartbeats*time.Second)
+	})
+	targets := []*platformtest.RawTarget{frozen, sound}
+	for _, target := range targets {
+		s.log.RemoveTarget(target.ID)
+	}
+	s.await("the removals", func() bool { return !s.knows("d8") && !s.knows("d9") })
+	for _, target := range targets {
+		s.log.PutEntry(target.ID, beatOf(t, target, "ready", 1, 9))
+	}
+	s.await("the target that was frozen", func() bool { return s.knows("d8") })
+	is.True(!s.knows("d9"))
+}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -342,7 +342,7 @@
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := a.Body.Read(buffer)
-		x.g.Directory.recordActivity(t.ID)
+		x.g.Directory.recordActivity(t.ID, n > 0)
 		if n > 0 {
 			if err := x.sink.Write(buffer[:n]); err != nil {
 				return retrypolicy.Unknown, &Failure{Kind: KindClientGone, Cause: err}
@@ -375,7 +375,7 @@
 	continued := !resumed // by an event whose place in the stream is known
 	for {
 		e, err := events.Next()
-		x.g.Directory.recordActivity(t.ID)
+		x.g.Directory.recordActivity(t.ID, err == nil)
 		if err != nil {
 			// Accepted events must reach the client, because a resumed stream continues
 			// after them.
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -70,6 +70,8 @@
 	ColdUntil time.Time
 	// LastActivity is when the last byte from the target was received.
 	LastActivity time.Time
+	// exchange tells whether the target owes this router a response.
+	exchange targetExchange
 }
 
 // Incarnation returns the incarnation of the target.
@@ -333,8 +335,10 @@
 
 // begin counts a request that is sent to the target. sent is nil for requests to engines.
 func (d *Directory) begin(id string, sent *workload.Sent) {
+	now := d.clock.Now()
 	d.update(id, func(t *Target) {
 		t.InFlight++
+		t.exchange.sent(now)
 		if sent != nil {
 			t.changeWork(func(w *workload.Target) { w.Begin(*sent) })
 		}
@@ -347,6 +351,9 @@
 	now := d.clock.Now()
 	d.update(id, func(t *Target) {
 		t.InFlight--
+		if t.InFlight == 0 && rating != ratingBad {
+			t.exchange.settled()
+		}
 		if rating != ratingNone {
 			t.Reliability = t.Reliability.Observe(now, rating == ratingBad)
 		}
@@ -373,10 +380,15 @@
 	ratingBad
 )
 
-// recordActivity records that bytes from the target were received.
-func (d *Directory) recordActivity(id string) {
+// recordActivity records the end of a read from the target. hasBytes is set if it returned any.
+func (d *Directory) recordActivity(id string, hasBytes bool) {
 	now := d.clock.Now()
-	d.update(id, func(t *Target) { t.LastActivity = now })
+	d.update(id, func(t *Target) {
+		t.LastActivity = now
+		if hasBytes {
+			t.exchange.received(now)
+		}
+	})
 }
 
 func (d *Directory) lastActivity(id string) (at time.Time) {
@@ -412,6 +424,7 @@
 		if t.incarnation != incarnation {
 			return
 		}
+		t.exchange.received(now)
 		if s.Leaving && t.statements.Leave(now) {
 			if t.LeavingSince.IsZero() {
 				t.LeavingSince = now
--- a/internal/app/gateway/liveness.go
+++ b/internal/app/gateway/liveness.go
@@ -71,6 +71,9 @@
 	defer cancel()
 	_, err := g.Control.Status(ctx, t.Address, t.ID)
 	*since = g.Clock.Now()
+	if err == nil {
+		g.Directory.update(t.ID, func(t *Target) { t.exchange.received(*since) })
+	}
 	return err != nil && ctx.Err() == nil || ctx.Err() == context.DeadlineExceeded
 }
 
--- a/internal/app/gateway/targetweights.go
+++ b/internal/app/gateway/targetweights.go
@@ -91,8 +91,10 @@
 
 // ObserveStatus records the versions in a target's status report.
 func (d *Directory) ObserveStatus(id string, weights map[string]int) {
-	reported := d.clock.Now().Add(-statusAge)
+	now := d.clock.Now()
+	reported := now.Add(-statusAge)
 	d.update(id, func(t *Target) {
+		t.exchange.received(now)
 		for model, version := range weights {
 			d.observeWeights(t, model, version, reported)
 		}
--- a/internal/app/gatewaysync/availability.go
+++ b/internal/app/gatewaysync/availability.go
@@ -46,9 +46,9 @@
 
 // isFinal reports whether a removal that is read now ends the epoch of the key's value. A writer
 // loses its value by silence only if it could not write for a heartbeat interval or longer: during
-// an outage of the log, after which it goes on counting, or while it was cut off itself.
-func (f *Follower) isFinal(now time.Time) bool {
-	return f.Reset != nil && !f.isGap(now) && now.Sub(f.unavailableAt) >= returnTimeout
+// an outage of the log, after which it goes on counting, or while it was cut off or frozen itself.
+func (f *Follower) isFinal(key string, now time.Time) bool {
+	return f.Reset != nil && !f.isGap(now) && now.Sub(f.unavailableAt) >= returnTimeout && (f.IsSilent == nil || !f.IsSilent(key))
 }
 
 // isGap reports whether the log may have been away since the last read for long enough that
--- a/internal/app/gatewaysync/final_test.go
+++ b/internal/app/gatewaysync/final_test.go
@@ -101,6 +101,21 @@
 	}
 }
 
+// Guards against a target that was frozen and gets no requests when it is back.
+func TestSilentTargetIsUsedAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newFleetOnLog(t, isSameStart)
+	for _, f := range []*recorder{w.reader, w.other} {
+		f.IsSilent = func(key string) bool { return key == "t" }
+	}
+	for _, value := range []string{"ready 1/1", "", "ready 1/9"} {
+		w.write(value)
+		relay(w)
+	}
+	is.Equal(w.known(w.reader), "ready 1")
+	is.Equal(w.known(w.other), "ready 1")
+}
+
 // Guards against a target that is never used again by a router that reads the log from now on,
 // because its entry was written while the router read from a relay, which held it back; and
 // against a router that loads the whole log with each read.
--- a/internal/app/gatewaysync/gatewaysync.go
+++ b/internal/app/gatewaysync/gatewaysync.go
@@ -67,6 +67,8 @@
 	// of older revisions than the known one are ignored: they were written late, or the log
 	// returned from an older copy. nil: no value has one.
 	Revision func(key string, value []byte) (r port.Revision, ok bool)
+	// IsSilent reports whether the writer of a key owes this router a response; nil: unknown.
+	IsSilent func(key string) bool
 	// OnVerified is called with a time at which the applied records were the newest.
 	OnVerified func(at time.Time)
 
--- a/internal/app/gatewaysync/retained.go
+++ b/internal/app/gatewaysync/retained.go
@@ -134,7 +134,7 @@
 	switch {
 	case r.Value == nil:
 		next.removedAt = now
-		next.isFinal = next.isFinal || source == sourceLog && f.isFinal(now)
+		next.isFinal = next.isFinal || source == sourceLog && f.isFinal(r.Key, now)
 		if r.LastRevision != nil {
 			next.revision, next.hasRevision = *r.LastRevision, true
 		}
@@ -287,7 +287,7 @@
 			f.newest[key] = known
 		case known.value != nil && known.seen.History() == next.History():
 			// Removed since the last read, after the known revision.
-			f.newest[key] = retained{offset: next, seen: next - 1, revision: known.revision, hasRevision: known.hasRevision, removedAt: now, isFinal: f.isFinal(now)}
+			f.newest[key] = retained{offset: next, seen: next - 1, revision: known.revision, hasRevision: known.hasRevision, removedAt: now, isFinal: f.isFinal(key, now)}
 		default:
 			delete(f.newest, key)
 		}
