--- a/internal/app/gatewaysync/retained.go
+++ b/internal/app/gatewaysync/retained.go
@@ -221,9 +221,9 @@
 }
 
 // renew accepts values that were ignored or held back and that the log has held for long: it
-// removes those whose writers are silent. A writer that is not may have no reason to write another record, or the known
-// revision is not its own. Streams whose keys are never removed are left as they are. All
-// records must have been read.
+// removes those whose writers are silent. A writer that is not may have no reason to write
+// another record, or the known revision is not its own. Streams whose keys are never removed
+// are left as they are. All records must have been read.
 func (f *Follower) renew() {
 	if f.Reset == nil {
 		return
