gatewaysync: a missed read is no outage of the log

Cause, found on reading the change: one failed read, a pause of the process, or a start made the next removals count as those of an outage, so that a late heartbeat was used again by routers that are short of processor time or have just started. And the time for which an entry is held back was counted to the use of a response, so that a pause between response and use could renew an entry whose removal the next response would have told.

Change: the log counts as having been away if it answered no read for two heartbeat intervals; starts do not count. Entries are renewed by the time at which a read was sent.

Tests: TestMissedReadIsNoOutage and TestLateResponseRenewsNothing fail without their part of the change (the first with a limit of one interval). TestLateEntriesOfTargets, TestLateEntriesInAnyOrder and TestRemovedTargetsStayRemovedAfterARestore relied on removals right after a start not being final; they now read them after an outage, with the same checks.

--- a/internal/app/gatewaysync/availability.go
+++ b/internal/app/gatewaysync/availability.go
@@ -6,6 +6,10 @@
 	// returnTimeout is how long after an outage of the log removals of its time are read. Writers
 	// that are alive write again within 2 s, and reads are up to maxTargetsInterval apart.
 	returnTimeout = 3 * time.Second
+	// outageHeartbeats is the number of heartbeat intervals without an answered read after which
+	// the log counts as having been away. Shorter outages cost hardly any writer its value, and a
+	// router that is short of processor time may miss a read.
+	outageHeartbeats = 2
 	// silentHeartbeats is the number of heartbeat intervals of silence after which the log removes
 	// a target's entry.
 	silentHeartbeats = 3
@@ -45,18 +49,18 @@
 }
 
 // isFinal reports whether a removal that is read now ends the epoch of the key's value. A writer
-// loses its value by silence only if it could not write for a heartbeat interval or longer: during
-// an outage of the log, after which it goes on counting, or while it was cut off or frozen itself.
+// that is alive loses its value only during an outage of the log, after which it goes on
+// counting, or while it was cut off or frozen itself.
 func (f *Follower) isFinal(key string, now time.Time) bool {
-	return f.Reset != nil && !f.isGap(now) && now.Sub(f.unavailableAt) >= returnTimeout && (f.IsSilent == nil || !f.IsSilent(key))
+	return f.Reset != nil && now.Sub(f.unavailableAt) >= returnTimeout && (f.IsSilent == nil || !f.IsSilent(key))
 }
 
-// isGap reports whether the log may have been away since the last read for long enough that
-// writers have lost their values.
-func (f *Follower) isGap(now time.Time) bool {
-	limit := f.Interval + f.Heartbeat
-	if f.hasRelay {
-		limit += 2 * relayInterval
+// observeAnswer records that the log has answered a read that was sent at a time.
+func (f *Follower) observeAnswer(sent time.Time) {
+	if sent.Sub(f.answeredAt) >= outageHeartbeats*f.Heartbeat {
+		f.unavailableAt = f.Clock.Now()
+	}
+	if sent.After(f.answeredAt) {
+		f.answeredAt = sent
 	}
-	return now.Sub(f.verified) > limit
 }
--- a/internal/app/gatewaysync/gatewaysync.go
+++ b/internal/app/gatewaysync/gatewaysync.go
@@ -105,9 +105,9 @@
 	since port.Offset
 	// regainedAt is when the log was last lost or regained. It is accessed by Run only.
 	regainedAt time.Time
-	// unavailableAt is the last time at which the log was not available, or this router did not
-	// know whether it was. It is accessed by Run only.
-	unavailableAt time.Time
+	// answeredAt is when the last read was sent that the log has answered, or the first read.
+	// unavailableAt is when the log answered again after an outage. They are accessed by Run only.
+	answeredAt, unavailableAt time.Time
 	// restoredAt is when the log was first seen in its current history.
 	restoredAt time.Time
 	// unconfirmedSince is when the log was read as a whole, or otherwise without records before
@@ -178,9 +178,6 @@
 
 // setLost logs each change of the log's availability once.
 func (f *Follower) setLost(lost bool, err error) {
-	if lost {
-		f.unavailableAt = f.Clock.Now()
-	}
 	if f.logLost == lost {
 		return
 	}
@@ -195,6 +192,9 @@
 
 func (f *Follower) read(ctx context.Context) error {
 	at := f.Clock.Now()
+	if f.answeredAt.IsZero() {
+		f.answeredAt = at
+	}
 	if !f.loaded {
 		return f.load(ctx, at)
 	}
@@ -209,6 +209,7 @@
 	if err != nil {
 		return err
 	}
+	f.observeAnswer(at)
 	if f.relayed != 0 && f.hasReturned(batch) {
 		f.unconfirmedSince = f.Clock.Now() // a relay may know a later revision of the removed value
 	}
@@ -233,7 +234,7 @@
 			f.Logger.Info("records read to the end", "stream", f.Name, "next", batch.Next, "ms", f.Clock.Now().Sub(f.behind.since).Milliseconds())
 		}
 		f.behind = nil
-		f.renew()
+		f.renew(at)
 		f.verify(at)
 		return
 	}
@@ -253,6 +254,7 @@
 	if err != nil {
 		return err
 	}
+	f.observeAnswer(at)
 	keys := map[string]bool{}
 	for _, r := range batch.Records {
 		keys[r.Key] = true
@@ -311,9 +313,6 @@
 		f.mu.Unlock()
 		return
 	}
-	if f.isGap(at) {
-		f.unavailableAt = f.Clock.Now()
-	}
 	if at.After(f.verified) {
 		f.verified = at
 	}
--- a/internal/app/gatewaysync/gatewaysync_test.go
+++ b/internal/app/gatewaysync/gatewaysync_test.go
@@ -34,6 +34,8 @@
 	// unchanged reports whether a value says the same as the stored one, so that the log keeps no
 	// record of it; nil: it keeps all.
 	unchanged func(older, newer []byte) bool
+	// onResponse is called before a response of Changes arrives; nil: nothing happens.
+	onResponse func()
 }
 
 // offset returns the offset of the record with index i.
@@ -111,6 +113,9 @@
 		}
 		if len(records) > 0 || !time.Now().Before(end) {
 			_ = ctxtime.Sleep(ctx, latency)
+			if l.onResponse != nil {
+				l.onResponse()
+			}
 			return port.KeyedBatch{Records: records, Next: next, End: newest}, nil
 		}
 		select {
--- a/internal/app/gatewaysync/late_test.go
+++ b/internal/app/gatewaysync/late_test.go
@@ -43,8 +43,8 @@
 	found bool
 }
 
-// newFleetOfTwo returns routers that have just been started. Until time passes, no removal is
-// final, as after an outage of the log.
+// newFleetOfTwo returns routers that have read the log again after an outage. Until time passes,
+// no removal is final.
 func newFleetOfTwo(t *testing.T) *fleetOfTwo {
 	w := &fleetOfTwo{t: t, log: &fakeLog{}, clock: &manualClock{now: time.Unix(1000, 0)}, found: true}
 	w.reader = w.router(nil)
@@ -53,6 +53,9 @@
 	w.read(w.reader)
 	w.read(w.other)
 	w.read(w.other) // asks the reader
+	w.clock.now = w.clock.now.Add(outageHeartbeats * testHeartbeat)
+	w.read(w.reader)
+	w.read(w.other)
 	return w
 }
 
@@ -240,6 +243,7 @@
 				loadLog(w)
 			case "start":
 				w.start()
+				w.other.unavailableAt = w.clock.now // it has seen the outage, too
 				readLog(w)
 			}
 			for name, f := range map[string]*recorder{"reader": w.reader, "other": w.other} {
--- a/internal/app/gatewaysync/relay.go
+++ b/internal/app/gatewaysync/relay.go
@@ -77,6 +77,7 @@
 		}
 		return false
 	}
+	f.observeAnswer(at.Add(-b.Age))
 	f.confirm(ctx)
 	f.apply(fromPeer(b), sourcePeer, at.Add(-b.Age))
 	f.relayed, f.hasRelay = b.Next, true
--- a/internal/app/gatewaysync/retained.go
+++ b/internal/app/gatewaysync/retained.go
@@ -223,8 +223,8 @@
 // renew accepts values that were ignored or held back and that the log has held for long: it
 // removes those whose writers are silent. A writer that is not may have no reason to write
 // another record, or the known revision is not its own. Streams whose keys are never removed
-// are left as they are. All records must have been read.
-func (f *Follower) renew() {
+// are left as they are. All records that the log held at the given time must have been read.
+func (f *Follower) renew(at time.Time) {
 	if f.Reset == nil {
 		return
 	}
@@ -232,7 +232,7 @@
 	var renewed []port.KeyedRecord
 	f.mu.Lock()
 	for key, known := range f.newest {
-		if known.older == nil || now.Before(f.renewsAt(&known)) || now.Sub(f.regainedAt) < f.renewalTimeout() {
+		if known.older == nil || at.Before(f.renewsAt(&known)) || at.Sub(f.regainedAt) < f.renewalTimeout() {
 			continue
 		}
 		if known.value != nil && f.Unchanged != nil && f.Unchanged(known.value, known.older.value) {
