gatewaysync: a final removal of an unknown start ends any start

Cause: a router that has started behind another writer's entry knows no revision of the key that is removed then. A late heartbeat of the target behind that removal was used, though the removal was final. Found by the way "start before the removal" of TestUnreadHeartbeatBehindARemoval once the router had asked others before the removal.

Change: such a removal ends any start; the next entry is held back.

--- a/internal/app/gatewaysync/final_test.go
+++ b/internal/app/gatewaysync/final_test.go
@@ -33,8 +33,9 @@
 	}
 }
 
-// startBeforeTheRemoval is the way of a router that starts, and then reads the removal itself.
-var startBeforeTheRemoval = learning{before: (*fleetOfTwo).start, last: readLog, late: readLog, back: readLog}
+// startBeforeTheRemoval is the way of a router that starts, asks others, and then reads the
+// removal itself.
+var startBeforeTheRemoval = learning{before: func(w *fleetOfTwo) { w.start(); readLog(w) }, last: readLog, late: readLog, back: readLog}
 
 // Guards against a target that is used again because of a heartbeat that no router has read and
 // that was written after the removal of its entry, for each way by which a router learns of it;
--- a/internal/app/gatewaysync/retained.go
+++ b/internal/app/gatewaysync/retained.go
@@ -155,15 +155,18 @@
 func (k *retained) replacedBy(next *retained, isRestoring bool) bool {
 	isLater := next.seen >= k.seen
 	isSameHistory := next.seen.History() == k.seen.History()
-	if !next.hasRevision || !k.hasRevision || !isSameHistory && !isRestoring {
+	switch {
+	case !isSameHistory && !isRestoring:
+		return isLater
+	case k.ended(next):
+		return next.isRenewed && next.seen > k.seen
+	case !next.hasRevision || !k.hasRevision:
 		return isLater
 	}
 	order := next.revision.Compare(k.revision)
 	switch {
 	case next.value == nil:
 		return isLater || k.value != nil && (order >= 0 || next.ended(k) && !k.isRenewed)
-	case k.ended(next):
-		return next.isRenewed && next.seen > k.seen
 	case order > 0:
 		return isLater || !isSameHistory || k.value != nil
 	case order == 0 && k.value != nil:
@@ -172,9 +175,10 @@
 	return next.isRenewed && isSameHistory && next.seen > k.seen
 }
 
-// ended reports whether this entry is a final removal of the epoch in which a value was written.
+// ended reports whether this entry is a final removal of the epoch in which a value was written,
+// or may be: the revision of what was removed is not known if another writer's value hid it.
 func (k *retained) ended(value *retained) bool {
-	return k.value == nil && k.isFinal && k.hasRevision && value.value != nil && value.hasRevision && value.revision.Epoch == k.revision.Epoch
+	return k.value == nil && k.isFinal && value.value != nil && value.hasRevision && (!k.hasRevision || value.revision.Epoch == k.revision.Epoch)
 }
 
 // inherit takes over what still holds of the entry that is replaced. next is the offset from
