--- a/review/.src3/lab.go
+++ b/review/.src3/lab.go
@@ -178,7 +178,7 @@
 		fmt.Fprintln(os.Stderr, "usage: lab CASE PROGRAM RECORD")
 		os.Exit(exitFailed)
 	}
-	play := map[string]func(*lab) (bool, error){"path": playPath, "part": playPart, "wall": playWall}[os.Args[1]]
+	play := map[string]func(*lab) (bool, error){"part": playPart, "wall": playWall}[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "no such case")
 		os.Exit(exitFailed)
