--- a/review/.src3/lab.go
+++ b/review/.src3/lab.go
@@ -11,9 +11,11 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"mimosaseam.example/mimosaseam/platform/platformtest"
@@ -188,6 +190,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		l.close()
+		os.Exit(exitFailed)
+	}()
 	broken, err := play(l)
 	code := exitHeld
 	switch {
