retry: log the rivals of a quarantined segment

The line "segment quarantined" named the segment, its crashes and its requests, but not whether other segments were in the same crashes, so that a wrong choice could not be told from evidence that is wrong. It now names these segments.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -237,7 +238,7 @@
 	if c.Quarantined {
 		text = "segment quarantined"
 	}
-	log.Warn(text, "segment_hash", c.Segment.String(), "crashes", c.Crashes, "requests", c.Requests)
+	log.Warn(text, "segment_hash", c.Segment.String(), "crashes", c.Crashes, "requests", c.Requests, "rivals", fmt.Sprint(c.Rivals))
 }
 
 func (n *gatewayNode) buildGateway(targets *platform.Targets, crashTracker *retry.CrashTracker, segmentTracker *retry.SegmentTracker, metrics gateway.Metrics) {
--- a/internal/core/retry/segmentevidence.go
+++ b/internal/core/retry/segmentevidence.go
@@ -83,7 +83,7 @@
 	out = map[SegmentHash]SegmentStats{}
 	add := func(s SegmentHash) {
 		explained |= e.crashes[s]
-		out[s] = SegmentStats{Crashes: e.count(e.crashes[s]), Requests: len(e.requests[s])}
+		out[s] = SegmentStats{Crashes: e.count(e.crashes[s]), Requests: len(e.requests[s]), Rivals: e.segmentRivals(s)}
 	}
 	for s, found := e.next(explained); found; s, found = e.next(explained) {
 		add(s)
@@ -96,6 +96,18 @@
 	return out, explained
 }
 
+// segmentRivals returns the other segments that are in each crash of this one.
+func (e evidence) segmentRivals(s SegmentHash) []SegmentHash {
+	var out []SegmentHash
+	for other, crashes := range e.crashes {
+		if other != s && e.crashes[s]&^crashes == 0 {
+			out = append(out, other)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // quarantineRequests returns the requests that explain crashes which no segment explains. A
 // quarantined request stays so while its evidence lasts: it is not sent any more, so nothing
 // can clear it.
--- a/internal/core/retry/segments.go
+++ b/internal/core/retry/segments.go
@@ -110,6 +110,8 @@
 type SegmentStats struct {
 	Crashes  int
 	Requests int
+	// Rivals holds the other segments that are in each of the crashes and not cleared of them.
+	Rivals []SegmentHash
 }
 
 // SegmentChange reports that a request or a segment is quarantined or no longer is.
