retry: quarantine segments together that crashes do not tell apart

Cause: of the segments that three crashes have in common, the deepest was quarantined.

Change: a request is refused if it holds all segments that cannot be told apart. The others run, and their answers or crashes tell the segments apart.

TestSegmentThatCrashesTargetsIsQuarantined named the deepest segment as the only one to refuse, which was the fault: its cases now say which prompts are refused and which are sent, and are more.

--- a/cmd/mimosaseam/gateway.go
+++ b/cmd/mimosaseam/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"expvar"
-	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -223,22 +223,34 @@
 	return n
 }
 
-// logSegmentChange logs that a request, or requests with a prompt segment, are refused, or no
-// longer are.
+// logSegmentChange logs that a request, or requests with some prompt segments, are refused, no longer
+// are, or that one of them is tried.
 func logSegmentChange(log *slog.Logger, c retry.SegmentChange) {
 	if c.Request != 0 {
 		text := "request released"
 		if c.Quarantined {
 			text = "request quarantined"
 		}
-		log.Warn(text, "fingerprint", strconv.FormatUint(uint64(c.Request), 16), "crashes", c.Crashes)
+		log.Warn(text, "fingerprint", c.Request.String(), "crashes", c.Crashes)
 		return
 	}
-	text := "segment released"
-	if c.Quarantined {
-		text = "segment quarantined"
+	attrs := []any{"segment_hashes", segmentHashes(c.Segments), "crashes", c.Crashes, "requests", c.Requests}
+	switch {
+	case c.Trial != 0:
+		log.Warn("segment tried", append(attrs, "fingerprint", c.Trial.String())...)
+	case c.Quarantined:
+		log.Warn("segment quarantined", attrs...)
+	default:
+		log.Warn("segment released", attrs...)
 	}
-	log.Warn(text, "segment_hash", c.Segment.String(), "crashes", c.Crashes, "requests", c.Requests, "rivals", fmt.Sprint(c.Rivals))
+}
+
+func segmentHashes(segments []retry.SegmentHash) string {
+	out := make([]string, len(segments))
+	for i, s := range segments {
+		out[i] = s.String()
+	}
+	return strings.Join(out, " ")
 }
 
 func (n *gatewayNode) buildGateway(targets *platform.Targets, crashTracker *retry.CrashTracker, segmentTracker *retry.SegmentTracker, metrics gateway.Metrics) {
--- a/cmd/mimosaseam/gatewaypeers.go
+++ b/cmd/mimosaseam/gatewaypeers.go
@@ -11,6 +11,7 @@
 	"mimosaseam.example/mimosaseam/internal/app/gatewaysync"
 	"mimosaseam.example/mimosaseam/internal/app/registry"
 	"mimosaseam.example/mimosaseam/internal/core/membership"
+	"mimosaseam.example/mimosaseam/internal/core/placement"
 	"mimosaseam.example/mimosaseam/internal/core/retry"
 	"mimosaseam.example/mimosaseam/internal/port"
 	"mimosaseam.example/mimosaseam/internal/settings"
@@ -58,18 +59,14 @@
 	})
 	crashTracker.SetReport(n.fleet.ReportFingerprint)
 	segmentTracker.SetReport(n.fleet.ReportFingerprint)
+	segmentTracker.SetTrialTurn(func(key string, count int) bool { return placement.IsChosen(s.VM.Name, n.routerNames(), key, count) })
 	crashTracker.SetArbiter(n.fleet)
 	n.peers = peergrpc.NewServer(n.fleet, nil, n.log)
 }
 
 // setRouters records the routers that may be serving and therefore share the bounds.
 func (n *gatewayNode) setRouters(others []membership.Router) {
-	names := []string{n.settings.VM.Name}
-	for _, r := range others {
-		if r.State != port.MemberDead || r.OutOfContact() {
-			names = append(names, r.Name)
-		}
-	}
+	names := servingNames(n.settings.VM.Name, others)
 	if len(names) != len(n.routerNames()) {
 		n.log.Info("routers", "count", len(names))
 	}
@@ -85,6 +82,17 @@
 	n.dir.SetGrace(gateway.LeavingGrace(leaving, staleness))
 }
 
+// servingNames returns the names of this router and of the others that may be serving.
+func servingNames(self string, others []membership.Router) []string {
+	names := []string{self}
+	for _, r := range others {
+		if r.State != port.MemberDead || r.OutOfContact() {
+			names = append(names, r.Name)
+		}
+	}
+	return names
+}
+
 // serveRecords serves other routers from the streams that this one follows.
 func (n *gatewayNode) serveRecords(ctx context.Context, stream string, from port.Offset, limit int) (port.Batch, error) {
 	for _, s := range n.followers {
--- a/cmd/mimosaseam/servenode.go
+++ b/cmd/mimosaseam/servenode.go
@@ -225,6 +225,9 @@
 		},
 	})
 	n.crashTracker.SetArbiter(n.fleet)
+	n.segmentTracker.SetTrialTurn(func(key string, count int) bool {
+		return placement.IsChosen(s.VM.Name, servingNames(s.VM.Name, n.fleet.Routers()), key, count)
+	})
 	n.shares = shares.New(s.VM.Name, n.fleet.Demand)
 }
 
--- a/internal/app/completions/completion.go
+++ b/internal/app/completions/completion.go
@@ -138,7 +138,7 @@
 // acquire waits for a permit to run. After a success, release must be called.
 func (c *completion) acquire(ctx context.Context) (err error) {
 	r, p := c.r, c.plan
-	if r.quarantined(r.Clock.Now(), c.filter()) {
+	if r.refused(r.Clock.Now(), c.filter()) {
 		return ErrQuarantined
 	}
 	if err := r.checkStop(p); err != nil {
@@ -336,7 +336,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	if c.r.quarantined(c.r.Clock.Now(), c.filter()) {
+	if c.r.refused(c.r.Clock.Now(), c.filter()) {
 		return eris.Wrap(ErrQuarantined, logText(cause))
 	}
 	if action == actionFail {
--- a/internal/app/completions/crash_test.go
+++ b/internal/app/completions/crash_test.go
@@ -208,3 +208,44 @@
 		is.Equal(served, 40)
 	})
 }
+
+// Guards against a quarantine of the beginning that sound prompts share with those that crash engines,
+// if none of them begins between the crashes.
+func TestSoundPromptsWithTheSameBeginningAreServed(t *testing.T) {
+	intro := strings.Repeat("intro ", 400)
+	for name, bad := range map[string]string{
+		"long section": intro + strings.Repeat(poison+" ", 300), "short section": intro + poison,
+		"first": strings.Repeat(poison+" ", 300) + intro} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fleet := &crashFleet{incarnations: map[string]int{}, cancels: map[string]context.CancelFunc{}}
+				b := newTestRouter(t, nil)
+				fleet.install(b.engine)
+				ask := func(prompt string) bool {
+					_, err := b.complete(t.Context(), prompt, 20, &textSink{})
+					return err == nil
+				}
+				for i := range 6 {
+					is.True(ask(fmt.Sprint(intro, "dossier ", i)))
+					time.Sleep(6 * time.Second)
+				}
+				for i := range 8 { // fast, so that no sound prompt is between them
+					ask(fmt.Sprint(bad, "question ", i))
+					time.Sleep(300 * time.Millisecond)
+				}
+				time.Sleep(8 * time.Second)
+				served := 0
+				const asked = 20
+				for i := range asked {
+					if ask(fmt.Sprint(intro, "report ", i)) {
+						served++
+					}
+					ask(fmt.Sprint(bad, "another ", i))
+					time.Sleep(6 * time.Second)
+				}
+				is.True(served >= asked/2)
+			})
+		})
+	}
+}
--- a/internal/app/completions/loop.go
+++ b/internal/app/completions/loop.go
@@ -59,7 +59,7 @@
 		c.hedge(ctx)
 	case wakeQuarantine:
 		c.quarantines = c.r.CrashTracker.NextQuarantine()
-		if c.r.quarantined(c.r.Clock.Now(), c.filter()) {
+		if c.r.refused(c.r.Clock.Now(), c.filter()) {
 			return false, ErrQuarantined
 		}
 	case wakeDone:
--- a/internal/app/completions/place.go
+++ b/internal/app/completions/place.go
@@ -195,7 +195,7 @@
 	start := r.Clock.Now()
 	for {
 		now := r.Clock.Now()
-		if r.quarantined(now, f) {
+		if r.refused(now, f) {
 			return claim{}, ErrQuarantined
 		}
 		ranked := r.rank(now, p, f)
@@ -237,6 +237,11 @@
 	return found
 }
 
+// refused reports whether the request is quarantined and may not run as a trial.
+func (r *Router) refused(now time.Time, f filter) bool {
+	return r.quarantined(now, f) && (r.CrashTracker.Quarantined(now, f.fingerprint) || !r.SegmentTracker.Try(now, f.fingerprint, f.segments))
+}
+
 // anyFull reports whether a target is excluded only for its concurrency limit.
 func anyFull(excluded map[string]string) bool {
 	for _, reason := range excluded {
--- a/internal/app/gateway/crash_test.go
+++ b/internal/app/gateway/crash_test.go
@@ -54,6 +54,8 @@
 	arrivals, crashes, late map[string]int
 	last                    int
 	lastAt                  map[string]time.Time
+	// ends holds the times of all crashes.
+	ends []time.Time
 }
 
 func newCrashWorld(t *testing.T, routers, perService int) *crashWorld {
@@ -138,6 +140,7 @@
 	}
 	t.up = false
 	close(t.ended)
+	w.ends = append(w.ends, time.Now())
 	if w.crashes[body]++; w.crashes[body] == w.last {
 		w.lastAt[body] = time.Now()
 	}
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -159,19 +159,24 @@
 	return x, x.checkQuarantine()
 }
 
-// checkQuarantine fails if the request, or a segment of its prompt, crashes targets.
+// checkQuarantine fails if the request, or segments of its prompt, crash targets and it is no trial.
 func (x *exchange) checkQuarantine() error {
 	now := x.g.Clock.Now()
 	if x.g.CrashTracker.Quarantined(now, x.fingerprint) {
 		return &Failure{Kind: KindCrashesTargets}
 	}
-	if i, found := x.g.SegmentTracker.Quarantined(now, x.fingerprint, x.segments); found {
-		if i == retry.WholeRequest {
-			return &Failure{Kind: KindCrashesTargets}
-		}
-		return &Failure{Kind: KindCrashesTargets, Cause: &CrashingSegmentError{Segment: x.r.Prompt[i].ID}}
+	quarantined, found := x.g.SegmentTracker.Quarantined(now, x.fingerprint, x.segments)
+	if !found || x.g.SegmentTracker.Try(now, x.fingerprint, x.segments) {
+		return nil
 	}
-	return nil
+	if len(quarantined) == 0 {
+		return &Failure{Kind: KindCrashesTargets}
+	}
+	cause := &CrashingSegmentsError{}
+	for _, i := range quarantined {
+		cause.Segments = append(cause.Segments, x.r.Prompt[i].ID)
+	}
+	return &Failure{Kind: KindCrashesTargets, Cause: cause}
 }
 
 // rejection returns the client error only if the configuration was verified recently.
@@ -414,7 +419,7 @@
 		slog.String("target", x.lastTarget), slog.Int("sends", x.attempts), slog.Int("runs", x.history.PossibleRuns),
 		slog.Int("refusals", x.history.Refusals)}
 	if x.unanswered {
-		out = append(out, slog.String("fingerprint", strconv.FormatUint(uint64(x.fingerprint), 16)))
+		out = append(out, slog.String("fingerprint", x.fingerprint.String()))
 	}
 	if x.account != nil {
 		out = append(out, slog.String("account", x.account.Name))
--- a/internal/app/gateway/failure.go
+++ b/internal/app/gateway/failure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -81,10 +82,12 @@
 	return &Failure{Kind: KindUnknown, Cause: err}
 }
 
-// CrashingSegmentError means that the prompt has a segment that crashes targets.
-type CrashingSegmentError struct{ Segment string }
+// CrashingSegmentsError means that the prompt has segments one of which crashes targets.
+type CrashingSegmentsError struct{ Segments []string }
 
-func (e *CrashingSegmentError) Error() string { return "prompt segment " + e.Segment }
+func (e *CrashingSegmentsError) Error() string {
+	return "prompt segments " + strings.Join(e.Segments, ", ")
+}
 
 // Causes of failures.
 var (
--- a/internal/core/retry/fingerprint.go
+++ b/internal/core/retry/fingerprint.go
@@ -14,6 +14,9 @@
 // routers.
 type Fingerprint uint64
 
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return hex(uint64(f)) }
+
 // FingerprintOf hashes the client account and the parts of the request that
 // the target processes.
 func FingerprintOf(account string, parts ...string) Fingerprint {
@@ -70,7 +73,7 @@
 	crashes map[string]time.Time              // crashes already counted
 	// answered holds requests that ran to their end. Crashes of targets that fell silent
 	// are seen late, with requests that were sent since: those are left to SegmentTracker.
-	answered answeredRequests
+	answered recentSet[Fingerprint]
 	// arbiter isolates the suspects of different routers from each other; nil if
 	// there is none. reserved holds the attempts whose reservations must be released.
 	arbiter  Arbiter
--- a/internal/core/retry/requests_test.go
+++ b/internal/core/retry/requests_test.go
@@ -32,10 +32,10 @@
 	}
 	starting.Receive(f.now, snapshot)
 	f.now = f.now.Add(settleTime)
-	index, found := starting.Quarantined(f.now, 77, nil)
+	segments, found := starting.Quarantined(f.now, 77, nil)
 	is.True(found)
-	is.Equal(index, WholeRequest)
-	_, found = starting.Quarantined(f.now, 0, prompt(2))
+	is.Equal(len(segments), 0) // the request itself
+	_, found = starting.Quarantined(f.now, 0, prompt(1, 2))
 	is.True(found)
 }
 
--- a/internal/core/retry/segmentevidence.go
+++ b/internal/core/retry/segmentevidence.go
@@ -2,22 +2,75 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+	"maps"
 	"math/bits"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // crashSet is a set of indices of crashes.
 type crashSet uint64
 
-// quarantine holds the requests and segments that are refused.
+// quarantine holds the requests, and the groups of segments, that are refused.
 type quarantine struct {
 	requests map[Fingerprint]SegmentStats
-	segments map[SegmentHash]SegmentStats
+	groups   map[groupID]segmentGroup
+}
+
+// groupID is a hash of the segments of a group.
+type groupID uint64
+
+// segmentGroup holds segments that cannot be told apart by the crashes. Requests that hold all of
+// them are refused: the others show which one is at fault.
+type segmentGroup struct {
+	segments []SegmentHash // sorted
+	SegmentStats
+	// last is the time of the latest crash.
+	last time.Time
+}
+
+func (g segmentGroup) id() groupID {
+	d := xxhash.New()
+	var b [8]byte
+	for _, s := range g.segments {
+		binary.BigEndian.PutUint64(b[:], uint64(s))
+		_, _ = d.Write(b[:]) // it never fails
+	}
+	return groupID(d.Sum64())
+}
+
+// in reports whether a request with these segments holds the group.
+func (g segmentGroup) in(segments []SegmentHash) bool {
+	for _, s := range g.segments {
+		if !slices.Contains(segments, s) {
+			return false
+		}
+	}
+	return true
+}
+
+// holders returns the requests that may have caused the crash by the group.
+func (g segmentGroup) holders(c *segmentCrash) []Fingerprint {
+	for _, s := range g.segments {
+		if !c.candidates[s] {
+			return nil
+		}
+	}
+	var out []Fingerprint
+	for request, segments := range c.requests {
+		if g.in(segments) {
+			out = append(out, request)
+		}
+	}
+	return out
 }
 
 // evidence is an index of crashes by segment and by request.
 type evidence struct {
+	all      []*segmentCrash
 	at       [maxSegmentCrashes]time.Time
 	crashes  map[SegmentHash]crashSet
 	requests map[SegmentHash]map[Fingerprint][]SegmentHash
@@ -28,8 +81,8 @@
 	sound map[Fingerprint]bool
 }
 
-func newEvidence(crashes []*segmentCrash, answered *answeredRequests) evidence {
-	e := evidence{crashes: map[SegmentHash]crashSet{}, requests: map[SegmentHash]map[Fingerprint][]SegmentHash{},
+func newEvidence(crashes []*segmentCrash, answered *recentSet[Fingerprint]) evidence {
+	e := evidence{all: crashes, crashes: map[SegmentHash]crashSet{}, requests: map[SegmentHash]map[Fingerprint][]SegmentHash{},
 		byRequest: map[Fingerprint]crashSet{}, answered: map[Fingerprint]crashSet{}, sound: map[Fingerprint]bool{}}
 	for i, c := range crashes {
 		e.at[i] = c.at
@@ -70,37 +123,54 @@
 	return n
 }
 
-// quarantine returns the requests and segments that explain the crashes.
+// quarantine returns the requests and groups of segments that explain the crashes.
 func (e evidence) quarantine(before quarantine) quarantine {
-	segments, explained := e.quarantineSegments(before.segments)
-	return quarantine{segments: segments, requests: e.quarantineRequests(before.requests, explained)}
+	groups, explained := e.quarantineSegments(before.groups)
+	return quarantine{groups: groups, requests: e.quarantineRequests(before.requests, explained)}
 }
 
-// quarantineSegments returns the segments that explain crashes, and these crashes. A segment
-// that was quarantined before stays so while it alone explains a crash: among segments that
+// quarantineSegments returns the groups of segments that explain crashes, and these crashes. A
+// group that was quarantined before stays so while it alone explains a crash: among segments that
 // crash targets at the same time, new evidence changes which one explains most.
-func (e evidence) quarantineSegments(before map[SegmentHash]SegmentStats) (out map[SegmentHash]SegmentStats, explained crashSet) {
-	out = map[SegmentHash]SegmentStats{}
-	add := func(s SegmentHash) {
-		explained |= e.crashes[s]
-		out[s] = SegmentStats{Crashes: e.count(e.crashes[s]), Requests: len(e.requests[s]), Rivals: e.segmentRivals(s)}
+func (e evidence) quarantineSegments(before map[groupID]segmentGroup) (out map[groupID]segmentGroup, explained crashSet) {
+	out = map[groupID]segmentGroup{}
+	add := func(g segmentGroup, crashes crashSet) {
+		explained |= crashes
+		out[g.id()] = g
 	}
 	for s, found := e.next(explained); found; s, found = e.next(explained) {
-		add(s)
+		add(e.group(e.inseparable(s, explained)))
 	}
-	for s := range before {
-		if e.count(e.crashes[s]) >= minSegmentCrashes && e.crashes[s]&^explained != 0 {
-			add(s)
+	for _, id := range slices.Sorted(maps.Keys(before)) {
+		if g, crashes := e.group(before[id].segments); g.Crashes >= minSegmentCrashes && crashes&^explained != 0 {
+			add(g, crashes)
 		}
 	}
 	return out, explained
 }
 
-// segmentRivals returns the other segments that are in each crash of this one.
-func (e evidence) segmentRivals(s SegmentHash) []SegmentHash {
-	var out []SegmentHash
+// group returns the evidence against the segments as a group, and the crashes that it explains.
+func (e evidence) group(segments []SegmentHash) (g segmentGroup, crashes crashSet) {
+	g.segments = segments
+	requests := map[Fingerprint]bool{}
+	for i, c := range e.all {
+		for _, request := range g.holders(c) {
+			crashes |= 1 << i
+			requests[request] = true
+			g.last = e.at[i]
+		}
+	}
+	g.Crashes, g.Requests = e.count(crashes), len(requests)
+	return g, crashes
+}
+
+// inseparable returns the segment with those that are in each of its requests and in each of its
+// unexplained crashes.
+func (e evidence) inseparable(s SegmentHash, explained crashSet) []SegmentHash {
+	unexplained := e.crashes[s] &^ explained
+	out := []SegmentHash{s}
 	for other, crashes := range e.crashes {
-		if other != s && e.crashes[s]&^crashes == 0 {
+		if other != s && unexplained&^crashes == 0 && e.accompanies(other, s) {
 			out = append(out, other)
 		}
 	}
@@ -211,16 +281,16 @@
 	return 0, false
 }
 
-// hasBetterExplanation reports whether the segment is only in front of a suspect, or its
-// unexplained crashes may as well be those of another segment or of one request.
+// hasBetterExplanation reports whether the segment is in each request of a suspect with fewer, or
+// its unexplained crashes may as well be those of a segment of other requests or of one request.
 func (e evidence) hasBetterExplanation(s SegmentHash, suspects []SegmentHash, explained crashSet) bool {
 	unexplained := e.crashes[s] &^ explained
 	for other, crashes := range e.crashes {
 		covers := unexplained&^crashes == 0
-		if other == s || !covers && !slices.Contains(suspects, other) || e.follows(s, other) {
+		if other == s || !covers && !slices.Contains(suspects, other) || e.accompanies(other, s) {
 			continue
 		}
-		if e.follows(other, s) || covers && e.count(unexplained) < ambiguousCrashes {
+		if e.accompanies(s, other) || covers && e.count(unexplained) < ambiguousCrashes {
 			return true
 		}
 	}
@@ -254,10 +324,10 @@
 	return out
 }
 
-// follows reports whether s comes after other in each request with s.
-func (e evidence) follows(s, other SegmentHash) bool {
-	for _, segments := range e.requests[s] {
-		if at := slices.Index(segments, other); at < 0 || at >= slices.Index(segments, s) {
+// accompanies reports whether s is in each request with other.
+func (e evidence) accompanies(s, other SegmentHash) bool {
+	for _, segments := range e.requests[other] {
+		if !slices.Contains(segments, s) {
 			return false
 		}
 	}
--- a/internal/core/retry/segmentexchange.go
+++ b/internal/core/retry/segmentexchange.go
@@ -13,6 +13,8 @@
 	kindCrash     = "c"
 	kindClearance = "e"
 	kindAnswer    = "f"
+	kindTrial     = "t"
+	kindKnown     = "k"
 )
 
 // SetReport sets the function that sends encoded evidence to the peers, which pass each
@@ -70,6 +72,15 @@
 	return strings.Join([]string{kindClearance, hex(uint64(s)), hexList(crashes)}, ".")
 }
 
+// encodeTrial returns "t.<group>.<ms>". The time makes the value differ from earlier trials of the
+// group.
+func encodeTrial(group groupID, at time.Time) string {
+	return strings.Join([]string{kindTrial, hex(uint64(group)), hex(uint64(at.UnixMilli()))}, ".")
+}
+
+// encodeKnown returns "k.<segment>".
+func encodeKnown(s SegmentHash) string { return kindKnown + "." + hex(uint64(s)) }
+
 // Receive merges evidence that a peer reported. It ignores values that it cannot decode,
 // because they may be CrashRecords or come from a newer version.
 func (t *SegmentTracker) Receive(now time.Time, reports []port.Fingerprint) {
@@ -85,6 +96,12 @@
 			t.receiveClearance(now, r.Age, parts[1], parts[2])
 		case parts[0] == kindAnswer && len(parts) == 3:
 			t.receiveAnswer(now, r.Age, parts[1], parts[2])
+		case parts[0] == kindTrial && len(parts) == 3:
+			t.receiveTrial(now, r.Age, parts[1])
+		case parts[0] == kindKnown && len(parts) == 2:
+			if s, valid := parseHex(parts[1]); valid {
+				t.known.add(SegmentHash(s))
+			}
 		}
 	}
 }
@@ -137,6 +154,12 @@
 	}
 }
 
+func (t *SegmentTracker) receiveTrial(now time.Time, age time.Duration, group string) {
+	if id, valid := parseHex(group); valid && age < quarantineTTL {
+		t.recordTrial(groupID(id), now.Add(-age))
+	}
+}
+
 func hex(n uint64) string { return strconv.FormatUint(n, 16) }
 
 func hexList[T ~uint64](list []T) string {
--- a/internal/core/retry/segments.go
+++ b/internal/core/retry/segments.go
@@ -1,8 +1,8 @@
 package retry
 
 import (
+	"cmp"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -16,10 +16,7 @@
 func SegmentHashOf(id string) SegmentHash { return SegmentHash(xxhash.Sum64String(id)) }
 
 // String returns the hash in hexadecimal.
-func (s SegmentHash) String() string { return strconv.FormatUint(uint64(s), 16) }
-
-// WholeRequest is returned in place of a segment's index if the request itself is quarantined.
-const WholeRequest = -1
+func (s SegmentHash) String() string { return hex(uint64(s)) }
 
 const (
 	// minRequestCrashes is the number of crashes that quarantine a request.
@@ -33,9 +30,9 @@
 	// says nothing about the segments that it shares with others.
 	minSegmentCrashes  = 3
 	minSegmentRequests = 3
-	// ambiguousCrashes is the number of crashes after which segments that cannot be
-	// told apart are all quarantined, and after which one request less is enough, and
-	// one unexplained crash less for a segment that others explained in part.
+	// ambiguousCrashes is the number of crashes after which one of several segments that no
+	// request has in common is quarantined, and after which one request less is enough, and one
+	// unexplained crash less for a segment that others explained in part.
 	ambiguousCrashes = 5
 	// minCrashGap is the time between crashes that count as different ones: several targets
 	// that end at once have another cause, such as a lost rack, and a segment that many
@@ -54,8 +51,9 @@
 	// begins its answer.
 	startTime = 250 * time.Millisecond
 	// maxSegmentCrashes is the number of bits of a crashSet.
-	maxSegmentCrashes  = 64
-	maxCrashRequests   = 64
+	maxSegmentCrashes = 64
+	maxCrashRequests  = 64
+	// maxRequestSegments is the number of segments that the evidence holds of a request.
 	maxRequestSegments = 32
 	maxUnanswered      = 1024
 	maxAnswered        = 8192
@@ -110,16 +108,17 @@
 type SegmentStats struct {
 	Crashes  int
 	Requests int
-	// Rivals holds the other segments that are in each of the crashes and not cleared of them.
-	Rivals []SegmentHash
 }
 
-// SegmentChange reports that a request or a segment is quarantined or no longer is.
+// SegmentChange reports that a request, or segments that cannot be told apart, are quarantined or no
+// longer are, or that a request runs although they are.
 type SegmentChange struct {
-	// Request is set if it is the request that changed, Segment otherwise.
+	// Request is set if it is the request that changed, Segments otherwise.
 	Request     Fingerprint
-	Segment     SegmentHash
+	Segments    []SegmentHash
 	Quarantined bool
+	// Trial is the request that runs, zero if there is none.
+	Trial Fingerprint
 	SegmentStats
 }
 
@@ -131,19 +130,26 @@
 // segments of the crash.
 //
 // A request is quarantined after several crashes, unless another request explains them as
-// well. Of the segments that several crashes have in common, the one that fewest requests
-// share is quarantined: the segments before it are in the same crashes because it is never
-// without them. The routers exchange crashes and clearances, and each one derives the
-// quarantine from them. It is safe for concurrent use.
+// well. Of the segments that several crashes have in common, those that fewest requests share are
+// quarantined together: requests that hold all of them are refused, and the answers or crashes of
+// the others show which one is at fault. Now and then a request is tried although it is refused,
+// so that no quarantine is beyond refutation. The routers exchange crashes, clearances and trials,
+// and each one derives the quarantine from them. It is safe for concurrent use.
 type SegmentTracker struct {
 	mu      sync.Mutex
 	running map[string]map[string]*segmentAttempt // target -> attempt
 	// unanswered holds attempts on targets that are not known to have ended, oldest first.
-	unanswered  []*segmentAttempt
-	ends        map[string]targetEnd // by target and incarnation
-	crashes     []*segmentCrash      // oldest first
-	answered    answeredRequests
+	unanswered []*segmentAttempt
+	ends       map[string]targetEnd // by target and incarnation
+	crashes    []*segmentCrash      // oldest first
+	answered   recentSet[Fingerprint]
+	// known holds segments of requests that were answered, and those in a quarantine whose requests
+	// other routers have answered.
+	known       recentSet[SegmentHash]
 	quarantined quarantine
+	trials      map[groupID]*segmentTrial
+	// trialTurn reports whether this router is among the first n that may try the key.
+	trialTurn func(key string, n int) bool
 	// dirty is set when the evidence has changed. At nextChange, zero: never, a crash settles
 	// or expires.
 	dirty      bool
@@ -157,7 +163,7 @@
 
 // NewSegmentTracker returns a SegmentTracker without evidence.
 func NewSegmentTracker() *SegmentTracker {
-	return &SegmentTracker{running: map[string]map[string]*segmentAttempt{}, ends: map[string]targetEnd{}}
+	return &SegmentTracker{running: map[string]map[string]*segmentAttempt{}, ends: map[string]targetEnd{}, trials: map[groupID]*segmentTrial{}}
 }
 
 // Start records that an attempt of the request is about to run on the target. An empty
@@ -166,7 +172,7 @@
 func (t *SegmentTracker) Start(now time.Time, target, incarnation, attempt string, request Fingerprint, segments []SegmentHash) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.answered.has(request) && t.inDoubt(now, request) {
+	if !t.answered.has(request) && t.inDoubt(now, request) || t.onTrial(now, request) && t.isRunning(request) {
 		return false
 	}
 	set := t.running[target]
@@ -218,6 +224,7 @@
 		t.clear(a)
 		t.markAnswering(a.target, a.incarnation, a.started)
 	case end == Unanswered && !a.begun(now):
+		t.failTrials(a.request)
 		t.addUnanswered(now, a)
 	}
 }
@@ -227,27 +234,47 @@
 	return !a.answering.IsZero() && now.Sub(a.answering) >= startTime
 }
 
-// Quarantined returns the index of the first of the segments that is quarantined, or
-// WholeRequest if the request is.
-func (t *SegmentTracker) Quarantined(now time.Time, request Fingerprint, segments []SegmentHash) (index int, found bool) {
+// Quarantined reports whether the request is refused, and returns the indices of its segments that
+// are quarantined together, none if the request itself is.
+func (t *SegmentTracker) Quarantined(now time.Time, request Fingerprint, segments []SegmentHash) (quarantined []int, found bool) {
 	defer t.notify()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.dirty || !t.nextChange.IsZero() && !now.Before(t.nextChange) {
-		t.evaluate(now)
-	}
+	t.update(now)
 	if _, found := t.quarantined.requests[request]; found {
-		return WholeRequest, true
+		return nil, true
 	}
-	if len(t.quarantined.segments) == 0 {
-		return 0, false
+	groups := t.groupsIn(segments)
+	if len(groups) == 0 {
+		return nil, false
 	}
 	for i, s := range segments {
-		if _, found := t.quarantined.segments[s]; found {
-			return i, true
+		if slices.Contains(groups[0].segments, s) {
+			quarantined = append(quarantined, i)
 		}
 	}
-	return 0, false
+	return quarantined, true
+}
+
+// groupsIn returns the quarantined groups that a request with these segments holds.
+func (t *SegmentTracker) groupsIn(segments []SegmentHash) []segmentGroup {
+	var out []segmentGroup
+	for _, g := range t.quarantined.groups {
+		if g.in(segments) {
+			out = append(out, g)
+		}
+	}
+	slices.SortFunc(out, func(a, b segmentGroup) int {
+		return cmp.Or(len(b.segments)-len(a.segments), cmp.Compare(a.id(), b.id()))
+	})
+	return out
+}
+
+// update evaluates the evidence if it has changed.
+func (t *SegmentTracker) update(now time.Time) {
+	if t.dirty || !t.nextChange.IsZero() && !now.Before(t.nextChange) {
+		t.evaluate(now)
+	}
 }
 
 // crash returns the record of a crash at that time or before, and creates it if necessary.
@@ -305,13 +332,15 @@
 	}
 	t.reportAnswers(a.request)
 	for _, s := range a.segments {
+		t.known.add(s)
+		cleared := false
 		for _, c := range t.crashes {
 			if c.at.Before(began) && c.candidates[s] {
 				c.clear(s)
-				c.unreported[s] = true
-				t.dirty = true
+				c.unreported[s], cleared = true, true
 			}
 		}
+		t.dirty = t.dirty || cleared
 		t.reportClearances(s)
 	}
 }
@@ -371,8 +400,8 @@
 			return true
 		}
 	}
-	for s := range t.quarantined.segments {
-		if c.candidates[s] {
+	for _, g := range t.quarantined.groups {
+		if len(g.holders(c)) > 0 {
 			return true
 		}
 	}
@@ -419,26 +448,34 @@
 	}
 	slices.SortStableFunc(settled, func(a, b *segmentCrash) int { return a.at.Compare(b.at) })
 	next := newEvidence(settled, &t.answered).quarantine(t.quarantined)
-	t.pendingChanges = append(t.pendingChanges, changes(t.quarantined.segments, next.segments, func(s SegmentHash) SegmentChange { return SegmentChange{Segment: s} })...)
-	t.pendingChanges = append(t.pendingChanges, changes(t.quarantined.requests, next.requests, func(f Fingerprint) SegmentChange { return SegmentChange{Request: f} })...)
+	t.pendingChanges = append(t.pendingChanges, changes(t.quarantined.groups, next.groups, func(_ groupID, g segmentGroup) SegmentChange {
+		return SegmentChange{Segments: g.segments, SegmentStats: g.SegmentStats}
+	})...)
+	t.pendingChanges = append(t.pendingChanges, changes(t.quarantined.requests, next.requests, func(f Fingerprint, stats SegmentStats) SegmentChange {
+		return SegmentChange{Request: f, SegmentStats: stats}
+	})...)
+	before := t.quarantined.groups
 	t.quarantined = next
+	for id, g := range next.groups {
+		if _, already := before[id]; !already {
+			t.reportKnown(g)
+		}
+	}
+	t.updateTrials(now, before)
 }
 
-func changes[K comparable](before, after map[K]SegmentStats, change func(K) SegmentChange) []SegmentChange {
+func changes[K comparable, V any](before, after map[K]V, change func(K, V) SegmentChange) []SegmentChange {
 	var out []SegmentChange
-	add := func(key K, stats SegmentStats, quarantined bool) {
-		c := change(key)
-		c.SegmentStats, c.Quarantined = stats, quarantined
-		out = append(out, c)
-	}
-	for key, stats := range after {
+	for key, v := range after {
 		if _, already := before[key]; !already {
-			add(key, stats, true)
+			c := change(key, v)
+			c.Quarantined = true
+			out = append(out, c)
 		}
 	}
-	for key, stats := range before {
+	for key, v := range before {
 		if _, still := after[key]; !still {
-			add(key, stats, false)
+			out = append(out, change(key, v))
 		}
 	}
 	return out
--- a/internal/core/retry/segments_test.go
+++ b/internal/core/retry/segments_test.go
@@ -78,21 +78,15 @@
 	f.start("sound", Fingerprint(1000+f.attempts), segments...)(true)
 }
 
-// quarantined returns the quarantined ones of the segments 1 to 9, the same on all routers.
-func (f *segmentFleet) quarantined(is *is.I) []SegmentHash {
+// refuses reports whether a request with the prompt is refused, the same on all routers.
+func (f *segmentFleet) refuses(is *is.I, segments []SegmentHash) bool {
 	is.Helper()
-	var out []SegmentHash
-	for s := SegmentHash(1); s <= 9; s++ {
-		_, first := f.routers[0].Quarantined(f.now, 0, []SegmentHash{s})
-		for _, r := range f.routers {
-			_, found := r.Quarantined(f.now, 0, []SegmentHash{s})
-			is.Equal(found, first)
-		}
-		if first {
-			out = append(out, s)
-		}
+	_, first := f.routers[0].Quarantined(f.now, 0, segments)
+	for _, r := range f.routers {
+		_, found := r.Quarantined(f.now, 0, segments)
+		is.Equal(found, first)
 	}
-	return out
+	return first
 }
 
 func (f *segmentFleet) evaluate() {
@@ -103,30 +97,63 @@
 
 func prompt(segments ...SegmentHash) []SegmentHash { return segments }
 
+func prompts(list ...[]SegmentHash) [][]SegmentHash { return list }
+
 // Guards against different requests that crash one target after the other because they
 // share a prompt segment, and against a quarantine of the segments around it.
 func TestSegmentThatCrashesTargetsIsQuarantined(t *testing.T) {
 	cases := map[string]struct {
-		steps func(f *segmentFleet)
-		want  []SegmentHash
+		steps         func(f *segmentFleet)
+		refused, sent [][]SegmentHash
 	}{
 		"last shared segment": {func(f *segmentFleet) {
 			for i := range SegmentHash(3) {
 				f.crash(0, prompt(1, 2, 3), prompt(1, 10+i), prompt(20+i))
 			}
-		}, []SegmentHash{3}},
+		}, prompts(prompt(1, 2, 3), prompt(1, 2, 3, 30)), prompts(prompt(1, 2), prompt(1, 3), prompt(2, 3), prompt(1, 30))},
+		"the others are answered": {func(f *segmentFleet) {
+			for range 3 {
+				f.crash(0, prompt(1, 2, 3))
+			}
+			f.answer(1, 2, 30)
+		}, prompts(prompt(1, 2, 3), prompt(3), prompt(3, 30)), prompts(prompt(1, 2), prompt(1, 30))},
+		"the others are answered, in another order": {func(f *segmentFleet) {
+			for range 3 {
+				f.crash(0, prompt(3, 1, 2))
+			}
+			f.answer(30, 2, 1)
+		}, prompts(prompt(1, 2, 3), prompt(3), prompt(30, 3)), prompts(prompt(1, 2), prompt(1, 30))},
+		"some of the others crash": {func(f *segmentFleet) {
+			for range 3 {
+				f.crash(0, prompt(1, 2, 3))
+			}
+			f.evaluate()
+			f.crash(0, prompt(30, 2))
+			f.crash(0, prompt(2, 31))
+		}, prompts(prompt(1, 2, 3), prompt(2), prompt(2, 30)), prompts(prompt(1, 3), prompt(1, 30), prompt(3, 30))},
+		"beside one that shares a segment": {func(f *segmentFleet) {
+			for range ambiguousCrashes - 1 {
+				f.crash(0, prompt(1, 2), prompt(3, 2))
+			}
+		}, nil, prompts(prompt(1, 2), prompt(3, 2))},
+		"beside one that shares a segment, answered": {func(f *segmentFleet) {
+			for range 3 {
+				f.crash(0, prompt(1, 2), prompt(3, 2))
+			}
+			f.answer(3, 2)
+		}, prompts(prompt(1), prompt(1, 2)), prompts(prompt(3, 2), prompt(2, 30))},
 		"first segment": {func(f *segmentFleet) {
 			for i := range SegmentHash(3) {
 				f.crash(0, prompt(1, 10+i, 20+i))
 			}
-		}, []SegmentHash{1}},
+		}, prompts(prompt(1), prompt(1, 30)), prompts(prompt(10), prompt(10, 20))},
 		"first segment, mostly with the same second one": {func(f *segmentFleet) {
 			for range 3 {
 				f.crash(0, prompt(1, 2))
 			}
 			f.crash(0, prompt(1, 12))
 			f.crash(0, prompt(1, 13))
-		}, []SegmentHash{1, 2}},
+		}, prompts(prompt(1, 2), prompt(1, 30)), prompts(prompt(2, 30))},
 		"two at once": {func(f *segmentFleet) {
 			for i := range SegmentHash(3) {
 				f.crash(0, prompt(1, 2), prompt(1, 10+i))
@@ -134,7 +161,14 @@
 				f.crash(0, prompt(1, 5, 6), prompt(1, 13+i))
 				f.answer(1, 5)
 			}
-		}, []SegmentHash{2, 6}},
+		}, prompts(prompt(2), prompt(6), prompt(1, 5, 6)), prompts(prompt(1, 5))},
+		"two at once behind one that is not answered": {func(f *segmentFleet) {
+			for range 3 {
+				f.crash(0, prompt(1, 2))
+			}
+			f.evaluate()
+			f.crash(0, prompt(1, 6))
+		}, prompts(prompt(1, 2)), prompts(prompt(1, 30), prompt(1, 6), prompt(2, 30))},
 		"two that share crashes": {func(f *segmentFleet) {
 			f.crash(0, prompt(1))
 			f.crash(0, prompt(1), prompt(2))
@@ -143,50 +177,56 @@
 			f.crash(0, prompt(2), prompt(3))
 			f.crash(0, prompt(2))
 			f.crash(0, prompt(2))
-		}, []SegmentHash{1, 2}},
+		}, prompts(prompt(1), prompt(2)), prompts(prompt(3))},
 		"both on each crashed target": {func(f *segmentFleet) {
 			for range 3 {
 				f.crash(0, prompt(1, 2), prompt(4, 5))
 			}
 			f.crash(0, prompt(4, 5))
-		}, []SegmentHash{5}},
-		"cannot be told apart": {func(f *segmentFleet) {
+		}, prompts(prompt(4, 5)), prompts(prompt(1, 2), prompt(4, 30), prompt(5, 30))},
+		"in different requests": {func(f *segmentFleet) {
 			for range ambiguousCrashes - 1 {
 				f.crash(0, prompt(1, 2), prompt(4, 5))
 			}
-		}, nil},
+		}, nil, prompts(prompt(1, 2), prompt(4, 5))},
 		"answers begin on it": {func(f *segmentFleet) {
 			for range 4 {
 				f.crash(0, prompt(1, 2))
 				f.answer(1, 2)
 			}
-		}, nil},
+		}, nil, prompts(prompt(1, 2))},
 		"one request repeated": {func(f *segmentFleet) {
 			for range 8 {
 				f.crash(77, prompt(1, 2))
 			}
-		}, nil},
+		}, nil, prompts(prompt(1, 2))},
+		"one request repeated, then others": {func(f *segmentFleet) {
+			for range 3 {
+				f.crash(77, prompt(1, 2), prompt(1, 2))
+			}
+			f.crash(0, prompt(1, 2))
+		}, prompts(prompt(1, 2)), prompts(prompt(1, 30))},
 		"two requests repeated": {func(f *segmentFleet) {
 			for i := range ambiguousCrashes {
 				f.crash(Fingerprint(77+i%2), prompt(1, 2))
 			}
-		}, []SegmentHash{2}},
+		}, prompts(prompt(1, 2)), prompts(prompt(1, 30))},
 		"one request repeated beside others": {func(f *segmentFleet) {
 			for range 3 {
 				f.crash(77, prompt(4, 5), prompt(1))
 			}
-		}, nil},
+		}, nil, prompts(prompt(4, 5), prompt(1))},
 		"three targets lost at once": {func(f *segmentFleet) {
 			for range 3 {
 				f.crash(0, prompt(1, 2), prompt(1, 2))
 				f.now = f.now.Add(-settleTime)
 			}
 			f.now = f.now.Add(settleTime)
-		}, nil},
+		}, nil, prompts(prompt(1, 2))},
 		"two crashes": {func(f *segmentFleet) {
 			f.crash(0, prompt(1, 2))
 			f.crash(0, prompt(1, 2), prompt(1, 2))
-		}, nil},
+		}, nil, prompts(prompt(1, 2))},
 		"answer after the quarantine": {func(f *segmentFleet) {
 			end := func(bool) {}
 			for range 3 {
@@ -196,20 +236,20 @@
 			}
 			f.evaluate()
 			end(true)
-		}, nil},
+		}, nil, prompts(prompt(1, 2))},
 		"expired after the quarantine": {func(f *segmentFleet) {
 			for range 3 {
 				f.crash(0, prompt(1, 2))
 			}
 			f.evaluate()
 			f.now = f.now.Add(quarantineTTL)
-		}, nil},
+		}, nil, prompts(prompt(1, 2))},
 		"expired": {func(f *segmentFleet) {
 			for range 3 {
 				f.crash(0, prompt(1, 2))
 			}
 			f.now = f.now.Add(quarantineTTL)
-		}, nil},
+		}, nil, prompts(prompt(1, 2))},
 	}
 	for name, c := range cases {
 		for _, routers := range []int{1, 7} {
@@ -217,7 +257,12 @@
 				is := is.New(t)
 				f := newSegmentFleet(routers)
 				c.steps(f)
-				is.Equal(f.quarantined(is), c.want)
+				for _, p := range c.refused {
+					is.True(f.refuses(is, p)) // refused
+				}
+				for _, p := range c.sent {
+					is.True(!f.refuses(is, p)) // sent
+				}
 			})
 		}
 	}
@@ -243,9 +288,9 @@
 	now = now.Add(settleTime)
 	_, found := r.Quarantined(now, 0, prompt(1))
 	is.True(!found)
-	index, found := r.Quarantined(now, 0, prompt(9, 2))
+	segments, found := r.Quarantined(now, 0, prompt(9, 2))
 	is.True(found)
-	is.Equal(index, 1)
+	is.Equal(segments, []int{1})
 }
 
 // Guards against a quarantine before all routers have reported their evidence.
@@ -256,9 +301,9 @@
 		f.crash(0, prompt(1, 2))
 	}
 	f.now = f.now.Add(-time.Millisecond)
-	is.Equal(f.quarantined(is), nil)
+	is.True(!f.refuses(is, prompt(1, 2)))
 	f.now = f.now.Add(time.Millisecond)
-	is.Equal(f.quarantined(is), []SegmentHash{2})
+	is.True(f.refuses(is, prompt(1, 2)))
 }
 
 // Guards against evidence of peers that is decoded wrongly, grows without bound or causes
@@ -267,16 +312,17 @@
 	is := is.New(t)
 	r := NewSegmentTracker()
 	for _, value := range []string{"", ".", "c", "c.1", "c.1.2", "c.x.2.3", "c.1.x.3", "c.1.2.x", "c.1.2.3.x", "c.1.2.3.", "c.1.2.3.ffffffffffffffff", "c.1.2.3.4.5",
-		"e.1", "e.x.1", "e.1.x", "f.1", "f.x.1", "f.1.x", "s.1.a"} {
+		"e.1", "e.x.1", "e.1.x", "f.1", "f.x.1", "f.1.x", "s.1.a", "t", "t.1", "t.x.1"} {
 		r.Receive(t0, []port.Fingerprint{{Value: value}})
 	}
-	is.Equal(len(r.crashes), 0)
+	is.Equal(len(r.crashes)+len(r.trials), 0)
 	for i := range 10 * maxSegmentCrashes {
-		for _, value := range []string{fmt.Sprintf("c.%x.%x.5,6", i, i), fmt.Sprintf("e.%x.7", i), fmt.Sprintf("f.%x.7", i), fmt.Sprintf("c.1.%x.%x", i, i), fmt.Sprintf("f.%x.1", i)} {
+		for _, value := range []string{fmt.Sprintf("c.%x.%x.5,6", i, i), fmt.Sprintf("e.%x.7", i), fmt.Sprintf("f.%x.7", i), fmt.Sprintf("c.1.%x.%x", i, i), fmt.Sprintf("f.%x.1", i), fmt.Sprintf("t.%x.1", i)} {
 			r.Receive(t0, []port.Fingerprint{{Value: value}})
 		}
 	}
 	is.True(len(r.crashes) <= maxSegmentCrashes)
+	is.Equal(len(r.trials), maxTrials)
 	for _, c := range r.crashes {
 		is.True(len(c.requests) <= maxCrashRequests)
 		is.True(len(c.answered) <= maxCrashRequests)
