retry: report a clearance once its segment is in a second crash

A router reports that it has cleared a segment only if the segment was in two crashes, as one crash quarantines nothing. If it learned of the second crash after the answer, it reported nothing until the segment was answered there again: the others went on suspecting it, and routers refused different requests.

The clearance is now reported when the second crash becomes known. TestClearanceBeforeTheSecondCrashIsReported failed before (routers differ).

--- a/internal/core/retry/segments.go
+++ b/internal/core/retry/segments.go
@@ -312,6 +312,7 @@
 		if !c.cleared[s] {
 			c.candidates[s] = true
 		}
+		t.reportClearances(s)
 	}
 	t.dirty = true
 	return true
@@ -340,8 +341,10 @@
 				c.unreported[s], cleared = true, true
 			}
 		}
-		t.dirty = t.dirty || cleared
-		t.reportClearances(s)
+		if cleared {
+			t.dirty = true
+			t.reportClearances(s)
+		}
 	}
 }
 
--- a/internal/core/retry/segmenttrials_test.go
+++ b/internal/core/retry/segmenttrials_test.go
@@ -159,3 +159,16 @@
 	f.now = f.now.Add(7 * trialStep)
 	is.True(f.tries(routers-1, 1))
 }
+
+// Guards against routers that refuse different requests because one reports a clearance only once
+// its segment is answered again.
+func TestClearanceBeforeTheSecondCrashIsReported(t *testing.T) {
+	is := is.New(t)
+	f := newSegmentFleet(3)
+	f.crash(0, prompt(1, 2))
+	f.answer(1)
+	f.crash(0, prompt(1, 2))
+	f.crash(0, prompt(1, 2))
+	is.True(f.refuses(is, prompt(2)))
+	is.True(!f.refuses(is, prompt(1)))
+}
