retry: keep the segments that are new of a request with many

Of a request with more than 32 segments the evidence held the first 32. If the one at fault stood behind them, the others were quarantined, and each answer to a trial was followed by crashes.

Of an attempt that was left unanswered the evidence now holds first the segments of which no answer is known, then the others up to 32. While an attempt runs, all its segments count, so that its answer clears them all. The segments of long prompts are not copied while they run.

--- a/internal/app/gateway/crashsegments_test.go
+++ b/internal/app/gateway/crashsegments_test.go
@@ -131,9 +131,18 @@
 	return out
 }
 
+func segments(name string, n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprint(name, i)
+	}
+	return out
+}
+
 // Guards against a quarantine of the segments that sound requests share with those that crash
 // targets, if no sound request begins between the crashes.
 func TestSoundRequestsBesideACrashingSegmentAreServed(t *testing.T) {
+	long := segments("p", 60)
 	cases := map[string]sparseTraffic{
 		"first": {sound: []string{"system", "subject"}, crashing: [][]string{{"deadly", "subject"}}},
 		"amid":  {sound: []string{"system", "subject"}, crashing: [][]string{{"system", "deadly", "subject"}}},
@@ -142,7 +151,10 @@
 			crashing: [][]string{{"deadly1", "subject"}, {"system", "deadly2", "subject"}}},
 		"four segments": {sound: []string{"system", "subject"},
 			crashing: [][]string{{"deadly1", "subject"}, {"deadly2", "subject"}, {"system", "deadly3"}, {"deadly4", "system", "subject"}}},
-		"crashes end": {sound: []string{"system", "subject"}, crashing: [][]string{{"deadly", "subject"}}, until: crashesBegin + 2*time.Second},
+		"many segments, first":  {sound: long, crashing: [][]string{slices.Concat([]string{"deadly"}, long[1:])}},
+		"many segments, amid":   {sound: long, crashing: [][]string{slices.Concat(long[:20], []string{"deadly"}, long[21:])}},
+		"many segments, behind": {sound: long, crashing: [][]string{slices.Concat(long[:50], []string{"deadly"}, long[51:])}},
+		"crashes end":           {sound: []string{"system", "subject"}, crashing: [][]string{{"deadly", "subject"}}, until: crashesBegin + 2*time.Second},
 		"turned bad": {sound: []string{"system", "subject"}, answered: []string{"deadly", "subject"},
 			crashing: [][]string{{"deadly", "subject"}}},
 		"turned bad in other prompts": {sound: []string{"system", "subject"}, answered: []string{"deadly", "subject"},
--- a/internal/core/retry/segments.go
+++ b/internal/core/retry/segments.go
@@ -181,7 +181,7 @@
 		t.running[target] = set
 	}
 	set[attempt] = &segmentAttempt{target: target, incarnation: incarnation, request: request,
-		segments: segments[:min(len(segments), maxRequestSegments)], started: now}
+		segments: segments, started: now}
 	return true
 }
 
@@ -225,6 +225,7 @@
 		t.markAnswering(a.target, a.incarnation, a.started)
 	case end == Unanswered && !a.begun(now):
 		t.failTrials(a.request)
+		a.segments = t.retained(a.segments)
 		t.addUnanswered(now, a)
 	}
 }
--- a/internal/core/retry/segmenttrials.go
+++ b/internal/core/retry/segmenttrials.go
@@ -230,3 +230,37 @@
 		}
 	}
 }
+
+// retained returns the segments that the evidence holds of a request. Of too many, those of which
+// nothing is known come before those that were answered.
+func (t *SegmentTracker) retained(segments []SegmentHash) []SegmentHash {
+	if len(segments) <= maxRequestSegments {
+		return segments
+	}
+	isNew := func(s SegmentHash) bool { return !t.known.has(s) }
+	left := maxRequestSegments
+	known := max(0, left-countFunc(segments, isNew))
+	out := make([]SegmentHash, 0, left)
+	for _, s := range segments {
+		switch {
+		case len(out) == left:
+			return out
+		case isNew(s):
+			out = append(out, s)
+		case known > 0:
+			out = append(out, s)
+			known--
+		}
+	}
+	return out
+}
+
+func countFunc[S ~[]E, E any](s S, is func(E) bool) int {
+	n := 0
+	for _, v := range s {
+		if is(v) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/core/retry/segmenttrials_test.go
+++ b/internal/core/retry/segmenttrials_test.go
@@ -172,3 +172,19 @@
 	is.True(f.refuses(is, prompt(2)))
 	is.True(!f.refuses(is, prompt(1)))
 }
+
+// Guards against a segment that is not found because it stands behind too many others, and against
+// refusing those.
+func TestSegmentBehindManyOthers(t *testing.T) {
+	is := is.New(t)
+	f := newSegmentFleet(1)
+	long := make([]SegmentHash, 3*maxRequestSegments)
+	for i := range long {
+		long[i] = SegmentHash(100 + i)
+	}
+	f.answer(long...)
+	bad := append(append(prompt(), long[:2*maxRequestSegments]...), 9)
+	f.quarantineOf(append(bad, long[2*maxRequestSegments:]...)...)
+	is.True(f.refuses(is, append(bad, long[2*maxRequestSegments:]...)))
+	is.True(!f.refuses(is, long))
+}
