retry: leave room for new crashes beside those of quarantines

The evidence holds 64 crashes, and those of a quarantine were removed last. With many segments quarantined, the crashes of one more replaced each other, so that it was never found: with 26 segments of three crashes each, the 22nd goes on crashing targets.

Up to 16 crashes that nothing explains are kept before the oldest one of a quarantine goes. TestOneMoreSegmentThanTheEvidenceHolds failed before.

--- a/internal/core/retry/segments.go
+++ b/internal/core/retry/segments.go
@@ -52,7 +52,10 @@
 	startTime = 250 * time.Millisecond
 	// maxSegmentCrashes is the number of bits of a crashSet.
 	maxSegmentCrashes = 64
-	maxCrashRequests  = 64
+	// unexplainedCrashes is how many of these at least may be of no quarantine, so that the next
+	// request or segment at fault is found.
+	unexplainedCrashes = 16
+	maxCrashRequests   = 64
 	// maxRequestSegments is the number of segments that the evidence holds of a request.
 	maxRequestSegments = 32
 	maxUnanswered      = 1024
@@ -290,8 +293,7 @@
 	}
 	t.expire(now)
 	if len(t.crashes) == maxSegmentCrashes {
-		// The evidence of a quarantine is removed last.
-		i := max(0, slices.IndexFunc(t.crashes, func(c *segmentCrash) bool { return !t.explained(c) }))
+		i := t.leastUseful()
 		t.crashes = slices.Delete(t.crashes, i, i+1)
 	}
 	c := &segmentCrash{id: id, at: at, seen: now, requests: map[Fingerprint][]SegmentHash{}, candidates: map[SegmentHash]bool{}, cleared: map[SegmentHash]bool{}, unreported: map[SegmentHash]bool{},
@@ -301,6 +303,21 @@
 	return c
 }
 
+// leastUseful returns the index of the crash that is removed first: the oldest that no quarantine
+// explains if there are many of these, else the oldest.
+func (t *SegmentTracker) leastUseful() int {
+	oldest, unexplained := 0, 0
+	for i, c := range slices.Backward(t.crashes) {
+		if !t.explained(c) {
+			oldest, unexplained = i, unexplained+1
+		}
+	}
+	if unexplained < unexplainedCrashes {
+		return 0
+	}
+	return oldest
+}
+
 func (t *SegmentTracker) add(c *segmentCrash, request Fingerprint, segments []SegmentHash) bool {
 	if _, known := c.requests[request]; known || len(c.requests) == maxCrashRequests {
 		return false
--- a/internal/core/retry/segmenttrials_test.go
+++ b/internal/core/retry/segmenttrials_test.go
@@ -188,3 +188,19 @@
 	is.True(f.refuses(is, append(bad, long[2*maxRequestSegments:]...)))
 	is.True(!f.refuses(is, long))
 }
+
+// Guards against the evidence of many segments that leaves no room for that of one more.
+func TestOneMoreSegmentThanTheEvidenceHolds(t *testing.T) {
+	is := is.New(t)
+	f := newSegmentFleet(1)
+	const segments = maxSegmentCrashes/minSegmentCrashes + 5
+	for s := range SegmentHash(segments) {
+		f.quarantineOf(100 + s)
+		is.True(f.refuses(is, prompt(100+s)))
+	}
+	// Crashes without a cause take the place of no quarantine.
+	for i := range 2 * maxSegmentCrashes {
+		f.crash(0, prompt(SegmentHash(1000+i)))
+	}
+	is.True(f.refuses(is, prompt(100+segments-1)))
+}
