fleet: learn the evidence against requests from peers at the start

Each router now asks the first two peers that respond, and evidence that had settled on others counts at once, by its age.

--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -68,7 +68,8 @@
 	// OnPeerInFlight receives the in-flight counts of a peer, or nil when its
 	// last report has expired.
 	OnPeerInFlight func(peer string, inFlight map[string]int)
-	// OnFingerprints receives fingerprints that are new to this router.
+	// OnFingerprints receives fingerprints that are new to this router, and all that a
+	// snapshot holds.
 	OnFingerprints func(fingerprints []port.Fingerprint)
 	// OnSummary receives a complete or incremental hot-prefix summary.
 	OnSummary func(peer string, summary []byte)
--- a/internal/app/fleet/fleet_test.go
+++ b/internal/app/fleet/fleet_test.go
@@ -95,6 +95,32 @@
 	})
 }
 
+// Guards against a router that starts later, also in place of one that ran, and does not learn the
+// fingerprints.
+func TestStartingRouterLearnsTheFingerprints(t *testing.T) {
+	inBubble(t, routers, func(t *testing.T, net *network) {
+		var mu sync.Mutex
+		got := map[int][]string{}
+		net.router(0).ReportFingerprint("f1")
+		<-time.After(20 * time.Second)
+		for i := range routers { // one after the other, all of them
+			net.kill(i)
+			<-time.After(time.Second)
+			net.start(i, Options{Callbacks: Callbacks{OnFingerprints: func(fingerprints []port.Fingerprint) {
+				mu.Lock()
+				defer mu.Unlock()
+				for _, f := range fingerprints {
+					got[i] = append(got[i], f.Value)
+				}
+			}}})
+			<-time.After(2 * time.Second)
+			mu.Lock()
+			is.New(t).True(slices.Contains(got[i], "f1"))
+			mu.Unlock()
+		}
+	})
+}
+
 // Guards against a planned stop that others treat as a failure, and against
 // Leave reporting success when some neighbours did not respond.
 func TestLeaveNotifiesAllNeighbours(t *testing.T) {
--- a/internal/app/fleet/lifecycle.go
+++ b/internal/app/fleet/lifecycle.go
@@ -7,14 +7,25 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"mimosaseam.example/mimosaseam/internal/core/membership"
+	"mimosaseam.example/mimosaseam/internal/ctxtime"
 	"mimosaseam.example/mimosaseam/internal/port"
 )
 
 // maxQueriedPeers bounds the peers contacted for one query or handoff.
 const maxQueriedPeers = 3
 
+const (
+	// maxSnapshots is the number of peers whose snapshots a router merges after its start: the
+	// first may have started just before it.
+	maxSnapshots = 2
+	// snapshotInterval and snapshotRounds are for how long and how often it asks for them.
+	snapshotInterval = 250 * time.Millisecond
+	snapshotRounds   = 60
+)
+
 // LeaveError means that some neighbours did not acknowledge the announcement
 // of a planned stop. They receive it from those that did.
 type LeaveError struct {
@@ -33,16 +44,10 @@
 	// If the poll fails, the seeds are used.
 	_ = f.poll(ctx)
 	for _, to := range f.queryCandidates("", 0) {
-		s, err := f.o.Peer.Summary(ctx, to.Address)
-		if err != nil || s.From.Name == f.o.Self.Name {
+		s, ok := f.adoptSnapshot(ctx, to)
+		if !ok {
 			continue
 		}
-		f.mu.Lock()
-		now := f.o.Clock.Now()
-		f.view.RecordResponse(now, to, s.From)
-		f.view.MergeSnapshot(now, s.Gossip)
-		f.mu.Unlock()
-		f.notifyGossip(s.Gossip)
 		if on := f.o.Callbacks.OnSummary; on != nil && len(s.Summary) > 0 {
 			on(s.From.Name, s.Summary)
 		}
@@ -51,6 +56,50 @@
 	return ErrNoPeer
 }
 
+// adoptSnapshot merges the snapshot of a peer. It returns false if the peer does not respond.
+func (f *Fleet) adoptSnapshot(ctx context.Context, to membership.Peer) (port.PeerSummary, bool) {
+	s, err := f.o.Peer.Summary(ctx, to.Address)
+	if err != nil {
+		f.o.Logger.InfoContext(ctx, "no snapshot of a router", "router", to.Name, "why", err)
+		return port.PeerSummary{}, false
+	}
+	if s.From.Name == f.o.Self.Name {
+		return port.PeerSummary{}, false
+	}
+	f.mu.Lock()
+	now := f.o.Clock.Now()
+	f.view.RecordResponse(now, to, s.From)
+	f.view.MergeSnapshot(now, s.Gossip)
+	f.mu.Unlock()
+	f.o.Logger.InfoContext(ctx, "snapshot of a router", "router", s.From.Name, "fingerprints", len(s.Gossip.Fingerprints), "targets", len(s.Gossip.Targets))
+	f.notifyGossip(s.Gossip)
+	return s, true
+}
+
+// snapshotLoop merges the snapshots of the first peers that respond. Fingerprints are sent once, so
+// that a router that starts later learns those of the running ones from their snapshots only.
+func (f *Fleet) snapshotLoop(ctx context.Context) {
+	asked := map[string]bool{}
+	for range snapshotRounds {
+		for _, to := range f.queryCandidates("", 0) {
+			if len(asked) == maxSnapshots {
+				return
+			}
+			if !asked[to.Name] {
+				asking, cancel := context.WithTimeout(ctx, exchangeTimeout)
+				_, ok := f.adoptSnapshot(asking, to)
+				cancel()
+				if ok {
+					asked[to.Name] = true
+				}
+			}
+		}
+		if ctxtime.Sleep(ctx, snapshotInterval) != nil {
+			return
+		}
+	}
+}
+
 // PullRecords reads records of a log stream from peers, starting with those
 // that have reported the offset. An empty batch means that no peer has newer
 // records.
--- a/internal/app/fleet/loop.go
+++ b/internal/app/fleet/loop.go
@@ -24,13 +24,14 @@
 	listRetry = 5 * time.Second
 )
 
-// Run polls the VM list, exchanges with neighbours and forwards urgent updates
+// Run polls the VM list, merges snapshots of peers, exchanges with neighbours and forwards urgent updates
 // until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
 	var loops sync.WaitGroup
-	for what, loop := range map[string]func(context.Context){"list loop": f.listLoop, "urgent loop": f.urgentLoop, "exchange loop": f.exchangeLoop} {
+	for what, loop := range map[string]func(context.Context){"list loop": f.listLoop, "urgent loop": f.urgentLoop, "exchange loop": f.exchangeLoop,
+		"snapshot loop": f.snapshotLoop} {
 		loops.Go(func() {
-			// The loops end with the context only.
+			// No loop returns an error of its own.
 			_ = panics.Loop(f.o.Logger, what, func(ctx context.Context) error {
 				loop(ctx)
 				return ctx.Err()
--- a/internal/core/retry/segmentexchange.go
+++ b/internal/core/retry/segmentexchange.go
@@ -116,7 +116,12 @@
 	}
 	if valid && validRequest && validList && validLag && lag <= uint64(suspectTTL.Milliseconds()) {
 		at := now.Add(-age - time.Duration(lag)*time.Millisecond)
-		t.add(t.crash(now, at, id), Fingerprint(request), segments)
+		c := t.crash(now, at, id)
+		// What has settled on other routers counts at once, as in a snapshot at the start.
+		if seen := now.Add(-age); seen.Before(c.seen) {
+			c.seen, t.dirty = seen, true
+		}
+		t.add(c, Fingerprint(request), segments)
 	}
 }
 
