fleet: learn missed evidence once in contact with other routers again

A router that was cut off from all others missed the evidence that they exchanged meanwhile, which is sent once: 15 s later it had none of it, 4 s after the link was back (TestRouterInContactAgainLearnsTheFingerprints failed).

--- a/internal/app/fleet/fleet_test.go
+++ b/internal/app/fleet/fleet_test.go
@@ -121,6 +121,36 @@
 	})
 }
 
+// Guards against a router that was cut off from all others and does not learn the fingerprints that
+// were reported meanwhile.
+func TestRouterInContactAgainLearnsTheFingerprints(t *testing.T) {
+	for name, f := range map[string]fault{"no response": silent, "refused": refused} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, routers, func(t *testing.T, net *network) {
+				learned := make(chan struct{}, 100)
+				net.kill(0)
+				net.start(0, Options{Callbacks: Callbacks{OnFingerprints: func([]port.Fingerprint) { learned <- struct{}{} }}})
+				<-time.After(10 * time.Second)
+				net.setFault(func(from, to string) fault {
+					if from == "r0" || to == "r0" {
+						return f
+					}
+					return none
+				})
+				<-time.After(2 * time.Second)
+				net.router(1).ReportFingerprint("f1")
+				<-time.After(15 * time.Second)
+				net.setFault(nil)
+				select {
+				case <-learned:
+				case <-time.After(4 * time.Second):
+					t.Error("not learned")
+				}
+			})
+		})
+	}
+}
+
 // Guards against a planned stop that others treat as a failure, and against
 // Leave reporting success when some neighbours did not respond.
 func TestLeaveNotifiesAllNeighbours(t *testing.T) {
--- a/internal/app/fleet/lifecycle.go
+++ b/internal/app/fleet/lifecycle.go
@@ -18,8 +18,8 @@
 const maxQueriedPeers = 3
 
 const (
-	// maxSnapshots is the number of peers whose snapshots a router merges after its start: the
-	// first may have started just before it.
+	// maxSnapshots is the number of peers whose snapshots a router merges: the first may have
+	// started, or been cut off, like itself.
 	maxSnapshots = 2
 	// snapshotInterval and snapshotRounds are for how long and how often it asks for them.
 	snapshotInterval = 250 * time.Millisecond
@@ -76,9 +76,19 @@
 	return s, true
 }
 
-// snapshotLoop merges the snapshots of the first peers that respond. Fingerprints are sent once, so
-// that a router that starts later learns those of the running ones from their snapshots only.
+// snapshotLoop merges the snapshots of some peers at the start and whenever the router was cut off
+// from all others. Fingerprints are sent once, so that only a snapshot holds the missed ones.
 func (f *Fleet) snapshotLoop(ctx context.Context) {
+	for {
+		f.adoptSnapshots(ctx)
+		if f.awaitReconnection(ctx) != nil {
+			return
+		}
+	}
+}
+
+// adoptSnapshots merges the snapshots of the first peers that respond.
+func (f *Fleet) adoptSnapshots(ctx context.Context) {
 	asked := map[string]bool{}
 	for range snapshotRounds {
 		for _, to := range f.queryCandidates("", 0) {
@@ -100,6 +110,22 @@
 	}
 }
 
+// awaitReconnection returns once the router was cut off from all others and is in contact again.
+func (f *Fleet) awaitReconnection(ctx context.Context) error {
+	for wasIsolated := false; ; {
+		if err := ctxtime.Sleep(ctx, membership.ExchangeInterval); err != nil {
+			return err
+		}
+		f.mu.Lock()
+		isIsolated := f.view.Isolated(f.o.Clock.Now())
+		f.mu.Unlock()
+		if wasIsolated && !isIsolated {
+			return nil
+		}
+		wasIsolated = isIsolated
+	}
+}
+
 // PullRecords reads records of a log stream from peers, starting with those
 // that have reported the offset. An empty batch means that no peer has newer
 // records.
