retry: make no trial of a request whose target may have ended

A request that was just left unanswered could begin a trial before the end of its target was known. TestTrialsAvoidOtherSuspects failed before with such a request.

--- a/internal/core/retry/segmenttrials.go
+++ b/internal/core/retry/segmenttrials.go
@@ -48,7 +48,7 @@
 	t.update(now)
 	groups := t.groupsIn(segments)
 	known, unknown := t.otherCauses(request, segments, groups)
-	if _, found := t.quarantined.requests[request]; found || unknown {
+	if _, found := t.quarantined.requests[request]; found || unknown || t.silentTargets(now, request) > 0 {
 		return false
 	}
 	var due []segmentGroup
--- a/internal/core/retry/segmenttrials_test.go
+++ b/internal/core/retry/segmenttrials_test.go
@@ -110,6 +110,8 @@
 	f.now = f.now.Add(knownTrialInterval)
 	is.True(f.refuses(is, prompt(1, 5)))
 	is.True(!f.routers[0].Try(f.now, 77, prompt(1)))
+	f.start("silent", 88, 1, 5)(false)
+	is.True(!f.routers[0].Try(f.now, 88, prompt(1, 5))) // its target may have ended
 	is.True(!f.tries(0, 1, 2))
 	is.True(!f.tries(0, 1, 4)) // only later
 	is.True(f.tries(0, 1, 5))
