retry: bound the trials that are remembered in one place

Two trials at once could exceed the bound of 256 groups, and the second had no record (found by reading). A request whose quarantine ended between the two questions is sent without a trial.

--- a/internal/core/retry/segmentexchange.go
+++ b/internal/core/retry/segmentexchange.go
@@ -160,7 +160,8 @@
 }
 
 func (t *SegmentTracker) receiveTrial(now time.Time, age time.Duration, group string) {
-	if id, valid := parseHex(group); valid && age < quarantineTTL {
+	id, valid := parseHex(group)
+	if _, known := t.trials[groupID(id)]; valid && age < quarantineTTL && (known || len(t.trials) < maxTrials) {
 		t.recordTrial(groupID(id), now.Add(-age))
 	}
 }
--- a/internal/core/retry/segmenttrials.go
+++ b/internal/core/retry/segmenttrials.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// A trial of a quarantined group comes after knownTrialInterval if requests with
-	// each of its segments were answered before, after newTrialInterval otherwise, and later by
-	// trialBackoff for each crash since the first trial. After maxFailedTrials of these, and at most,
-	// it comes after maxTrialInterval.
+	// A trial of a quarantined group comes after knownTrialInterval if requests with each of its
+	// segments were answered before, after newTrialInterval otherwise, and trialBackoff times as late
+	// for each crash since the first trial. After maxFailedTrials of these, and at most, it comes
+	// after maxTrialInterval.
 	knownTrialInterval = 2 * time.Second
 	newTrialInterval   = 5 * time.Minute
 	trialBackoff       = 8
@@ -20,7 +20,8 @@
 	// of a trial of the others.
 	trialStep = settleTime
 	// trialTTL is how long a request may use its trial.
-	trialTTL  = 30 * time.Second
+	trialTTL = 30 * time.Second
+	// maxTrials bounds the groups whose trials are remembered. Beyond it there are no others.
 	maxTrials = 256
 )
 
@@ -46,9 +47,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.update(now)
+	if _, found := t.quarantined.requests[request]; found {
+		return false
+	}
 	groups := t.groupsIn(segments)
+	if len(groups) == 0 {
+		return true
+	}
 	known, unknown := t.otherCauses(request, segments, groups)
-	if _, found := t.quarantined.requests[request]; found || unknown || t.silentTargets(now, request) > 0 {
+	if unknown || t.silentTargets(now, request) > 0 {
 		return false
 	}
 	var due []segmentGroup
@@ -61,25 +68,23 @@
 		}
 		due = append(due, g)
 	}
+	if len(t.trials)+len(due) > maxTrials {
+		return false
+	}
 	for _, g := range due {
-		t.recordTrial(g.id(), now)
-		t.trials[g.id()].request = request
+		t.recordTrial(g.id(), now).request = request
 		t.pendingReports = append(t.pendingReports, encodeTrial(g.id(), now))
 		t.pendingChanges = append(t.pendingChanges, SegmentChange{Segments: g.segments, Quarantined: true, Trial: request, SegmentStats: g.SegmentStats})
 	}
 	return true
 }
 
-// mayTry reports whether a trial of the group is due on this router, later by trialBackoff for a
+// mayTry reports whether a trial of the group is due on this router, trialBackoff times as late for a
 // request that may have another cause. The first router may try at once, and twice as many after
 // each trialStep.
 func (t *SegmentTracker) mayTry(now time.Time, g segmentGroup, hasOtherCause bool) bool {
-	trial := t.trials[g.id()]
-	if trial == nil && len(t.trials) == maxTrials {
-		return false
-	}
 	last, failed := g.last, 0
-	if trial != nil {
+	if trial := t.trials[g.id()]; trial != nil {
 		failed = t.crashesSince(g, trial.first.Add(-settleTime)) // the times of other routers' reports are not exact
 		if trial.at.After(last) {
 			last = trial.at
@@ -189,18 +194,16 @@
 	}
 }
 
-func (t *SegmentTracker) recordTrial(id groupID, at time.Time) {
+func (t *SegmentTracker) recordTrial(id groupID, at time.Time) *segmentTrial {
 	trial := t.trials[id]
 	if trial == nil {
-		if len(t.trials) == maxTrials {
-			return
-		}
 		trial = &segmentTrial{first: at}
 		t.trials[id] = trial
 	}
 	if at.After(trial.at) {
 		trial.at = at
 	}
+	return trial
 }
 
 // failTrials ends the trials of a request that left an attempt unanswered.
