fleet: learn missed evidence when any peer is in contact again

Routers that were cut off in a group, still in contact with each other, did not count as isolated: after the cut they sent requests that the others refuse.

--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -138,7 +138,12 @@
 	// reservations holds the reservations of targets that this router arbitrates.
 	reservations *retry.Reservations
 
-	mu      sync.Mutex
+	// reconnected holds a peer that is in contact again.
+	reconnected chan membership.Peer
+
+	mu sync.Mutex
+	// failing holds the peers whose last exchange failed.
+	failing map[string]contactFailure
 	view    *membership.View
 	reports map[string]report
 	stats   Stats
@@ -181,6 +186,8 @@
 	return &Fleet{
 		o:            o,
 		urgent:       make(chan struct{}, 1),
+		reconnected:  make(chan membership.Peer, 1),
+		failing:      map[string]contactFailure{},
 		view:         membership.New(o.Clock.Now(), o.Self, o.Seeds, rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64()))),
 		reports:      map[string]report{},
 		reservations: retry.NewReservations(),
--- a/internal/app/fleet/handle.go
+++ b/internal/app/fleet/handle.go
@@ -13,6 +13,7 @@
 	now := f.o.Clock.Now()
 	f.stats.ExchangesHandled++
 	f.view.RecordIncoming(now, e.From)
+	f.recordContact(now, e.From.Name)
 	f.merge(now, e)
 	self := f.view.Self()
 	f.mu.Unlock()
--- a/internal/app/fleet/lifecycle.go
+++ b/internal/app/fleet/lifecycle.go
@@ -24,8 +24,22 @@
 	// snapshotInterval and snapshotRounds are for how long and how often it asks for them.
 	snapshotInterval = 250 * time.Millisecond
 	snapshotRounds   = 60
+	// minDisconnection is how long a peer must not have responded to count as in contact again.
+	// Shorter failures lose no urgent message to all of its neighbours.
+	minDisconnection = 2 * time.Second
+	// maxFailing bounds the peers whose failures are remembered: some are gone for good.
+	maxFailing = 1024
+	// reconnectionInterval is the least time between two snapshots of such peers.
+	reconnectionInterval = 5 * time.Second
 )
 
+// contactFailure is when a peer first did not respond, and its incarnation then.
+type contactFailure struct {
+	peer        membership.Peer
+	since       time.Time
+	incarnation uint64
+}
+
 // LeaveError means that some neighbours did not acknowledge the announcement
 // of a planned stop. They receive it from those that did.
 type LeaveError struct {
@@ -76,12 +90,20 @@
 	return s, true
 }
 
-// snapshotLoop merges the snapshots of some peers at the start and whenever the router was cut off
-// from all others. Fingerprints are sent once, so that only a snapshot holds the missed ones.
+// snapshotLoop merges the snapshots of some peers at the start, and that of a peer that is in contact
+// again. Fingerprints are sent once, so that only a snapshot holds the missed ones.
 func (f *Fleet) snapshotLoop(ctx context.Context) {
+	f.adoptSnapshots(ctx)
 	for {
-		f.adoptSnapshots(ctx)
-		if f.awaitReconnection(ctx) != nil {
+		select {
+		case to := <-f.reconnected:
+			asking, cancel := context.WithTimeout(ctx, exchangeTimeout)
+			f.adoptSnapshot(asking, to)
+			cancel()
+		case <-ctx.Done():
+			return
+		}
+		if ctxtime.Sleep(ctx, reconnectionInterval) != nil {
 			return
 		}
 	}
@@ -110,19 +132,31 @@
 	}
 }
 
-// awaitReconnection returns once the router was cut off from all others and is in contact again.
-func (f *Fleet) awaitReconnection(ctx context.Context) error {
-	for wasIsolated := false; ; {
-		if err := ctxtime.Sleep(ctx, membership.ExchangeInterval); err != nil {
-			return err
-		}
-		f.mu.Lock()
-		isIsolated := f.view.Isolated(f.o.Clock.Now())
-		f.mu.Unlock()
-		if wasIsolated && !isIsolated {
-			return nil
-		}
-		wasIsolated = isIsolated
+// recordFailure records that a peer did not respond. f.mu must be held.
+func (f *Fleet) recordFailure(now time.Time, to membership.Peer) {
+	if _, failing := f.failing[to.Name]; failing {
+		return
+	}
+	if len(f.failing) == maxFailing {
+		clear(f.failing)
+	}
+	f.failing[to.Name] = contactFailure{peer: to, since: now, incarnation: f.view.Incarnation(to.Name)}
+}
+
+// recordContact records contact with a peer. It wakes the snapshot loop if the same incarnation of it
+// did not respond for a while before. f.mu must be held.
+func (f *Fleet) recordContact(now time.Time, peer string) {
+	failure, failing := f.failing[peer]
+	if !failing {
+		return
+	}
+	delete(f.failing, peer)
+	if now.Sub(failure.since) < minDisconnection || f.view.Incarnation(peer) != failure.incarnation {
+		return
+	}
+	select {
+	case f.reconnected <- failure.peer:
+	default: // another peer is asked
 	}
 }
 
--- a/internal/app/fleet/loop.go
+++ b/internal/app/fleet/loop.go
@@ -86,10 +86,12 @@
 	if err != nil {
 		f.stats.FailedExchanges++
 		f.view.RecordFailure(now, to)
+		f.recordFailure(now, to)
 		f.mu.Unlock()
 		return
 	}
 	f.view.RecordResponse(now, to, response.From)
+	f.recordContact(now, to.Name)
 	f.merge(now, response)
 	f.mu.Unlock()
 	f.notifyCallbacks(response)
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -166,6 +166,14 @@
 // for the suspect state that is reported while this router is isolated.
 func (v *View) Version() uint64 { return v.version }
 
+// Incarnation returns the newest known incarnation of a router, zero if there is none.
+func (v *View) Incarnation(name string) uint64 {
+	if m := v.members[name]; m != nil {
+		return m.Incarnation
+	}
+	return 0
+}
+
 // Introduction returns this router's own entry for a message to a peer: in full
 // for the first messages to each incarnation of the peer, then without the
 // address, region and availability zone.
