--- a/internal/core/retry/segmentevidence.go
+++ b/internal/core/retry/segmentevidence.go
@@ -2,72 +2,15 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"maps"
 	"math/bits"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // crashSet is a set of indices of crashes.
 type crashSet uint64
 
-// quarantine holds the requests, and the groups of segments, that are refused.
-type quarantine struct {
-	requests map[Fingerprint]SegmentStats
-	groups   map[groupID]segmentGroup
-}
-
-// groupID is a hash of the segments of a group.
-type groupID uint64
-
-// segmentGroup holds segments that cannot be told apart by the crashes. Requests that hold all of
-// them are refused: the others show which one is at fault.
-type segmentGroup struct {
-	segments []SegmentHash // sorted
-	SegmentStats
-	// last is the time of the latest crash.
-	last time.Time
-}
-
-func (g segmentGroup) id() groupID {
-	d := xxhash.New()
-	var b [8]byte
-	for _, s := range g.segments {
-		binary.BigEndian.PutUint64(b[:], uint64(s))
-		_, _ = d.Write(b[:]) // it never fails
-	}
-	return groupID(d.Sum64())
-}
-
-// in reports whether a request with these segments holds the group.
-func (g segmentGroup) in(segments []SegmentHash) bool {
-	for _, s := range g.segments {
-		if !slices.Contains(segments, s) {
-			return false
-		}
-	}
-	return true
-}
-
-// holders returns the requests that may have caused the crash by the group.
-func (g segmentGroup) holders(c *segmentCrash) []Fingerprint {
-	for _, s := range g.segments {
-		if !c.candidates[s] {
-			return nil
-		}
-	}
-	var out []Fingerprint
-	for request, segments := range c.requests {
-		if g.in(segments) {
-			out = append(out, request)
-		}
-	}
-	return out
-}
-
 // evidence is an index of crashes by segment and by request.
 type evidence struct {
 	all      []*segmentCrash
