--- a/internal/core/retry/segmenttrials.go
+++ b/internal/core/retry/segmenttrials.go
@@ -54,8 +54,8 @@
 	if len(groups) == 0 {
 		return true
 	}
-	known, unknown := t.otherCauses(request, segments, groups)
-	if unknown || t.silentTargets(now, request) > 0 {
+	doubtful, suspect := t.otherCauses(request, segments, groups)
+	if suspect || t.silentTargets(now, request) > 0 {
 		return false
 	}
 	var due []segmentGroup
@@ -63,7 +63,7 @@
 		if trial := t.trials[g.id()]; trial != nil && trial.isOf(now, request) {
 			continue
 		}
-		if !t.mayTry(now, g, known) {
+		if !t.mayTry(now, g, doubtful) {
 			return false
 		}
 		due = append(due, g)
@@ -80,9 +80,9 @@
 }
 
 // mayTry reports whether a trial of the group is due on this router, trialBackoff times as late for a
-// request that may have another cause. The first router may try at once, and twice as many after
+// request that may crash a target for another reason. The first router may try at once, and twice as many after
 // each trialStep.
-func (t *SegmentTracker) mayTry(now time.Time, g segmentGroup, hasOtherCause bool) bool {
+func (t *SegmentTracker) mayTry(now time.Time, g segmentGroup, doubtful bool) bool {
 	last, failed := g.last, 0
 	if trial := t.trials[g.id()]; trial != nil {
 		failed = t.crashesSince(g, trial.first.Add(-settleTime)) // the times of other routers' reports are not exact
@@ -90,7 +90,7 @@
 			last = trial.at
 		}
 	}
-	if hasOtherCause {
+	if doubtful {
 		failed++
 	}
 	wait := now.Sub(last.Add(t.trialInterval(g.segments, failed)))
@@ -142,28 +142,29 @@
 	return false
 }
 
-// otherCauses reports whether the request may crash a target for another reason than the groups:
-// because of a segment that was answered before but in a crash without one that was not, or,
-// unknown, because of one that was not answered and in a crash, or as a whole.
-func (t *SegmentTracker) otherCauses(request Fingerprint, segments []SegmentHash, groups []segmentGroup) (known, unknown bool) {
-	inGroup := func(s SegmentHash) bool {
+// otherCauses reports whether the request may crash a target for another reason than the groups: it is
+// doubtful if it has a segment that was not answered before, or was in a crash without such a one, and
+// suspect if such a segment, or the request itself, was in a crash.
+func (t *SegmentTracker) otherCauses(request Fingerprint, segments []SegmentHash, groups []segmentGroup) (doubtful, suspect bool) {
+	others := slices.DeleteFunc(slices.Clone(segments), func(s SegmentHash) bool {
 		return slices.ContainsFunc(groups, func(g segmentGroup) bool { return slices.Contains(g.segments, s) })
-	}
+	})
+	doubtful = slices.ContainsFunc(others, func(s SegmentHash) bool { return !t.known.has(s) })
 	for _, c := range t.crashes {
 		if _, candidate := c.requests[request]; candidate && !c.answered[request] {
-			return known, true
+			return doubtful, true
 		}
-		for _, s := range segments {
+		for _, s := range others {
 			switch {
-			case !c.candidates[s] || inGroup(s):
+			case !c.candidates[s]:
 			case !t.known.has(s):
-				return known, true
-			case !known:
-				known = t.isCrashOfKnown(c, s)
+				return doubtful, true
+			case !doubtful:
+				doubtful = t.isCrashOfKnown(c, s)
 			}
 		}
 	}
-	return known, false
+	return doubtful, false
 }
 
 // isCrashOfKnown reports whether a request with the segment was in the crash of which all suspects
--- a/internal/core/retry/segmenttrials_test.go
+++ b/internal/core/retry/segmenttrials_test.go
@@ -104,6 +104,7 @@
 	f := newSegmentFleet(1)
 	f.answer(1)
 	f.answer(4)
+	f.answer(5)
 	f.crash(77, prompt(1, 2))
 	f.crash(0, prompt(1, 3))
 	f.crash(0, prompt(1, 4))
@@ -114,6 +115,7 @@
 	is.True(!f.routers[0].Try(f.now, 88, prompt(1, 5))) // its target may have ended
 	is.True(!f.tries(0, 1, 2))
 	is.True(!f.tries(0, 1, 4)) // only later
+	is.True(!f.tries(0, 1, 6)) // never answered
 	is.True(f.tries(0, 1, 5))
 	f.now = f.now.Add(knownTrialInterval * trialBackoff)
 	is.True(f.tries(0, 1, 4))
