--- a/internal/app/fleet/lifecycle.go
+++ b/internal/app/fleet/lifecycle.go
@@ -21,11 +21,12 @@
 	// maxSnapshots is the number of peers whose snapshots a router merges: the first may have
 	// started, or been cut off, like itself.
 	maxSnapshots = 2
-	// snapshotInterval and snapshotRounds are for how long and how often it asks for them.
+	// snapshotInterval is the time between two rounds of questions to the peers known then,
+	// snapshotRounds the number of rounds.
 	snapshotInterval = 250 * time.Millisecond
 	snapshotRounds   = 60
-	// minDisconnection is how long a peer must not have responded to count as in contact again.
-	// Shorter failures lose no urgent message to all of its neighbours.
+	// minDisconnection is how long a peer must not have responded to count as in contact again:
+	// shorter failures are common, and a snapshot holds the whole state.
 	minDisconnection = 2 * time.Second
 	// maxFailing bounds the peers whose failures are remembered: some are gone for good.
 	maxFailing = 1024
--- a/internal/core/retry/segmentexchange.go
+++ b/internal/core/retry/segmentexchange.go
@@ -25,8 +25,8 @@
 	t.report = report
 }
 
-// OnChange sets the function that is called after each change of the quarantined
-// segments. It must be called before the first request.
+// OnChange sets the function that is called after each change of the quarantine and
+// at each trial. It must be called before the first request.
 func (t *SegmentTracker) OnChange(on func(SegmentChange)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/core/retry/segments.go
+++ b/internal/core/retry/segments.go
@@ -51,8 +51,8 @@
 	startTime = 250 * time.Millisecond
 	// maxSegmentCrashes is the number of bits of a crashSet.
 	maxSegmentCrashes = 64
-	// unexplainedCrashes is how many of these at least may be of no quarantine, so that the next
-	// request or segment at fault is found.
+	// unexplainedCrashes is how many of these are kept for crashes that no quarantine explains, so
+	// that the next request or segment at fault is found.
 	unexplainedCrashes = 16
 	maxCrashRequests   = 64
 	// maxRequestSegments is the number of segments that the evidence holds of a request.
--- a/internal/core/retry/segmenttrials.go
+++ b/internal/core/retry/segmenttrials.go
@@ -217,8 +217,8 @@
 }
 
 // updateTrials removes the trials of groups that are released, and those of groups that are not
-// quarantined here some time after they were heard of. They count for a group that is what is
-// left of one.
+// quarantined here some time after they were heard of. A group that is a part of an earlier one
+// inherits its trials.
 func (t *SegmentTracker) updateTrials(now time.Time, before map[groupID]segmentGroup) {
 	for id, g := range t.quarantined.groups {
 		for was, old := range before {
--- a/internal/core/retry/segmenttrials_test.go
+++ b/internal/core/retry/segmenttrials_test.go
@@ -22,6 +22,18 @@
 	f.evaluate()
 }
 
+// beginTrial starts the first attempt of a trial on the target "a".
+func (f *segmentFleet) beginTrial(is *is.I, request Fingerprint) *SegmentTracker {
+	is.Helper()
+	f.answer(1, 2)
+	f.quarantineOf(1, 2)
+	f.now = f.now.Add(knownTrialInterval)
+	r := f.routers[0]
+	is.True(r.Try(f.now, request, prompt(1, 2)))
+	is.True(r.Start(f.now, "a", "1", "first", request, prompt(1, 2)))
+	return r
+}
+
 // trialAfter advances the time to the next trial and returns how long after the last crash it is.
 func (f *segmentFleet) trialAfter(router int, segments ...SegmentHash) time.Duration {
 	const step = 100 * time.Millisecond
@@ -67,12 +79,7 @@
 func TestAnswerToATrialEndsTheQuarantine(t *testing.T) {
 	is := is.New(t)
 	f := newSegmentFleet(3)
-	f.answer(1, 2)
-	f.quarantineOf(1, 2)
-	f.now = f.now.Add(knownTrialInterval)
-	r := f.routers[0]
-	is.True(r.Try(f.now, 77, prompt(1, 2)))
-	is.True(r.Start(f.now, "a", "1", "first", 77, prompt(1, 2)))
+	r := f.beginTrial(is, 77)
 	is.True(r.Try(f.now, 77, prompt(1, 2)))                        // between attempts
 	is.True(!r.Start(f.now, "b", "1", "second", 77, prompt(1, 2))) // one attempt at a time
 	r.Ended(f.now, "a", "first", Unjudged)
@@ -88,12 +95,7 @@
 func TestTrialEndsWithAnUnansweredAttempt(t *testing.T) {
 	is := is.New(t)
 	f := newSegmentFleet(1)
-	f.answer(1, 2)
-	f.quarantineOf(1, 2)
-	f.now = f.now.Add(knownTrialInterval)
-	r := f.routers[0]
-	is.True(r.Try(f.now, 77, prompt(1, 2)))
-	is.True(r.Start(f.now, "a", "1", "first", 77, prompt(1, 2)))
+	r := f.beginTrial(is, 77)
 	r.Ended(f.now, "a", "first", Unanswered)
 	is.True(!r.Try(f.now, 77, prompt(1, 2)))
 }
